Add the build, the protocol and the interfaces between the parts

The parts are built side by side, so their interfaces come first: the protobuf messages, the result type, the scheduler, the replicated log, the platform and the links of an entry. Formatter, Error Prone, NullAway and Checkstyle run in every build.

--- /dev/null
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/scheduling/GangShape.java
@@ -0,0 +1,26 @@
+package org.hickoryspar.kernel.scheduling;
+
+import static java.util.Objects.requireNonNull;
+
+/**
+ * The resources of a whole gang: equal tasks with an adjacency.
+ *
+ * @param tasks number of tasks, at least 1
+ * @param perTask resources of each task
+ * @param adjacency how close together the tasks must run
+ */
+public record GangShape(int tasks, ResourceShape perTask, Adjacency adjacency) {
+
+  /**
+   * Checks the components.
+   *
+   * @throws IllegalArgumentException if there is no task
+   */
+  public GangShape {
+    requireNonNull(perTask, "perTask is null");
+    requireNonNull(adjacency, "adjacency is null");
+    if (tasks < 1) {
+      throw new IllegalArgumentException("a gang needs at least 1 task, found " + tasks);
+    }
+  }
+}
--- /dev/null
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/value/ResultTest.java
@@ -0,0 +1,45 @@
+package org.hickoryspar.kernel.value;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+public class ResultTest {
+
+  // -- flatMap
+
+  @DataProvider
+  Object[][] ports() {
+    return new Object[][] {{"80", "port 80"}, {"x", "bad-number"}, {"0", "out-of-range"}};
+  }
+
+  /** Guards against a failure being lost, or replaced, in a chain of operations. */
+  @Test(dataProvider = "ports")
+  public void shouldKeepTheFirstFailureWhenChained(String text, String expected) {
+    Result<String> result = parse(text).flatMap(ResultTest::positive).map(n -> "port " + n);
+    assertEquals(result.fold(Problem::code, line -> line), expected);
+  }
+
+  // -- success
+
+  /** Guards against a null that is carried on as a value. */
+  @Test(expectedExceptions = NullPointerException.class)
+  public void shouldRefuseNullWhenSuccessIsMade() {
+    String missing = null;
+    assertFalse(Result.success(missing).isSuccess());
+  }
+
+  private static Result<Integer> parse(String text) {
+    return text.matches("\\d+")
+        ? Result.success(Integer.parseInt(text))
+        : Result.failure("bad-number", "expected digits, found " + text);
+  }
+
+  private static Result<Integer> positive(int number) {
+    return number > 0
+        ? Result.success(number)
+        : Result.failure("out-of-range", "expected a port above 0");
+  }
+}
--- /dev/null
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/cli/package-info.java
@@ -0,0 +1,5 @@
+/** The command line. */
+@NullMarked
+package org.hickoryspar.node.cli;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/observability/package-info.java
@@ -0,0 +1,5 @@
+/** Numbered log events, metrics and traces. */
+@NullMarked
+package org.hickoryspar.node.observability;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/settings/package-info.java
@@ -0,0 +1,5 @@
+/** Settings of an instance, read from a JSON file and checked. */
+@NullMarked
+package org.hickoryspar.node.settings;
+
+import org.jspecify.annotations.NullMarked;
