--- /dev/null
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/control/ClaimTable.java
@@ -0,0 +1,247 @@
+package org.hickoryspar.kernel.control;
+
+import static java.util.Objects.requireNonNull;
+
+import com.google.protobuf.ByteString;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import org.hickoryspar.protocol.Claim;
+import org.hickoryspar.protocol.ClaimBatch;
+import org.hickoryspar.protocol.ClaimBatchResult;
+import org.hickoryspar.protocol.ClaimRecord;
+import org.hickoryspar.protocol.ClaimResult;
+import org.hickoryspar.protocol.EntryLost;
+import org.hickoryspar.protocol.Outcome;
+import org.hickoryspar.protocol.OutcomeBatch;
+import org.hickoryspar.protocol.OutcomeRecord;
+
+/**
+ * Claims of non-idempotent requests and their outcomes, by team and key.
+ *
+ * <p>A key contains its creation time. It is refused once that is older than the retention, so a
+ * record may be dropped then without ever letting the key run again.
+ */
+final class ClaimTable {
+
+  /** How long a key is valid, counted from the creation time that it contains. */
+  static final long RETENTION_MILLIS = 24L * 60 * 60 * 1000;
+
+  /** How far the clock of a caller may be ahead of the replicated time. */
+  static final long MAX_SKEW_MILLIS = 5L * 60 * 1000;
+
+  /** Most claims of one team; bounds the state when a team sends without limit. */
+  static final int MAX_CLAIMS_PER_TEAM = 50_000;
+
+  /** Most dead entry processes that are remembered; about five days at 359 restarts a day. */
+  static final int MAX_LOST_ENTRIES = 2_000;
+
+  private final Map<ClaimKey, ClaimRecord> records = new HashMap<>();
+  private final TreeMap<Long, List<ClaimKey>> byCreationMillis = new TreeMap<>();
+  private final Map<String, Integer> countByTeam = new HashMap<>();
+  private final Set<Holder> lostHolders = new LinkedHashSet<>();
+
+  synchronized ClaimBatchResult claim(ClaimBatch batch, long nowMillis) {
+    dropExpired(nowMillis);
+    ClaimBatchResult.Builder result = ClaimBatchResult.newBuilder();
+    Holder holder = new Holder(batch.getEntryInstance(), batch.getEntryIncarnation());
+    for (Claim claim : batch.getClaimsList()) {
+      result.addResults(claim(claim, holder, nowMillis));
+    }
+    return result.build();
+  }
+
+  private ClaimResult claim(Claim claim, Holder holder, long nowMillis) {
+    long creationMillis = IdempotencyKeyTime.creationMillis(claim.getKey());
+    if (creationMillis <= nowMillis - RETENTION_MILLIS
+        || creationMillis > nowMillis + MAX_SKEW_MILLIS) {
+      return status(ClaimResult.Status.EXPIRED);
+    }
+    ClaimKey key = new ClaimKey(claim.getTeam(), claim.getKey());
+    ClaimRecord existing = records.get(key);
+    if (existing == null) {
+      return claimNew(key, creationMillis, claim, holder, nowMillis);
+    }
+    if (!existing.getFingerprint().equals(claim.getFingerprint())) {
+      return status(ClaimResult.Status.FINGERPRINT_MISMATCH);
+    }
+    boolean sameClaim = existing.getClaimId().equals(claim.getClaimId());
+    if (!existing.hasOutcome()) {
+      return sameClaim
+          ? status(ClaimResult.Status.GRANTED)
+          : status(ClaimResult.Status.IN_PROGRESS).toBuilder()
+              .setHolderInstance(existing.getEntryInstance())
+              .build();
+    }
+    boolean notRun = existing.getOutcome().getKind() == Outcome.Kind.NOT_RUN;
+    if (notRun && !sameClaim) {
+      records.put(key, newRecord(key, claim, holder, nowMillis));
+      return status(ClaimResult.Status.GRANTED);
+    }
+    return status(ClaimResult.Status.COMPLETED).toBuilder()
+        .setOutcome(existing.getOutcome())
+        .build();
+  }
+
+  private ClaimResult claimNew(
+      ClaimKey key, long creationMillis, Claim claim, Holder holder, long nowMillis) {
+    if (lostHolders.contains(holder)) {
+      // The entry was declared dead; a grant would leave a claim that nobody completes.
+      return status(ClaimResult.Status.FULL);
+    }
+    int count = countByTeam.getOrDefault(key.team(), 0);
+    if (count >= MAX_CLAIMS_PER_TEAM) {
+      return status(ClaimResult.Status.FULL);
+    }
+    insert(key, creationMillis, newRecord(key, claim, holder, nowMillis));
+    return status(ClaimResult.Status.GRANTED);
+  }
+
+  private void insert(ClaimKey key, long creationMillis, ClaimRecord claimRecord) {
+    records.put(key, claimRecord);
+    byCreationMillis.computeIfAbsent(creationMillis, k -> new ArrayList<>(1)).add(key);
+    countByTeam.merge(key.team(), 1, Integer::sum);
+  }
+
+  synchronized void complete(OutcomeBatch batch) {
+    for (OutcomeRecord outcome : batch.getRecordsList()) {
+      ClaimKey key = new ClaimKey(outcome.getTeam(), outcome.getKey());
+      ClaimRecord existing = records.get(key);
+      if (existing != null && isHeldBy(existing, batch) && mayReplaceOutcome(existing)) {
+        records.put(key, existing.toBuilder().setOutcome(outcome.getOutcome()).build());
+      }
+    }
+  }
+
+  private static boolean isHeldBy(ClaimRecord claimRecord, OutcomeBatch batch) {
+    return claimRecord.getEntryInstance().equals(batch.getEntryInstance())
+        && claimRecord.getEntryIncarnation() == batch.getEntryIncarnation();
+  }
+
+  /** An entry that was taken for dead may still know better than "unknown". */
+  private static boolean mayReplaceOutcome(ClaimRecord claimRecord) {
+    return !claimRecord.hasOutcome() || claimRecord.getOutcome().getKind() == Outcome.Kind.UNKNOWN;
+  }
+
+  synchronized void entryLost(EntryLost lost) {
+    Holder holder = new Holder(lost.getEntryInstance(), lost.getEntryIncarnation());
+    lostHolders.add(holder);
+    if (lostHolders.size() > MAX_LOST_ENTRIES) {
+      lostHolders.remove(lostHolders.iterator().next());
+    }
+    Outcome unknown = Outcome.newBuilder().setKind(Outcome.Kind.UNKNOWN).build();
+    records.replaceAll(
+        (key, held) ->
+            held.hasOutcome() || !holder.holds(held)
+                ? held
+                : held.toBuilder().setOutcome(unknown).build());
+  }
+
+  synchronized List<EntryLost> earlierHolders(String instance, long currentIncarnation) {
+    Set<Long> earlier = new TreeSet<>();
+    for (ClaimRecord held : records.values()) {
+      if (!held.hasOutcome()
+          && held.getEntryInstance().equals(instance)
+          && held.getEntryIncarnation() < currentIncarnation) {
+        earlier.add(held.getEntryIncarnation());
+      }
+    }
+    return earlier.stream().map(incarnation -> lost(instance, incarnation)).toList();
+  }
+
+  private static EntryLost lost(String instance, long incarnation) {
+    return EntryLost.newBuilder()
+        .setEntryInstance(instance)
+        .setEntryIncarnation(incarnation)
+        .build();
+  }
+
+  private void dropExpired(long nowMillis) {
+    Map<Long, List<ClaimKey>> expired =
+        byCreationMillis.headMap(nowMillis - RETENTION_MILLIS, true);
+    for (List<ClaimKey> keys : expired.values()) {
+      for (ClaimKey key : keys) {
+        records.remove(key);
+        countByTeam.merge(key.team(), -1, ClaimTable::sumOrRemove);
+      }
+    }
+    expired.clear();
+  }
+
+  // Map.merge needs null for "remove the mapping", which NullAway cannot express.
+  @SuppressWarnings("NullAway")
+  private static Integer sumOrRemove(Integer a, Integer b) {
+    int sum = a + b;
+    return sum == 0 ? null : Integer.valueOf(sum);
+  }
+
+  synchronized int size() {
+    return records.size();
+  }
+
+  synchronized List<ClaimRecord> snapshot() {
+    List<ClaimRecord> copy = new ArrayList<>(records.values());
+    copy.sort(Comparator.comparing(ClaimRecord::getTeam).thenComparing(ClaimRecord::getKey));
+    return copy;
+  }
+
+  synchronized List<EntryLost> snapshotLostEntries() {
+    return lostHolders.stream()
+        .map(holder -> lost(holder.instance(), holder.incarnation()))
+        .toList();
+  }
+
+  synchronized void restore(List<ClaimRecord> snapshot, List<EntryLost> lostEntries) {
+    records.clear();
+    byCreationMillis.clear();
+    countByTeam.clear();
+    lostHolders.clear();
+    for (EntryLost lost : lostEntries) {
+      lostHolders.add(new Holder(lost.getEntryInstance(), lost.getEntryIncarnation()));
+    }
+    for (ClaimRecord claimRecord : snapshot) {
+      insert(
+          new ClaimKey(claimRecord.getTeam(), claimRecord.getKey()),
+          IdempotencyKeyTime.creationMillis(claimRecord.getKey()),
+          claimRecord);
+    }
+  }
+
+  private static ClaimRecord newRecord(ClaimKey key, Claim claim, Holder holder, long nowMillis) {
+    ByteString fingerprint = claim.getFingerprint();
+    return ClaimRecord.newBuilder()
+        .setTeam(key.team())
+        .setKey(key.key())
+        .setFingerprint(fingerprint)
+        .setClaimId(claim.getClaimId())
+        .setEntryInstance(holder.instance())
+        .setEntryIncarnation(holder.incarnation())
+        .setTimeMillis(nowMillis)
+        .build();
+  }
+
+  private static ClaimResult status(ClaimResult.Status status) {
+    return ClaimResult.newBuilder().setStatus(status).build();
+  }
+
+  private record ClaimKey(String team, String key) {
+    ClaimKey {
+      requireNonNull(team, "team is null");
+      requireNonNull(key, "key is null");
+    }
+  }
+
+  private record Holder(String instance, long incarnation) {
+
+    boolean holds(ClaimRecord claimRecord) {
+      return claimRecord.getEntryInstance().equals(instance)
+          && claimRecord.getEntryIncarnation() == incarnation;
+    }
+  }
+}
--- /dev/null
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/control/FleetState.java
@@ -0,0 +1,161 @@
+package org.hickoryspar.kernel.control;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.google.protobuf.ByteString;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.hickoryspar.kernel.fleet.MergePatch;
+import org.hickoryspar.kernel.value.Problem;
+import org.hickoryspar.protocol.ChangeRecord;
+import org.hickoryspar.protocol.FleetChange;
+import org.hickoryspar.protocol.FleetDelta;
+import org.hickoryspar.protocol.FleetHistoryEntry;
+
+/** The fleet configuration in force, its history and the change ids already seen. */
+final class FleetState {
+
+  static final int MAX_HISTORY = 1_000;
+
+  /** About four days of changes at 2,400 a day; a resend comes within minutes. */
+  static final int MAX_CHANGE_IDS = 10_000;
+
+  private static final ObjectMapper JSON = new ObjectMapper();
+
+  private JsonNode document = JsonNodeFactory.instance.objectNode();
+  private long version;
+  private final Deque<FleetHistoryEntry> history = new ArrayDeque<>();
+  private final LinkedHashMap<String, Long> versionByChangeId = new LinkedHashMap<>();
+
+  synchronized CommandResult apply(FleetChange change, long nowMillis) {
+    Long known = versionByChangeId.get(change.getChangeId());
+    if (known != null) {
+      return new CommandResult.FleetAccepted(known);
+    }
+    if (change.getBaseVersion() != version) {
+      FleetHistoryEntry last = history.peekLast();
+      return last == null
+          ? new CommandResult.FleetConflict(version, "", 0)
+          : new CommandResult.FleetConflict(
+              version, last.getChange().getOwner(), last.getTimeMillis());
+    }
+    JsonNode patch;
+    try {
+      patch = JSON.readTree(change.getMergePatchJson().toByteArray());
+    } catch (IOException e) {
+      return new CommandResult.Refused(Problem.of("malformed", "the patch is not JSON"));
+    }
+    document = MergePatch.apply(document, patch);
+    version++;
+    remember(change, nowMillis);
+    return new CommandResult.FleetAccepted(version);
+  }
+
+  private void remember(FleetChange change, long nowMillis) {
+    versionByChangeId.put(change.getChangeId(), version);
+    if (versionByChangeId.size() > MAX_CHANGE_IDS) {
+      Iterator<String> oldest = versionByChangeId.keySet().iterator();
+      oldest.next();
+      oldest.remove();
+    }
+    history.add(
+        FleetHistoryEntry.newBuilder()
+            .setVersion(version)
+            .setChange(change)
+            .setTimeMillis(nowMillis)
+            .build());
+    if (history.size() > MAX_HISTORY) {
+      history.remove();
+    }
+  }
+
+  synchronized long version() {
+    return version;
+  }
+
+  /** Returns the data centres; the node belongs to this version and is never changed. */
+  synchronized JsonNode dataCentres() {
+    return document.path("dataCentres");
+  }
+
+  synchronized ControlState.FleetVersion current() {
+    return new ControlState.FleetVersion(version, document.deepCopy());
+  }
+
+  synchronized Optional<Long> versionOf(String changeId) {
+    return Optional.ofNullable(versionByChangeId.get(changeId));
+  }
+
+  synchronized List<FleetHistoryEntry> history() {
+    return new ArrayList<>(history);
+  }
+
+  /** Returns the changes after a version, or empty when the history does not reach back to it. */
+  synchronized Optional<List<FleetDelta>> deltasAfter(long since) {
+    FleetHistoryEntry first = history.peekFirst();
+    if (since > version || (since < version && (first == null || first.getVersion() > since + 1))) {
+      return Optional.empty();
+    }
+    List<FleetDelta> deltas = new ArrayList<>();
+    for (FleetHistoryEntry entry : history) {
+      if (entry.getVersion() > since) {
+        deltas.add(
+            FleetDelta.newBuilder()
+                .setVersion(entry.getVersion())
+                .setMergePatchJson(entry.getChange().getMergePatchJson())
+                .build());
+      }
+    }
+    return Optional.of(deltas);
+  }
+
+  synchronized ByteString documentJson() {
+    try {
+      return ByteString.copyFrom(JSON.writeValueAsBytes(document));
+    } catch (JsonProcessingException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  synchronized List<ChangeRecord> changes() {
+    List<ChangeRecord> records = new ArrayList<>(versionByChangeId.size());
+    versionByChangeId.forEach(
+        (id, changeVersion) ->
+            records.add(
+                ChangeRecord.newBuilder().setChangeId(id).setVersion(changeVersion).build()));
+    return records;
+  }
+
+  synchronized void restore(
+      long newVersion,
+      ByteString documentJson,
+      List<FleetHistoryEntry> entries,
+      List<ChangeRecord> changes) {
+    try {
+      document =
+          documentJson.isEmpty()
+              ? JsonNodeFactory.instance.objectNode()
+              : JSON.readTree(documentJson.toByteArray());
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+    version = newVersion;
+    history.clear();
+    history.addAll(entries);
+    versionByChangeId.clear();
+    Map<String, Long> restored = versionByChangeId;
+    for (ChangeRecord change : changes) {
+      restored.put(change.getChangeId(), change.getVersion());
+    }
+  }
+}
--- /dev/null
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/platform/HttpPlatform.java
@@ -0,0 +1,171 @@
+package org.hickoryspar.node.platform;
+
+import static java.util.Objects.requireNonNull;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.function.Function;
+import org.eclipse.jetty.client.ContentResponse;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.client.StringRequestContent;
+import org.eclipse.jetty.http.HttpMethod;
+import org.hickoryspar.kernel.scheduling.ResourceShape;
+import org.hickoryspar.kernel.scheduling.WorkerState;
+import org.hickoryspar.kernel.value.Result;
+import org.jspecify.annotations.Nullable;
+
+/** The platform behind its HTTP interface. */
+public final class HttpPlatform implements Platform {
+
+  private static final int HTTP_OK = 200;
+
+  private final HttpClient client;
+  private final ObjectMapper json;
+  private final String baseUrl;
+  private final long timeoutMillis;
+
+  /**
+   * Creates a client; the HTTP client is started and stopped by the caller.
+   *
+   * @param client the HTTP client
+   * @param json reads and writes JSON
+   * @param baseUrl URL of the platform without a trailing slash
+   * @param timeoutMillis time after which a call fails with {@code "unreachable"}
+   */
+  public HttpPlatform(HttpClient client, ObjectMapper json, String baseUrl, long timeoutMillis) {
+    this.client = requireNonNull(client, "client is null");
+    this.json = requireNonNull(json, "json is null");
+    this.baseUrl = requireNonNull(baseUrl, "baseUrl is null");
+    this.timeoutMillis = timeoutMillis;
+  }
+
+  @Override
+  public Result<List<WorkerState>> inventory() {
+    return call(HttpMethod.GET, "/v1/workers", null).flatMap(body -> list(body, this::worker));
+  }
+
+  @Override
+  public Result<String> prepare(PrepareRequest request) {
+    requireNonNull(request, "request is null");
+    ObjectNode body =
+        json.createObjectNode()
+            .put("jobId", request.jobId())
+            .put("task", request.task())
+            .put("workerId", request.workerId())
+            .put("cores", request.shape().cores())
+            .put("memoryMegabytes", request.shape().memoryMegabytes())
+            .put("accelerators", request.shape().accelerators())
+            .put("fencingToken", request.fencingToken())
+            .put("leaseMillis", request.leaseMillis())
+            .put("startBeforeMillis", request.startBeforeMillis())
+            .put("runHintMillis", request.runHintMillis());
+    return onLease(request.leaseId(), "prepare", body);
+  }
+
+  @Override
+  public Result<String> start(String leaseId, long fencingToken) {
+    return onLease(leaseId, "start", token(fencingToken));
+  }
+
+  @Override
+  public Result<List<String>> renew(List<String> leaseIds, long fencingToken, long leaseMillis) {
+    ObjectNode body = token(fencingToken).put("leaseMillis", leaseMillis);
+    leaseIds.forEach(body.putArray("leaseIds")::add);
+    return call(HttpMethod.POST, "/v1/renewals", body)
+        .flatMap(answer -> list(answer, JsonNode::asText));
+  }
+
+  @Override
+  public Result<String> checkpoint(String leaseId, long fencingToken) {
+    return onLease(leaseId, "checkpoint", token(fencingToken));
+  }
+
+  @Override
+  public Result<String> throttle(String leaseId, long fencingToken, int percent) {
+    return onLease(leaseId, "throttle", token(fencingToken).put("percent", percent));
+  }
+
+  @Override
+  public Result<String> stop(String leaseId, long fencingToken) {
+    return onLease(leaseId, "stop", token(fencingToken));
+  }
+
+  @Override
+  public Result<List<TaskReport>> usage() {
+    return call(HttpMethod.GET, "/v1/usage", null).flatMap(body -> list(body, this::report));
+  }
+
+  private ObjectNode token(long fencingToken) {
+    return json.createObjectNode().put("fencingToken", fencingToken);
+  }
+
+  private Result<String> onLease(String leaseId, String operation, ObjectNode body) {
+    requireNonNull(leaseId, "leaseId is null");
+    return call(HttpMethod.POST, "/v1/leases/" + leaseId + "/" + operation, body)
+        .map(answer -> leaseId);
+  }
+
+  private Result<JsonNode> call(HttpMethod method, String path, @Nullable JsonNode body) {
+    Request request =
+        client
+            .newRequest(baseUrl + path)
+            .method(method)
+            .timeout(timeoutMillis, TimeUnit.MILLISECONDS);
+    if (body != null) {
+      request.body(new StringRequestContent("application/json", body.toString()));
+    }
+    try {
+      ContentResponse response = request.send();
+      JsonNode answer = json.readTree(response.getContentAsString());
+      return response.getStatus() == HTTP_OK
+          ? Result.success(answer)
+          : Result.failure(
+              answer.path("code").asText("unreachable"),
+              answer.path("message").asText("status " + response.getStatus()));
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return Result.failure("unreachable", "interrupted");
+    } catch (TimeoutException | ExecutionException | JsonProcessingException e) {
+      return Result.failure("unreachable", path + ": " + e);
+    }
+  }
+
+  private static <T> Result<List<T>> list(JsonNode body, Function<JsonNode, T> reader) {
+    if (!body.isArray()) {
+      return Result.failure("unreachable", "expected a JSON array from the platform");
+    }
+    List<T> items = new ArrayList<>(body.size());
+    body.forEach(item -> items.add(reader.apply(item)));
+    return Result.success(items);
+  }
+
+  private WorkerState worker(JsonNode item) {
+    return new WorkerState(
+        item.path("id").asText(),
+        item.path("rack").asText(),
+        item.path("dataCentre").asText(),
+        new ResourceShape(
+            item.path("cores").asInt(),
+            item.path("memoryMegabytes").asInt(),
+            item.path("accelerators").asInt()),
+        item.path("available").asBoolean());
+  }
+
+  private TaskReport report(JsonNode item) {
+    return new TaskReport(
+        item.path("leaseId").asText(),
+        item.path("workerId").asText(),
+        item.path("state").asText(),
+        item.path("coresPercent").asInt(),
+        item.path("memoryMegabytes").asInt(),
+        item.path("ageMillis").asLong());
+  }
+}
--- /dev/null
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/transport/OutboundConnection.java
@@ -0,0 +1,73 @@
+package org.hickoryspar.node.transport;
+
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.timeout.IdleState;
+import io.netty.handler.timeout.IdleStateEvent;
+import org.hickoryspar.node.observability.EventLogger;
+import org.hickoryspar.protocol.Envelope;
+import org.hickoryspar.protocol.Heartbeat;
+import org.hickoryspar.protocol.Hello;
+import org.jspecify.annotations.Nullable;
+
+/** The dialling end of a connection. */
+final class OutboundConnection extends SimpleChannelInboundHandler<Envelope> {
+
+  private final PeerConnection owner;
+  private final PeerIdentity identity;
+  private final PeerHandler handler;
+  private @Nullable Hello peer;
+  private String closeReason = "closed by the peer";
+
+  OutboundConnection(PeerConnection owner, PeerIdentity identity, PeerHandler handler) {
+    this.owner = owner;
+    this.identity = identity;
+    this.handler = handler;
+  }
+
+  @Override
+  public void channelActive(ChannelHandlerContext context) {
+    context.writeAndFlush(Envelope.newBuilder().setHello(identity.toHello()).build());
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext context) {
+    owner.lost(context.channel(), closeReason);
+  }
+
+  @Override
+  protected void channelRead0(ChannelHandlerContext context, Envelope message) {
+    Hello known = peer;
+    if (message.hasHello()) {
+      peer = message.getHello();
+      owner.accepted(context.channel());
+    } else if (message.hasHelloRefused()) {
+      EventLogger.log(
+          TransportEvent.HELLO_REFUSED, owner.peerId(), message.getHelloRefused().getReason());
+      context.close();
+    } else if (message.getResponse()) {
+      owner.answered(message);
+    } else if (known != null && !message.hasHeartbeat()) {
+      handler.handle(known, message, ignored -> {});
+    }
+  }
+
+  @Override
+  public void userEventTriggered(ChannelHandlerContext context, Object event) {
+    if (event instanceof IdleStateEvent idle) {
+      if (idle.state() == IdleState.READER_IDLE) {
+        closeReason = "no frame for " + PeerPipeline.SILENCE_MILLIS + " ms";
+        context.close();
+      } else {
+        context.writeAndFlush(
+            Envelope.newBuilder().setHeartbeat(Heartbeat.getDefaultInstance()).build());
+      }
+    }
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+    closeReason = cause.toString();
+    context.close();
+  }
+}
--- /dev/null
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/transport/PeerPipeline.java
@@ -0,0 +1,48 @@
+package org.hickoryspar.node.transport;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelPipeline;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.LengthFieldPrepender;
+import io.netty.handler.codec.protobuf.ProtobufDecoder;
+import io.netty.handler.codec.protobuf.ProtobufEncoder;
+import io.netty.handler.timeout.IdleStateHandler;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.hickoryspar.protocol.Envelope;
+
+/** Sets up a connection: length-limited frames, protobuf and the detection of silence. */
+final class PeerPipeline extends ChannelInitializer<Channel> {
+
+  static final int MAX_FRAME_BYTES = 4 * 1024 * 1024;
+  static final long HEARTBEAT_MILLIS = 500;
+
+  /**
+   * A connection without a frame for this long is closed: a middle box may have dropped its state,
+   * and TCP alone would not notice for minutes.
+   */
+  static final long SILENCE_MILLIS = 2_000;
+
+  private static final int LENGTH_BYTES = 4;
+
+  private final Supplier<ChannelHandler> handler;
+
+  PeerPipeline(Supplier<ChannelHandler> handler) {
+    this.handler = handler;
+  }
+
+  @Override
+  protected void initChannel(Channel channel) {
+    ChannelPipeline pipeline = channel.pipeline();
+    pipeline.addLast(
+        new LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES));
+    pipeline.addLast(new LengthFieldPrepender(LENGTH_BYTES));
+    pipeline.addLast(new ProtobufDecoder(Envelope.getDefaultInstance()));
+    pipeline.addLast(new ProtobufEncoder());
+    pipeline.addLast(
+        new IdleStateHandler(SILENCE_MILLIS, HEARTBEAT_MILLIS, 0, TimeUnit.MILLISECONDS));
+    pipeline.addLast(handler.get());
+  }
+}
--- /dev/null
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/transport/PeerServer.java
@@ -0,0 +1,76 @@
+package org.hickoryspar.node.transport;
+
+import static java.util.Objects.requireNonNull;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.net.InetSocketAddress;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import org.hickoryspar.kernel.value.Result;
+import org.hickoryspar.node.observability.EventLogger;
+import org.jspecify.annotations.Nullable;
+
+/** Accepts connections from other processes of the cluster. */
+public final class PeerServer implements AutoCloseable {
+
+  private final PeerIdentity identity;
+  private final EventLoopGroup eventLoops;
+  private final PeerHandler handler;
+  private final Set<Channel> connections = ConcurrentHashMap.newKeySet();
+  private @Nullable Channel listener;
+
+  /**
+   * Creates a server that does not listen yet.
+   *
+   * @param identity who this process is
+   * @param eventLoops event loops, owned by the caller
+   * @param handler handles the messages
+   */
+  public PeerServer(PeerIdentity identity, EventLoopGroup eventLoops, PeerHandler handler) {
+    this.identity = requireNonNull(identity, "identity is null");
+    this.eventLoops = requireNonNull(eventLoops, "eventLoops is null");
+    this.handler = requireNonNull(handler, "handler is null");
+  }
+
+  /**
+   * Starts to listen.
+   *
+   * @param address address to bind; port 0 takes a free one
+   * @return the bound address, or a problem with the code {@code "bind-failed"}
+   */
+  public Result<InetSocketAddress> listen(InetSocketAddress address) {
+    requireNonNull(address, "address is null");
+    ServerBootstrap bootstrap =
+        new ServerBootstrap()
+            .group(eventLoops)
+            .channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(
+                new PeerPipeline(() -> new InboundConnection(identity, handler, connections)));
+    ChannelFuture bound = bootstrap.bind(address).awaitUninterruptibly();
+    Channel channel = bound.channel();
+    if (!bound.isSuccess()) {
+      return Result.failure("bind-failed", "cannot listen on " + address + ": " + bound.cause());
+    }
+    listener = channel;
+    EventLogger.log(TransportEvent.LISTENING, channel.localAddress());
+    return Result.success((InetSocketAddress) channel.localAddress());
+  }
+
+  @Override
+  public void close() {
+    Channel channel = listener;
+    if (channel != null) {
+      channel.close().awaitUninterruptibly();
+    }
+    for (Channel connection : connections) {
+      connection.close();
+    }
+  }
+}
--- a/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/Claim.java
+++ b/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/Claim.java
@@ -31,6 +31,7 @@
     team_ = "";
     key_ = "";
     fingerprint_ = com.google.protobuf.ByteString.EMPTY;
+    claimId_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -139,6 +140,53 @@
     return fingerprint_;
   }
 
+  public static final int CLAIM_ID_FIELD_NUMBER = 4;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object claimId_ = "";
+  /**
+   * <pre>
+   * Unique per request; a claim that is sent again with the same id is granted again.
+   * </pre>
+   *
+   * <code>string claim_id = 4;</code>
+   * @return The claimId.
+   */
+  @java.lang.Override
+  public java.lang.String getClaimId() {
+    java.lang.Object ref = claimId_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      claimId_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * Unique per request; a claim that is sent again with the same id is granted again.
+   * </pre>
+   *
+   * <code>string claim_id = 4;</code>
+   * @return The bytes for claimId.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getClaimIdBytes() {
+    java.lang.Object ref = claimId_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      claimId_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -162,6 +210,9 @@
     if (!fingerprint_.isEmpty()) {
       output.writeBytes(3, fingerprint_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(claimId_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 4, claimId_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -181,6 +232,9 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBytesSize(3, fingerprint_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(claimId_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(4, claimId_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -202,6 +256,8 @@
         .equals(other.getKey())) return false;
     if (!getFingerprint()
         .equals(other.getFingerprint())) return false;
+    if (!getClaimId()
+        .equals(other.getClaimId())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -219,6 +275,8 @@
     hash = (53 * hash) + getKey().hashCode();
     hash = (37 * hash) + FINGERPRINT_FIELD_NUMBER;
     hash = (53 * hash) + getFingerprint().hashCode();
+    hash = (37 * hash) + CLAIM_ID_FIELD_NUMBER;
+    hash = (53 * hash) + getClaimId().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -353,6 +411,7 @@
       team_ = "";
       key_ = "";
       fingerprint_ = com.google.protobuf.ByteString.EMPTY;
+      claimId_ = "";
       return this;
     }
 
@@ -395,6 +454,9 @@
       if (((from_bitField0_ & 0x00000004) != 0)) {
         result.fingerprint_ = fingerprint_;
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.claimId_ = claimId_;
+      }
     }
 
     @java.lang.Override
@@ -422,6 +484,11 @@
       if (!other.getFingerprint().isEmpty()) {
         setFingerprint(other.getFingerprint());
       }
+      if (!other.getClaimId().isEmpty()) {
+        claimId_ = other.claimId_;
+        bitField0_ |= 0x00000008;
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -463,6 +530,11 @@
               bitField0_ |= 0x00000004;
               break;
             } // case 26
+            case 34: {
+              claimId_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 34
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -668,6 +740,98 @@
       return this;
     }
 
+    private java.lang.Object claimId_ = "";
+    /**
+     * <pre>
+     * Unique per request; a claim that is sent again with the same id is granted again.
+     * </pre>
+     *
+     * <code>string claim_id = 4;</code>
+     * @return The claimId.
+     */
+    public java.lang.String getClaimId() {
+      java.lang.Object ref = claimId_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        claimId_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Unique per request; a claim that is sent again with the same id is granted again.
+     * </pre>
+     *
+     * <code>string claim_id = 4;</code>
+     * @return The bytes for claimId.
+     */
+    public com.google.protobuf.ByteString
+        getClaimIdBytes() {
+      java.lang.Object ref = claimId_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        claimId_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Unique per request; a claim that is sent again with the same id is granted again.
+     * </pre>
+     *
+     * <code>string claim_id = 4;</code>
+     * @param value The claimId to set.
+     * @return This builder for chaining.
+     */
+    public Builder setClaimId(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      claimId_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Unique per request; a claim that is sent again with the same id is granted again.
+     * </pre>
+     *
+     * <code>string claim_id = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearClaimId() {
+      claimId_ = getDefaultInstance().getClaimId();
+      bitField0_ = (bitField0_ & ~0x00000008);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Unique per request; a claim that is sent again with the same id is granted again.
+     * </pre>
+     *
+     * <code>string claim_id = 4;</code>
+     * @param value The bytes for claimId to set.
+     * @return This builder for chaining.
+     */
+    public Builder setClaimIdBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      claimId_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:hickoryspar.Claim)
   }
 
--- a/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/ClaimOrBuilder.java
+++ b/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/ClaimOrBuilder.java
@@ -43,4 +43,24 @@
    * @return The fingerprint.
    */
   com.google.protobuf.ByteString getFingerprint();
+
+  /**
+   * <pre>
+   * Unique per request; a claim that is sent again with the same id is granted again.
+   * </pre>
+   *
+   * <code>string claim_id = 4;</code>
+   * @return The claimId.
+   */
+  java.lang.String getClaimId();
+  /**
+   * <pre>
+   * Unique per request; a claim that is sent again with the same id is granted again.
+   * </pre>
+   *
+   * <code>string claim_id = 4;</code>
+   * @return The bytes for claimId.
+   */
+  com.google.protobuf.ByteString
+      getClaimIdBytes();
 }
--- a/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/ClaimRecord.java
+++ b/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/ClaimRecord.java
@@ -32,6 +32,7 @@
     key_ = "";
     fingerprint_ = com.google.protobuf.ByteString.EMPTY;
     entryInstance_ = "";
+    claimId_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -224,6 +225,45 @@
     return outcome_ == null ? org.hickoryspar.protocol.Outcome.getDefaultInstance() : outcome_;
   }
 
+  public static final int CLAIM_ID_FIELD_NUMBER = 8;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object claimId_ = "";
+  /**
+   * <code>string claim_id = 8;</code>
+   * @return The claimId.
+   */
+  @java.lang.Override
+  public java.lang.String getClaimId() {
+    java.lang.Object ref = claimId_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      claimId_ = s;
+      return s;
+    }
+  }
+  /**
+   * <code>string claim_id = 8;</code>
+   * @return The bytes for claimId.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getClaimIdBytes() {
+    java.lang.Object ref = claimId_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      claimId_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -259,6 +299,9 @@
     if (((bitField0_ & 0x00000001) != 0)) {
       output.writeMessage(7, getOutcome());
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(claimId_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 8, claimId_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -293,6 +336,9 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(7, getOutcome());
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(claimId_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(8, claimId_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -325,6 +371,8 @@
       if (!getOutcome()
           .equals(other.getOutcome())) return false;
     }
+    if (!getClaimId()
+        .equals(other.getClaimId())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -354,6 +402,8 @@
       hash = (37 * hash) + OUTCOME_FIELD_NUMBER;
       hash = (53 * hash) + getOutcome().hashCode();
     }
+    hash = (37 * hash) + CLAIM_ID_FIELD_NUMBER;
+    hash = (53 * hash) + getClaimId().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -502,6 +552,7 @@
         outcomeBuilder_.dispose();
         outcomeBuilder_ = null;
       }
+      claimId_ = "";
       return this;
     }
 
@@ -560,6 +611,9 @@
             : outcomeBuilder_.build();
         to_bitField0_ |= 0x00000001;
       }
+      if (((from_bitField0_ & 0x00000080) != 0)) {
+        result.claimId_ = claimId_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -602,6 +656,11 @@
       if (other.hasOutcome()) {
         mergeOutcome(other.getOutcome());
       }
+      if (!other.getClaimId().isEmpty()) {
+        claimId_ = other.claimId_;
+        bitField0_ |= 0x00000080;
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -665,6 +724,11 @@
               bitField0_ |= 0x00000040;
               break;
             } // case 58
+            case 66: {
+              claimId_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000080;
+              break;
+            } // case 66
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1115,6 +1179,78 @@
       return outcomeBuilder_;
     }
 
+    private java.lang.Object claimId_ = "";
+    /**
+     * <code>string claim_id = 8;</code>
+     * @return The claimId.
+     */
+    public java.lang.String getClaimId() {
+      java.lang.Object ref = claimId_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        claimId_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <code>string claim_id = 8;</code>
+     * @return The bytes for claimId.
+     */
+    public com.google.protobuf.ByteString
+        getClaimIdBytes() {
+      java.lang.Object ref = claimId_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        claimId_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <code>string claim_id = 8;</code>
+     * @param value The claimId to set.
+     * @return This builder for chaining.
+     */
+    public Builder setClaimId(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      claimId_ = value;
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string claim_id = 8;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearClaimId() {
+      claimId_ = getDefaultInstance().getClaimId();
+      bitField0_ = (bitField0_ & ~0x00000080);
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string claim_id = 8;</code>
+     * @param value The bytes for claimId to set.
+     * @return This builder for chaining.
+     */
+    public Builder setClaimIdBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      claimId_ = value;
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:hickoryspar.ClaimRecord)
   }
 
--- a/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/ClaimRecordOrBuilder.java
+++ b/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/ClaimRecordOrBuilder.java
@@ -78,4 +78,16 @@
    * <code>.hickoryspar.Outcome outcome = 7;</code>
    */
   org.hickoryspar.protocol.OutcomeOrBuilder getOutcomeOrBuilder();
+
+  /**
+   * <code>string claim_id = 8;</code>
+   * @return The claimId.
+   */
+  java.lang.String getClaimId();
+  /**
+   * <code>string claim_id = 8;</code>
+   * @return The bytes for claimId.
+   */
+  com.google.protobuf.ByteString
+      getClaimIdBytes();
 }
--- a/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/ControlSnapshot.java
+++ b/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/ControlSnapshot.java
@@ -33,6 +33,8 @@
     claims_ = java.util.Collections.emptyList();
     jobs_ = java.util.Collections.emptyList();
     workers_ = java.util.Collections.emptyList();
+    changes_ = java.util.Collections.emptyList();
+    lostEntries_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -245,6 +247,88 @@
     return workers_.get(index);
   }
 
+  public static final int CHANGES_FIELD_NUMBER = 8;
+  @SuppressWarnings("serial")
+  private java.util.List<org.hickoryspar.protocol.ChangeRecord> changes_;
+  /**
+   * <code>repeated .hickoryspar.ChangeRecord changes = 8;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.hickoryspar.protocol.ChangeRecord> getChangesList() {
+    return changes_;
+  }
+  /**
+   * <code>repeated .hickoryspar.ChangeRecord changes = 8;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.hickoryspar.protocol.ChangeRecordOrBuilder> 
+      getChangesOrBuilderList() {
+    return changes_;
+  }
+  /**
+   * <code>repeated .hickoryspar.ChangeRecord changes = 8;</code>
+   */
+  @java.lang.Override
+  public int getChangesCount() {
+    return changes_.size();
+  }
+  /**
+   * <code>repeated .hickoryspar.ChangeRecord changes = 8;</code>
+   */
+  @java.lang.Override
+  public org.hickoryspar.protocol.ChangeRecord getChanges(int index) {
+    return changes_.get(index);
+  }
+  /**
+   * <code>repeated .hickoryspar.ChangeRecord changes = 8;</code>
+   */
+  @java.lang.Override
+  public org.hickoryspar.protocol.ChangeRecordOrBuilder getChangesOrBuilder(
+      int index) {
+    return changes_.get(index);
+  }
+
+  public static final int LOST_ENTRIES_FIELD_NUMBER = 9;
+  @SuppressWarnings("serial")
+  private java.util.List<org.hickoryspar.protocol.EntryLost> lostEntries_;
+  /**
+   * <code>repeated .hickoryspar.EntryLost lost_entries = 9;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.hickoryspar.protocol.EntryLost> getLostEntriesList() {
+    return lostEntries_;
+  }
+  /**
+   * <code>repeated .hickoryspar.EntryLost lost_entries = 9;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.hickoryspar.protocol.EntryLostOrBuilder> 
+      getLostEntriesOrBuilderList() {
+    return lostEntries_;
+  }
+  /**
+   * <code>repeated .hickoryspar.EntryLost lost_entries = 9;</code>
+   */
+  @java.lang.Override
+  public int getLostEntriesCount() {
+    return lostEntries_.size();
+  }
+  /**
+   * <code>repeated .hickoryspar.EntryLost lost_entries = 9;</code>
+   */
+  @java.lang.Override
+  public org.hickoryspar.protocol.EntryLost getLostEntries(int index) {
+    return lostEntries_.get(index);
+  }
+  /**
+   * <code>repeated .hickoryspar.EntryLost lost_entries = 9;</code>
+   */
+  @java.lang.Override
+  public org.hickoryspar.protocol.EntryLostOrBuilder getLostEntriesOrBuilder(
+      int index) {
+    return lostEntries_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -280,6 +364,12 @@
     for (int i = 0; i < workers_.size(); i++) {
       output.writeMessage(7, workers_.get(i));
     }
+    for (int i = 0; i < changes_.size(); i++) {
+      output.writeMessage(8, changes_.get(i));
+    }
+    for (int i = 0; i < lostEntries_.size(); i++) {
+      output.writeMessage(9, lostEntries_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -317,6 +407,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(7, workers_.get(i));
     }
+    for (int i = 0; i < changes_.size(); i++) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(8, changes_.get(i));
+    }
+    for (int i = 0; i < lostEntries_.size(); i++) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(9, lostEntries_.get(i));
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -346,6 +444,10 @@
         .equals(other.getJobsList())) return false;
     if (!getWorkersList()
         .equals(other.getWorkersList())) return false;
+    if (!getChangesList()
+        .equals(other.getChangesList())) return false;
+    if (!getLostEntriesList()
+        .equals(other.getLostEntriesList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -381,6 +483,14 @@
       hash = (37 * hash) + WORKERS_FIELD_NUMBER;
       hash = (53 * hash) + getWorkersList().hashCode();
     }
+    if (getChangesCount() > 0) {
+      hash = (37 * hash) + CHANGES_FIELD_NUMBER;
+      hash = (53 * hash) + getChangesList().hashCode();
+    }
+    if (getLostEntriesCount() > 0) {
+      hash = (37 * hash) + LOST_ENTRIES_FIELD_NUMBER;
+      hash = (53 * hash) + getLostEntriesList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -543,6 +653,20 @@
         workersBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000040);
+      if (changesBuilder_ == null) {
+        changes_ = java.util.Collections.emptyList();
+      } else {
+        changes_ = null;
+        changesBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000080);
+      if (lostEntriesBuilder_ == null) {
+        lostEntries_ = java.util.Collections.emptyList();
+      } else {
+        lostEntries_ = null;
+        lostEntriesBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000100);
       return this;
     }
 
@@ -612,6 +736,24 @@
       } else {
         result.workers_ = workersBuilder_.build();
       }
+      if (changesBuilder_ == null) {
+        if (((bitField0_ & 0x00000080) != 0)) {
+          changes_ = java.util.Collections.unmodifiableList(changes_);
+          bitField0_ = (bitField0_ & ~0x00000080);
+        }
+        result.changes_ = changes_;
+      } else {
+        result.changes_ = changesBuilder_.build();
+      }
+      if (lostEntriesBuilder_ == null) {
+        if (((bitField0_ & 0x00000100) != 0)) {
+          lostEntries_ = java.util.Collections.unmodifiableList(lostEntries_);
+          bitField0_ = (bitField0_ & ~0x00000100);
+        }
+        result.lostEntries_ = lostEntries_;
+      } else {
+        result.lostEntries_ = lostEntriesBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.hickoryspar.protocol.ControlSnapshot result) {
@@ -752,6 +894,58 @@
           }
         }
       }
+      if (changesBuilder_ == null) {
+        if (!other.changes_.isEmpty()) {
+          if (changes_.isEmpty()) {
+            changes_ = other.changes_;
+            bitField0_ = (bitField0_ & ~0x00000080);
+          } else {
+            ensureChangesIsMutable();
+            changes_.addAll(other.changes_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.changes_.isEmpty()) {
+          if (changesBuilder_.isEmpty()) {
+            changesBuilder_.dispose();
+            changesBuilder_ = null;
+            changes_ = other.changes_;
+            bitField0_ = (bitField0_ & ~0x00000080);
+            changesBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetChangesFieldBuilder() : null;
+          } else {
+            changesBuilder_.addAllMessages(other.changes_);
+          }
+        }
+      }
+      if (lostEntriesBuilder_ == null) {
+        if (!other.lostEntries_.isEmpty()) {
+          if (lostEntries_.isEmpty()) {
+            lostEntries_ = other.lostEntries_;
+            bitField0_ = (bitField0_ & ~0x00000100);
+          } else {
+            ensureLostEntriesIsMutable();
+            lostEntries_.addAll(other.lostEntries_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.lostEntries_.isEmpty()) {
+          if (lostEntriesBuilder_.isEmpty()) {
+            lostEntriesBuilder_.dispose();
+            lostEntriesBuilder_ = null;
+            lostEntries_ = other.lostEntries_;
+            bitField0_ = (bitField0_ & ~0x00000100);
+            lostEntriesBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetLostEntriesFieldBuilder() : null;
+          } else {
+            lostEntriesBuilder_.addAllMessages(other.lostEntries_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -845,6 +1039,32 @@
               }
               break;
             } // case 58
+            case 66: {
+              org.hickoryspar.protocol.ChangeRecord m =
+                  input.readMessage(
+                      org.hickoryspar.protocol.ChangeRecord.parser(),
+                      extensionRegistry);
+              if (changesBuilder_ == null) {
+                ensureChangesIsMutable();
+                changes_.add(m);
+              } else {
+                changesBuilder_.addMessage(m);
+              }
+              break;
+            } // case 66
+            case 74: {
+              org.hickoryspar.protocol.EntryLost m =
+                  input.readMessage(
+                      org.hickoryspar.protocol.EntryLost.parser(),
+                      extensionRegistry);
+              if (lostEntriesBuilder_ == null) {
+                ensureLostEntriesIsMutable();
+                lostEntries_.add(m);
+              } else {
+                lostEntriesBuilder_.addMessage(m);
+              }
+              break;
+            } // case 74
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1918,6 +2138,486 @@
       return workersBuilder_;
     }
 
+    private java.util.List<org.hickoryspar.protocol.ChangeRecord> changes_ =
+      java.util.Collections.emptyList();
+    private void ensureChangesIsMutable() {
+      if (!((bitField0_ & 0x00000080) != 0)) {
+        changes_ = new java.util.ArrayList<org.hickoryspar.protocol.ChangeRecord>(changes_);
+        bitField0_ |= 0x00000080;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.hickoryspar.protocol.ChangeRecord, org.hickoryspar.protocol.ChangeRecord.Builder, org.hickoryspar.protocol.ChangeRecordOrBuilder> changesBuilder_;
+
+    /**
+     * <code>repeated .hickoryspar.ChangeRecord changes = 8;</code>
+     */
+    public java.util.List<org.hickoryspar.protocol.ChangeRecord> getChangesList() {
+      if (changesBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(changes_);
+      } else {
+        return changesBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <code>repeated .hickoryspar.ChangeRecord changes = 8;</code>
+     */
+    public int getChangesCount() {
+      if (changesBuilder_ == null) {
+        return changes_.size();
+      } else {
+        return changesBuilder_.getCount();
+      }
+    }
+    /**
+     * <code>repeated .hickoryspar.ChangeRecord changes = 8;</code>
+     */
+    public org.hickoryspar.protocol.ChangeRecord getChanges(int index) {
+      if (changesBuilder_ == null) {
+        return changes_.get(index);
+      } else {
+        return changesBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <code>repeated .hickoryspar.ChangeRecord changes = 8;</code>
+     */
+    public Builder setChanges(
+        int index, org.hickoryspar.protocol.ChangeRecord value) {
+      if (changesBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureChangesIsMutable();
+        changes_.set(index, value);
+        onChanged();
+      } else {
+        changesBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .hickoryspar.ChangeRecord changes = 8;</code>
+     */
+    public Builder setChanges(
+        int index, org.hickoryspar.protocol.ChangeRecord.Builder builderForValue) {
+      if (changesBuilder_ == null) {
+        ensureChangesIsMutable();
+        changes_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        changesBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .hickoryspar.ChangeRecord changes = 8;</code>
+     */
+    public Builder addChanges(org.hickoryspar.protocol.ChangeRecord value) {
+      if (changesBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureChangesIsMutable();
+        changes_.add(value);
+        onChanged();
+      } else {
+        changesBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .hickoryspar.ChangeRecord changes = 8;</code>
+     */
+    public Builder addChanges(
+        int index, org.hickoryspar.protocol.ChangeRecord value) {
+      if (changesBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureChangesIsMutable();
+        changes_.add(index, value);
+        onChanged();
+      } else {
+        changesBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .hickoryspar.ChangeRecord changes = 8;</code>
+     */
+    public Builder addChanges(
+        org.hickoryspar.protocol.ChangeRecord.Builder builderForValue) {
+      if (changesBuilder_ == null) {
+        ensureChangesIsMutable();
+        changes_.add(builderForValue.build());
+        onChanged();
+      } else {
+        changesBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .hickoryspar.ChangeRecord changes = 8;</code>
+     */
+    public Builder addChanges(
+        int index, org.hickoryspar.protocol.ChangeRecord.Builder builderForValue) {
+      if (changesBuilder_ == null) {
+        ensureChangesIsMutable();
+        changes_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        changesBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .hickoryspar.ChangeRecord changes = 8;</code>
+     */
+    public Builder addAllChanges(
+        java.lang.Iterable<? extends org.hickoryspar.protocol.ChangeRecord> values) {
+      if (changesBuilder_ == null) {
+        ensureChangesIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, changes_);
+        onChanged();
+      } else {
+        changesBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .hickoryspar.ChangeRecord changes = 8;</code>
+     */
+    public Builder clearChanges() {
+      if (changesBuilder_ == null) {
+        changes_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000080);
+        onChanged();
+      } else {
+        changesBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .hickoryspar.ChangeRecord changes = 8;</code>
+     */
+    public Builder removeChanges(int index) {
+      if (changesBuilder_ == null) {
+        ensureChangesIsMutable();
+        changes_.remove(index);
+        onChanged();
+      } else {
+        changesBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .hickoryspar.ChangeRecord changes = 8;</code>
+     */
+    public org.hickoryspar.protocol.ChangeRecord.Builder getChangesBuilder(
+        int index) {
+      return internalGetChangesFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <code>repeated .hickoryspar.ChangeRecord changes = 8;</code>
+     */
+    public org.hickoryspar.protocol.ChangeRecordOrBuilder getChangesOrBuilder(
+        int index) {
+      if (changesBuilder_ == null) {
+        return changes_.get(index);  } else {
+        return changesBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <code>repeated .hickoryspar.ChangeRecord changes = 8;</code>
+     */
+    public java.util.List<? extends org.hickoryspar.protocol.ChangeRecordOrBuilder> 
+         getChangesOrBuilderList() {
+      if (changesBuilder_ != null) {
+        return changesBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(changes_);
+      }
+    }
+    /**
+     * <code>repeated .hickoryspar.ChangeRecord changes = 8;</code>
+     */
+    public org.hickoryspar.protocol.ChangeRecord.Builder addChangesBuilder() {
+      return internalGetChangesFieldBuilder().addBuilder(
+          org.hickoryspar.protocol.ChangeRecord.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .hickoryspar.ChangeRecord changes = 8;</code>
+     */
+    public org.hickoryspar.protocol.ChangeRecord.Builder addChangesBuilder(
+        int index) {
+      return internalGetChangesFieldBuilder().addBuilder(
+          index, org.hickoryspar.protocol.ChangeRecord.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .hickoryspar.ChangeRecord changes = 8;</code>
+     */
+    public java.util.List<org.hickoryspar.protocol.ChangeRecord.Builder> 
+         getChangesBuilderList() {
+      return internalGetChangesFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.hickoryspar.protocol.ChangeRecord, org.hickoryspar.protocol.ChangeRecord.Builder, org.hickoryspar.protocol.ChangeRecordOrBuilder> 
+        internalGetChangesFieldBuilder() {
+      if (changesBuilder_ == null) {
+        changesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.hickoryspar.protocol.ChangeRecord, org.hickoryspar.protocol.ChangeRecord.Builder, org.hickoryspar.protocol.ChangeRecordOrBuilder>(
+                changes_,
+                ((bitField0_ & 0x00000080) != 0),
+                getParentForChildren(),
+                isClean());
+        changes_ = null;
+      }
+      return changesBuilder_;
+    }
+
+    private java.util.List<org.hickoryspar.protocol.EntryLost> lostEntries_ =
+      java.util.Collections.emptyList();
+    private void ensureLostEntriesIsMutable() {
+      if (!((bitField0_ & 0x00000100) != 0)) {
+        lostEntries_ = new java.util.ArrayList<org.hickoryspar.protocol.EntryLost>(lostEntries_);
+        bitField0_ |= 0x00000100;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.hickoryspar.protocol.EntryLost, org.hickoryspar.protocol.EntryLost.Builder, org.hickoryspar.protocol.EntryLostOrBuilder> lostEntriesBuilder_;
+
+    /**
+     * <code>repeated .hickoryspar.EntryLost lost_entries = 9;</code>
+     */
+    public java.util.List<org.hickoryspar.protocol.EntryLost> getLostEntriesList() {
+      if (lostEntriesBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(lostEntries_);
+      } else {
+        return lostEntriesBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <code>repeated .hickoryspar.EntryLost lost_entries = 9;</code>
+     */
+    public int getLostEntriesCount() {
+      if (lostEntriesBuilder_ == null) {
+        return lostEntries_.size();
+      } else {
+        return lostEntriesBuilder_.getCount();
+      }
+    }
+    /**
+     * <code>repeated .hickoryspar.EntryLost lost_entries = 9;</code>
+     */
+    public org.hickoryspar.protocol.EntryLost getLostEntries(int index) {
+      if (lostEntriesBuilder_ == null) {
+        return lostEntries_.get(index);
+      } else {
+        return lostEntriesBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <code>repeated .hickoryspar.EntryLost lost_entries = 9;</code>
+     */
+    public Builder setLostEntries(
+        int index, org.hickoryspar.protocol.EntryLost value) {
+      if (lostEntriesBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureLostEntriesIsMutable();
+        lostEntries_.set(index, value);
+        onChanged();
+      } else {
+        lostEntriesBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .hickoryspar.EntryLost lost_entries = 9;</code>
+     */
+    public Builder setLostEntries(
+        int index, org.hickoryspar.protocol.EntryLost.Builder builderForValue) {
+      if (lostEntriesBuilder_ == null) {
+        ensureLostEntriesIsMutable();
+        lostEntries_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        lostEntriesBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .hickoryspar.EntryLost lost_entries = 9;</code>
+     */
+    public Builder addLostEntries(org.hickoryspar.protocol.EntryLost value) {
+      if (lostEntriesBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureLostEntriesIsMutable();
+        lostEntries_.add(value);
+        onChanged();
+      } else {
+        lostEntriesBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .hickoryspar.EntryLost lost_entries = 9;</code>
+     */
+    public Builder addLostEntries(
+        int index, org.hickoryspar.protocol.EntryLost value) {
+      if (lostEntriesBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureLostEntriesIsMutable();
+        lostEntries_.add(index, value);
+        onChanged();
+      } else {
+        lostEntriesBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .hickoryspar.EntryLost lost_entries = 9;</code>
+     */
+    public Builder addLostEntries(
+        org.hickoryspar.protocol.EntryLost.Builder builderForValue) {
+      if (lostEntriesBuilder_ == null) {
+        ensureLostEntriesIsMutable();
+        lostEntries_.add(builderForValue.build());
+        onChanged();
+      } else {
+        lostEntriesBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .hickoryspar.EntryLost lost_entries = 9;</code>
+     */
+    public Builder addLostEntries(
+        int index, org.hickoryspar.protocol.EntryLost.Builder builderForValue) {
+      if (lostEntriesBuilder_ == null) {
+        ensureLostEntriesIsMutable();
+        lostEntries_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        lostEntriesBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .hickoryspar.EntryLost lost_entries = 9;</code>
+     */
+    public Builder addAllLostEntries(
+        java.lang.Iterable<? extends org.hickoryspar.protocol.EntryLost> values) {
+      if (lostEntriesBuilder_ == null) {
+        ensureLostEntriesIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, lostEntries_);
+        onChanged();
+      } else {
+        lostEntriesBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .hickoryspar.EntryLost lost_entries = 9;</code>
+     */
+    public Builder clearLostEntries() {
+      if (lostEntriesBuilder_ == null) {
+        lostEntries_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000100);
+        onChanged();
+      } else {
+        lostEntriesBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .hickoryspar.EntryLost lost_entries = 9;</code>
+     */
+    public Builder removeLostEntries(int index) {
+      if (lostEntriesBuilder_ == null) {
+        ensureLostEntriesIsMutable();
+        lostEntries_.remove(index);
+        onChanged();
+      } else {
+        lostEntriesBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .hickoryspar.EntryLost lost_entries = 9;</code>
+     */
+    public org.hickoryspar.protocol.EntryLost.Builder getLostEntriesBuilder(
+        int index) {
+      return internalGetLostEntriesFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <code>repeated .hickoryspar.EntryLost lost_entries = 9;</code>
+     */
+    public org.hickoryspar.protocol.EntryLostOrBuilder getLostEntriesOrBuilder(
+        int index) {
+      if (lostEntriesBuilder_ == null) {
+        return lostEntries_.get(index);  } else {
+        return lostEntriesBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <code>repeated .hickoryspar.EntryLost lost_entries = 9;</code>
+     */
+    public java.util.List<? extends org.hickoryspar.protocol.EntryLostOrBuilder> 
+         getLostEntriesOrBuilderList() {
+      if (lostEntriesBuilder_ != null) {
+        return lostEntriesBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(lostEntries_);
+      }
+    }
+    /**
+     * <code>repeated .hickoryspar.EntryLost lost_entries = 9;</code>
+     */
+    public org.hickoryspar.protocol.EntryLost.Builder addLostEntriesBuilder() {
+      return internalGetLostEntriesFieldBuilder().addBuilder(
+          org.hickoryspar.protocol.EntryLost.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .hickoryspar.EntryLost lost_entries = 9;</code>
+     */
+    public org.hickoryspar.protocol.EntryLost.Builder addLostEntriesBuilder(
+        int index) {
+      return internalGetLostEntriesFieldBuilder().addBuilder(
+          index, org.hickoryspar.protocol.EntryLost.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .hickoryspar.EntryLost lost_entries = 9;</code>
+     */
+    public java.util.List<org.hickoryspar.protocol.EntryLost.Builder> 
+         getLostEntriesBuilderList() {
+      return internalGetLostEntriesFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.hickoryspar.protocol.EntryLost, org.hickoryspar.protocol.EntryLost.Builder, org.hickoryspar.protocol.EntryLostOrBuilder> 
+        internalGetLostEntriesFieldBuilder() {
+      if (lostEntriesBuilder_ == null) {
+        lostEntriesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.hickoryspar.protocol.EntryLost, org.hickoryspar.protocol.EntryLost.Builder, org.hickoryspar.protocol.EntryLostOrBuilder>(
+                lostEntries_,
+                ((bitField0_ & 0x00000100) != 0),
+                getParentForChildren(),
+                isClean());
+        lostEntries_ = null;
+      }
+      return lostEntriesBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:hickoryspar.ControlSnapshot)
   }
 
--- a/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/ControlSnapshotOrBuilder.java
+++ b/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/ControlSnapshotOrBuilder.java
@@ -123,4 +123,52 @@
    */
   org.hickoryspar.protocol.WorkerInfoOrBuilder getWorkersOrBuilder(
       int index);
+
+  /**
+   * <code>repeated .hickoryspar.ChangeRecord changes = 8;</code>
+   */
+  java.util.List<org.hickoryspar.protocol.ChangeRecord> 
+      getChangesList();
+  /**
+   * <code>repeated .hickoryspar.ChangeRecord changes = 8;</code>
+   */
+  org.hickoryspar.protocol.ChangeRecord getChanges(int index);
+  /**
+   * <code>repeated .hickoryspar.ChangeRecord changes = 8;</code>
+   */
+  int getChangesCount();
+  /**
+   * <code>repeated .hickoryspar.ChangeRecord changes = 8;</code>
+   */
+  java.util.List<? extends org.hickoryspar.protocol.ChangeRecordOrBuilder> 
+      getChangesOrBuilderList();
+  /**
+   * <code>repeated .hickoryspar.ChangeRecord changes = 8;</code>
+   */
+  org.hickoryspar.protocol.ChangeRecordOrBuilder getChangesOrBuilder(
+      int index);
+
+  /**
+   * <code>repeated .hickoryspar.EntryLost lost_entries = 9;</code>
+   */
+  java.util.List<org.hickoryspar.protocol.EntryLost> 
+      getLostEntriesList();
+  /**
+   * <code>repeated .hickoryspar.EntryLost lost_entries = 9;</code>
+   */
+  org.hickoryspar.protocol.EntryLost getLostEntries(int index);
+  /**
+   * <code>repeated .hickoryspar.EntryLost lost_entries = 9;</code>
+   */
+  int getLostEntriesCount();
+  /**
+   * <code>repeated .hickoryspar.EntryLost lost_entries = 9;</code>
+   */
+  java.util.List<? extends org.hickoryspar.protocol.EntryLostOrBuilder> 
+      getLostEntriesOrBuilderList();
+  /**
+   * <code>repeated .hickoryspar.EntryLost lost_entries = 9;</code>
+   */
+  org.hickoryspar.protocol.EntryLostOrBuilder getLostEntriesOrBuilder(
+      int index);
 }
--- a/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/GangStep.java
+++ b/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/GangStep.java
@@ -33,6 +33,8 @@
     result_ = "";
     detail_ = "";
     then_ = 0;
+    faultyWorkers_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -390,6 +392,43 @@
     return result == null ? org.hickoryspar.protocol.GangStep.Phase.UNRECOGNIZED : result;
   }
 
+  public static final int FAULTY_WORKERS_FIELD_NUMBER = 7;
+  @SuppressWarnings("serial")
+  private com.google.protobuf.LazyStringArrayList faultyWorkers_ =
+      com.google.protobuf.LazyStringArrayList.emptyList();
+  /**
+   * <code>repeated string faulty_workers = 7;</code>
+   * @return A list containing the faultyWorkers.
+   */
+  public com.google.protobuf.ProtocolStringList
+      getFaultyWorkersList() {
+    return faultyWorkers_;
+  }
+  /**
+   * <code>repeated string faulty_workers = 7;</code>
+   * @return The count of faultyWorkers.
+   */
+  public int getFaultyWorkersCount() {
+    return faultyWorkers_.size();
+  }
+  /**
+   * <code>repeated string faulty_workers = 7;</code>
+   * @param index The index of the element to return.
+   * @return The faultyWorkers at the given index.
+   */
+  public java.lang.String getFaultyWorkers(int index) {
+    return faultyWorkers_.get(index);
+  }
+  /**
+   * <code>repeated string faulty_workers = 7;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the faultyWorkers at the given index.
+   */
+  public com.google.protobuf.ByteString
+      getFaultyWorkersBytes(int index) {
+    return faultyWorkers_.getByteString(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -422,6 +461,9 @@
     if (then_ != org.hickoryspar.protocol.GangStep.Phase.PHASE_UNSPECIFIED.getNumber()) {
       output.writeEnum(6, then_);
     }
+    for (int i = 0; i < faultyWorkers_.size(); i++) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 7, faultyWorkers_.getRaw(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -452,6 +494,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeEnumSize(6, then_);
     }
+    {
+      int dataSize = 0;
+      for (int i = 0; i < faultyWorkers_.size(); i++) {
+        dataSize += computeStringSizeNoTag(faultyWorkers_.getRaw(i));
+      }
+      size += dataSize;
+      size += 1 * getFaultyWorkersList().size();
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -477,6 +527,8 @@
     if (!getDetail()
         .equals(other.getDetail())) return false;
     if (then_ != other.then_) return false;
+    if (!getFaultyWorkersList()
+        .equals(other.getFaultyWorkersList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -500,6 +552,10 @@
     hash = (53 * hash) + getDetail().hashCode();
     hash = (37 * hash) + THEN_FIELD_NUMBER;
     hash = (53 * hash) + then_;
+    if (getFaultyWorkersCount() > 0) {
+      hash = (37 * hash) + FAULTY_WORKERS_FIELD_NUMBER;
+      hash = (53 * hash) + getFaultyWorkersList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -637,6 +693,8 @@
       result_ = "";
       detail_ = "";
       then_ = 0;
+      faultyWorkers_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
       return this;
     }
 
@@ -688,6 +746,10 @@
       if (((from_bitField0_ & 0x00000020) != 0)) {
         result.then_ = then_;
       }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        faultyWorkers_.makeImmutable();
+        result.faultyWorkers_ = faultyWorkers_;
+      }
     }
 
     @java.lang.Override
@@ -726,6 +788,16 @@
       if (other.then_ != 0) {
         setThenValue(other.getThenValue());
       }
+      if (!other.faultyWorkers_.isEmpty()) {
+        if (faultyWorkers_.isEmpty()) {
+          faultyWorkers_ = other.faultyWorkers_;
+          bitField0_ |= 0x00000040;
+        } else {
+          ensureFaultyWorkersIsMutable();
+          faultyWorkers_.addAll(other.faultyWorkers_);
+        }
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -782,6 +854,12 @@
               bitField0_ |= 0x00000020;
               break;
             } // case 48
+            case 58: {
+              java.lang.String s = input.readStringRequireUtf8();
+              ensureFaultyWorkersIsMutable();
+              faultyWorkers_.add(s);
+              break;
+            } // case 58
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1189,6 +1267,117 @@
       return this;
     }
 
+    private com.google.protobuf.LazyStringArrayList faultyWorkers_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+    private void ensureFaultyWorkersIsMutable() {
+      if (!faultyWorkers_.isModifiable()) {
+        faultyWorkers_ = new com.google.protobuf.LazyStringArrayList(faultyWorkers_);
+      }
+      bitField0_ |= 0x00000040;
+    }
+    /**
+     * <code>repeated string faulty_workers = 7;</code>
+     * @return A list containing the faultyWorkers.
+     */
+    public com.google.protobuf.ProtocolStringList
+        getFaultyWorkersList() {
+      faultyWorkers_.makeImmutable();
+      return faultyWorkers_;
+    }
+    /**
+     * <code>repeated string faulty_workers = 7;</code>
+     * @return The count of faultyWorkers.
+     */
+    public int getFaultyWorkersCount() {
+      return faultyWorkers_.size();
+    }
+    /**
+     * <code>repeated string faulty_workers = 7;</code>
+     * @param index The index of the element to return.
+     * @return The faultyWorkers at the given index.
+     */
+    public java.lang.String getFaultyWorkers(int index) {
+      return faultyWorkers_.get(index);
+    }
+    /**
+     * <code>repeated string faulty_workers = 7;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the faultyWorkers at the given index.
+     */
+    public com.google.protobuf.ByteString
+        getFaultyWorkersBytes(int index) {
+      return faultyWorkers_.getByteString(index);
+    }
+    /**
+     * <code>repeated string faulty_workers = 7;</code>
+     * @param index The index to set the value at.
+     * @param value The faultyWorkers to set.
+     * @return This builder for chaining.
+     */
+    public Builder setFaultyWorkers(
+        int index, java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      ensureFaultyWorkersIsMutable();
+      faultyWorkers_.set(index, value);
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>repeated string faulty_workers = 7;</code>
+     * @param value The faultyWorkers to add.
+     * @return This builder for chaining.
+     */
+    public Builder addFaultyWorkers(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      ensureFaultyWorkersIsMutable();
+      faultyWorkers_.add(value);
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>repeated string faulty_workers = 7;</code>
+     * @param values The faultyWorkers to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllFaultyWorkers(
+        java.lang.Iterable<java.lang.String> values) {
+      ensureFaultyWorkersIsMutable();
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(
+          values, faultyWorkers_);
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>repeated string faulty_workers = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearFaultyWorkers() {
+      faultyWorkers_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+      bitField0_ = (bitField0_ & ~0x00000040);;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>repeated string faulty_workers = 7;</code>
+     * @param value The bytes of the faultyWorkers to add.
+     * @return This builder for chaining.
+     */
+    public Builder addFaultyWorkersBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      ensureFaultyWorkersIsMutable();
+      faultyWorkers_.add(value);
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:hickoryspar.GangStep)
   }
 
--- a/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/GangStepOrBuilder.java
+++ b/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/GangStepOrBuilder.java
@@ -89,4 +89,29 @@
    * @return The then.
    */
   org.hickoryspar.protocol.GangStep.Phase getThen();
+
+  /**
+   * <code>repeated string faulty_workers = 7;</code>
+   * @return A list containing the faultyWorkers.
+   */
+  java.util.List<java.lang.String>
+      getFaultyWorkersList();
+  /**
+   * <code>repeated string faulty_workers = 7;</code>
+   * @return The count of faultyWorkers.
+   */
+  int getFaultyWorkersCount();
+  /**
+   * <code>repeated string faulty_workers = 7;</code>
+   * @param index The index of the element to return.
+   * @return The faultyWorkers at the given index.
+   */
+  java.lang.String getFaultyWorkers(int index);
+  /**
+   * <code>repeated string faulty_workers = 7;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the faultyWorkers at the given index.
+   */
+  com.google.protobuf.ByteString
+      getFaultyWorkersBytes(int index);
 }
--- a/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/Hickoryspar.java
+++ b/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/Hickoryspar.java
@@ -286,6 +286,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_hickoryspar_ClaimRecord_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_hickoryspar_ChangeRecord_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_hickoryspar_ChangeRecord_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_hickoryspar_JobRecord_descriptor;
   static final 
@@ -369,133 +374,139 @@
       "p\022\016\n\006voters\030\001 \003(\t\022\020\n\010learners\030\002 \003(\t\"c\n\nC" +
       "laimBatch\022\026\n\016entry_instance\030\001 \001(\t\022\031\n\021ent" +
       "ry_incarnation\030\002 \001(\004\022\"\n\006claims\030\003 \003(\0132\022.h" +
-      "ickoryspar.Claim\"7\n\005Claim\022\014\n\004team\030\001 \001(\t\022" +
-      "\013\n\003key\030\002 \001(\t\022\023\n\013fingerprint\030\003 \001(\014\"=\n\020Cla" +
-      "imBatchResult\022)\n\007results\030\001 \003(\0132\030.hickory" +
-      "spar.ClaimResult\"\376\001\n\013ClaimResult\022/\n\006stat" +
-      "us\030\001 \001(\0162\037.hickoryspar.ClaimResult.Statu" +
-      "s\022%\n\007outcome\030\002 \001(\0132\024.hickoryspar.Outcome" +
-      "\022\027\n\017holder_instance\030\003 \001(\t\"~\n\006Status\022\026\n\022S" +
-      "TATUS_UNSPECIFIED\020\000\022\013\n\007GRANTED\020\001\022\017\n\013IN_P" +
-      "ROGRESS\020\002\022\r\n\tCOMPLETED\020\003\022\030\n\024FINGERPRINT_" +
-      "MISMATCH\020\004\022\013\n\007EXPIRED\020\005\022\010\n\004FULL\020\006\"\332\001\n\007Ou" +
-      "tcome\022\'\n\004kind\030\001 \001(\0162\031.hickoryspar.Outcom" +
-      "e.Kind\022\023\n\013http_status\030\002 \001(\005\022\014\n\004body\030\003 \001(" +
-      "\014\022\024\n\014content_type\030\004 \001(\t\022\024\n\014body_dropped\030" +
-      "\005 \001(\010\"W\n\004Kind\022\024\n\020KIND_UNSPECIFIED\020\000\022\014\n\010A" +
-      "NSWERED\020\001\022\021\n\rMINION_FAILED\020\002\022\013\n\007NOT_RUN\020" +
-      "\003\022\013\n\007UNKNOWN\020\004\"n\n\014OutcomeBatch\022\026\n\016entry_" +
-      "instance\030\001 \001(\t\022\031\n\021entry_incarnation\030\002 \001(" +
-      "\004\022+\n\007records\030\003 \003(\0132\032.hickoryspar.Outcome" +
-      "Record\"Q\n\rOutcomeRecord\022\014\n\004team\030\001 \001(\t\022\013\n" +
-      "\003key\030\002 \001(\t\022%\n\007outcome\030\003 \001(\0132\024.hickoryspa" +
-      "r.Outcome\"\024\n\022OutcomeBatchResult\"T\n\020SlotL" +
-      "easeRequest\022\026\n\016entry_instance\030\001 \001(\t\022(\n\007d" +
-      "emands\030\002 \003(\0132\027.hickoryspar.SlotDemand\"+\n" +
-      "\nSlotDemand\022\016\n\006minion\030\001 \001(\t\022\r\n\005slots\030\002 \001" +
-      "(\r\"O\n\016SlotLeaseGrant\022\024\n\014lease_millis\030\001 \001" +
-      "(\r\022\'\n\006grants\030\002 \003(\0132\027.hickoryspar.SlotDem" +
-      "and\"\304\001\n\010Endpoint\022\017\n\007service\030\001 \001(\t\022\021\n\tmin" +
-      "ion_id\030\002 \001(\t\022\017\n\007address\030\003 \001(\t\022\023\n\013data_ce" +
-      "ntre\030\004 \001(\t\022\023\n\013incarnation\030\005 \001(\004\022\020\n\010seque" +
-      "nce\030\006 \001(\004\022\017\n\007leaving\030\007 \001(\010\022\r\n\005slots\030\010 \001(" +
-      "\r\022\023\n\013connections\030\t \001(\r\022\022\n\nttl_millis\030\n \001" +
-      "(\r\":\n\016EndpointSpread\022(\n\tendpoints\030\001 \003(\0132" +
-      "\025.hickoryspar.Endpoint\"@\n\016EndpointDigest" +
-      "\022.\n\010versions\030\001 \003(\0132\034.hickoryspar.Endpoin" +
-      "tVersion\"\\\n\017EndpointVersion\022\021\n\tminion_id" +
-      "\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\004\022\020\n\010sequence\030" +
-      "\003 \001(\004\022\017\n\007leaving\030\004 \001(\010\"?\n\013ConfigWatch\022\026\n" +
-      "\016entry_instance\030\001 \001(\t\022\030\n\020version_in_forc" +
-      "e\030\002 \001(\004\"z\n\014ConfigUpdate\022\017\n\007version\030\001 \001(\004" +
-      "\022\024\n\014lease_millis\030\002 \001(\r\022\032\n\022full_document_" +
-      "json\030\003 \001(\014\022\'\n\006deltas\030\004 \003(\0132\027.hickoryspar" +
-      ".FleetDelta\"7\n\nFleetDelta\022\017\n\007version\030\001 \001" +
-      "(\004\022\030\n\020merge_patch_json\030\002 \001(\014\"\203\003\n\014Operato" +
-      "rCall\022,\n\004kind\030\001 \001(\0162\036.hickoryspar.Operat" +
-      "orCall.Kind\022\r\n\005owner\030\002 \001(\t\022\021\n\tchange_id\030" +
-      "\003 \001(\t\022\024\n\014base_version\030\004 \001(\004\022\021\n\tbody_json" +
-      "\030\005 \001(\014\"\371\001\n\004Kind\022\024\n\020KIND_UNSPECIFIED\020\000\022\r\n" +
-      "\tFLEET_GET\020\001\022\017\n\013FLEET_CHECK\020\002\022\017\n\013FLEET_A" +
-      "PPLY\020\003\022\021\n\rFLEET_HISTORY\020\004\022\021\n\rEXCEPTION_A" +
-      "DD\020\005\022\021\n\rEXCEPTION_END\020\006\022\023\n\017DATA_CENTRE_O" +
-      "UT\020\007\022\022\n\016DATA_CENTRE_IN\020\010\022\n\n\006STATUS\020\t\022\017\n\013" +
-      "REPLICA_ADD\020\n\022\022\n\016REPLICA_REMOVE\020\013\022\027\n\023TRA" +
-      "NSFER_LEADERSHIP\020\014\"8\n\016OperatorResult\022\023\n\013" +
-      "http_status\030\001 \001(\005\022\021\n\tbody_json\030\002 \001(\014\"\310\001\n" +
-      "\007JobCall\022\'\n\004kind\030\001 \001(\0162\031.hickoryspar.Job" +
-      "Call.Kind\022\014\n\004team\030\002 \001(\t\022\027\n\017idempotency_k" +
-      "ey\030\003 \001(\t\022\016\n\006job_id\030\004 \001(\t\022\021\n\tbody_json\030\005 " +
-      "\001(\014\"J\n\004Kind\022\024\n\020KIND_UNSPECIFIED\020\000\022\n\n\006SUB" +
-      "MIT\020\001\022\n\n\006STATUS\020\002\022\n\n\006CANCEL\020\003\022\010\n\004LIST\020\004\"" +
-      "3\n\tJobResult\022\023\n\013http_status\030\001 \001(\005\022\021\n\tbod" +
-      "y_json\030\002 \001(\014\"\321\003\n\007Command\022\023\n\013time_millis\030" +
-      "\001 \001(\004\0220\n\014fleet_change\030\n \001(\0132\030.hickoryspa" +
-      "r.FleetChangeH\000\022)\n\006claims\030\013 \001(\0132\027.hickor" +
-      "yspar.ClaimBatchH\000\022-\n\010outcomes\030\014 \001(\0132\031.h" +
-      "ickoryspar.OutcomeBatchH\000\022,\n\nsubmit_job\030" +
-      "\r \001(\0132\026.hickoryspar.SubmitJobH\000\022,\n\ncance" +
-      "l_job\030\016 \001(\0132\026.hickoryspar.CancelJobH\000\0224\n" +
-      "\016gang_placement\030\017 \001(\0132\032.hickoryspar.Gang" +
-      "PlacementH\000\022*\n\tgang_step\030\020 \001(\0132\025.hickory" +
-      "spar.GangStepH\000\0221\n\tinventory\030\021 \001(\0132\034.hic" +
-      "koryspar.InventoryUpdateH\000\022,\n\nentry_lost" +
-      "\030\022 \001(\0132\026.hickoryspar.EntryLostH\000B\006\n\004kind" +
-      "\"\200\001\n\013FleetChange\022\021\n\tchange_id\030\001 \001(\t\022\r\n\005o" +
-      "wner\030\002 \001(\t\022\016\n\006reason\030\003 \001(\t\022\024\n\014base_versi" +
-      "on\030\004 \001(\004\022\030\n\020merge_patch_json\030\005 \001(\014\022\017\n\007su" +
-      "mmary\030\006 \001(\t\"\275\001\n\007JobSpec\022\014\n\004name\030\001 \001(\t\022\014\n" +
-      "\004team\030\002 \001(\t\022\014\n\004kind\030\003 \001(\t\022\r\n\005tasks\030\004 \001(\r" +
-      "\022$\n\010per_task\030\005 \001(\0132\022.hickoryspar.Shape\022\021" +
-      "\n\tadjacency\030\006 \001(\t\022\016\n\006urgent\030\007 \001(\010\022\033\n\023dec" +
-      "lared_run_millis\030\010 \001(\004\022\023\n\013preemptible\030\t " +
-      "\001(\010\"F\n\005Shape\022\r\n\005cores\030\001 \001(\r\022\030\n\020memory_me" +
-      "gabytes\030\002 \001(\r\022\024\n\014accelerators\030\003 \001(\r\"X\n\tS" +
-      "ubmitJob\022\016\n\006job_id\030\001 \001(\t\022\027\n\017idempotency_" +
-      "key\030\002 \001(\t\022\"\n\004spec\030\003 \001(\0132\024.hickoryspar.Jo" +
-      "bSpec\")\n\tCancelJob\022\016\n\006job_id\030\001 \001(\t\022\014\n\004te" +
-      "am\030\002 \001(\t\"?\n\rTaskPlacement\022\014\n\004task\030\001 \001(\r\022" +
-      "\016\n\006worker\030\002 \001(\t\022\020\n\010lease_id\030\003 \001(\t\"x\n\rGan" +
-      "gPlacement\022\016\n\006job_id\030\001 \001(\t\022\017\n\007attempt\030\002 " +
-      "\001(\r\022.\n\nplacements\030\003 \003(\0132\032.hickoryspar.Ta" +
-      "skPlacement\022\026\n\016preempted_jobs\030\004 \003(\t\"\220\002\n\010" +
-      "GangStep\022\016\n\006job_id\030\001 \001(\t\022\017\n\007attempt\030\002 \001(" +
-      "\r\022*\n\005phase\030\003 \001(\0162\033.hickoryspar.GangStep." +
-      "Phase\022\016\n\006result\030\004 \001(\t\022\016\n\006detail\030\005 \001(\t\022)\n" +
-      "\004then\030\006 \001(\0162\033.hickoryspar.GangStep.Phase" +
-      "\"l\n\005Phase\022\025\n\021PHASE_UNSPECIFIED\020\000\022\n\n\006QUEU" +
-      "ED\020\001\022\r\n\tPREPARING\020\002\022\014\n\010STARTING\020\003\022\013\n\007RUN" +
-      "NING\020\004\022\013\n\007UNDOING\020\005\022\t\n\005ENDED\020\006\"q\n\nWorker" +
-      "Info\022\n\n\002id\030\001 \001(\t\022\014\n\004rack\030\002 \001(\t\022\023\n\013data_c" +
-      "entre\030\003 \001(\t\022$\n\010capacity\030\004 \001(\0132\022.hickorys" +
-      "par.Shape\022\016\n\006silent\030\005 \001(\010\"L\n\017InventoryUp" +
-      "date\022(\n\007upserts\030\001 \003(\0132\027.hickoryspar.Work" +
-      "erInfo\022\017\n\007removed\030\002 \003(\t\">\n\tEntryLost\022\026\n\016" +
-      "entry_instance\030\001 \001(\t\022\031\n\021entry_incarnatio" +
-      "n\030\002 \001(\004\"\205\002\n\017ControlSnapshot\022\023\n\013time_mill" +
-      "is\030\001 \001(\004\022\025\n\rfleet_version\030\002 \001(\004\022\033\n\023fleet" +
-      "_document_json\030\003 \001(\014\022/\n\007history\030\004 \003(\0132\036." +
-      "hickoryspar.FleetHistoryEntry\022(\n\006claims\030" +
-      "\005 \003(\0132\030.hickoryspar.ClaimRecord\022$\n\004jobs\030" +
-      "\006 \003(\0132\026.hickoryspar.JobRecord\022(\n\007workers" +
-      "\030\007 \003(\0132\027.hickoryspar.WorkerInfo\"c\n\021Fleet" +
-      "HistoryEntry\022\017\n\007version\030\001 \001(\004\022(\n\006change\030" +
-      "\002 \001(\0132\030.hickoryspar.FleetChange\022\023\n\013time_" +
-      "millis\030\003 \001(\004\"\254\001\n\013ClaimRecord\022\014\n\004team\030\001 \001" +
-      "(\t\022\013\n\003key\030\002 \001(\t\022\023\n\013fingerprint\030\003 \001(\014\022\026\n\016" +
-      "entry_instance\030\004 \001(\t\022\031\n\021entry_incarnatio" +
-      "n\030\005 \001(\004\022\023\n\013time_millis\030\006 \001(\004\022%\n\007outcome\030" +
-      "\007 \001(\0132\024.hickoryspar.Outcome\"\340\002\n\tJobRecor" +
-      "d\022\016\n\006job_id\030\001 \001(\t\022\027\n\017idempotency_key\030\002 \001" +
-      "(\t\022\"\n\004spec\030\003 \001(\0132\024.hickoryspar.JobSpec\022\030" +
-      "\n\020submitted_millis\030\004 \001(\004\022*\n\005phase\030\005 \001(\0162" +
-      "\033.hickoryspar.GangStep.Phase\022\017\n\007attempt\030" +
-      "\006 \001(\r\022.\n\nplacements\030\007 \003(\0132\032.hickoryspar." +
-      "TaskPlacement\022\016\n\006result\030\010 \001(\t\022\016\n\006detail\030" +
-      "\t \001(\t\022\032\n\022phase_since_millis\030\n \001(\004\022)\n\004the" +
-      "n\030\013 \001(\0162\033.hickoryspar.GangStep.Phase\022\030\n\020" +
-      "cancel_requested\030\014 \001(\010B\034\n\030org.hickoryspa" +
-      "r.protocolP\001b\006proto3"
+      "ickoryspar.Claim\"I\n\005Claim\022\014\n\004team\030\001 \001(\t\022" +
+      "\013\n\003key\030\002 \001(\t\022\023\n\013fingerprint\030\003 \001(\014\022\020\n\010cla" +
+      "im_id\030\004 \001(\t\"=\n\020ClaimBatchResult\022)\n\007resul" +
+      "ts\030\001 \003(\0132\030.hickoryspar.ClaimResult\"\376\001\n\013C" +
+      "laimResult\022/\n\006status\030\001 \001(\0162\037.hickoryspar" +
+      ".ClaimResult.Status\022%\n\007outcome\030\002 \001(\0132\024.h" +
+      "ickoryspar.Outcome\022\027\n\017holder_instance\030\003 " +
+      "\001(\t\"~\n\006Status\022\026\n\022STATUS_UNSPECIFIED\020\000\022\013\n" +
+      "\007GRANTED\020\001\022\017\n\013IN_PROGRESS\020\002\022\r\n\tCOMPLETED" +
+      "\020\003\022\030\n\024FINGERPRINT_MISMATCH\020\004\022\013\n\007EXPIRED\020" +
+      "\005\022\010\n\004FULL\020\006\"\332\001\n\007Outcome\022\'\n\004kind\030\001 \001(\0162\031." +
+      "hickoryspar.Outcome.Kind\022\023\n\013http_status\030" +
+      "\002 \001(\005\022\014\n\004body\030\003 \001(\014\022\024\n\014content_type\030\004 \001(" +
+      "\t\022\024\n\014body_dropped\030\005 \001(\010\"W\n\004Kind\022\024\n\020KIND_" +
+      "UNSPECIFIED\020\000\022\014\n\010ANSWERED\020\001\022\021\n\rMINION_FA" +
+      "ILED\020\002\022\013\n\007NOT_RUN\020\003\022\013\n\007UNKNOWN\020\004\"n\n\014Outc" +
+      "omeBatch\022\026\n\016entry_instance\030\001 \001(\t\022\031\n\021entr" +
+      "y_incarnation\030\002 \001(\004\022+\n\007records\030\003 \003(\0132\032.h" +
+      "ickoryspar.OutcomeRecord\"Q\n\rOutcomeRecor" +
+      "d\022\014\n\004team\030\001 \001(\t\022\013\n\003key\030\002 \001(\t\022%\n\007outcome\030" +
+      "\003 \001(\0132\024.hickoryspar.Outcome\"\024\n\022OutcomeBa" +
+      "tchResult\"T\n\020SlotLeaseRequest\022\026\n\016entry_i" +
+      "nstance\030\001 \001(\t\022(\n\007demands\030\002 \003(\0132\027.hickory" +
+      "spar.SlotDemand\"+\n\nSlotDemand\022\016\n\006minion\030" +
+      "\001 \001(\t\022\r\n\005slots\030\002 \001(\r\"O\n\016SlotLeaseGrant\022\024" +
+      "\n\014lease_millis\030\001 \001(\r\022\'\n\006grants\030\002 \003(\0132\027.h" +
+      "ickoryspar.SlotDemand\"\304\001\n\010Endpoint\022\017\n\007se" +
+      "rvice\030\001 \001(\t\022\021\n\tminion_id\030\002 \001(\t\022\017\n\007addres" +
+      "s\030\003 \001(\t\022\023\n\013data_centre\030\004 \001(\t\022\023\n\013incarnat" +
+      "ion\030\005 \001(\004\022\020\n\010sequence\030\006 \001(\004\022\017\n\007leaving\030\007" +
+      " \001(\010\022\r\n\005slots\030\010 \001(\r\022\023\n\013connections\030\t \001(\r" +
+      "\022\022\n\nttl_millis\030\n \001(\r\":\n\016EndpointSpread\022(" +
+      "\n\tendpoints\030\001 \003(\0132\025.hickoryspar.Endpoint" +
+      "\"@\n\016EndpointDigest\022.\n\010versions\030\001 \003(\0132\034.h" +
+      "ickoryspar.EndpointVersion\"\\\n\017EndpointVe" +
+      "rsion\022\021\n\tminion_id\030\001 \001(\t\022\023\n\013incarnation\030" +
+      "\002 \001(\004\022\020\n\010sequence\030\003 \001(\004\022\017\n\007leaving\030\004 \001(\010" +
+      "\"?\n\013ConfigWatch\022\026\n\016entry_instance\030\001 \001(\t\022" +
+      "\030\n\020version_in_force\030\002 \001(\004\"z\n\014ConfigUpdat" +
+      "e\022\017\n\007version\030\001 \001(\004\022\024\n\014lease_millis\030\002 \001(\r" +
+      "\022\032\n\022full_document_json\030\003 \001(\014\022\'\n\006deltas\030\004" +
+      " \003(\0132\027.hickoryspar.FleetDelta\"7\n\nFleetDe" +
+      "lta\022\017\n\007version\030\001 \001(\004\022\030\n\020merge_patch_json" +
+      "\030\002 \001(\014\"\203\003\n\014OperatorCall\022,\n\004kind\030\001 \001(\0162\036." +
+      "hickoryspar.OperatorCall.Kind\022\r\n\005owner\030\002" +
+      " \001(\t\022\021\n\tchange_id\030\003 \001(\t\022\024\n\014base_version\030" +
+      "\004 \001(\004\022\021\n\tbody_json\030\005 \001(\014\"\371\001\n\004Kind\022\024\n\020KIN" +
+      "D_UNSPECIFIED\020\000\022\r\n\tFLEET_GET\020\001\022\017\n\013FLEET_" +
+      "CHECK\020\002\022\017\n\013FLEET_APPLY\020\003\022\021\n\rFLEET_HISTOR" +
+      "Y\020\004\022\021\n\rEXCEPTION_ADD\020\005\022\021\n\rEXCEPTION_END\020" +
+      "\006\022\023\n\017DATA_CENTRE_OUT\020\007\022\022\n\016DATA_CENTRE_IN" +
+      "\020\010\022\n\n\006STATUS\020\t\022\017\n\013REPLICA_ADD\020\n\022\022\n\016REPLI" +
+      "CA_REMOVE\020\013\022\027\n\023TRANSFER_LEADERSHIP\020\014\"8\n\016" +
+      "OperatorResult\022\023\n\013http_status\030\001 \001(\005\022\021\n\tb" +
+      "ody_json\030\002 \001(\014\"\310\001\n\007JobCall\022\'\n\004kind\030\001 \001(\016" +
+      "2\031.hickoryspar.JobCall.Kind\022\014\n\004team\030\002 \001(" +
+      "\t\022\027\n\017idempotency_key\030\003 \001(\t\022\016\n\006job_id\030\004 \001" +
+      "(\t\022\021\n\tbody_json\030\005 \001(\014\"J\n\004Kind\022\024\n\020KIND_UN" +
+      "SPECIFIED\020\000\022\n\n\006SUBMIT\020\001\022\n\n\006STATUS\020\002\022\n\n\006C" +
+      "ANCEL\020\003\022\010\n\004LIST\020\004\"3\n\tJobResult\022\023\n\013http_s" +
+      "tatus\030\001 \001(\005\022\021\n\tbody_json\030\002 \001(\014\"\321\003\n\007Comma" +
+      "nd\022\023\n\013time_millis\030\001 \001(\004\0220\n\014fleet_change\030" +
+      "\n \001(\0132\030.hickoryspar.FleetChangeH\000\022)\n\006cla" +
+      "ims\030\013 \001(\0132\027.hickoryspar.ClaimBatchH\000\022-\n\010" +
+      "outcomes\030\014 \001(\0132\031.hickoryspar.OutcomeBatc" +
+      "hH\000\022,\n\nsubmit_job\030\r \001(\0132\026.hickoryspar.Su" +
+      "bmitJobH\000\022,\n\ncancel_job\030\016 \001(\0132\026.hickorys" +
+      "par.CancelJobH\000\0224\n\016gang_placement\030\017 \001(\0132" +
+      "\032.hickoryspar.GangPlacementH\000\022*\n\tgang_st" +
+      "ep\030\020 \001(\0132\025.hickoryspar.GangStepH\000\0221\n\tinv" +
+      "entory\030\021 \001(\0132\034.hickoryspar.InventoryUpda" +
+      "teH\000\022,\n\nentry_lost\030\022 \001(\0132\026.hickoryspar.E" +
+      "ntryLostH\000B\006\n\004kind\"\200\001\n\013FleetChange\022\021\n\tch" +
+      "ange_id\030\001 \001(\t\022\r\n\005owner\030\002 \001(\t\022\016\n\006reason\030\003" +
+      " \001(\t\022\024\n\014base_version\030\004 \001(\004\022\030\n\020merge_patc" +
+      "h_json\030\005 \001(\014\022\017\n\007summary\030\006 \001(\t\"\275\001\n\007JobSpe" +
+      "c\022\014\n\004name\030\001 \001(\t\022\014\n\004team\030\002 \001(\t\022\014\n\004kind\030\003 " +
+      "\001(\t\022\r\n\005tasks\030\004 \001(\r\022$\n\010per_task\030\005 \001(\0132\022.h" +
+      "ickoryspar.Shape\022\021\n\tadjacency\030\006 \001(\t\022\016\n\006u" +
+      "rgent\030\007 \001(\010\022\033\n\023declared_run_millis\030\010 \001(\004" +
+      "\022\023\n\013preemptible\030\t \001(\010\"F\n\005Shape\022\r\n\005cores\030" +
+      "\001 \001(\r\022\030\n\020memory_megabytes\030\002 \001(\r\022\024\n\014accel" +
+      "erators\030\003 \001(\r\"X\n\tSubmitJob\022\016\n\006job_id\030\001 \001" +
+      "(\t\022\027\n\017idempotency_key\030\002 \001(\t\022\"\n\004spec\030\003 \001(" +
+      "\0132\024.hickoryspar.JobSpec\")\n\tCancelJob\022\016\n\006" +
+      "job_id\030\001 \001(\t\022\014\n\004team\030\002 \001(\t\"?\n\rTaskPlacem" +
+      "ent\022\014\n\004task\030\001 \001(\r\022\016\n\006worker\030\002 \001(\t\022\020\n\010lea" +
+      "se_id\030\003 \001(\t\"x\n\rGangPlacement\022\016\n\006job_id\030\001" +
+      " \001(\t\022\017\n\007attempt\030\002 \001(\r\022.\n\nplacements\030\003 \003(" +
+      "\0132\032.hickoryspar.TaskPlacement\022\026\n\016preempt" +
+      "ed_jobs\030\004 \003(\t\"\250\002\n\010GangStep\022\016\n\006job_id\030\001 \001" +
+      "(\t\022\017\n\007attempt\030\002 \001(\r\022*\n\005phase\030\003 \001(\0162\033.hic" +
+      "koryspar.GangStep.Phase\022\016\n\006result\030\004 \001(\t\022" +
+      "\016\n\006detail\030\005 \001(\t\022)\n\004then\030\006 \001(\0162\033.hickorys" +
+      "par.GangStep.Phase\022\026\n\016faulty_workers\030\007 \003" +
+      "(\t\"l\n\005Phase\022\025\n\021PHASE_UNSPECIFIED\020\000\022\n\n\006QU" +
+      "EUED\020\001\022\r\n\tPREPARING\020\002\022\014\n\010STARTING\020\003\022\013\n\007R" +
+      "UNNING\020\004\022\013\n\007UNDOING\020\005\022\t\n\005ENDED\020\006\"q\n\nWork" +
+      "erInfo\022\n\n\002id\030\001 \001(\t\022\014\n\004rack\030\002 \001(\t\022\023\n\013data" +
+      "_centre\030\003 \001(\t\022$\n\010capacity\030\004 \001(\0132\022.hickor" +
+      "yspar.Shape\022\016\n\006silent\030\005 \001(\010\"L\n\017Inventory" +
+      "Update\022(\n\007upserts\030\001 \003(\0132\027.hickoryspar.Wo" +
+      "rkerInfo\022\017\n\007removed\030\002 \003(\t\">\n\tEntryLost\022\026" +
+      "\n\016entry_instance\030\001 \001(\t\022\031\n\021entry_incarnat" +
+      "ion\030\002 \001(\004\"\337\002\n\017ControlSnapshot\022\023\n\013time_mi" +
+      "llis\030\001 \001(\004\022\025\n\rfleet_version\030\002 \001(\004\022\033\n\023fle" +
+      "et_document_json\030\003 \001(\014\022/\n\007history\030\004 \003(\0132" +
+      "\036.hickoryspar.FleetHistoryEntry\022(\n\006claim" +
+      "s\030\005 \003(\0132\030.hickoryspar.ClaimRecord\022$\n\004job" +
+      "s\030\006 \003(\0132\026.hickoryspar.JobRecord\022(\n\007worke" +
+      "rs\030\007 \003(\0132\027.hickoryspar.WorkerInfo\022*\n\007cha" +
+      "nges\030\010 \003(\0132\031.hickoryspar.ChangeRecord\022,\n" +
+      "\014lost_entries\030\t \003(\0132\026.hickoryspar.EntryL" +
+      "ost\"c\n\021FleetHistoryEntry\022\017\n\007version\030\001 \001(" +
+      "\004\022(\n\006change\030\002 \001(\0132\030.hickoryspar.FleetCha" +
+      "nge\022\023\n\013time_millis\030\003 \001(\004\"\276\001\n\013ClaimRecord" +
+      "\022\014\n\004team\030\001 \001(\t\022\013\n\003key\030\002 \001(\t\022\023\n\013fingerpri" +
+      "nt\030\003 \001(\014\022\026\n\016entry_instance\030\004 \001(\t\022\031\n\021entr" +
+      "y_incarnation\030\005 \001(\004\022\023\n\013time_millis\030\006 \001(\004" +
+      "\022%\n\007outcome\030\007 \001(\0132\024.hickoryspar.Outcome\022" +
+      "\020\n\010claim_id\030\010 \001(\t\"2\n\014ChangeRecord\022\021\n\tcha" +
+      "nge_id\030\001 \001(\t\022\017\n\007version\030\002 \001(\004\"\370\002\n\tJobRec" +
+      "ord\022\016\n\006job_id\030\001 \001(\t\022\027\n\017idempotency_key\030\002" +
+      " \001(\t\022\"\n\004spec\030\003 \001(\0132\024.hickoryspar.JobSpec" +
+      "\022\030\n\020submitted_millis\030\004 \001(\004\022*\n\005phase\030\005 \001(" +
+      "\0162\033.hickoryspar.GangStep.Phase\022\017\n\007attemp" +
+      "t\030\006 \001(\r\022.\n\nplacements\030\007 \003(\0132\032.hickoryspa" +
+      "r.TaskPlacement\022\016\n\006result\030\010 \001(\t\022\016\n\006detai" +
+      "l\030\t \001(\t\022\032\n\022phase_since_millis\030\n \001(\004\022)\n\004t" +
+      "hen\030\013 \001(\0162\033.hickoryspar.GangStep.Phase\022\030" +
+      "\n\020cancel_requested\030\014 \001(\010\022\026\n\016faulty_worke" +
+      "rs\030\r \003(\tB\034\n\030org.hickoryspar.protocolP\001b\006" +
+      "proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -602,7 +613,7 @@
     internal_static_hickoryspar_Claim_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_Claim_descriptor,
-        new java.lang.String[] { "Team", "Key", "Fingerprint", });
+        new java.lang.String[] { "Team", "Key", "Fingerprint", "ClaimId", });
     internal_static_hickoryspar_ClaimBatchResult_descriptor =
       getDescriptor().getMessageType(17);
     internal_static_hickoryspar_ClaimBatchResult_fieldAccessorTable = new
@@ -776,7 +787,7 @@
     internal_static_hickoryspar_GangStep_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_GangStep_descriptor,
-        new java.lang.String[] { "JobId", "Attempt", "Phase", "Result", "Detail", "Then", });
+        new java.lang.String[] { "JobId", "Attempt", "Phase", "Result", "Detail", "Then", "FaultyWorkers", });
     internal_static_hickoryspar_WorkerInfo_descriptor =
       getDescriptor().getMessageType(46);
     internal_static_hickoryspar_WorkerInfo_fieldAccessorTable = new
@@ -800,7 +811,7 @@
     internal_static_hickoryspar_ControlSnapshot_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_ControlSnapshot_descriptor,
-        new java.lang.String[] { "TimeMillis", "FleetVersion", "FleetDocumentJson", "History", "Claims", "Jobs", "Workers", });
+        new java.lang.String[] { "TimeMillis", "FleetVersion", "FleetDocumentJson", "History", "Claims", "Jobs", "Workers", "Changes", "LostEntries", });
     internal_static_hickoryspar_FleetHistoryEntry_descriptor =
       getDescriptor().getMessageType(50);
     internal_static_hickoryspar_FleetHistoryEntry_fieldAccessorTable = new
@@ -812,13 +823,19 @@
     internal_static_hickoryspar_ClaimRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_ClaimRecord_descriptor,
-        new java.lang.String[] { "Team", "Key", "Fingerprint", "EntryInstance", "EntryIncarnation", "TimeMillis", "Outcome", });
-    internal_static_hickoryspar_JobRecord_descriptor =
+        new java.lang.String[] { "Team", "Key", "Fingerprint", "EntryInstance", "EntryIncarnation", "TimeMillis", "Outcome", "ClaimId", });
+    internal_static_hickoryspar_ChangeRecord_descriptor =
       getDescriptor().getMessageType(52);
+    internal_static_hickoryspar_ChangeRecord_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_hickoryspar_ChangeRecord_descriptor,
+        new java.lang.String[] { "ChangeId", "Version", });
+    internal_static_hickoryspar_JobRecord_descriptor =
+      getDescriptor().getMessageType(53);
     internal_static_hickoryspar_JobRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_JobRecord_descriptor,
-        new java.lang.String[] { "JobId", "IdempotencyKey", "Spec", "SubmittedMillis", "Phase", "Attempt", "Placements", "Result", "Detail", "PhaseSinceMillis", "Then", "CancelRequested", });
+        new java.lang.String[] { "JobId", "IdempotencyKey", "Spec", "SubmittedMillis", "Phase", "Attempt", "Placements", "Result", "Detail", "PhaseSinceMillis", "Then", "CancelRequested", "FaultyWorkers", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
--- a/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/JobRecord.java
+++ b/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/JobRecord.java
@@ -35,6 +35,8 @@
     result_ = "";
     detail_ = "";
     then_ = 0;
+    faultyWorkers_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -354,6 +356,59 @@
     return cancelRequested_;
   }
 
+  public static final int FAULTY_WORKERS_FIELD_NUMBER = 13;
+  @SuppressWarnings("serial")
+  private com.google.protobuf.LazyStringArrayList faultyWorkers_ =
+      com.google.protobuf.LazyStringArrayList.emptyList();
+  /**
+   * <pre>
+   * Workers on which a task failed in the attempt that is being undone.
+   * </pre>
+   *
+   * <code>repeated string faulty_workers = 13;</code>
+   * @return A list containing the faultyWorkers.
+   */
+  public com.google.protobuf.ProtocolStringList
+      getFaultyWorkersList() {
+    return faultyWorkers_;
+  }
+  /**
+   * <pre>
+   * Workers on which a task failed in the attempt that is being undone.
+   * </pre>
+   *
+   * <code>repeated string faulty_workers = 13;</code>
+   * @return The count of faultyWorkers.
+   */
+  public int getFaultyWorkersCount() {
+    return faultyWorkers_.size();
+  }
+  /**
+   * <pre>
+   * Workers on which a task failed in the attempt that is being undone.
+   * </pre>
+   *
+   * <code>repeated string faulty_workers = 13;</code>
+   * @param index The index of the element to return.
+   * @return The faultyWorkers at the given index.
+   */
+  public java.lang.String getFaultyWorkers(int index) {
+    return faultyWorkers_.get(index);
+  }
+  /**
+   * <pre>
+   * Workers on which a task failed in the attempt that is being undone.
+   * </pre>
+   *
+   * <code>repeated string faulty_workers = 13;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the faultyWorkers at the given index.
+   */
+  public com.google.protobuf.ByteString
+      getFaultyWorkersBytes(int index) {
+    return faultyWorkers_.getByteString(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -404,6 +459,9 @@
     if (cancelRequested_ != false) {
       output.writeBool(12, cancelRequested_);
     }
+    for (int i = 0; i < faultyWorkers_.size(); i++) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 13, faultyWorkers_.getRaw(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -457,6 +515,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(12, cancelRequested_);
     }
+    {
+      int dataSize = 0;
+      for (int i = 0; i < faultyWorkers_.size(); i++) {
+        dataSize += computeStringSizeNoTag(faultyWorkers_.getRaw(i));
+      }
+      size += dataSize;
+      size += 1 * getFaultyWorkersList().size();
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -497,6 +563,8 @@
     if (then_ != other.then_) return false;
     if (getCancelRequested()
         != other.getCancelRequested()) return false;
+    if (!getFaultyWorkersList()
+        .equals(other.getFaultyWorkersList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -539,6 +607,10 @@
     hash = (37 * hash) + CANCEL_REQUESTED_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getCancelRequested());
+    if (getFaultyWorkersCount() > 0) {
+      hash = (37 * hash) + FAULTY_WORKERS_FIELD_NUMBER;
+      hash = (53 * hash) + getFaultyWorkersList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -699,6 +771,8 @@
       phaseSinceMillis_ = 0L;
       then_ = 0;
       cancelRequested_ = false;
+      faultyWorkers_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
       return this;
     }
 
@@ -782,6 +856,10 @@
       if (((from_bitField0_ & 0x00000800) != 0)) {
         result.cancelRequested_ = cancelRequested_;
       }
+      if (((from_bitField0_ & 0x00001000) != 0)) {
+        faultyWorkers_.makeImmutable();
+        result.faultyWorkers_ = faultyWorkers_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -864,6 +942,16 @@
       if (other.getCancelRequested() != false) {
         setCancelRequested(other.getCancelRequested());
       }
+      if (!other.faultyWorkers_.isEmpty()) {
+        if (faultyWorkers_.isEmpty()) {
+          faultyWorkers_ = other.faultyWorkers_;
+          bitField0_ |= 0x00001000;
+        } else {
+          ensureFaultyWorkersIsMutable();
+          faultyWorkers_.addAll(other.faultyWorkers_);
+        }
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -960,6 +1048,12 @@
               bitField0_ |= 0x00000800;
               break;
             } // case 96
+            case 106: {
+              java.lang.String s = input.readStringRequireUtf8();
+              ensureFaultyWorkersIsMutable();
+              faultyWorkers_.add(s);
+              break;
+            } // case 106
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1856,6 +1950,153 @@
       return this;
     }
 
+    private com.google.protobuf.LazyStringArrayList faultyWorkers_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+    private void ensureFaultyWorkersIsMutable() {
+      if (!faultyWorkers_.isModifiable()) {
+        faultyWorkers_ = new com.google.protobuf.LazyStringArrayList(faultyWorkers_);
+      }
+      bitField0_ |= 0x00001000;
+    }
+    /**
+     * <pre>
+     * Workers on which a task failed in the attempt that is being undone.
+     * </pre>
+     *
+     * <code>repeated string faulty_workers = 13;</code>
+     * @return A list containing the faultyWorkers.
+     */
+    public com.google.protobuf.ProtocolStringList
+        getFaultyWorkersList() {
+      faultyWorkers_.makeImmutable();
+      return faultyWorkers_;
+    }
+    /**
+     * <pre>
+     * Workers on which a task failed in the attempt that is being undone.
+     * </pre>
+     *
+     * <code>repeated string faulty_workers = 13;</code>
+     * @return The count of faultyWorkers.
+     */
+    public int getFaultyWorkersCount() {
+      return faultyWorkers_.size();
+    }
+    /**
+     * <pre>
+     * Workers on which a task failed in the attempt that is being undone.
+     * </pre>
+     *
+     * <code>repeated string faulty_workers = 13;</code>
+     * @param index The index of the element to return.
+     * @return The faultyWorkers at the given index.
+     */
+    public java.lang.String getFaultyWorkers(int index) {
+      return faultyWorkers_.get(index);
+    }
+    /**
+     * <pre>
+     * Workers on which a task failed in the attempt that is being undone.
+     * </pre>
+     *
+     * <code>repeated string faulty_workers = 13;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the faultyWorkers at the given index.
+     */
+    public com.google.protobuf.ByteString
+        getFaultyWorkersBytes(int index) {
+      return faultyWorkers_.getByteString(index);
+    }
+    /**
+     * <pre>
+     * Workers on which a task failed in the attempt that is being undone.
+     * </pre>
+     *
+     * <code>repeated string faulty_workers = 13;</code>
+     * @param index The index to set the value at.
+     * @param value The faultyWorkers to set.
+     * @return This builder for chaining.
+     */
+    public Builder setFaultyWorkers(
+        int index, java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      ensureFaultyWorkersIsMutable();
+      faultyWorkers_.set(index, value);
+      bitField0_ |= 0x00001000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Workers on which a task failed in the attempt that is being undone.
+     * </pre>
+     *
+     * <code>repeated string faulty_workers = 13;</code>
+     * @param value The faultyWorkers to add.
+     * @return This builder for chaining.
+     */
+    public Builder addFaultyWorkers(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      ensureFaultyWorkersIsMutable();
+      faultyWorkers_.add(value);
+      bitField0_ |= 0x00001000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Workers on which a task failed in the attempt that is being undone.
+     * </pre>
+     *
+     * <code>repeated string faulty_workers = 13;</code>
+     * @param values The faultyWorkers to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllFaultyWorkers(
+        java.lang.Iterable<java.lang.String> values) {
+      ensureFaultyWorkersIsMutable();
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(
+          values, faultyWorkers_);
+      bitField0_ |= 0x00001000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Workers on which a task failed in the attempt that is being undone.
+     * </pre>
+     *
+     * <code>repeated string faulty_workers = 13;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearFaultyWorkers() {
+      faultyWorkers_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+      bitField0_ = (bitField0_ & ~0x00001000);;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Workers on which a task failed in the attempt that is being undone.
+     * </pre>
+     *
+     * <code>repeated string faulty_workers = 13;</code>
+     * @param value The bytes of the faultyWorkers to add.
+     * @return This builder for chaining.
+     */
+    public Builder addFaultyWorkersBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      ensureFaultyWorkersIsMutable();
+      faultyWorkers_.add(value);
+      bitField0_ |= 0x00001000;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:hickoryspar.JobRecord)
   }
 
--- a/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/JobRecordOrBuilder.java
+++ b/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/JobRecordOrBuilder.java
@@ -142,4 +142,45 @@
    * @return The cancelRequested.
    */
   boolean getCancelRequested();
+
+  /**
+   * <pre>
+   * Workers on which a task failed in the attempt that is being undone.
+   * </pre>
+   *
+   * <code>repeated string faulty_workers = 13;</code>
+   * @return A list containing the faultyWorkers.
+   */
+  java.util.List<java.lang.String>
+      getFaultyWorkersList();
+  /**
+   * <pre>
+   * Workers on which a task failed in the attempt that is being undone.
+   * </pre>
+   *
+   * <code>repeated string faulty_workers = 13;</code>
+   * @return The count of faultyWorkers.
+   */
+  int getFaultyWorkersCount();
+  /**
+   * <pre>
+   * Workers on which a task failed in the attempt that is being undone.
+   * </pre>
+   *
+   * <code>repeated string faulty_workers = 13;</code>
+   * @param index The index of the element to return.
+   * @return The faultyWorkers at the given index.
+   */
+  java.lang.String getFaultyWorkers(int index);
+  /**
+   * <pre>
+   * Workers on which a task failed in the attempt that is being undone.
+   * </pre>
+   *
+   * <code>repeated string faulty_workers = 13;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the faultyWorkers at the given index.
+   */
+  com.google.protobuf.ByteString
+      getFaultyWorkersBytes(int index);
 }
