Place gangs atomically with adjacency, quotas and exclusions

The kernel had the scheduling interfaces but no implementation, so the control daemon and the benchmark had nothing to run against.

GuaranteeScheduler, registered as "guarantee", places whole gangs on workers of one rack, on one worker or anywhere, without overcommit, within team quotas, and never on workers or in data centres that are out.

--- /dev/null
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/scheduling/Gang.java
@@ -0,0 +1,72 @@
+package org.hickoryspar.kernel.scheduling;
+
+import org.jspecify.annotations.Nullable;
+
+/** A gang that holds resources. */
+final class Gang {
+
+  private final JobRequest job;
+  private final int[] workers;
+  private final long startedMillis;
+  private long checkpointMillis;
+  private boolean stopping;
+  private @Nullable GuaranteeSlot slot;
+
+  Gang(JobRequest job, int[] workers, long startedMillis, long checkpointMillis) {
+    this.job = job;
+    this.workers = workers;
+    this.startedMillis = startedMillis;
+    this.checkpointMillis = checkpointMillis;
+  }
+
+  JobRequest job() {
+    return job;
+  }
+
+  int[] workers() {
+    return workers;
+  }
+
+  ResourceShape perTask() {
+    return job.shape().perTask();
+  }
+
+  long startedMillis() {
+    return startedMillis;
+  }
+
+  long checkpointMillis() {
+    return checkpointMillis;
+  }
+
+  void checkpointed(long nowMillis) {
+    checkpointMillis = Math.max(checkpointMillis, nowMillis);
+  }
+
+  boolean isStopping() {
+    return stopping;
+  }
+
+  void stop() {
+    stopping = true;
+  }
+
+  /** Returns the guarantee that the gang uses, or null when it runs on capacity left over. */
+  @Nullable GuaranteeSlot slot() {
+    return slot;
+  }
+
+  void setSlot(@Nullable GuaranteeSlot slot) {
+    this.slot = slot;
+  }
+
+  /** Returns whether the gang's resources count as taken when guarantees are planned. */
+  boolean isFixed() {
+    return slot == null && !job.preemptible();
+  }
+
+  /** Returns whether the gang may be preempted for another job. */
+  boolean isVictim() {
+    return slot == null && job.preemptible() && !stopping;
+  }
+}
--- /dev/null
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/scheduling/GuaranteeSchedulerFactory.java
@@ -0,0 +1,18 @@
+package org.hickoryspar.kernel.scheduling;
+
+/** Makes {@link GuaranteeScheduler}s with the default policies. */
+public final class GuaranteeSchedulerFactory implements SchedulerFactory {
+
+  /** Makes the factory; called by {@code ServiceLoader}. */
+  public GuaranteeSchedulerFactory() {}
+
+  @Override
+  public String name() {
+    return "guarantee";
+  }
+
+  @Override
+  public Scheduler create() {
+    return new GuaranteeScheduler();
+  }
+}
--- /dev/null
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/scheduling/GuaranteeSlot.java
@@ -0,0 +1,57 @@
+package org.hickoryspar.kernel.scheduling;
+
+import org.jspecify.annotations.Nullable;
+
+/** One guaranteed shape of one team, and where the plan forms it. */
+final class GuaranteeSlot {
+
+  private final String team;
+  private final GangShape shape;
+  private int @Nullable [] plan;
+  private @Nullable String holder;
+
+  GuaranteeSlot(String team, GangShape shape) {
+    this.team = team;
+    this.shape = shape;
+  }
+
+  String team() {
+    return team;
+  }
+
+  GangShape shape() {
+    return shape;
+  }
+
+  /** Returns the worker of each task, or null when the shape cannot be formed. */
+  int @Nullable [] plan() {
+    return plan;
+  }
+
+  void setPlan(int @Nullable [] plan) {
+    this.plan = plan;
+  }
+
+  /** Returns the job that uses or claims the guarantee, or null. */
+  @Nullable String holder() {
+    return holder;
+  }
+
+  void setHolder(@Nullable String holder) {
+    this.holder = holder;
+  }
+
+  /** Returns whether a job asks for what is guaranteed, so that it may take the guarantee. */
+  boolean matches(JobRequest job) {
+    GangShape asked = job.shape();
+    boolean weaker =
+        asked.adjacency() == Adjacency.NONE
+            || asked.adjacency() == shape.adjacency()
+            || shape.adjacency() == Adjacency.WORKER;
+    return team.equals(job.team())
+        && weaker
+        && asked.tasks() == shape.tasks()
+        && asked.perTask().accelerators() == shape.perTask().accelerators()
+        && asked.perTask().fitsIn(shape.perTask());
+  }
+}
--- /dev/null
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/scheduling/JobClass.java
@@ -0,0 +1,69 @@
+package org.hickoryspar.kernel.scheduling;
+
+import java.util.Comparator;
+import java.util.TreeSet;
+
+/** Waiting jobs of one team that are equal to the scheduler, so one attempt answers for all. */
+final class JobClass {
+
+  private static final Comparator<JobRequest> ORDER =
+      Comparator.comparingLong(JobRequest::submittedMillis).thenComparing(JobRequest::jobId);
+
+  /**
+   * What makes jobs equal.
+   *
+   * @param soloJobId the job itself when it has failed before, else empty
+   */
+  record Key(
+      String team,
+      String kind,
+      GangShape shape,
+      boolean urgent,
+      boolean preemptible,
+      String soloJobId) {}
+
+  private final Key key;
+  private final TreeSet<JobRequest> jobs = new TreeSet<>(ORDER);
+  private long failedGrowth = -1;
+
+  JobClass(Key key) {
+    this.key = key;
+  }
+
+  Key key() {
+    return key;
+  }
+
+  void add(JobRequest job) {
+    jobs.add(job);
+  }
+
+  void remove(JobRequest job) {
+    jobs.remove(job);
+  }
+
+  boolean isEmpty() {
+    return jobs.isEmpty();
+  }
+
+  int size() {
+    return jobs.size();
+  }
+
+  JobRequest head() {
+    return jobs.first();
+  }
+
+  static int compareHeads(JobClass a, JobClass b) {
+    return ORDER.compare(a.head(), b.head());
+  }
+
+  /** Returns whether the last attempt failed and nothing has become free since. */
+  boolean hasFailedAt(long growth) {
+    return failedGrowth == growth;
+  }
+
+  void failAt(long growth) {
+    failedGrowth = growth;
+  }
+}
--- /dev/null
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/scheduling/WaitingQueue.java
@@ -0,0 +1,71 @@
+package org.hickoryspar.kernel.scheduling;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.jspecify.annotations.Nullable;
+
+/** The jobs that wait, by team and class. */
+final class WaitingQueue {
+
+  private final Map<String, JobRequest> jobs = new HashMap<>();
+  private final Map<String, JobClass> classOfJob = new HashMap<>();
+  private final Map<JobClass.Key, JobClass> classes = new HashMap<>();
+  private final TreeMap<String, List<JobClass>> urgent = new TreeMap<>();
+  private final TreeMap<String, List<JobClass>> batch = new TreeMap<>();
+
+  void add(JobRequest job, boolean solo) {
+    JobClass.Key key =
+        new JobClass.Key(
+            job.team(),
+            job.kind(),
+            job.shape(),
+            job.urgent(),
+            job.preemptible(),
+            solo ? job.jobId() : "");
+    JobClass jobClass = classes.get(key);
+    if (jobClass == null) {
+      jobClass = new JobClass(key);
+      classes.put(key, jobClass);
+      byTeam(job.urgent()).computeIfAbsent(job.team(), t -> new ArrayList<>()).add(jobClass);
+    }
+    jobClass.add(job);
+    jobs.put(job.jobId(), job);
+    classOfJob.put(job.jobId(), jobClass);
+  }
+
+  boolean remove(String jobId) {
+    JobRequest job = jobs.remove(jobId);
+    JobClass jobClass = classOfJob.remove(jobId);
+    if (job == null || jobClass == null) {
+      return false;
+    }
+    jobClass.remove(job);
+    if (jobClass.isEmpty()) {
+      classes.remove(jobClass.key());
+      List<JobClass> ofTeam = byTeam(job.urgent()).get(job.team());
+      if (ofTeam != null) {
+        ofTeam.remove(jobClass);
+        if (ofTeam.isEmpty()) {
+          byTeam(job.urgent()).remove(job.team());
+        }
+      }
+    }
+    return true;
+  }
+
+  @Nullable JobRequest get(String jobId) {
+    return jobs.get(jobId);
+  }
+
+  int size() {
+    return jobs.size();
+  }
+
+  /** Returns the teams with waiting jobs of one urgency, and their classes. */
+  Map<String, List<JobClass>> byTeam(boolean wantUrgent) {
+    return wantUrgent ? urgent : batch;
+  }
+}
