Add the first-fit scheduler as baseline

FirstFitScheduler places jobs in queue order on the first workers that fit, honours adjacency, quotas, data centres and workers that are out, and gives no guarantee. A job avoids workers on which it failed and ends after 10 failures; otherwise one faulty worker at the front of the order receives the same job without end.

--- /dev/null
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/scheduling/firstfit/FirstFitScheduler.java
@@ -0,0 +1,303 @@
+package org.hickoryspar.kernel.scheduling.firstfit;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import org.hickoryspar.kernel.scheduling.Decision;
+import org.hickoryspar.kernel.scheduling.EndReason;
+import org.hickoryspar.kernel.scheduling.GangShape;
+import org.hickoryspar.kernel.scheduling.GuaranteeReport;
+import org.hickoryspar.kernel.scheduling.JobRequest;
+import org.hickoryspar.kernel.scheduling.ResourceShape;
+import org.hickoryspar.kernel.scheduling.RunningGang;
+import org.hickoryspar.kernel.scheduling.Scheduler;
+import org.hickoryspar.kernel.scheduling.SchedulingConfig;
+import org.hickoryspar.kernel.scheduling.TeamPolicy;
+import org.hickoryspar.kernel.scheduling.WorkerState;
+import org.hickoryspar.kernel.value.Result;
+
+/**
+ * Places each waiting job on the first workers that fit, in the order in which jobs were queued.
+ *
+ * <p>A job that does not fit is passed over. There are no reservations, guarantees, preemptions or
+ * priorities, and no worker is isolated. Quotas are honoured. A job avoids the workers on which it
+ * failed, and is rejected after {@value #MAX_FAILURES} failures; without this rule the first worker
+ * in order that fails every task would receive the same job without end.
+ */
+public final class FirstFitScheduler implements Scheduler {
+
+  /** Ends a job that fails everywhere, while a few faulty workers do not end a healthy job. */
+  static final int MAX_FAILURES = 10;
+
+  private final TreeMap<String, FreeWorker> workers = new TreeMap<>();
+  private final TreeMap<String, Map<String, FreeWorker>> workersByRack = new TreeMap<>();
+  private final Map<String, ResourceShape> heldByWorker = new HashMap<>();
+  private final Map<String, ResourceShape> heldByTeam = new HashMap<>();
+  private final Map<String, JobRequest> waiting = new LinkedHashMap<>();
+  private final Map<String, RunningGang> running = new HashMap<>();
+  private final Map<String, Set<String>> avoidedWorkers = new HashMap<>();
+  private final Map<String, Integer> failures = new HashMap<>();
+  private final Set<GangShape> knownNotToFit = new HashSet<>();
+  private Map<String, TeamPolicy> teams = Map.of();
+  private Set<String> dataCentresOut = Set.of();
+  private Set<String> workersOut = Set.of();
+
+  /** Makes a scheduler without workers, jobs or configuration. */
+  public FirstFitScheduler() {}
+
+  /** Accepts every configuration, because this scheduler gives no guarantee. */
+  @Override
+  public Result<Long> check(SchedulingConfig config) {
+    return Result.success(requireNonNull(config, "config is null").version());
+  }
+
+  @Override
+  public void configure(SchedulingConfig config) {
+    requireNonNull(config, "config is null");
+    Map<String, TeamPolicy> policies = new HashMap<>();
+    config.teams().forEach(policy -> policies.put(policy.team(), policy));
+    teams = policies;
+    dataCentresOut = config.dataCentresOut();
+    workersOut = config.workersOut();
+    knownNotToFit.clear();
+  }
+
+  @Override
+  public void workerChanged(WorkerState worker) {
+    requireNonNull(worker, "worker is null");
+    workerRemoved(worker.workerId());
+    FreeWorker free =
+        new FreeWorker(worker, heldByWorker.getOrDefault(worker.workerId(), ResourceShape.NONE));
+    workers.put(worker.workerId(), free);
+    workersByRack
+        .computeIfAbsent(rackKey(worker), key -> new TreeMap<>())
+        .put(worker.workerId(), free);
+    knownNotToFit.clear();
+  }
+
+  @Override
+  public void workerRemoved(String workerId) {
+    FreeWorker removed = workers.remove(requireNonNull(workerId, "workerId is null"));
+    if (removed != null) {
+      String key = rackKey(removed.state());
+      Map<String, FreeWorker> rack = workersByRack.getOrDefault(key, Map.of());
+      rack.remove(workerId);
+      if (rack.isEmpty()) {
+        workersByRack.remove(key);
+      }
+    }
+  }
+
+  @Override
+  public void jobQueued(JobRequest job) {
+    requireNonNull(job, "job is null");
+    waiting.put(job.jobId(), job);
+  }
+
+  @Override
+  public void jobRemoved(String jobId) {
+    if (waiting.remove(requireNonNull(jobId, "jobId is null")) != null) {
+      forgetFailures(jobId);
+    }
+  }
+
+  @Override
+  public void gangRecovered(RunningGang gang) {
+    requireNonNull(gang, "gang is null");
+    waiting.remove(gang.job().jobId());
+    hold(gang);
+  }
+
+  /** Does nothing: this scheduler never preempts, so the cost of a preemption is not needed. */
+  @Override
+  public void gangCheckpointed(String jobId, long nowMillis) {
+    requireNonNull(jobId, "jobId is null");
+  }
+
+  @Override
+  public void gangEnded(
+      String jobId, EndReason reason, List<String> faultyWorkers, long nowMillis) {
+    requireNonNull(jobId, "jobId is null");
+    requireNonNull(reason, "reason is null");
+    requireNonNull(faultyWorkers, "faultyWorkers is null");
+    RunningGang gang = running.remove(jobId);
+    if (gang == null) {
+      return;
+    }
+    account(gang, -1);
+    knownNotToFit.clear();
+    switch (reason) {
+      case COMPLETED, CANCELLED -> forgetFailures(jobId);
+      case TASK_FAILED -> {
+        failures.merge(jobId, 1, Integer::sum);
+        avoidedWorkers.computeIfAbsent(jobId, key -> new HashSet<>()).addAll(faultyWorkers);
+        waiting.put(jobId, gang.job());
+      }
+      case UNDONE, PREEMPTED -> waiting.put(jobId, gang.job());
+      default -> throw new IllegalArgumentException("unknown end reason " + reason);
+    }
+  }
+
+  @Override
+  public List<Decision> decide(long nowMillis) {
+    List<Decision> decisions = new ArrayList<>();
+    Iterator<JobRequest> jobs = waiting.values().iterator();
+    while (jobs.hasNext()) {
+      JobRequest job = jobs.next();
+      if (failures.getOrDefault(job.jobId(), 0) >= MAX_FAILURES) {
+        jobs.remove();
+        forgetFailures(job.jobId());
+        decisions.add(new Decision.Reject(job.jobId(), "the job failed 10 times"));
+        continue;
+      }
+      Optional<List<String>> placement = findPlacement(job);
+      if (placement.isPresent()) {
+        jobs.remove();
+        hold(new RunningGang(job, placement.get(), nowMillis, nowMillis, false));
+        decisions.add(new Decision.Place(job.jobId(), placement.get()));
+      }
+    }
+    return decisions;
+  }
+
+  @Override
+  public String explain(String jobId, long nowMillis) {
+    JobRequest job = waiting.get(requireNonNull(jobId, "jobId is null"));
+    if (job == null) {
+      return "Job " + jobId + " does not wait.";
+    }
+    if (exceedsQuota(job)) {
+      return "Job " + jobId + " waits because team " + job.team() + " has reached its quota.";
+    }
+    return "Job " + jobId + " waits for free workers that fit its tasks and adjacency.";
+  }
+
+  /** Returns no reports, because this scheduler gives no guarantee. */
+  @Override
+  public List<GuaranteeReport> guarantees() {
+    return List.of();
+  }
+
+  /** Returns no workers, because this scheduler isolates none. */
+  @Override
+  public List<String> isolatedWorkers() {
+    return List.of();
+  }
+
+  private Optional<List<String>> findPlacement(JobRequest job) {
+    GangShape shape = job.shape();
+    if (exceedsQuota(job) || knownNotToFit.contains(shape)) {
+      return Optional.empty();
+    }
+    Set<String> avoided = avoidedWorkers.getOrDefault(job.jobId(), Set.of());
+    Optional<List<String>> placement =
+        switch (shape.adjacency()) {
+          case NONE -> fill(workers.values(), shape, avoided);
+          case WORKER -> firstWorker(shape, avoided);
+          case RACK -> firstRack(shape, avoided);
+        };
+    if (placement.isEmpty() && avoided.isEmpty()) {
+      knownNotToFit.add(shape);
+    }
+    return placement;
+  }
+
+  private Optional<List<String>> firstWorker(GangShape shape, Set<String> avoided) {
+    return workers.values().stream()
+        .filter(worker -> fitting(worker, shape, shape.tasks(), avoided) == shape.tasks())
+        .findFirst()
+        .map(worker -> Collections.nCopies(shape.tasks(), worker.state().workerId()));
+  }
+
+  private Optional<List<String>> firstRack(GangShape shape, Set<String> avoided) {
+    return workersByRack.values().stream()
+        .map(rack -> fill(rack.values(), shape, avoided))
+        .flatMap(Optional::stream)
+        .findFirst();
+  }
+
+  private Optional<List<String>> fill(
+      Collection<FreeWorker> candidates, GangShape shape, Set<String> avoided) {
+    List<String> placed = new ArrayList<>();
+    for (FreeWorker worker : candidates) {
+      int count = fitting(worker, shape, shape.tasks() - placed.size(), avoided);
+      for (int i = 0; i < count; i++) {
+        placed.add(worker.state().workerId());
+      }
+      if (placed.size() == shape.tasks()) {
+        return Optional.of(placed);
+      }
+    }
+    return Optional.empty();
+  }
+
+  private int fitting(FreeWorker worker, GangShape shape, int limit, Set<String> avoided) {
+    WorkerState state = worker.state();
+    boolean usable =
+        state.available()
+            && !dataCentresOut.contains(state.dataCentre())
+            && !workersOut.contains(state.workerId())
+            && !avoided.contains(state.workerId());
+    return usable ? worker.countFitting(shape.perTask(), limit) : 0;
+  }
+
+  private boolean exceedsQuota(JobRequest job) {
+    TeamPolicy policy = teams.get(job.team());
+    if (policy == null) {
+      return false;
+    }
+    ResourceShape held = heldByTeam.getOrDefault(job.team(), ResourceShape.NONE);
+    ResourceShape quota = policy.quota();
+    ResourceShape task = job.shape().perTask();
+    // The product is computed in 64 bits: a job that can never fit may exceed the range of an int.
+    long tasks = job.shape().tasks();
+    return held.cores() + tasks * task.cores() > quota.cores()
+        || held.memoryMegabytes() + tasks * task.memoryMegabytes() > quota.memoryMegabytes()
+        || held.accelerators() + tasks * task.accelerators() > quota.accelerators();
+  }
+
+  private void hold(RunningGang gang) {
+    running.put(gang.job().jobId(), gang);
+    account(gang, 1);
+  }
+
+  /** Adds a gang to the resources that are held, or takes it away with a sign of -1. */
+  private void account(RunningGang gang, int sign) {
+    ResourceShape perTask = gang.job().shape().perTask();
+    for (String workerId : gang.workers()) {
+      heldByWorker.merge(workerId, perTask, (held, task) -> change(held, task, sign));
+      FreeWorker worker = workers.get(workerId);
+      if (worker != null) {
+        worker.hold(perTask, sign);
+      }
+    }
+    heldByTeam.merge(
+        gang.job().team(),
+        perTask.times(gang.workers().size()),
+        (held, tasks) -> change(held, tasks, sign));
+  }
+
+  private static ResourceShape change(ResourceShape held, ResourceShape amount, int sign) {
+    return sign > 0 ? held.plus(amount) : held.minus(amount);
+  }
+
+  private void forgetFailures(String jobId) {
+    failures.remove(jobId);
+    avoidedWorkers.remove(jobId);
+  }
+
+  private static String rackKey(WorkerState worker) {
+    return worker.dataCentre() + '/' + worker.rack();
+  }
+}
--- /dev/null
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/scheduling/firstfit/FirstFitSchedulerFactory.java
@@ -0,0 +1,21 @@
+package org.hickoryspar.kernel.scheduling.firstfit;
+
+import org.hickoryspar.kernel.scheduling.Scheduler;
+import org.hickoryspar.kernel.scheduling.SchedulerFactory;
+
+/** Registers {@link FirstFitScheduler} under the name {@code "first-fit"}. */
+public final class FirstFitSchedulerFactory implements SchedulerFactory {
+
+  /** Makes the factory; called by {@link java.util.ServiceLoader}. */
+  public FirstFitSchedulerFactory() {}
+
+  @Override
+  public String name() {
+    return "first-fit";
+  }
+
+  @Override
+  public Scheduler create() {
+    return new FirstFitScheduler();
+  }
+}
