--- /dev/null
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/control/GangDriver.java
@@ -0,0 +1,363 @@
+package org.hickoryspar.node.control;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import java.util.function.LongSupplier;
+import org.hickoryspar.kernel.control.CommandResult;
+import org.hickoryspar.kernel.scheduling.ResourceShape;
+import org.hickoryspar.kernel.value.Problem;
+import org.hickoryspar.kernel.value.Result;
+import org.hickoryspar.node.observability.EventLogger;
+import org.hickoryspar.node.platform.Platform;
+import org.hickoryspar.protocol.Command;
+import org.hickoryspar.protocol.GangStep;
+import org.hickoryspar.protocol.JobRecord;
+import org.hickoryspar.protocol.Shape;
+import org.hickoryspar.protocol.TaskPlacement;
+
+/**
+ * Carries out the steps of gangs on the platform: prepare all, start all, or roll back all.
+ *
+ * <p>Each step is recorded in the replicated state before the next begins, so a new leader
+ * continues from the record. Confined to the scheduling loop; platform calls run on a pool.
+ */
+final class GangDriver {
+
+  /** Time in which a prepared task must start; a start that is late by more has no effect. */
+  static final long START_BEFORE_MILLIS = 2_000;
+
+  /** A gang is rolled back when a worker has not confirmed a lease for this long. */
+  static final long SILENCE_MILLIS = 6_000;
+
+  private static final long CHECKPOINT_LIMIT_MILLIS = 5_000;
+  private static final long STOP_RETRY_MILLIS = 1_000;
+
+  private final Proposer proposer;
+  private final Platform platform;
+  private final Executor platformPool;
+  private final ScheduledExecutorService loop;
+  private final LongSupplier monotonicMillis;
+  private final long term;
+  private final Map<String, GangLeases> leasesByJob = new HashMap<>();
+  private final Map<String, JobRecord> held = new HashMap<>();
+  private final Set<String> inProgress = new HashSet<>();
+  private long renewedMillis = Long.MIN_VALUE / 2;
+  private boolean polling;
+
+  GangDriver(
+      Proposer proposer,
+      Platform platform,
+      Executor platformPool,
+      ScheduledExecutorService loop,
+      LongSupplier monotonicMillis,
+      long term) {
+    this.proposer = requireNonNull(proposer, "proposer is null");
+    this.platform = requireNonNull(platform, "platform is null");
+    this.platformPool = requireNonNull(platformPool, "platformPool is null");
+    this.loop = requireNonNull(loop, "loop is null");
+    this.monotonicMillis = requireNonNull(monotonicMillis, "monotonicMillis is null");
+    this.term = term;
+  }
+
+  static boolean holdsResources(GangStep.Phase phase) {
+    return phase == GangStep.Phase.PREPARING
+        || phase == GangStep.Phase.STARTING
+        || phase == GangStep.Phase.RUNNING
+        || phase == GangStep.Phase.UNDOING;
+  }
+
+  /** Takes note of the recorded step of a job and carries out what follows from it. */
+  void changed(JobRecord job) {
+    if (!holdsResources(job.getPhase())) {
+      held.remove(job.getJobId());
+      leasesByJob.remove(job.getJobId());
+      return;
+    }
+    JobRecord before = held.put(job.getJobId(), job);
+    if (before == null || before.getAttempt() != job.getAttempt()) {
+      leasesByJob.put(job.getJobId(), new GangLeases(job, monotonicMillis.getAsLong()));
+    }
+    drive(job);
+  }
+
+  private void drive(JobRecord job) {
+    if (job.getPhase() == GangStep.Phase.RUNNING || !inProgress.add(stepKey(job))) {
+      return;
+    }
+    switch (job.getPhase()) {
+      case PREPARING -> prepare(job);
+      case STARTING -> start(job);
+      default -> undo(job);
+    }
+  }
+
+  private static String stepKey(JobRecord job) {
+    return job.getJobId() + '/' + job.getAttempt() + '/' + job.getPhase();
+  }
+
+  private void prepare(JobRecord job) {
+    onAll(job, placement -> platform.prepare(prepareRequest(job, placement)))
+        .thenAcceptAsync(
+            results ->
+                finishStep(
+                    job, results, GangStep.Phase.STARTING, "preparing failed"),
+            loop);
+  }
+
+  private Platform.PrepareRequest prepareRequest(JobRecord job, TaskPlacement placement) {
+    return new Platform.PrepareRequest(
+        placement.getLeaseId(),
+        job.getJobId(),
+        placement.getTask(),
+        placement.getWorker(),
+        shape(job.getSpec().getPerTask()),
+        term,
+        GangLeases.LEASE_MILLIS,
+        START_BEFORE_MILLIS,
+        job.getSpec().getDeclaredRunMillis());
+  }
+
+  static ResourceShape shape(Shape shape) {
+    return new ResourceShape(
+        shape.getCores(), shape.getMemoryMegabytes(), shape.getAccelerators());
+  }
+
+  private void start(JobRecord job) {
+    onAll(job, placement -> platform.start(placement.getLeaseId(), term))
+        .thenAcceptAsync(
+            results ->
+                finishStep(job, results, GangStep.Phase.RUNNING, "starting failed"),
+            loop);
+  }
+
+  private void finishStep(
+      JobRecord job, List<Result<String>> results, GangStep.Phase next, String failure) {
+    inProgress.remove(stepKey(job));
+    for (Result<String> result : results) {
+      if (!result.isSuccess()) {
+        String detail = failure + ": " + result.problem().map(Problem::toString).orElse("");
+        rollBack(job, "undone", detail, List.of());
+        return;
+      }
+    }
+    GangStep.Builder step = step(job, next);
+    propose(step)
+        .thenAcceptAsync(
+            refusal -> {
+              if (!refusal.isEmpty() && next == GangStep.Phase.STARTING) {
+                rollBack(job, "undone", refusal, List.of());
+              } else if (refusal.isEmpty() && next == GangStep.Phase.RUNNING) {
+                EventLogger.log(
+                    ControlEvent.GANG_RUNNING, job.getJobId(), job.getPlacementsCount());
+              }
+            },
+            loop);
+  }
+
+  /** Proposes to stop the whole gang and to queue the job again. */
+  void rollBack(JobRecord job, String result, String detail, List<String> faultyWorkers) {
+    EventLogger.log(ControlEvent.GANG_UNDONE, job.getJobId(), detail);
+    propose(
+        step(job, GangStep.Phase.UNDOING)
+            .setThen(GangStep.Phase.QUEUED)
+            .setResult(result)
+            .setDetail(detail)
+            .addAllFaultyWorkers(faultyWorkers));
+  }
+
+  private void undo(JobRecord job) {
+    boolean saveWork = job.getResult().equals("preempted") || job.getResult().equals("moved");
+    CompletableFuture<List<Result<String>>> saved =
+        saveWork
+            ? onAll(job, placement -> platform.checkpoint(placement.getLeaseId(), term))
+                .completeOnTimeout(List.of(), CHECKPOINT_LIMIT_MILLIS, TimeUnit.MILLISECONDS)
+            : CompletableFuture.completedFuture(List.of());
+    saved.thenAcceptAsync(ignored -> stopAll(job), loop);
+  }
+
+  private void stopAll(JobRecord job) {
+    onAll(job, placement -> platform.stop(placement.getLeaseId(), term))
+        .thenAcceptAsync(
+            results -> {
+              GangLeases leases = leasesByJob.get(job.getJobId());
+              if (leases == null) {
+                inProgress.remove(stepKey(job));
+                return;
+              }
+              for (int i = 0; i < results.size(); i++) {
+                if (results.get(i).isSuccess()) {
+                  leases.stopped(job.getPlacements(i).getLeaseId());
+                }
+              }
+              if (leases.allOver(monotonicMillis.getAsLong())) {
+                finishUndo(job);
+              } else {
+                loop.schedule(() -> stopAll(job), STOP_RETRY_MILLIS, TimeUnit.MILLISECONDS);
+              }
+            },
+            loop);
+  }
+
+  private void finishUndo(JobRecord undone) {
+    inProgress.remove(stepKey(undone));
+    // A cancellation may have changed what follows since the roll-back began.
+    JobRecord job = held.getOrDefault(undone.getJobId(), undone);
+    propose(
+        step(job, job.getThen()).setResult(job.getResult()).setDetail(job.getDetail()));
+  }
+
+  /** Renews leases, reads usage and repeats steps whose proposal failed. */
+  void tick() {
+    long nowMillis = monotonicMillis.getAsLong();
+    if (nowMillis - renewedMillis >= GangLeases.RENEW_MILLIS) {
+      renewedMillis = nowMillis;
+      renew(nowMillis);
+    }
+    if (!polling) {
+      polling = true;
+      CompletableFuture.supplyAsync(platform::usage, platformPool)
+          .whenCompleteAsync(
+              (usage, error) -> {
+                polling = false;
+                if (usage != null) {
+                  usage.fold(this::platformFailed, this::examine);
+                }
+              },
+              loop);
+    }
+    for (JobRecord job : new ArrayList<>(held.values())) {
+      drive(job);
+    }
+  }
+
+  private Boolean platformFailed(Problem problem) {
+    EventLogger.log(ControlEvent.PLATFORM_FAILED, "usage", problem);
+    return false;
+  }
+
+  private void renew(long nowMillis) {
+    List<String> leaseIds = new ArrayList<>();
+    for (JobRecord job : held.values()) {
+      GangLeases leases = leasesByJob.get(job.getJobId());
+      if (job.getPhase() != GangStep.Phase.UNDOING && leases != null) {
+        leases.renewalSent(nowMillis);
+        job.getPlacementsList().forEach(placement -> leaseIds.add(placement.getLeaseId()));
+      }
+    }
+    if (leaseIds.isEmpty() || !proposer.mayGrant()) {
+      return;
+    }
+    CompletableFuture.supplyAsync(
+            () -> platform.renew(leaseIds, term, GangLeases.LEASE_MILLIS), platformPool)
+        .thenAcceptAsync(
+            renewed -> renewed.fold(this::platformFailed, ids -> confirm(ids, nowMillis)), loop);
+  }
+
+  private Boolean confirm(List<String> leaseIds, long sentMillis) {
+    Set<String> confirmed = new HashSet<>(leaseIds);
+    for (JobRecord job : held.values()) {
+      GangLeases leases = leasesByJob.get(job.getJobId());
+      for (TaskPlacement placement : job.getPlacementsList()) {
+        if (leases != null && confirmed.contains(placement.getLeaseId())) {
+          leases.confirmed(placement.getLeaseId(), sentMillis);
+        }
+      }
+    }
+    return true;
+  }
+
+  private Boolean examine(List<Platform.TaskReport> reports) {
+    Map<String, Platform.TaskReport> byLease = new HashMap<>();
+    for (Platform.TaskReport report : reports) {
+      byLease.put(report.leaseId(), report);
+    }
+    for (JobRecord job : new ArrayList<>(held.values())) {
+      if (job.getPhase() == GangStep.Phase.RUNNING) {
+        examine(job, byLease);
+      }
+    }
+    return true;
+  }
+
+  private void examine(JobRecord job, Map<String, Platform.TaskReport> byLease) {
+    GangLeases leases = requireNonNull(leasesByJob.get(job.getJobId()), "no leases of a gang");
+    long nowMillis = monotonicMillis.getAsLong();
+    List<String> failedWorkers = new ArrayList<>();
+    String lost = "";
+    int succeeded = 0;
+    for (TaskPlacement placement : job.getPlacementsList()) {
+      Platform.TaskReport report = byLease.get(placement.getLeaseId());
+      String state = report == null ? "" : report.state();
+      switch (state) {
+        case "succeeded" -> {
+          succeeded++;
+          leases.confirmed(placement.getLeaseId(), nowMillis);
+        }
+        case "failed" -> failedWorkers.add(placement.getWorker());
+        case "expired", "stopped" -> lost = "task on " + placement.getWorker() + " " + state;
+        default -> {}
+      }
+    }
+    List<String> silent = leases.unconfirmed(nowMillis, SILENCE_MILLIS);
+    if (!failedWorkers.isEmpty()) {
+      rollBack(job, "task-failed", "a task failed on " + failedWorkers, failedWorkers);
+    } else if (!lost.isEmpty()) {
+      rollBack(job, "undone", lost, List.of());
+    } else if (succeeded == job.getPlacementsCount()) {
+      propose(step(job, GangStep.Phase.ENDED).setResult("completed"));
+    } else if (!silent.isEmpty()) {
+      rollBack(job, "undone", "no worker has confirmed the leases " + silent, List.of());
+    }
+  }
+
+  private CompletableFuture<List<Result<String>>> onAll(
+      JobRecord job, Function<TaskPlacement, Result<String>> call) {
+    List<CompletableFuture<Result<String>>> calls = new ArrayList<>();
+    for (TaskPlacement placement : job.getPlacementsList()) {
+      calls.add(
+          CompletableFuture.supplyAsync(() -> callWhileLeading(placement, call), platformPool));
+    }
+    return CompletableFuture.allOf(calls.toArray(new CompletableFuture<?>[0]))
+        .thenApply(ignored -> calls.stream().map(CompletableFuture::join).toList());
+  }
+
+  /** The lease is checked right before the call: this process may have been paused. */
+  private Result<String> callWhileLeading(
+      TaskPlacement placement, Function<TaskPlacement, Result<String>> call) {
+    return proposer.mayGrant() && proposer.term() == term
+        ? call.apply(placement)
+        : Result.failure("not-leader", "this replica does not lead any more");
+  }
+
+  private static GangStep.Builder step(JobRecord job, GangStep.Phase phase) {
+    return GangStep.newBuilder()
+        .setJobId(job.getJobId())
+        .setAttempt(job.getAttempt())
+        .setPhase(phase);
+  }
+
+  /** Returns the reason of a refusal, or an empty text when the step is recorded. */
+  private CompletableFuture<String> propose(GangStep.Builder step) {
+    return proposer
+        .propose(Command.newBuilder().setGangStep(step))
+        .thenApply(
+            result ->
+                result.fold(
+                    Problem::toString,
+                    applied ->
+                        applied instanceof CommandResult.Refused refused
+                            ? refused.problem().toString()
+                            : ""));
+  }
+}
--- /dev/null
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/control/GuaranteeMonitor.java
@@ -0,0 +1,28 @@
+package org.hickoryspar.node.control;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.hickoryspar.kernel.scheduling.GuaranteeReport;
+import org.hickoryspar.node.observability.EventLogger;
+
+/** Logs when a guarantee is broken and when it is restored. */
+final class GuaranteeMonitor {
+
+  private Set<String> broken = new HashSet<>();
+
+  void observe(List<GuaranteeReport> reports) {
+    Set<String> nowBroken = new HashSet<>();
+    for (GuaranteeReport report : reports) {
+      if (!report.formable() && nowBroken.add(report.team()) && !broken.contains(report.team())) {
+        EventLogger.log(ControlEvent.GUARANTEE_BROKEN, report.team(), report.missing());
+      }
+    }
+    for (String team : broken) {
+      if (!nowBroken.contains(team)) {
+        EventLogger.log(ControlEvent.GUARANTEE_RESTORED, team);
+      }
+    }
+    broken = nowBroken;
+  }
+}
