--- /dev/null
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/fleet/Fields.java
@@ -0,0 +1,238 @@
+package org.hickoryspar.kernel.fleet;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.google.common.base.Ascii;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.regex.Pattern;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Reads the members of one JSON object. A member that is wrong is added to the list of problems
+ * with its path, and a placeholder is returned, so that all problems are found in one pass.
+ */
+final class Fields {
+
+  /** Names appear in paths, URLs and metric labels, so they hold no separator of these. */
+  private static final Pattern NAME = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._-]{0,62}");
+
+  /** Describes a valid name. */
+  static final String NAME_RULE = "a name of 1 to 63 letters, digits, '.', '_' and '-'";
+
+  private static final int MAX_SHOWN_LENGTH = 60;
+
+  private final JsonNode node;
+  private final String path;
+  private final List<String> problems;
+  private final Set<String> read = new TreeSet<>();
+
+  private Fields(JsonNode node, String path, List<String> problems) {
+    this.node = node;
+    this.path = path;
+    this.problems = problems;
+  }
+
+  /**
+   * Starts at the root of a document.
+   *
+   * @param node the document
+   * @param problems receives what is wrong
+   * @return its members
+   */
+  static Fields root(JsonNode node, List<String> problems) {
+    return of(node, "$", problems);
+  }
+
+  private static Fields of(JsonNode node, String path, List<String> problems) {
+    if (!node.isObject()) {
+      problems.add(path + ": expected an object, found " + shown(node));
+      return new Fields(JsonNodeFactory.instance.objectNode(), path, problems);
+    }
+    return new Fields(node, path, problems);
+  }
+
+  /** Returns whether a text can be a name. */
+  static boolean isName(String text) {
+    return NAME.matcher(text).matches();
+  }
+
+  /** Adds a problem with a member. */
+  void problem(String key, String message) {
+    problems.add(path + "." + key + ": " + message);
+  }
+
+  /** Adds a problem that names what was expected and what was found. */
+  private void expected(String key, String expectation, @Nullable JsonNode found) {
+    problem(
+        key, "expected " + expectation + ", found " + (found == null ? "nothing" : shown(found)));
+  }
+
+  private static String shown(JsonNode node) {
+    return Ascii.truncate(node.toString(), MAX_SHOWN_LENGTH, "...");
+  }
+
+  private @Nullable JsonNode member(String key) {
+    read.add(key);
+    return node.get(key);
+  }
+
+  /** Returns whether the member is present. */
+  boolean has(String key) {
+    read.add(key);
+    return node.has(key);
+  }
+
+  /** Reads a member as it is; null when it is missing. */
+  @Nullable JsonNode any(String key) {
+    return member(key);
+  }
+
+  /** Reads a member that is an object; a missing one is a problem. */
+  Fields object(String key) {
+    JsonNode value = member(key);
+    if (value == null) {
+      expected(key, "an object", null);
+      value = JsonNodeFactory.instance.objectNode();
+    }
+    return of(value, path + "." + key, problems);
+  }
+
+  /** Reads a member that maps names to objects; a missing one is empty. */
+  Map<String, Fields> objects(String key) {
+    Map<String, Fields> result = new LinkedHashMap<>();
+    JsonNode value = member(key);
+    if (value == null) {
+      return result;
+    }
+    String memberPath = path + "." + key;
+    if (!value.isObject()) {
+      expected(key, "an object that maps names to objects", value);
+      return result;
+    }
+    for (Map.Entry<String, JsonNode> entry : value.properties()) {
+      String entryPath = memberPath + "." + entry.getKey();
+      if (!isName(entry.getKey())) {
+        problems.add(entryPath + ": expected " + NAME_RULE);
+      }
+      result.put(entry.getKey(), of(entry.getValue(), entryPath, problems));
+    }
+    return result;
+  }
+
+  /** Reads a member that is an array of objects; a missing one is empty. */
+  List<Fields> list(String key) {
+    List<Fields> result = new ArrayList<>();
+    JsonNode value = member(key);
+    if (value == null) {
+      return result;
+    }
+    if (!value.isArray()) {
+      expected(key, "an array of objects", value);
+      return result;
+    }
+    for (int i = 0; i < value.size(); i++) {
+      result.add(of(value.get(i), path + "." + key + "[" + i + "]", problems));
+    }
+    return result;
+  }
+
+  /** Reads a whole number within a range; a missing one is a problem. */
+  long number(String key, long min, long max) {
+    return number(key, min, max, null);
+  }
+
+  /** Reads a whole number within a range; a missing one is {@code absent}, unless that is null. */
+  long number(String key, long min, long max, @Nullable Long absent) {
+    JsonNode value = member(key);
+    if (value == null && absent != null) {
+      return absent;
+    }
+    if (value == null
+        || !value.isIntegralNumber()
+        || !value.canConvertToLong()
+        || value.asLong() < min
+        || value.asLong() > max) {
+      expected(key, "a whole number from " + min + " to " + max, value);
+      return min;
+    }
+    return value.asLong();
+  }
+
+  /** Reads a whole number that may be missing. */
+  OptionalLong optionalNumber(String key, long min, long max) {
+    return has(key) ? OptionalLong.of(number(key, min, max)) : OptionalLong.empty();
+  }
+
+  /** Reads a number above 0; a missing one is {@code absent}. */
+  double positive(String key, double absent) {
+    JsonNode value = member(key);
+    if (value == null) {
+      return absent;
+    }
+    if (!value.isNumber() || !(value.asDouble() > 0) || Double.isInfinite(value.asDouble())) {
+      expected(key, "a number above 0", value);
+      return 1;
+    }
+    return value.asDouble();
+  }
+
+  /** Reads a boolean; a missing one is false. */
+  boolean flag(String key) {
+    JsonNode value = member(key);
+    if (value == null) {
+      return false;
+    }
+    if (!value.isBoolean()) {
+      expected(key, "true or false", value);
+    }
+    return value.asBoolean();
+  }
+
+  /** Reads text that is not blank. */
+  String text(String key) {
+    JsonNode value = member(key);
+    if (value == null || !value.isTextual() || value.asText().isBlank()) {
+      expected(key, "text that is not blank", value);
+      return "missing";
+    }
+    return value.asText();
+  }
+
+  /** Reads text that may be missing or blank. */
+  String optionalText(String key) {
+    JsonNode value = member(key);
+    if (value == null) {
+      return "";
+    }
+    if (!value.isTextual()) {
+      expected(key, "text", value);
+    }
+    return value.asText();
+  }
+
+  /** Reads one of several words. */
+  Optional<String> word(String key, List<String> words) {
+    JsonNode value = member(key);
+    if (value == null || !value.isTextual() || !words.contains(value.asText())) {
+      expected(key, "one of " + String.join(", ", words), value);
+      return Optional.empty();
+    }
+    return Optional.of(value.asText());
+  }
+
+  /** Adds a problem for each member that was not read. */
+  void end() {
+    for (Map.Entry<String, JsonNode> entry : node.properties()) {
+      if (!read.contains(entry.getKey())) {
+        problem(entry.getKey(), "unknown key, expected one of " + String.join(", ", read));
+      }
+    }
+  }
+}
