Add the replicated log as a pure state machine

Answers that depend on a write are held back until the write is reported as synced. After a transfer has asked for an election the old leader never uses its lease again in that term, because the request may still arrive after the transfer was given up.

--- /dev/null
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/replication/EntryLog.java
@@ -0,0 +1,162 @@
+package org.hickoryspar.kernel.replication;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.TreeMap;
+import org.hickoryspar.protocol.LogEntry;
+import org.hickoryspar.protocol.Membership;
+
+/** The part of the log that a replica holds in memory, and how much of it is synced. */
+final class EntryLog {
+
+  private long baseIndex;
+  private long baseTerm;
+  private final ArrayList<LogEntry> entries = new ArrayList<>();
+  private final TreeMap<Long, Membership> memberships = new TreeMap<>();
+  private long syncedIndex;
+  private final Deque<PendingWrite> pending = new ArrayDeque<>();
+
+  EntryLog(RecoveredState recovered) {
+    memberships.put(0L, Membership.getDefaultInstance());
+    List<LogEntry> found = recovered.entries();
+    recovered
+        .snapshot()
+        .ifPresent(
+            snapshot -> {
+              baseIndex = snapshot.lastIndex();
+              baseTerm = snapshot.lastTerm();
+              memberships.put(snapshot.lastIndex(), snapshot.membership());
+            });
+    if (!found.isEmpty() && found.get(0).getIndex() <= baseIndex) {
+      // Entries before the snapshot are kept for replicas that lag; the first one is the base.
+      baseIndex = found.get(0).getIndex();
+      baseTerm = found.get(0).getTerm();
+      found = found.subList(1, found.size());
+    }
+    for (LogEntry entry : found) {
+      append(entry);
+    }
+    syncedIndex = lastIndex();
+  }
+
+  long baseIndex() {
+    return baseIndex;
+  }
+
+  long lastIndex() {
+    return baseIndex + entries.size();
+  }
+
+  long lastTerm() {
+    return entries.isEmpty() ? baseTerm : entries.get(entries.size() - 1).getTerm();
+  }
+
+  long syncedIndex() {
+    return syncedIndex;
+  }
+
+  /** Returns the term of an index, or -1 when the log does not hold it. */
+  long termAt(long index) {
+    if (index == baseIndex) {
+      return baseTerm;
+    }
+    return index < baseIndex || index > lastIndex() ? -1 : entry(index).getTerm();
+  }
+
+  LogEntry entry(long index) {
+    return entries.get((int) (index - baseIndex - 1));
+  }
+
+  /** Returns entries from an index on, as many as the limits allow but at least one. */
+  List<LogEntry> slice(long from, int maxEntries, long maxBytes) {
+    List<LogEntry> slice = new ArrayList<>();
+    long sizeBytes = 0;
+    for (long i = from; i <= lastIndex() && slice.size() < maxEntries; i++) {
+      sizeBytes += entry(i).getSerializedSize();
+      if (!slice.isEmpty() && sizeBytes > maxBytes) {
+        break;
+      }
+      slice.add(entry(i));
+    }
+    return slice;
+  }
+
+  void append(LogEntry entry) {
+    if (entry.getIndex() != lastIndex() + 1) {
+      throw new IllegalStateException(
+          "expected entry " + (lastIndex() + 1) + ", found " + entry.getIndex());
+    }
+    entries.add(entry);
+    if (entry.hasMembership()) {
+      memberships.put(entry.getIndex(), entry.getMembership());
+    }
+  }
+
+  void truncateFrom(long index) {
+    entries.subList((int) (index - baseIndex - 1), entries.size()).clear();
+    memberships.tailMap(index, true).clear();
+    clip(index - 1);
+  }
+
+  /** Replaces everything by a snapshot. */
+  void reset(Snapshot snapshot) {
+    entries.clear();
+    memberships.clear();
+    baseIndex = snapshot.lastIndex();
+    baseTerm = snapshot.lastTerm();
+    memberships.put(baseIndex, snapshot.membership());
+    clip(0);
+  }
+
+  /** Drops entries up to an index. */
+  void compactTo(long index) {
+    if (index <= baseIndex) {
+      return;
+    }
+    baseTerm = termAt(index);
+    entries.subList(0, (int) (index - baseIndex)).clear();
+    baseIndex = index;
+    memberships.headMap(memberships.floorKey(index), false).clear();
+  }
+
+  /** Returns the newest membership, which is in force even before it is committed. */
+  Membership membership() {
+    return memberships.lastEntry().getValue();
+  }
+
+  /** Returns the index of the newest membership. */
+  long membershipIndex() {
+    return memberships.lastKey();
+  }
+
+  /** Returns the membership as of an index that the log has not dropped. */
+  Membership membershipAt(long index) {
+    return memberships.floorEntry(index).getValue();
+  }
+
+  void writeStarted(long sequence) {
+    pending.addLast(new PendingWrite(sequence, lastIndex()));
+  }
+
+  void writesSynced(long sequence) {
+    while (!pending.isEmpty() && pending.peekFirst().sequence <= sequence) {
+      syncedIndex = Math.max(syncedIndex, pending.removeFirst().lastIndex);
+    }
+  }
+
+  // A write that is still under way no longer counts for indexes that a later write removes, even
+  // if the same entries come back after that: a crash in between would find them missing.
+  private void clip(long index) {
+    syncedIndex = Math.min(syncedIndex, index);
+    List<PendingWrite> clipped = new ArrayList<>();
+    for (PendingWrite write : pending) {
+      clipped.add(new PendingWrite(write.sequence, Math.min(write.lastIndex, index)));
+    }
+    pending.clear();
+    pending.addAll(clipped);
+  }
+
+  private record PendingWrite(long sequence, long lastIndex) {}
+}
--- /dev/null
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/replication/LeadershipTransfer.java
@@ -0,0 +1,37 @@
+package org.hickoryspar.kernel.replication;
+
+/** A request to hand leadership over. */
+final class LeadershipTransfer {
+
+  private final long requestId;
+  private final String target;
+  private final long deadlineNanos;
+  private boolean electionAsked;
+
+  LeadershipTransfer(long requestId, String target, long deadlineNanos) {
+    this.requestId = requestId;
+    this.target = target;
+    this.deadlineNanos = deadlineNanos;
+  }
+
+  long requestId() {
+    return requestId;
+  }
+
+  String target() {
+    return target;
+  }
+
+  boolean isOverdue(long nowNanos) {
+    return nowNanos - deadlineNanos >= 0;
+  }
+
+  /** Returns whether the target may already be asking for votes. */
+  boolean isElectionAsked() {
+    return electionAsked;
+  }
+
+  void electionAsked() {
+    electionAsked = true;
+  }
+}
--- /dev/null
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/replication/Quorum.java
@@ -0,0 +1,21 @@
+package org.hickoryspar.kernel.replication;
+
+import java.util.Collection;
+import java.util.List;
+import java.util.function.ToLongFunction;
+
+/** Computes what a majority of voters has reached. */
+final class Quorum {
+
+  private Quorum() {}
+
+  /** Returns the highest value that more than half of the voters have reached. */
+  static long reached(List<String> voters, ToLongFunction<String> valueOf) {
+    long[] values = voters.stream().mapToLong(valueOf).sorted().toArray();
+    return values.length == 0 ? Long.MIN_VALUE / 2 : values[values.length - 1 - values.length / 2];
+  }
+
+  static boolean isMajority(List<String> voters, Collection<String> some) {
+    return !voters.isEmpty() && reached(voters, v -> some.contains(v) ? 1 : 0) == 1;
+  }
+}
