--- /dev/null
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/control/ControlDaemon.java
@@ -0,0 +1,151 @@
+package org.hickoryspar.node.control;
+
+import static java.util.Objects.requireNonNull;
+
+import com.google.common.io.Closer;
+import io.netty.channel.EventLoopGroup;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.hickoryspar.kernel.control.CommandResult;
+import org.hickoryspar.kernel.value.Result;
+import org.hickoryspar.node.observability.EventLogger;
+import org.hickoryspar.node.settings.Settings;
+import org.hickoryspar.node.transport.PeerConnection;
+import org.hickoryspar.node.transport.PeerHandler;
+import org.hickoryspar.node.transport.PeerIdentity;
+import org.hickoryspar.node.transport.PeerServer;
+import org.hickoryspar.protocol.Envelope;
+import org.hickoryspar.protocol.ReplicationMessage;
+
+/** The control daemon of one instance: its connections, its replica and its services. */
+public final class ControlDaemon implements AutoCloseable {
+
+  private static final long TRANSFER_LIMIT_MILLIS = 5_000;
+
+  private final Settings settings;
+  private final ReplicatedLog<CommandResult> log;
+  private final SchedulingLoop scheduling;
+  private final PeerServer server;
+  private final AdminServer admin;
+  private final Connections connections;
+  private final Closer closer = Closer.create();
+
+  /**
+   * Creates a daemon that is not started.
+   *
+   * @param settings settings with a control section
+   * @param log the replica of this instance
+   * @param scheduling the scheduling loop
+   * @param server accepts connections from peers
+   * @param admin serves health and metrics
+   * @param connections connections to the other replicas
+   */
+  public ControlDaemon(
+      Settings settings,
+      ReplicatedLog<CommandResult> log,
+      SchedulingLoop scheduling,
+      PeerServer server,
+      AdminServer admin,
+      Connections connections) {
+    this.settings = requireNonNull(settings, "settings is null");
+    this.log = requireNonNull(log, "log is null");
+    this.scheduling = requireNonNull(scheduling, "scheduling is null");
+    this.server = requireNonNull(server, "server is null");
+    this.admin = requireNonNull(admin, "admin is null");
+    this.connections = requireNonNull(connections, "connections is null");
+  }
+
+  /**
+   * Starts to serve.
+   *
+   * @throws IOException if an address cannot be bound
+   */
+  public void start() throws IOException {
+    Settings.ControlSettings control =
+        requireNonNull(settings.control(), "the settings have no control section");
+    closer.register(connections);
+    Result<InetSocketAddress> bound = server.listen(Settings.socketAddress(control.peerAddress()));
+    if (!bound.isSuccess()) {
+      throw new IOException(bound.problem().orElseThrow().message());
+    }
+    closer.register(server::close);
+    admin.start();
+    closer.register(admin);
+    connections.connect();
+    scheduling.start();
+    EventLogger.log(
+        ControlEvent.STARTED, settings.instanceId(), control.httpAddress(), control.peerAddress());
+  }
+
+  /** Hands leadership over, then stops. */
+  @Override
+  public void close() throws IOException {
+    EventLogger.log(ControlEvent.STOPPING, settings.instanceId());
+    admin.drain();
+    if (log.status().role().equals("leader")) {
+      try {
+        log.transferLeadership().get(TRANSFER_LIMIT_MILLIS, TimeUnit.MILLISECONDS);
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      } catch (java.util.concurrent.ExecutionException | TimeoutException e) {
+        // The others elect a leader after the election time-out.
+      }
+    }
+    scheduling.close();
+    log.close();
+    closer.close();
+  }
+
+  /** Connections to the other control replicas, by instance. */
+  public static final class Connections implements ReplicationTransport, java.io.Closeable {
+
+    private final Map<String, PeerConnection> byInstance = new ConcurrentHashMap<>();
+
+    /**
+     * Creates connections that are not dialled yet.
+     *
+     * @param settings lists the instances
+     * @param identity who this process is
+     * @param eventLoops event loops, owned by the caller
+     */
+    public Connections(Settings settings, PeerIdentity identity, EventLoopGroup eventLoops) {
+      PeerHandler ignore = (from, message, reply) -> {};
+      for (Settings.InstanceSettings instance : settings.instances()) {
+        String address = instance.controlPeerAddress();
+        if (address != null && !instance.id().equals(settings.instanceId())) {
+          byInstance.put(
+              instance.id(),
+              new PeerConnection(
+                  identity, eventLoops, instance.id(), Settings.socketAddress(address), ignore));
+        }
+      }
+    }
+
+    void connect() {
+      byInstance.values().forEach(PeerConnection::connect);
+    }
+
+    @Override
+    public void send(ReplicationMessage message) {
+      requireNonNull(message, "message is null");
+      String replicaId = message.getToReplica();
+      PeerConnection connection =
+          byInstance.get(replicaId.substring(0, Math.max(0, replicaId.indexOf('/'))));
+      if (connection != null) {
+        connection.send(Envelope.newBuilder().setReplication(message).build());
+      }
+    }
+
+    @Override
+    public void close() {
+      List<PeerConnection> open = new ArrayList<>(byInstance.values());
+      open.forEach(PeerConnection::close);
+    }
+  }
+}
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/control/GangDriver.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/control/GangDriver.java
@@ -109,10 +109,7 @@
   private void prepare(JobRecord job) {
     onAll(job, placement -> platform.prepare(prepareRequest(job, placement)))
         .thenAcceptAsync(
-            results ->
-                finishStep(
-                    job, results, GangStep.Phase.STARTING, "preparing failed"),
-            loop);
+            results -> finishStep(job, results, GangStep.Phase.STARTING, "preparing failed"), loop);
   }
 
   private Platform.PrepareRequest prepareRequest(JobRecord job, TaskPlacement placement) {
@@ -129,16 +126,13 @@
   }
 
   static ResourceShape shape(Shape shape) {
-    return new ResourceShape(
-        shape.getCores(), shape.getMemoryMegabytes(), shape.getAccelerators());
+    return new ResourceShape(shape.getCores(), shape.getMemoryMegabytes(), shape.getAccelerators());
   }
 
   private void start(JobRecord job) {
     onAll(job, placement -> platform.start(placement.getLeaseId(), term))
         .thenAcceptAsync(
-            results ->
-                finishStep(job, results, GangStep.Phase.RUNNING, "starting failed"),
-            loop);
+            results -> finishStep(job, results, GangStep.Phase.RUNNING, "starting failed"), loop);
   }
 
   private void finishStep(
@@ -213,8 +207,7 @@
     inProgress.remove(stepKey(undone));
     // A cancellation may have changed what follows since the roll-back began.
     JobRecord job = held.getOrDefault(undone.getJobId(), undone);
-    propose(
-        step(job, job.getThen()).setResult(job.getResult()).setDetail(job.getDetail()));
+    propose(step(job, job.getThen()).setResult(job.getResult()).setDetail(job.getDetail()));
   }
 
   /** Renews leases, reads usage and repeats steps whose proposal failed. */
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/control/Proposer.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/control/Proposer.java
@@ -33,8 +33,7 @@
    */
   public CompletableFuture<Result<CommandResult>> propose(Command.Builder command) {
     requireNonNull(command, "command is null");
-    return log.propose(
-        command.setTimeMillis(wallClockMillis.getAsLong()).build().toByteString());
+    return log.propose(command.setTimeMillis(wallClockMillis.getAsLong()).build().toByteString());
   }
 
   /**
@@ -54,4 +53,13 @@
   public long term() {
     return log.status().term();
   }
+
+  /**
+   * Returns the wall clock.
+   *
+   * @return milliseconds since the epoch
+   */
+  public long wallClockMillis() {
+    return wallClockMillis.getAsLong();
+  }
 }
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/control/SchedulingLoop.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/control/SchedulingLoop.java
@@ -10,8 +10,10 @@
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.LongSupplier;
+import org.hickoryspar.kernel.control.CommandResult;
 import org.hickoryspar.kernel.control.ControlState;
 import org.hickoryspar.kernel.scheduling.GuaranteeReport;
 import org.hickoryspar.kernel.scheduling.SchedulerFactory;
@@ -41,8 +43,7 @@
   private final ScheduledExecutorService loop =
       Executors.newSingleThreadScheduledExecutor(task -> new Thread(task, "scheduling"));
   private final ExecutorService platformPool =
-      Executors.newFixedThreadPool(
-          PLATFORM_THREADS, task -> new Thread(task, "platform-calls"));
+      Executors.newFixedThreadPool(PLATFORM_THREADS, task -> new Thread(task, "platform-calls"));
   private @Nullable SchedulingSession session;
 
   /**
@@ -130,25 +131,23 @@
   }
 
   /**
-   * Waits until the decisions that follow from everything applied so far are recorded.
+   * Waits until a decision to reject a job that was just submitted, if there is one, is recorded.
    *
-   * @return completes after one round of decisions
+   * @param jobId the job
+   * @return completes after a round of decisions that knew the job
    */
-  public CompletableFuture<Result<Boolean>> nextDecisions() {
-    return ask(
-            current -> {
-              current.decide();
-              return Result.success(true);
-            })
-        .thenCompose(
-            done ->
-                done.fold(
-                    problem -> CompletableFuture.completedFuture(Result.failure(problem)),
-                    ok -> ask(current -> Result.success(true))));
+  public CompletableFuture<Result<CommandResult>> decided(String jobId) {
+    requireNonNull(jobId, "jobId is null");
+    CompletableFuture<Result<CompletableFuture<Result<CommandResult>>>> asked =
+        ask(current -> Result.success(current.rejectionRecorded(jobId)));
+    return asked.thenCompose(
+        result ->
+            result.fold(
+                problem -> CompletableFuture.completedFuture(Result.failure(problem)),
+                recorded -> recorded));
   }
 
-  private <T> CompletableFuture<Result<T>> ask(
-      Function<SchedulingSession, Result<T>> question) {
+  private <T> CompletableFuture<Result<T>> ask(Function<SchedulingSession, Result<T>> question) {
     CompletableFuture<Result<T>> answer = new CompletableFuture<>();
     Runnable task =
         () ->
@@ -172,7 +171,7 @@
     guarded(() -> withSession(SchedulingSession::tick));
   }
 
-  private void withSession(java.util.function.Consumer<SchedulingSession> action) {
+  private void withSession(Consumer<SchedulingSession> action) {
     currentSession().ifPresent(action);
   }
 
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/control/SchedulingSession.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/control/SchedulingSession.java
@@ -30,10 +30,13 @@
 import org.hickoryspar.protocol.InventoryUpdate;
 import org.hickoryspar.protocol.JobRecord;
 import org.hickoryspar.protocol.TaskPlacement;
+import org.hickoryspar.protocol.WorkerInfo;
 
 /** The decisions of one leader in one term. Confined to the scheduling loop. */
 final class SchedulingSession {
 
+  private static final int TICKS_PER_GUARANTEE_REPORT = 8;
+
   private final ControlState state;
   private final Proposer proposer;
   private final Platform platform;
@@ -45,9 +48,14 @@
   private final Map<String, JobRecord> known = new HashMap<>();
   private final Set<String> proposedPlacements = new HashSet<>();
   private final Map<String, String> preemptions = new HashMap<>();
+  private final Map<String, CompletableFuture<Result<CommandResult>>> rejections = new HashMap<>();
   private final GuaranteeMonitor guaranteeMonitor = new GuaranteeMonitor();
   private FleetDocument fleet = FleetDocument.empty();
   private boolean inventoryPolling;
+  private int ticks;
+
+  /** When the next exception ends, which changes the configuration without a command. */
+  private long nextConfigureMillis = Long.MAX_VALUE;
 
   SchedulingSession(
       ControlState state,
@@ -75,7 +83,7 @@
   /** Feeds the scheduler with everything in the replicated state. */
   void rebuild() {
     configure();
-    feedWorkers(Set.of());
+    feedWorkers(state.workers());
     for (JobRecord job : state.jobs()) {
       known.put(job.getJobId(), job);
       if (job.getPhase() == GangStep.Phase.QUEUED) {
@@ -90,8 +98,7 @@
   }
 
   private static RunningGang recovered(JobRecord job) {
-    List<String> workers =
-        job.getPlacementsList().stream().map(TaskPlacement::getWorker).toList();
+    List<String> workers = job.getPlacementsList().stream().map(TaskPlacement::getWorker).toList();
     return new RunningGang(
         JobRecords.toRequest(job),
         workers,
@@ -106,7 +113,10 @@
         configure();
         moveOutOfClosedDataCentres();
       }
-      case INVENTORY -> feedWorkers(Set.copyOf(command.getInventory().getRemovedList()));
+      case INVENTORY -> {
+        command.getInventory().getRemovedList().forEach(scheduler::workerRemoved);
+        feedWorkers(command.getInventory().getUpsertsList());
+      }
       case SUBMIT_JOB -> jobChanged(command.getSubmitJob().getJobId());
       case CANCEL_JOB -> jobChanged(command.getCancelJob().getJobId());
       case GANG_PLACEMENT -> jobChanged(command.getGangPlacement().getJobId());
@@ -128,12 +138,17 @@
                   throw new IllegalStateException(problem.toString());
                 },
                 document -> document);
-    scheduler.configure(fleet.toSchedulingConfig(current.version(), state.timeMillis()));
+    scheduler.configure(fleet.toSchedulingConfig(current.version(), nowMillis()));
+    nextConfigureMillis = fleet.nextEndMillis(nowMillis()).orElse(Long.MAX_VALUE);
+  }
+
+  private void feedWorkers(List<WorkerInfo> workers) {
+    workers.stream().map(JobRecords::toWorker).forEach(scheduler::workerChanged);
   }
 
-  private void feedWorkers(Set<String> removed) {
-    removed.forEach(scheduler::workerRemoved);
-    state.workers().stream().map(JobRecords::toWorker).forEach(scheduler::workerChanged);
+  /** Replicated time stands still between commands, but reservations and back-offs do not. */
+  private long nowMillis() {
+    return Math.max(state.timeMillis(), proposer.wallClockMillis());
   }
 
   private void jobChanged(String jobId) {
@@ -174,12 +189,11 @@
 
   private void release(JobRecord job, EndReason reason) {
     preemptions.remove(job.getJobId());
-    scheduler.gangEnded(
-        job.getJobId(), reason, job.getFaultyWorkersList(), state.timeMillis());
+    scheduler.gangEnded(job.getJobId(), reason, job.getFaultyWorkersList(), nowMillis());
   }
 
   private void moveOutOfClosedDataCentres() {
-    Set<String> out = fleet.toSchedulingConfig(0, state.timeMillis()).dataCentresOut();
+    Set<String> out = fleet.toSchedulingConfig(0, nowMillis()).dataCentresOut();
     if (out.isEmpty()) {
       return;
     }
@@ -198,11 +212,16 @@
   }
 
   void tick() {
+    if (nextConfigureMillis <= nowMillis()) {
+      configure();
+    }
     gangs.tick();
     retryPreemptions();
     pollInventory();
     decide();
-    guaranteeMonitor.observe(scheduler.guarantees());
+    if (++ticks % TICKS_PER_GUARANTEE_REPORT == 0) {
+      guaranteeMonitor.observe(scheduler.guarantees());
+    }
   }
 
   /** A preemption may be refused while the victim is between two steps. */
@@ -250,7 +269,7 @@
 
   /** Makes all decisions that are possible now and proposes them. */
   void decide() {
-    for (Decision decision : scheduler.decide(state.timeMillis())) {
+    for (Decision decision : scheduler.decide(nowMillis())) {
       if (decision instanceof Decision.Place place) {
         propose(place);
       } else if (decision instanceof Decision.Preempt preempt) {
@@ -291,13 +310,9 @@
                     : "");
     if (!refusal.isEmpty()) {
       EventLogger.log(ControlEvent.DECISION_REFUSED, jobId, refusal);
-      boolean ended =
-          state.job(jobId).map(j -> j.getPhase() == GangStep.Phase.ENDED).orElse(true);
+      boolean ended = state.job(jobId).map(j -> j.getPhase() == GangStep.Phase.ENDED).orElse(true);
       scheduler.gangEnded(
-          jobId,
-          ended ? EndReason.CANCELLED : EndReason.UNDONE,
-          List.of(),
-          state.timeMillis());
+          jobId, ended ? EndReason.CANCELLED : EndReason.UNDONE, List.of(), nowMillis());
       if (ended) {
         known.remove(jobId);
         return;
@@ -312,19 +327,27 @@
       return;
     }
     EventLogger.log(ControlEvent.JOB_REJECTED, reject.jobId(), reject.reason());
-    proposer.propose(
-        Command.newBuilder()
-            .setGangStep(
-                GangStep.newBuilder()
-                    .setJobId(job.getJobId())
-                    .setAttempt(job.getAttempt())
-                    .setPhase(GangStep.Phase.ENDED)
-                    .setResult("rejected")
-                    .setDetail(reject.reason())));
+    GangStep.Builder step =
+        GangStep.newBuilder()
+            .setJobId(job.getJobId())
+            .setAttempt(job.getAttempt())
+            .setPhase(GangStep.Phase.ENDED)
+            .setResult("rejected")
+            .setDetail(reject.reason());
+    CompletableFuture<Result<CommandResult>> recorded =
+        proposer.propose(Command.newBuilder().setGangStep(step));
+    rejections.put(reject.jobId(), recorded);
+    recorded.thenAcceptAsync(done -> rejections.remove(reject.jobId()), loop);
+  }
+
+  /** Returns a future that completes once a decision to reject the job, if any, is recorded. */
+  CompletableFuture<Result<CommandResult>> rejectionRecorded(String jobId) {
+    return rejections.getOrDefault(
+        jobId, CompletableFuture.completedFuture(Result.success(new CommandResult.Accepted())));
   }
 
   String explain(String jobId) {
-    return scheduler.explain(jobId, state.timeMillis());
+    return scheduler.explain(jobId, nowMillis());
   }
 
   List<GuaranteeReport> guarantees() {
--- /dev/null
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/control/SlotService.java
@@ -0,0 +1,76 @@
+package org.hickoryspar.node.control;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.LongSupplier;
+import org.hickoryspar.protocol.SlotDemand;
+import org.hickoryspar.protocol.SlotLeaseGrant;
+import org.hickoryspar.protocol.SlotLeaseRequest;
+
+/**
+ * Lends the slots of minions that no entry has as its base share, on the leader.
+ *
+ * <p>Nothing is durable. A new leader grants nothing for one lease length, because its predecessor
+ * may have lent the same slots.
+ */
+final class SlotService {
+
+  /** Length of a slot lease, counted at the entry from the time of its call. */
+  static final int LEASE_MILLIS = 3_000;
+
+  /** Allowance for clocks that run at different speeds. */
+  static final int DRIFT_MILLIS = 300;
+
+  static final int SLOTS_PER_MINION = 8;
+
+  private final int lentSlotsPerMinion;
+  private final LongSupplier monotonicMillis;
+  private final Map<String, List<Lease>> leasesByMinion = new HashMap<>();
+  private long term = -1;
+  private long mayGrantFromMillis;
+
+  SlotService(int entries, LongSupplier monotonicMillis) {
+    this.lentSlotsPerMinion = SLOTS_PER_MINION - SLOTS_PER_MINION / entries * entries;
+    this.monotonicMillis = monotonicMillis;
+  }
+
+  synchronized SlotLeaseGrant lease(SlotLeaseRequest request, long currentTerm) {
+    long nowMillis = monotonicMillis.getAsLong();
+    if (currentTerm != term) {
+      term = currentTerm;
+      leasesByMinion.clear();
+      mayGrantFromMillis = nowMillis + LEASE_MILLIS + DRIFT_MILLIS;
+    }
+    SlotLeaseGrant.Builder grant = SlotLeaseGrant.newBuilder().setLeaseMillis(LEASE_MILLIS);
+    if (nowMillis >= mayGrantFromMillis) {
+      for (SlotDemand demand : request.getDemandsList()) {
+        int slots = grant(request.getEntryInstance(), demand, nowMillis);
+        if (slots > 0) {
+          grant.addGrants(SlotDemand.newBuilder().setMinion(demand.getMinion()).setSlots(slots));
+        }
+      }
+    }
+    return grant.build();
+  }
+
+  private int grant(String entry, SlotDemand demand, long nowMillis) {
+    List<Lease> leases = leasesByMinion.computeIfAbsent(demand.getMinion(), m -> new ArrayList<>());
+    leases.removeIf(lease -> lease.endMillis() <= nowMillis);
+    Map<String, Integer> reservedByEntry = new HashMap<>();
+    for (Lease lease : leases) {
+      // A smaller grant takes effect at the entry only when its earlier lease has ended.
+      reservedByEntry.merge(lease.entry(), lease.slots(), Math::max);
+    }
+    reservedByEntry.remove(entry);
+    int lentToOthers = reservedByEntry.values().stream().mapToInt(Integer::intValue).sum();
+    int slots = Math.min(demand.getSlots(), lentSlotsPerMinion - lentToOthers);
+    if (slots > 0) {
+      leases.add(new Lease(entry, slots, nowMillis + LEASE_MILLIS + DRIFT_MILLIS));
+    }
+    return Math.max(0, slots);
+  }
+
+  private record Lease(String entry, int slots, long endMillis) {}
+}
--- a/hickoryspar-standins/src/main/java/org/hickoryspar/standins/platform/SimulatedPlatform.java
+++ b/hickoryspar-standins/src/main/java/org/hickoryspar/standins/platform/SimulatedPlatform.java
@@ -191,8 +191,7 @@
     List<TaskReport> reports = new ArrayList<>();
     for (SimulatedTask task : tasks.values()) {
       boolean current =
-          task.state().holdsResources()
-              || nowMillis - task.endedMillis() < ENDED_REPORT_MILLIS;
+          task.state().holdsResources() || nowMillis - task.endedMillis() < ENDED_REPORT_MILLIS;
       if (current && !isSilent(task.request().workerId())) {
         reports.add(
             new TaskReport(
