--- /dev/null
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/daemon/ControlAssembly.java
@@ -0,0 +1,114 @@
+package org.hickoryspar.node.daemon;
+
+import static java.util.Objects.requireNonNull;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.google.common.io.Closer;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.IOException;
+import java.util.ServiceLoader;
+import java.util.UUID;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.util.component.LifeCycle;
+import org.hickoryspar.kernel.control.CommandResult;
+import org.hickoryspar.kernel.control.ControlState;
+import org.hickoryspar.kernel.scheduling.SchedulerFactory;
+import org.hickoryspar.node.control.AdminServer;
+import org.hickoryspar.node.control.ControlDaemon;
+import org.hickoryspar.node.control.ControlServices;
+import org.hickoryspar.node.control.ControlStateMachine;
+import org.hickoryspar.node.control.LocalLog;
+import org.hickoryspar.node.control.Proposer;
+import org.hickoryspar.node.control.ReplicatedLog;
+import org.hickoryspar.node.control.SchedulingLoop;
+import org.hickoryspar.node.platform.HttpPlatform;
+import org.hickoryspar.node.settings.Settings;
+import org.hickoryspar.node.transport.PeerServer;
+
+/** Assembles a control daemon. */
+final class ControlAssembly implements AutoCloseable {
+
+  private static final String DEFAULT_SCHEDULER = "guarantee";
+  private static final long PLATFORM_TIMEOUT_MILLIS = 1_000;
+
+  private final Closer closer = Closer.create();
+  private final ControlDaemon daemon;
+
+  private ControlAssembly(Settings settings) throws IOException {
+    Settings.ControlSettings control =
+        requireNonNull(settings.control(), "the settings have no control section");
+    ProcessResources process = closer.register(new ProcessResources(settings));
+    ControlState state = new ControlState();
+    ControlStateMachine stateMachine = new ControlStateMachine(state);
+    ControlDaemon.Connections connections =
+        new ControlDaemon.Connections(settings, process.identity(), process.eventLoops());
+    ReplicatedLog<CommandResult> log = new LocalLog<>(stateMachine);
+    Proposer proposer = new Proposer(log, System::currentTimeMillis);
+    SchedulingLoop scheduling =
+        new SchedulingLoop(
+            state,
+            proposer,
+            new HttpPlatform(
+                startClient(),
+                new ObjectMapper(),
+                "http://" + control.platformAddress(),
+                PLATFORM_TIMEOUT_MILLIS),
+            scheduler(control.scheduler() == null ? DEFAULT_SCHEDULER : control.scheduler()),
+            ProcessResources::monotonicMillis);
+    stateMachine.addListener(scheduling::applied);
+    ControlServices services =
+        new ControlServices(
+            settings,
+            state,
+            log,
+            proposer,
+            scheduling,
+            new ObjectMapper(),
+            ProcessResources::monotonicMillis,
+            () -> UUID.randomUUID().toString());
+    stateMachine.addListener(services::applied);
+    PrometheusRegistry registry = new PrometheusRegistry();
+    daemon =
+        new ControlDaemon(
+            settings,
+            log,
+            scheduling,
+            new PeerServer(process.identity(), process.eventLoops(), services.handler()),
+            new AdminServer(
+                Settings.socketAddress(control.httpAddress()),
+                registry,
+                () -> log.status().leaderId().isPresent()),
+            connections);
+    daemon.start();
+  }
+
+  private HttpClient startClient() throws IOException {
+    HttpClient client = new HttpClient();
+    try {
+      client.start();
+    } catch (Exception e) {
+      throw new IOException("cannot start the HTTP client", e);
+    }
+    closer.register(() -> LifeCycle.stop(client));
+    return client;
+  }
+
+  private static SchedulerFactory scheduler(String name) {
+    for (SchedulerFactory factory : ServiceLoader.load(SchedulerFactory.class)) {
+      if (factory.name().equals(name)) {
+        return factory;
+      }
+    }
+    throw new IllegalArgumentException("no scheduler is registered as \"" + name + "\"");
+  }
+
+  static ControlAssembly start(Settings settings, boolean initialise) throws IOException {
+    return new ControlAssembly(settings);
+  }
+
+  @Override
+  public void close() throws IOException {
+    daemon.close();
+    closer.close();
+  }
+}
--- /dev/null
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/daemon/ProcessResources.java
@@ -0,0 +1,50 @@
+package org.hickoryspar.node.daemon;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.Closeable;
+import java.security.SecureRandom;
+import java.util.concurrent.TimeUnit;
+import org.hickoryspar.node.settings.Settings;
+import org.hickoryspar.node.transport.PeerIdentity;
+
+/** What both daemons need: event loops and the identity of the process. */
+final class ProcessResources implements Closeable {
+
+  private static final int EVENT_LOOP_THREADS = 2;
+  private static final int RANDOM_BITS = 20;
+  private static final long CLOSE_LIMIT_MILLIS = 2_000;
+
+  private final EventLoopGroup eventLoops =
+      new MultiThreadIoEventLoopGroup(EVENT_LOOP_THREADS, NioIoHandler.newFactory());
+  private final PeerIdentity identity;
+
+  ProcessResources(Settings settings) {
+    identity = new PeerIdentity(settings.cluster(), settings.instanceId(), processIncarnation());
+  }
+
+  /** The start time comes first, so that a later process has a larger number. */
+  private static long processIncarnation() {
+    return System.currentTimeMillis() << RANDOM_BITS | new SecureRandom().nextInt(1 << RANDOM_BITS);
+  }
+
+  EventLoopGroup eventLoops() {
+    return eventLoops;
+  }
+
+  PeerIdentity identity() {
+    return identity;
+  }
+
+  static long monotonicMillis() {
+    return System.nanoTime() / 1_000_000;
+  }
+
+  @Override
+  public void close() {
+    eventLoops
+        .shutdownGracefully(0, CLOSE_LIMIT_MILLIS, TimeUnit.MILLISECONDS)
+        .awaitUninterruptibly(CLOSE_LIMIT_MILLIS);
+  }
+}
--- a/hickoryspar-standins/src/main/java/org/hickoryspar/standins/platform/PlatformServer.java
+++ b/hickoryspar-standins/src/main/java/org/hickoryspar/standins/platform/PlatformServer.java
@@ -6,6 +6,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -65,8 +66,12 @@
   }
 
   @Override
-  public void close() throws Exception {
-    server.stop();
+  public void close() throws IOException {
+    try {
+      server.stop();
+    } catch (Exception e) {
+      throw new IOException("cannot stop the HTTP server", e);
+    }
   }
 
   private Result<? extends Object> handle(String method, String path, JsonNode body) {
