--- /dev/null
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/storage/FileLogStorage.java
@@ -0,0 +1,171 @@
+package org.hickoryspar.node.storage;
+
+import static java.util.Objects.requireNonNull;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.hickoryspar.kernel.replication.HardState;
+import org.hickoryspar.kernel.replication.LogStorage;
+import org.hickoryspar.kernel.replication.RecoveredState;
+import org.hickoryspar.kernel.replication.Snapshot;
+import org.hickoryspar.kernel.replication.StorageWrite;
+import org.hickoryspar.node.observability.EventLogger;
+import org.hickoryspar.protocol.LogEntry;
+
+/** Storage of a replica in the files of one folder; opened by {@link ReplicaFolder}. */
+public final class FileLogStorage implements LogStorage {
+
+  private final FileOperations files;
+  private final Path folder;
+  private final ReplicaIdentity identity;
+  private final Closeable lock;
+  private final SegmentedLog log;
+  private boolean failed;
+
+  FileLogStorage(FileOperations files, Path folder, ReplicaIdentity identity, Closeable lock) {
+    this.files = files;
+    this.folder = folder;
+    this.identity = identity;
+    this.lock = lock;
+    this.log = new SegmentedLog(files, folder);
+  }
+
+  /**
+   * Returns the identity that the folder holds.
+   *
+   * @return the identity
+   */
+  public ReplicaIdentity identity() {
+    return identity;
+  }
+
+  @Override
+  public RecoveredState load() throws IOException {
+    List<Path> segments = new ArrayList<>();
+    List<Path> snapshots = new ArrayList<>();
+    for (Path file : files.list(folder)) {
+      if (file.toString().endsWith(AtomicFile.TEMPORARY_SUFFIX)) {
+        files.delete(file);
+      } else if (SegmentedLog.isSegment(file)) {
+        segments.add(file);
+      } else if (SnapshotFile.isSnapshot(file)) {
+        snapshots.add(file);
+      }
+    }
+    HardState hardState = HardStateFile.read(files, folder);
+    Optional<Snapshot> snapshot = Optional.empty();
+    if (!snapshots.isEmpty()) {
+      snapshot = Optional.of(SnapshotFile.read(files, snapshots.remove(snapshots.size() - 1)));
+      deleteAll(snapshots);
+    }
+    List<LogEntry> found = log.load(segments);
+    boolean firstVoter = identity.replicaId().endsWith(ReplicaFolder.FIRST_SUFFIX);
+    if (segments.isEmpty() || (firstVoter && snapshot.isEmpty() && found.isEmpty())) {
+      // The log is written before the identity; without it, entries were lost.
+      throw new DamagedFileException(folder, 0, "the log is missing; replace this replica");
+    }
+    List<LogEntry> entries = reconcile(snapshot, found);
+    EventLogger.log(
+        StorageEvent.LOADED,
+        hardState.term(),
+        snapshot.map(Snapshot::lastIndex).orElse(0L),
+        entries.size());
+    return new RecoveredState(hardState, snapshot, entries);
+  }
+
+  @Override
+  public void write(List<StorageWrite> writes) throws IOException {
+    requireNonNull(writes, "writes is null");
+    if (failed) {
+      throw new IOException("an earlier write or sync failed; the replica must be restarted");
+    }
+    failed = true;
+    writeHardState(writes);
+    List<LogEntry> entries = new ArrayList<>();
+    for (StorageWrite write : writes) {
+      if (write.snapshot().isPresent() || write.truncateFrom() > 0) {
+        log.append(entries);
+        entries.clear();
+        writeSnapshot(write);
+        if (write.truncateFrom() > 0) {
+          log.truncateFrom(write.truncateFrom());
+        }
+      }
+      entries.addAll(write.entries());
+    }
+    log.append(entries);
+    log.sync();
+    failed = false;
+  }
+
+  @Override
+  public void close() throws IOException {
+    try {
+      log.close();
+    } finally {
+      lock.close();
+    }
+  }
+
+  // Only the newest term and vote matter: nothing that an earlier one allows has been sent yet.
+  private void writeHardState(List<StorageWrite> writes) throws IOException {
+    for (int i = writes.size() - 1; i >= 0; i--) {
+      Optional<HardState> state = writes.get(i).hardState();
+      if (state.isPresent()) {
+        HardStateFile.write(files, folder, state.get());
+        return;
+      }
+    }
+  }
+
+  private void writeSnapshot(StorageWrite write) throws IOException {
+    if (write.snapshot().isEmpty()) {
+      return;
+    }
+    Snapshot snapshot = write.snapshot().get();
+    Path written = SnapshotFile.write(files, folder, snapshot);
+    if (write.replacesLog()) {
+      log.reset(snapshot.lastIndex() + 1);
+    } else {
+      log.roll();
+      log.compactTo(write.compactTo());
+    }
+    deleteAll(
+        files.list(folder).stream()
+            .filter(file -> SnapshotFile.isSnapshot(file) && !file.equals(written))
+            .toList());
+    EventLogger.log(StorageEvent.SNAPSHOT_WRITTEN, snapshot.lastIndex(), snapshot.data().size());
+  }
+
+  private List<LogEntry> reconcile(Optional<Snapshot> snapshot, List<LogEntry> entries)
+      throws IOException {
+    long base = snapshot.map(Snapshot::lastIndex).orElse(0L);
+    if (!entries.isEmpty() && entries.get(0).getIndex() > base + 1) {
+      throw new DamagedFileException(
+          folder, 0, "entries " + (base + 1) + " to " + entries.get(0).getIndex() + " are missing");
+    }
+    long last = entries.isEmpty() ? 0 : entries.get(entries.size() - 1).getIndex();
+    boolean continues =
+        snapshot.isEmpty()
+            || (last >= base
+                && (entries.get(0).getIndex() > base
+                    || entries.get((int) (base - entries.get(0).getIndex())).getTerm()
+                        == snapshot.get().lastTerm()));
+    if (!entries.isEmpty() && continues) {
+      return entries;
+    }
+    // The process ended between the installation of a snapshot and the removal of the old log.
+    log.reset(base + 1);
+    return List.of();
+  }
+
+  private void deleteAll(List<Path> old) throws IOException {
+    for (Path file : old) {
+      files.delete(file);
+    }
+  }
+}
--- /dev/null
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/storage/FileOperations.java
@@ -0,0 +1,108 @@
+package org.hickoryspar.node.storage;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.file.Path;
+import java.util.List;
+
+/** The file operations that storage needs; tests replace them to inject faults. */
+public interface FileOperations {
+
+  /**
+   * Creates a folder and its parents where they are missing.
+   *
+   * @param folder the folder
+   * @throws IOException if it cannot be created
+   */
+  void createFolder(Path folder) throws IOException;
+
+  /**
+   * Lists the files of a folder.
+   *
+   * @param folder the folder
+   * @return the files, sorted by name
+   * @throws IOException if it cannot be read
+   */
+  List<Path> list(Path folder) throws IOException;
+
+  /**
+   * Reads a whole file.
+   *
+   * @param file the file
+   * @return its contents
+   * @throws IOException if it cannot be read
+   */
+  byte[] read(Path file) throws IOException;
+
+  /**
+   * Opens a file for writing at its end; creates it when it is missing.
+   *
+   * @param file the file
+   * @return the open file
+   * @throws IOException if it cannot be opened
+   */
+  OutputFile append(Path file) throws IOException;
+
+  /**
+   * Cuts a file off; the caller syncs it.
+   *
+   * @param file the file
+   * @param sizeBytes its new size
+   * @throws IOException if it cannot be cut off
+   */
+  void truncate(Path file, long sizeBytes) throws IOException;
+
+  /**
+   * Renames a file atomically and replaces the target.
+   *
+   * @param from the file
+   * @param to its new path, in the same folder
+   * @throws IOException if it cannot be renamed
+   */
+  void rename(Path from, Path to) throws IOException;
+
+  /**
+   * Deletes a file if it exists.
+   *
+   * @param file the file
+   * @throws IOException if it cannot be deleted
+   */
+  void delete(Path file) throws IOException;
+
+  /**
+   * Syncs the entries of a folder, so that new, renamed and deleted files survive a crash.
+   *
+   * @param folder the folder
+   * @throws IOException if the sync failed
+   */
+  void syncFolder(Path folder) throws IOException;
+
+  /**
+   * Locks a file against other processes; creates it when it is missing.
+   *
+   * @param file the file
+   * @return releases the lock when it is closed
+   * @throws IOException if another holder has the lock
+   */
+  Closeable lock(Path file) throws IOException;
+
+  /** A file that is open for writing. */
+  interface OutputFile extends Closeable {
+
+    /**
+     * Writes all remaining bytes.
+     *
+     * @param bytes the bytes
+     * @throws IOException if they cannot be written completely
+     */
+    void write(ByteBuffer bytes) throws IOException;
+
+    /**
+     * Waits until everything written is on the disk. After a failure it is not known what is.
+     *
+     * @throws IOException if the sync failed
+     */
+    void sync() throws IOException;
+  }
+}
--- /dev/null
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/storage/RecordFormat.java
@@ -0,0 +1,106 @@
+package org.hickoryspar.node.storage;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.zip.CRC32C;
+import org.hickoryspar.protocol.LogEntry;
+
+/**
+ * Format of a log record: length of the payload (4 bytes), log index (8), CRC-32C of the payload
+ * (4), CRC-32C of these 16 bytes (4), payload.
+ *
+ * <p>The header has a checksum of its own because a damaged length would look like a record whose
+ * end is missing, and acknowledged records after it would be cut off as a torn tail.
+ */
+final class RecordFormat {
+
+  static final int HEADER_BYTES = 20;
+
+  private RecordFormat() {}
+
+  static byte[] encode(LogEntry entry) {
+    byte[] payload = entry.toByteArray();
+    ByteBuffer record = ByteBuffer.allocate(HEADER_BYTES + payload.length);
+    record
+        .putInt(payload.length)
+        .putLong(entry.getIndex())
+        .putInt(checksum(payload, 0, payload.length));
+    record.putInt(checksum(record.array(), 0, 16)).put(payload);
+    return record.array();
+  }
+
+  /**
+   * Reads all records of a segment.
+   *
+   * @param last whether no segment follows, so that the tail may be torn
+   */
+  static Records decode(Path file, byte[] bytes, long firstIndex, boolean last) throws IOException {
+    List<LogEntry> entries = new ArrayList<>();
+    List<Integer> offsets = new ArrayList<>();
+    int offset = 0;
+    while (offset < bytes.length) {
+      int left = bytes.length - offset;
+      int length = left < HEADER_BYTES ? -1 : payloadLength(file, bytes, offset);
+      if (length < 0 || left - HEADER_BYTES < length) {
+        if (!last) {
+          throw new DamagedFileException(file, offset, "incomplete record before another segment");
+        }
+        break;
+      }
+      LogEntry entry = payload(file, bytes, offset, length);
+      if (entry.getIndex() != firstIndex + entries.size()) {
+        throw new DamagedFileException(
+            file,
+            offset,
+            "expected index " + (firstIndex + entries.size()) + ", found " + entry.getIndex());
+      }
+      entries.add(entry);
+      offsets.add(offset);
+      offset += HEADER_BYTES + length;
+    }
+    return new Records(entries, offsets, offset);
+  }
+
+  private static int payloadLength(Path file, byte[] bytes, int offset) throws IOException {
+    ByteBuffer header = ByteBuffer.wrap(bytes, offset, HEADER_BYTES);
+    int length = header.getInt();
+    header.getLong();
+    header.getInt();
+    if (header.getInt() != checksum(bytes, offset, 16)) {
+      throw new DamagedFileException(file, offset, "wrong checksum of a record header");
+    }
+    return length;
+  }
+
+  private static LogEntry payload(Path file, byte[] bytes, int offset, int length)
+      throws IOException {
+    int expected = ByteBuffer.wrap(bytes, offset, HEADER_BYTES).getInt(offset + 12);
+    if (checksum(bytes, offset + HEADER_BYTES, length) != expected) {
+      throw new DamagedFileException(file, offset, "wrong checksum of a record");
+    }
+    try {
+      return LogEntry.parser().parseFrom(bytes, offset + HEADER_BYTES, length);
+    } catch (InvalidProtocolBufferException e) {
+      throw new DamagedFileException(file, offset, "record cannot be parsed: " + e.getMessage());
+    }
+  }
+
+  static int checksum(byte[] bytes, int offset, int length) {
+    CRC32C crc = new CRC32C();
+    crc.update(bytes, offset, length);
+    return (int) crc.getValue();
+  }
+
+  /**
+   * Records of a segment.
+   *
+   * @param entries the entries
+   * @param offsets where each record begins
+   * @param endBytes end of the last complete record
+   */
+  record Records(List<LogEntry> entries, List<Integer> offsets, int endBytes) {}
+}
--- /dev/null
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/storage/ReplicaFolder.java
@@ -0,0 +1,233 @@
+package org.hickoryspar.node.storage;
+
+import static java.util.Objects.requireNonNull;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.Closeable;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+import org.hickoryspar.kernel.replication.HardState;
+import org.hickoryspar.kernel.value.Problem;
+import org.hickoryspar.kernel.value.Result;
+import org.hickoryspar.node.observability.EventLogger;
+import org.hickoryspar.protocol.LogEntry;
+import org.hickoryspar.protocol.Membership;
+
+/**
+ * The data folder of a replica. The identity file is written last, so a folder without one holds
+ * nothing that was ever acknowledged.
+ */
+public final class ReplicaFolder {
+
+  static final String FIRST_SUFFIX = "/1";
+
+  private static final String IDENTITY = "identity.json";
+  private static final String LOCK = "lock";
+  private static final String PROBE = "probe";
+
+  private final ObjectMapper json = new ObjectMapper();
+  private final FileOperations files;
+  private final Path folder;
+  private final String cluster;
+  private final String instanceId;
+
+  /**
+   * Creates an access to a folder; reads and writes nothing yet.
+   *
+   * @param files file operations
+   * @param folder the folder
+   * @param cluster name of the cluster
+   * @param instanceId this instance
+   */
+  public ReplicaFolder(FileOperations files, Path folder, String cluster, String instanceId) {
+    this.files = requireNonNull(files, "files is null");
+    this.folder = requireNonNull(folder, "folder is null").toAbsolutePath();
+    this.cluster = requireNonNull(cluster, "cluster is null");
+    this.instanceId = requireNonNull(instanceId, "instanceId is null");
+  }
+
+  /**
+   * Writes the identity and the first voters into an empty folder. Run once for each of the first
+   * instances, with the same list; never for a replica that lost its disk.
+   *
+   * @param firstInstances the instances whose replicas are the first voters
+   * @return the identity, or a failure {@code "folder-not-empty"}, {@code "folder-not-writable"} or
+   *     {@code "not-a-voter"}
+   */
+  public Result<ReplicaIdentity> initialise(List<String> firstInstances) {
+    requireNonNull(firstInstances, "firstInstances is null");
+    if (!firstInstances.contains(instanceId)) {
+      return Result.failure(
+          "not-a-voter", "expected " + instanceId + " among " + String.join(", ", firstInstances));
+    }
+    Membership.Builder voters = Membership.newBuilder();
+    firstInstances.stream().sorted().forEach(instance -> voters.addVoters(instance + FIRST_SUFFIX));
+    LogEntry first = LogEntry.newBuilder().setIndex(1).setTerm(1).setMembership(voters).build();
+    return locked(
+        () -> {
+          Optional<Problem> occupied = checkUnused();
+          if (occupied.isPresent()) {
+            return Result.failure(occupied.get());
+          }
+          ReplicaIdentity identity =
+              new ReplicaIdentity(cluster, instanceId, instanceId + FIRST_SUFFIX);
+          create(identity, new HardState(1, ""), List.of(first));
+          EventLogger.log(StorageEvent.INITIALISED, identity.replicaId(), voters.getVotersList());
+          return Result.success(identity);
+        });
+  }
+
+  /**
+   * Opens the folder. An empty folder gets a new random replica id: whatever a replica of this
+   * instance acknowledged before is lost, so it must not vote under an earlier id.
+   *
+   * @param random source of the new replica id, not seeded
+   * @return the storage, which keeps the folder locked, or a failure {@code "foreign-folder"},
+   *     {@code "folder-not-writable"} or {@code "folder-incomplete"}
+   */
+  public Result<FileLogStorage> open(RandomGenerator random) {
+    requireNonNull(random, "random is null");
+    Closeable lock;
+    try {
+      files.createFolder(folder);
+      lock = files.lock(folder.resolve(LOCK));
+    } catch (IOException e) {
+      return notWritable(e);
+    }
+    Result<FileLogStorage> opened;
+    try {
+      opened =
+          openLocked(random).map(identity -> new FileLogStorage(files, folder, identity, lock));
+    } catch (IOException e) {
+      opened = notWritable(e);
+    }
+    if (!opened.isSuccess()) {
+      closeQuietly(lock);
+    }
+    return opened;
+  }
+
+  private Result<ReplicaIdentity> openLocked(RandomGenerator random) throws IOException {
+    probe();
+    if (has(IDENTITY)) {
+      return checkIdentity();
+    }
+    Optional<Problem> occupied = checkUnused();
+    if (occupied.isPresent()) {
+      return Result.failure(occupied.get());
+    }
+    String replicaId = String.format("%s/%016x", instanceId, random.nextLong());
+    ReplicaIdentity identity = new ReplicaIdentity(cluster, instanceId, replicaId);
+    create(identity, new HardState(0, ""), List.of());
+    EventLogger.log(StorageEvent.EMPTY_FOLDER, folder, replicaId);
+    return Result.success(identity);
+  }
+
+  private Result<ReplicaIdentity> checkIdentity() throws IOException {
+    ReplicaIdentity found =
+        json.readValue(files.read(folder.resolve(IDENTITY)), ReplicaIdentity.class);
+    if (!found.cluster().equals(cluster) || !found.instanceId().equals(instanceId)) {
+      return Result.failure(
+          "foreign-folder",
+          String.format(
+              "%s belongs to instance %s of cluster %s, expected instance %s of cluster %s",
+              folder, found.instanceId(), found.cluster(), instanceId, cluster));
+    }
+    if (!has(HardStateFile.NAME)) {
+      return Result.failure(
+          "folder-incomplete",
+          folder + " has lost its term file; empty the folder and replace the replica");
+    }
+    return Result.success(found);
+  }
+
+  // Files of an initialisation that was interrupted before it wrote the identity may be there.
+  private Optional<Problem> checkUnused() throws IOException {
+    for (Path file : files.list(folder)) {
+      String name = String.valueOf(file.getFileName());
+      boolean leftover =
+          name.equals(LOCK)
+              || name.equals(PROBE)
+              || name.endsWith(AtomicFile.TEMPORARY_SUFFIX)
+              || (name.equals(HardStateFile.NAME) && HardStateFile.read(files, folder).term() <= 1)
+              || (SegmentedLog.isSegment(file) && isFirstSegment(file));
+      if (!leftover) {
+        return Optional.of(
+            Problem.of("folder-not-empty", folder + " holds " + name + " and is not empty"));
+      }
+    }
+    return Optional.empty();
+  }
+
+  private boolean isFirstSegment(Path file) throws IOException {
+    return RecordFormat.decode(file, files.read(file), 1, true).entries().size() <= 1;
+  }
+
+  private void create(ReplicaIdentity identity, HardState hardState, List<LogEntry> entries)
+      throws IOException {
+    for (Path file : files.list(folder)) {
+      if (!file.endsWith(LOCK)) {
+        files.delete(file);
+      }
+    }
+    HardStateFile.write(files, folder, hardState);
+    try (SegmentedLog log = new SegmentedLog(files, folder)) {
+      log.reset(1);
+      log.append(entries);
+      log.sync();
+    }
+    AtomicFile.write(
+        files,
+        folder.resolve(IDENTITY),
+        List.of(ByteBuffer.wrap(json.writeValueAsBytes(identity))));
+  }
+
+  private void probe() throws IOException {
+    Path probe = folder.resolve(PROBE);
+    try (FileOperations.OutputFile output = files.append(probe)) {
+      output.write(ByteBuffer.wrap(instanceId.getBytes(StandardCharsets.UTF_8)));
+      output.sync();
+    }
+    files.delete(probe);
+  }
+
+  private boolean has(String name) throws IOException {
+    return files.list(folder).contains(folder.resolve(name));
+  }
+
+  private Result<ReplicaIdentity> locked(Action action) {
+    try {
+      files.createFolder(folder);
+      Closeable lock = files.lock(folder.resolve(LOCK));
+      try {
+        probe();
+        return action.run();
+      } finally {
+        lock.close();
+      }
+    } catch (IOException e) {
+      return notWritable(e);
+    }
+  }
+
+  private <T> Result<T> notWritable(IOException e) {
+    return Result.failure("folder-not-writable", folder + " cannot be used: " + e);
+  }
+
+  private static void closeQuietly(Closeable lock) {
+    try {
+      lock.close();
+    } catch (IOException e) {
+      EventLogger.log(StorageEvent.CLOSE_FAILED, e);
+    }
+  }
+
+  private interface Action {
+    Result<ReplicaIdentity> run() throws IOException;
+  }
+}
--- /dev/null
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/storage/SegmentedLog.java
@@ -0,0 +1,201 @@
+package org.hickoryspar.node.storage;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.hickoryspar.protocol.LogEntry;
+import org.jspecify.annotations.Nullable;
+
+/** The log as a sequence of files, each named after the index of its first entry. */
+final class SegmentedLog implements Closeable {
+
+  /** Size after which a new segment begins; a restart reads and rewrites at most one of them. */
+  static final long SEGMENT_BYTES = 8L << 20;
+
+  private static final String PREFIX = "log-";
+  private static final String SUFFIX = ".segment";
+
+  private final FileOperations files;
+  private final Path folder;
+  private final List<Segment> segments = new ArrayList<>();
+  private FileOperations.@Nullable OutputFile output;
+  private boolean unsynced;
+
+  SegmentedLog(FileOperations files, Path folder) {
+    this.files = files;
+    this.folder = folder;
+  }
+
+  static boolean isSegment(Path file) {
+    String name = String.valueOf(file.getFileName());
+    return name.startsWith(PREFIX) && name.endsWith(SUFFIX);
+  }
+
+  /** Reads all segments and rewrites the last one. */
+  List<LogEntry> load(List<Path> found) throws IOException {
+    List<LogEntry> entries = new ArrayList<>();
+    for (int i = 0; i < found.size(); i++) {
+      Path file = found.get(i);
+      boolean last = i == found.size() - 1;
+      long firstIndex = firstIndex(file);
+      if (!entries.isEmpty() && firstIndex != entries.get(entries.size() - 1).getIndex() + 1) {
+        throw new DamagedFileException(file, 0, "the entries before it are missing");
+      }
+      byte[] bytes = files.read(file);
+      RecordFormat.Records records = RecordFormat.decode(file, bytes, firstIndex, last);
+      if (last) {
+        rewrite(file, bytes, records.endBytes());
+      }
+      entries.addAll(records.entries());
+      segments.add(new Segment(file, firstIndex, records.offsets(), records.endBytes()));
+    }
+    return entries;
+  }
+
+  /** Begins an empty log. */
+  void reset(long nextIndex) throws IOException {
+    closeOutput();
+    while (!segments.isEmpty()) {
+      // From the end, so that a crash leaves a log without a gap.
+      files.delete(segments.remove(segments.size() - 1).file);
+    }
+    begin(nextIndex);
+  }
+
+  /** Appends entries without syncing them. */
+  void append(List<LogEntry> entries) throws IOException {
+    if (entries.isEmpty()) {
+      return;
+    }
+    Segment segment = segments.get(segments.size() - 1);
+    if (segment.sizeBytes >= SEGMENT_BYTES) {
+      segment = roll(entries.get(0).getIndex());
+    }
+    List<byte[]> records = new ArrayList<>();
+    int sizeBytes = 0;
+    for (LogEntry entry : entries) {
+      byte[] record = RecordFormat.encode(entry);
+      segment.offsets.add((int) segment.sizeBytes);
+      segment.sizeBytes += record.length;
+      sizeBytes += record.length;
+      records.add(record);
+    }
+    ByteBuffer buffer = ByteBuffer.allocate(sizeBytes);
+    records.forEach(buffer::put);
+    unsynced = true;
+    openOutput(segment).write(buffer.flip());
+  }
+
+  void sync() throws IOException {
+    FileOperations.OutputFile current = output;
+    if (unsynced && current != null) {
+      current.sync();
+    }
+    unsynced = false;
+  }
+
+  /** Removes the entries from an index on. */
+  void truncateFrom(long index) throws IOException {
+    closeOutput();
+    while (segments.size() > 1 && segments.get(segments.size() - 1).firstIndex >= index) {
+      files.delete(segments.remove(segments.size() - 1).file);
+    }
+    files.syncFolder(folder);
+    Segment segment = segments.get(segments.size() - 1);
+    int keep = (int) (index - segment.firstIndex);
+    if (keep < segment.offsets.size()) {
+      segment.sizeBytes = segment.offsets.get(keep);
+      segment.offsets.subList(keep, segment.offsets.size()).clear();
+      files.truncate(segment.file, segment.sizeBytes);
+      unsynced = true;
+      openOutput(segment);
+    }
+  }
+
+  /** Deletes segments that hold only entries up to an index, and begins a new one. */
+  void compactTo(long index) throws IOException {
+    while (segments.size() > 1 && segments.get(1).firstIndex <= index + 1) {
+      files.delete(segments.remove(0).file);
+    }
+    files.syncFolder(folder);
+  }
+
+  /** Begins a new segment unless the last one is empty, so that the old one can be deleted. */
+  void roll() throws IOException {
+    Segment last = segments.get(segments.size() - 1);
+    if (!last.offsets.isEmpty()) {
+      roll(last.firstIndex + last.offsets.size());
+    }
+  }
+
+  @Override
+  public void close() throws IOException {
+    closeOutput();
+  }
+
+  // A sync of the last segment may have failed before the restart. The page cache can then hold
+  // records that are not on the disk and count as clean, so a later sync would not write them. A
+  // copy under a new name is written and synced as a whole.
+  private void rewrite(Path file, byte[] bytes, int sizeBytes) throws IOException {
+    AtomicFile.write(files, file, List.of(ByteBuffer.wrap(bytes, 0, sizeBytes)));
+  }
+
+  private Segment roll(long firstIndex) throws IOException {
+    sync();
+    closeOutput();
+    return begin(firstIndex);
+  }
+
+  private Segment begin(long firstIndex) throws IOException {
+    Path file = folder.resolve(String.format("%s%020d%s", PREFIX, firstIndex, SUFFIX));
+    Segment segment = new Segment(file, firstIndex, new ArrayList<>(), 0);
+    segments.add(segment);
+    openOutput(segment);
+    files.syncFolder(folder);
+    return segment;
+  }
+
+  private FileOperations.OutputFile openOutput(Segment segment) throws IOException {
+    FileOperations.OutputFile current = output;
+    if (current == null) {
+      current = files.append(segment.file);
+      output = current;
+    }
+    return current;
+  }
+
+  private void closeOutput() throws IOException {
+    FileOperations.OutputFile current = output;
+    output = null;
+    if (current != null) {
+      current.close();
+    }
+  }
+
+  private static long firstIndex(Path file) throws IOException {
+    String name = String.valueOf(file.getFileName());
+    try {
+      return Long.parseLong(name.substring(PREFIX.length(), name.length() - SUFFIX.length()));
+    } catch (NumberFormatException e) {
+      throw new DamagedFileException(file, 0, "the name holds no index");
+    }
+  }
+
+  private static final class Segment {
+
+    private final Path file;
+    private final long firstIndex;
+    private final List<Integer> offsets;
+    private long sizeBytes;
+
+    Segment(Path file, long firstIndex, List<Integer> offsets, long sizeBytes) {
+      this.file = file;
+      this.firstIndex = firstIndex;
+      this.offsets = offsets;
+      this.sizeBytes = sizeBytes;
+    }
+  }
+}
