Run a replica with threads for steps, syncs and the state machine

ReplicaDriver implements ReplicatedLog over ReplicaCore and the file storage: one thread steps the core, one writes and syncs batches, one applies. The view with the lease is published before the messages of a step are sent, and the lease is compared with the clock at each call, so a paused process finds it lapsed. A failed write or sync stops the replica and is reported once.

Tests run three replicas with real files: restart after 1,000 changes, a leader that stops, is cut off in one or both directions or is paused, a transfer of leadership and a replica that lost its disk.

--- /dev/null
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/replication/WorkerThread.java
@@ -0,0 +1,99 @@
+package org.hickoryspar.node.replication;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * A thread that handles queued items in batches. It is never interrupted: an interrupt would close
+ * the files that it writes.
+ */
+final class WorkerThread<T> {
+
+  private final LinkedBlockingQueue<T> queue = new LinkedBlockingQueue<>();
+  private final Thread thread;
+  private final int maxBatch;
+  private final long waitMillis;
+  private final Handler<T> handler;
+  private final Consumer<Throwable> onFailure;
+  private volatile boolean stopping;
+
+  WorkerThread(
+      String name,
+      int maxBatch,
+      long waitMillis,
+      Handler<T> handler,
+      Consumer<Throwable> onFailure) {
+    this.maxBatch = maxBatch;
+    this.waitMillis = waitMillis;
+    this.handler = handler;
+    this.onFailure = onFailure;
+    this.thread = new Thread(this::run, name);
+    this.thread.setDaemon(true);
+  }
+
+  void start() {
+    thread.start();
+  }
+
+  void put(T item) {
+    queue.add(item);
+  }
+
+  int size() {
+    return queue.size();
+  }
+
+  void stop() {
+    stopping = true;
+  }
+
+  /** Waits for the end of the thread, unless it is the caller. */
+  void join() {
+    boolean interrupted = false;
+    while (thread.isAlive() && thread != Thread.currentThread()) {
+      try {
+        thread.join();
+      } catch (InterruptedException e) {
+        interrupted = true;
+      }
+    }
+    if (interrupted) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private void run() {
+    List<T> batch = new ArrayList<>();
+    while (!stopping) {
+      try {
+        T first = poll();
+        if (first != null) {
+          batch.add(first);
+          queue.drainTo(batch, maxBatch - 1);
+        }
+        handler.handle(batch);
+        batch.clear();
+      } catch (Exception | Error e) {
+        stopping = true;
+        onFailure.accept(e);
+      }
+    }
+  }
+
+  private @Nullable T poll() {
+    try {
+      return queue.poll(waitMillis, TimeUnit.MILLISECONDS);
+    } catch (InterruptedException e) {
+      return null;
+    }
+  }
+
+  /** Handles the items that have arrived; called with an empty list after a time without any. */
+  interface Handler<T> {
+    void handle(List<T> items) throws Exception;
+  }
+}
--- /dev/null
+++ b/hickoryspar-node/src/test/java/org/hickoryspar/node/replication/LocalCluster.java
@@ -0,0 +1,189 @@
+package org.hickoryspar.node.replication;
+
+import static org.awaitility.Awaitility.await;
+
+import com.google.protobuf.ByteString;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.security.SecureRandom;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import org.hickoryspar.kernel.replication.ReplicaOptions;
+import org.hickoryspar.kernel.value.Result;
+import org.hickoryspar.node.control.ReplicatedLog.Status;
+import org.hickoryspar.node.control.StateMachine;
+import org.hickoryspar.node.storage.FileLogStorage;
+import org.hickoryspar.node.storage.FileOperations;
+import org.hickoryspar.node.storage.ReplicaFolder;
+import org.hickoryspar.node.storage.SystemFileOperations;
+import org.hickoryspar.protocol.ReplicationMessage;
+
+/** Replicas of one process with real files and a network that can be cut. */
+final class LocalCluster implements AutoCloseable {
+
+  static final ReplicaOptions OPTIONS =
+      new ReplicaOptions(
+          200, 400, 30, 160, 10, 512, 512 << 10, 16, 256 << 10, 200, 100, 64, 10_000);
+
+  private final Path root;
+  private final List<String> instances;
+  private final Map<String, Node> nodes = new ConcurrentHashMap<>();
+  private final Set<String> cuts = ConcurrentHashMap.newKeySet();
+
+  LocalCluster(Path root, List<String> instances) {
+    this.root = root;
+    this.instances = instances;
+  }
+
+  void initialise() {
+    for (String instance : instances) {
+      Result<?> result = folder(instance, new SystemFileOperations()).initialise(instances);
+      result.fold(
+          problem -> {
+            throw new IllegalStateException(problem.toString());
+          },
+          identity -> identity);
+    }
+  }
+
+  Node start(String instance) throws IOException {
+    return start(instance, new SystemFileOperations());
+  }
+
+  Node start(String instance, FileOperations files) throws IOException {
+    FileLogStorage storage =
+        folder(instance, files)
+            .open(new SecureRandom())
+            .fold(
+                problem -> {
+                  throw new IllegalStateException(problem.toString());
+                },
+                opened -> opened);
+    Node node = new Node(instance, storage);
+    nodes.put(instance, node);
+    node.driver.start();
+    return node;
+  }
+
+  void startAll() throws IOException {
+    for (String instance : instances) {
+      start(instance);
+    }
+  }
+
+  Node node(String instance) {
+    return nodes.get(instance);
+  }
+
+  Node awaitLeader() {
+    return await()
+        .until(
+            () ->
+                nodes.values().stream()
+                    .filter(n -> n.status().holdsLease())
+                    .findFirst()
+                    .orElse(null),
+            found -> found != null);
+  }
+
+  List<Node> others(Node node) {
+    return nodes.values().stream().filter(n -> n != node).toList();
+  }
+
+  void stop(Node node) {
+    nodes.remove(node.instance);
+    node.driver.close();
+  }
+
+  /** Loses messages in one direction. */
+  void cut(Node from, Node to) {
+    cuts.add(from.instance + ">" + to.instance);
+  }
+
+  void heal() {
+    cuts.clear();
+  }
+
+  Path path(String instance) {
+    return root.resolve(instance);
+  }
+
+  ReplicaFolder folder(String instance, FileOperations files) {
+    return new ReplicaFolder(files, path(instance), "test", instance);
+  }
+
+  @Override
+  public void close() {
+    nodes.values().forEach(node -> node.driver.close());
+  }
+
+  /** One replica. */
+  final class Node {
+
+    final String instance;
+    final String replicaId;
+    final Counter counter = new Counter();
+    final List<Throwable> failures = new ArrayList<>();
+    final AtomicLong pausedNanos = new AtomicLong();
+    final ReplicaDriver<Long> driver;
+
+    Node(String instance, FileLogStorage storage) {
+      this.instance = instance;
+      this.replicaId = storage.identity().replicaId();
+      this.driver =
+          new ReplicaDriver<>(
+              replicaId,
+              counter,
+              this::send,
+              storage,
+              () -> System.nanoTime() + pausedNanos.get(),
+              OPTIONS,
+              new SecureRandom(),
+              failures::add);
+    }
+
+    Status status() {
+      return driver.status();
+    }
+
+    Result<Long> add(long amount) {
+      return driver.propose(ByteString.copyFromUtf8(Long.toString(amount))).join();
+    }
+
+    private void send(ReplicationMessage message) {
+      String to = message.getToReplica().substring(0, message.getToReplica().indexOf('/'));
+      Node target = nodes.get(to);
+      if (target != null && !cuts.contains(instance + ">" + to)) {
+        target.driver.receive(message);
+      }
+    }
+  }
+
+  /** Adds numbers; the sum and the count show a command that is lost or applied twice. */
+  static final class Counter implements StateMachine<Long> {
+
+    final AtomicLong sum = new AtomicLong();
+    final Map<Long, String> applied = new TreeMap<>();
+
+    @Override
+    public Long apply(long index, ByteString command) {
+      applied.put(index, command.toStringUtf8());
+      return sum.addAndGet(Long.parseLong(command.toStringUtf8()));
+    }
+
+    @Override
+    public ByteString snapshot() {
+      return ByteString.copyFromUtf8(sum.toString());
+    }
+
+    @Override
+    public void restore(ByteString snapshot) {
+      sum.set(Long.parseLong(snapshot.toStringUtf8()));
+    }
+  }
+}
