--- /dev/null
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/requests/SlotShare.java
@@ -0,0 +1,58 @@
+package org.hickoryspar.kernel.requests;
+
+/**
+ * How the slots and connections of one minion are divided among the entries.
+ *
+ * <p>Each entry owns a base share without asking. The remainder of the slots is leased by the
+ * control leader; each leased slot carries a fixed part of the remaining connections, so that the
+ * sum over all entries cannot exceed the minion's limits.
+ *
+ * @param baseSlots slots that each entry owns
+ * @param baseConnections connections that each entry owns
+ * @param leasableSlots slots that the leader may lease, over all entries
+ * @param connectionsPerLeasedSlot connections that come with each leased slot
+ */
+public record SlotShare(
+    int baseSlots, int baseConnections, int leasableSlots, int connectionsPerLeasedSlot) {
+
+  /**
+   * Divides the limits of a minion.
+   *
+   * @param slots most requests at a time, over all entries
+   * @param connections most connections at a time, over all entries
+   * @param entries number of configured entries, at least 1
+   * @return the division
+   * @throws IllegalArgumentException if a number is negative or there is no entry
+   */
+  public static SlotShare of(int slots, int connections, int entries) {
+    if (slots < 0 || connections < 0 || entries < 1) {
+      throw new IllegalArgumentException(
+          "slots " + slots + ", connections " + connections + ", entries " + entries);
+    }
+    int baseSlots = slots / entries;
+    int baseConnections = connections / entries;
+    int leasable = slots - baseSlots * entries;
+    int perSlot = leasable == 0 ? 0 : (connections - baseConnections * entries) / leasable;
+    return new SlotShare(baseSlots, baseConnections, leasable, perSlot);
+  }
+
+  /**
+   * Returns the most requests that an entry may have at the minion.
+   *
+   * @param leased slots that the entry holds under a lease
+   * @return the number, never more than its connections
+   */
+  public int slots(int leased) {
+    return Math.min(baseSlots + leased, connections(leased));
+  }
+
+  /**
+   * Returns the most connections that an entry may have to the minion.
+   *
+   * @param leased slots that the entry holds under a lease
+   * @return the number
+   */
+  public int connections(int leased) {
+    return baseConnections + leased * connectionsPerLeasedSlot;
+  }
+}
