--- a/bin/launch.sh
+++ b/bin/launch.sh
@@ -29,6 +29,6 @@
   esac
   # shellcheck disable=SC2086
   exec java -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xss256k -XX:ReservedCodeCacheSize=16m \
-    -Xmx"$heap" -Xshare:auto -XX:-UsePerfData -XX:+ExitOnOutOfMemoryError \
+    -Xmx"$heap" -Xshare:auto -XX:-UsePerfData -Dslf4j.internal.verbosity=ERROR -XX:+ExitOnOutOfMemoryError \
     ${HICKORYSPAR_JAVA_OPTIONS:-} -cp "$(hickoryspar_class_path "$home")" "$main" "$@"
 }
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/cli/Main.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/cli/Main.java
@@ -99,7 +99,8 @@
     @Argument(required = true, metaVar = "COMMAND", handler = CommandHandler.class)
     @SubCommands({
       @SubCommand(name = "entry", impl = EntryCommand.class),
-      @SubCommand(name = "control", impl = ControlCommand.class)
+      @SubCommand(name = "control", impl = ControlCommand.class),
+      @SubCommand(name = "check-settings", impl = CheckSettingsCommand.class)
     })
     private @Nullable Command command;
 
--- /dev/null
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/settings/SchemaCheck.java
@@ -0,0 +1,124 @@
+package org.hickoryspar.node.settings;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.google.common.base.Ascii;
+import com.networknt.schema.Error;
+import com.networknt.schema.Schema;
+import com.networknt.schema.SchemaRegistry;
+import com.networknt.schema.SchemaRegistryConfig;
+import com.networknt.schema.SpecificationVersion;
+import com.networknt.schema.path.PathType;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Checks JSON against a schema of this package. The schema describes what is expected in the
+ * keyword {@code description}, next to the keywords that enforce it, so that the messages and the
+ * rules stay together.
+ */
+final class SchemaCheck {
+
+  private static final int MAX_SHOWN_LENGTH = 60;
+
+  private final Schema schema;
+  private final JsonNode schemaNode;
+
+  /**
+   * Loads a schema.
+   *
+   * @param resource name of a resource in this package
+   */
+  SchemaCheck(String resource) {
+    try (InputStream stream = SchemaCheck.class.getResourceAsStream(resource)) {
+      if (stream == null) {
+        throw new IllegalStateException("resource " + resource + " is missing");
+      }
+      schemaNode = JsonMapper.builder().build().readTree(stream);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+    SchemaRegistryConfig config =
+        SchemaRegistryConfig.builder().pathType(PathType.JSON_PATH).build();
+    schema =
+        SchemaRegistry.withDefaultDialect(
+                SpecificationVersion.DRAFT_2020_12, builder -> builder.schemaRegistryConfig(config))
+            .getSchema(schemaNode);
+  }
+
+  /**
+   * Checks a tree.
+   *
+   * @param json the tree
+   * @return one line per wrong path, with what was expected there; empty when the tree is valid
+   */
+  List<String> problems(JsonNode json) {
+    List<String> problems = new ArrayList<>();
+    for (Error error : schema.validate(json)) {
+      String problem = describe(error);
+      if (!problems.contains(problem)) {
+        problems.add(problem);
+      }
+    }
+    return problems;
+  }
+
+  private String describe(Error error) {
+    String path = error.getInstanceLocation().toString();
+    JsonNode rule = ruleOf(error);
+    String property = error.getProperty();
+    return switch (String.valueOf(error.getKeyword())) {
+      case "additionalProperties" -> path + "." + property + ": unknown key, " + keysOf(rule);
+      case "required" ->
+          path
+              + "."
+              + property
+              + ": expected "
+              + rule.path("properties").path(property).path("description").asText("a value")
+              + ", found nothing";
+      case "propertyNames" -> path + "." + property + ": expected " + nameRule(rule);
+      default ->
+          path
+              + ": expected "
+              + rule.path("description").asText(error.getMessage())
+              + ", found "
+              + Ascii.truncate(String.valueOf(error.getInstanceNode()), MAX_SHOWN_LENGTH, "...");
+    };
+  }
+
+  private static String keysOf(JsonNode rule) {
+    List<String> keys = new ArrayList<>();
+    rule.path("properties").fieldNames().forEachRemaining(keys::add);
+    return "expected one of " + String.join(", ", keys);
+  }
+
+  private static String nameRule(JsonNode rule) {
+    return rule.path("propertyNames").path("description").asText("a name");
+  }
+
+  /** Finds the schema object that holds the violated keyword, or the reference to it. */
+  private JsonNode ruleOf(Error error) {
+    JsonNode found = schemaNode;
+    JsonNode described = schemaNode;
+    for (int i = 0; i < error.getEvaluationPath().getNameCount() - 1; i++) {
+      Object element = error.getEvaluationPath().getElement(i);
+      if ("$ref".equals(element)) {
+        String pointer = found.path("$ref").asText().substring(1);
+        found = schemaNode.at(pointer);
+        if (found.has("description") || found.has("properties")) {
+          described = found;
+        }
+      } else {
+        found =
+            element instanceof Integer index
+                ? found.path(index)
+                : found.path(String.valueOf(element));
+        described = found;
+      }
+    }
+    return described;
+  }
+}
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/settings/SettingsLoader.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/settings/SettingsLoader.java
@@ -2,23 +2,21 @@
 
 import static java.util.Objects.requireNonNull;
 
-import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.DeserializationFeature;
-import com.fasterxml.jackson.databind.json.JsonMapper;
-import java.io.IOException;
-import java.nio.file.Files;
+import com.fasterxml.jackson.databind.JsonNode;
 import java.nio.file.Path;
+import java.util.List;
 import org.hickoryspar.kernel.value.Result;
 
-/** Reads the settings of an instance from a JSON file. */
+/**
+ * Reads the settings of an instance from a JSON file.
+ *
+ * <p>The file is checked against a schema first, which finds unknown keys and wrong types, and then
+ * by {@link SettingsRules}, which compares values with each other and looks at files.
+ */
 public final class SettingsLoader {
 
-  private static final JsonMapper MAPPER =
-      JsonMapper.builder()
-          .enable(JsonParser.Feature.STRICT_DUPLICATE_DETECTION)
-          .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
-          .build();
+  private static final String INVALID = "invalid-settings";
 
   /**
    * Reads and checks settings.
@@ -28,18 +26,23 @@
    */
   public Result<Settings> load(Path file) {
     requireNonNull(file, "file is null");
-    byte[] content;
-    try {
-      content = Files.readAllBytes(file);
-    } catch (IOException e) {
-      return Result.failure("unreadable", file + ": cannot be read: " + e);
+    return JsonFile.read(file).flatMap(json -> check(file, json));
+  }
+
+  private static Result<Settings> check(Path file, JsonNode json) {
+    List<String> problems = new SchemaCheck("settings.schema.json").problems(json);
+    if (!problems.isEmpty()) {
+      return JsonFile.refused(file, INVALID, String.join("\n", problems));
     }
+    Settings settings;
     try {
-      return Result.success(MAPPER.readValue(content, Settings.class));
+      settings = JsonFile.MAPPER.treeToValue(json, Settings.class);
     } catch (JsonProcessingException e) {
-      return Result.failure("invalid-settings", file + ": " + e.getOriginalMessage());
-    } catch (IOException e) {
-      return Result.failure("unreadable", file + ": cannot be read: " + e);
+      return JsonFile.refused(file, INVALID, "$: " + e.getOriginalMessage());
     }
+    List<String> violations = SettingsRules.violations(settings);
+    return violations.isEmpty()
+        ? Result.success(settings)
+        : JsonFile.refused(file, INVALID, String.join("\n", violations));
   }
 }
