--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/daemon/ControlAssembly.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/daemon/ControlAssembly.java
@@ -6,35 +6,44 @@
 import com.google.common.io.Closer;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.io.IOException;
+import java.nio.file.Path;
+import java.security.SecureRandom;
+import java.util.List;
 import java.util.ServiceLoader;
 import java.util.UUID;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.util.component.LifeCycle;
 import org.hickoryspar.kernel.control.CommandResult;
 import org.hickoryspar.kernel.control.ControlState;
+import org.hickoryspar.kernel.replication.ReplicaOptions;
 import org.hickoryspar.kernel.scheduling.SchedulerFactory;
+import org.hickoryspar.kernel.value.Result;
 import org.hickoryspar.node.control.AdminServer;
 import org.hickoryspar.node.control.ControlDaemon;
 import org.hickoryspar.node.control.ControlServices;
 import org.hickoryspar.node.control.ControlStateMachine;
-import org.hickoryspar.node.control.LocalLog;
 import org.hickoryspar.node.control.Proposer;
 import org.hickoryspar.node.control.ReplicatedLog;
 import org.hickoryspar.node.control.SchedulingLoop;
 import org.hickoryspar.node.platform.HttpPlatform;
+import org.hickoryspar.node.replication.ReplicaDriver;
 import org.hickoryspar.node.settings.Settings;
+import org.hickoryspar.node.storage.FileLogStorage;
+import org.hickoryspar.node.storage.ReplicaFolder;
+import org.hickoryspar.node.storage.SystemFileOperations;
 import org.hickoryspar.node.transport.PeerServer;
 
 /** Assembles a control daemon. */
 final class ControlAssembly implements AutoCloseable {
 
   private static final String DEFAULT_SCHEDULER = "guarantee";
+  private static final int EXIT_REPLICA_FAILED = 70;
   private static final long PLATFORM_TIMEOUT_MILLIS = 1_000;
 
   private final Closer closer = Closer.create();
   private final ControlDaemon daemon;
 
-  private ControlAssembly(Settings settings) throws IOException {
+  private ControlAssembly(Settings settings, boolean initialise) throws IOException {
     Settings.ControlSettings control =
         requireNonNull(settings.control(), "the settings have no control section");
     ProcessResources process = closer.register(new ProcessResources(settings));
@@ -42,7 +51,8 @@
     ControlStateMachine stateMachine = new ControlStateMachine(state);
     ControlDaemon.Connections connections =
         new ControlDaemon.Connections(settings, process.identity(), process.eventLoops());
-    ReplicatedLog<CommandResult> log = new LocalLog<>(stateMachine);
+    ReplicatedLog<CommandResult> log =
+        startReplica(settings, control, stateMachine, connections, initialise);
     Proposer proposer = new Proposer(log, System::currentTimeMillis);
     SchedulingLoop scheduling =
         new SchedulingLoop(
@@ -82,6 +92,54 @@
     daemon.start();
   }
 
+  private static ReplicatedLog<CommandResult> startReplica(
+      Settings settings,
+      Settings.ControlSettings control,
+      ControlStateMachine stateMachine,
+      ControlDaemon.Connections connections,
+      boolean initialise)
+      throws IOException {
+    ReplicaFolder folder =
+        new ReplicaFolder(
+            new SystemFileOperations(),
+            Path.of(control.dataFolder()),
+            settings.cluster(),
+            settings.instanceId());
+    if (initialise) {
+      List<String> voters =
+          settings.instances().stream()
+              .filter(instance -> instance.controlPeerAddress() != null)
+              .map(Settings.InstanceSettings::id)
+              .toList();
+      valueOf(folder.initialise(voters));
+    }
+    SecureRandom random = new SecureRandom();
+    FileLogStorage storage = valueOf(folder.open(random));
+    ReplicaDriver<CommandResult> replica =
+        new ReplicaDriver<>(
+            storage.identity().replicaId(),
+            stateMachine,
+            connections,
+            storage,
+            System::nanoTime,
+            ReplicaOptions.defaults(),
+            random,
+            failure -> Runtime.getRuntime().halt(EXIT_REPLICA_FAILED));
+    replica.start();
+    return replica;
+  }
+
+  private static <T> T valueOf(Result<T> result) throws IOException {
+    if (!result.isSuccess()) {
+      throw new IOException(result.problem().orElseThrow().message());
+    }
+    return result.fold(
+        problem -> {
+          throw new IllegalStateException(problem.toString());
+        },
+        value -> value);
+  }
+
   private HttpClient startClient() throws IOException {
     HttpClient client = new HttpClient();
     try {
@@ -103,7 +161,7 @@
   }
 
   static ControlAssembly start(Settings settings, boolean initialise) throws IOException {
-    return new ControlAssembly(settings);
+    return new ControlAssembly(settings, initialise);
   }
 
   @Override
