--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/scheduling/CandidateSearch.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/scheduling/CandidateSearch.java
@@ -31,11 +31,11 @@
 
   private void findOnWorkers(Demand demand, int limit, List<int[]> found) {
     demand
-        .index(fleet)
+        .index()
         .visitWorkers(
             demand.acceleratorsPerTask() * demand.tasks(),
             worker -> {
-              if (demand.count(fleet, worker) >= demand.tasks()) {
+              if (demand.count(worker) >= demand.tasks()) {
                 int[] workers = new int[demand.tasks()];
                 Arrays.fill(workers, worker);
                 found.add(workers);
@@ -46,7 +46,7 @@
 
   private void findInRacks(Demand demand, int limit, List<int[]> found) {
     demand
-        .index(fleet)
+        .index()
         .visitRacks(
             demand.acceleratorsPerTask() * demand.tasks(),
             rack -> {
@@ -67,13 +67,13 @@
       findInRacks(demand, limit / 2, found);
     }
     Filler tight = new Filler(demand);
-    demand.index(fleet).visitWorkers(demand.acceleratorsPerTask(), tight::add);
+    demand.index().visitWorkers(demand.acceleratorsPerTask(), tight::add);
     if (tight.isFull()) {
       found.add(tight.workers());
     }
     if (limit > 1 && tight.isFull()) {
       Filler wide = new Filler(demand);
-      demand.index(fleet).visitWorkersDescending(demand.acceleratorsPerTask(), wide::add);
+      demand.index().visitWorkersDescending(demand.acceleratorsPerTask(), wide::add);
       found.add(wide.workers());
     }
   }
@@ -83,7 +83,7 @@
     int[] counts = new int[members.length];
     int sum = 0;
     for (int i = 0; i < members.length; i++) {
-      counts[i] = demand.count(fleet, members[i]);
+      counts[i] = demand.count(members[i]);
       sum += counts[i];
     }
     if (sum < demand.tasks()) {
@@ -114,10 +114,10 @@
   }
 
   private int room(Demand demand, int worker) {
-    return demand.index(fleet).accelerators(worker);
+    return demand.index().accelerators(worker);
   }
 
-  private final class Filler {
+  private static final class Filler {
 
     private final Demand demand;
     private final int[] workers;
@@ -130,7 +130,7 @@
 
     /** Places tasks on a worker; returns false once all are placed. */
     boolean add(int worker) {
-      int count = Math.min(demand.count(fleet, worker), workers.length - filled);
+      int count = Math.min(demand.count(worker), workers.length - filled);
       Arrays.fill(workers, filled, filled + count, worker);
       filled += count;
       return !isFull();
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/scheduling/CapacityIndex.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/scheduling/CapacityIndex.java
@@ -25,7 +25,6 @@
   private final BitSet usable = new BitSet();
   private final List<BitSet> workersByAccelerators = new ArrayList<>();
   private final List<BitSet> racksByAccelerators = new ArrayList<>();
-  private long growth;
 
   void define(int worker, int rack) {
     while (worker >= cores.length) {
@@ -43,7 +42,6 @@
   }
 
   void add(int worker, ResourceShape perTask, int tasks) {
-    growth++;
     change(worker, perTask, tasks);
   }
 
@@ -69,7 +67,6 @@
       return;
     }
     if (now) {
-      growth++;
       usable.set(worker);
       list(worker);
     } else {
@@ -82,17 +79,21 @@
     return usable.get(worker);
   }
 
-  /** Returns a number that grows whenever some amount grows, to skip searches that failed. */
-  long growth() {
-    return growth;
+  /** Returns whether more than the worker's amount has been taken. */
+  boolean isOverdrawn(int worker) {
+    return cores[worker] < 0 || memory[worker] < 0 || accelerators[worker] < 0;
   }
 
-  int accelerators(int worker) {
-    return accelerators[worker];
+  int cores(int worker) {
+    return cores[worker];
+  }
+
+  int memoryMegabytes(int worker) {
+    return memory[worker];
   }
 
-  int rackAccelerators(int rack) {
-    return rack < rackAccelerators.length ? rackAccelerators[rack] : 0;
+  int accelerators(int worker) {
+    return accelerators[worker];
   }
 
   /** Returns how many tasks fit on a worker. */
@@ -133,6 +134,16 @@
     return true;
   }
 
+  /** Visits racks by descending accelerators until the visitor returns false. */
+  boolean visitRacksDescending(IntPredicate visitor) {
+    for (int a = racksByAccelerators.size() - 1; a >= 0; a--) {
+      if (!visit(racksByAccelerators.get(a), visitor)) {
+        return false;
+      }
+    }
+    return true;
+  }
+
   private static boolean visit(List<BitSet> sets, int least, IntPredicate visitor) {
     for (int a = least; a < sets.size(); a++) {
       if (!visit(sets.get(a), visitor)) {
--- /dev/null
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/scheduling/Claim.java
@@ -0,0 +1,54 @@
+package org.hickoryspar.kernel.scheduling;
+
+import java.util.List;
+import org.jspecify.annotations.Nullable;
+
+/** A place that is reserved for a job until the gangs that must make room have ended. */
+final class Claim {
+
+  private final JobRequest job;
+  private final int[] workers;
+  private final @Nullable GuaranteeSlot slot;
+  private final List<String> victims;
+
+  Claim(JobRequest job, int[] workers, @Nullable GuaranteeSlot slot, List<String> victims) {
+    this.job = job;
+    this.workers = workers;
+    this.slot = slot;
+    this.victims = victims;
+  }
+
+  JobRequest job() {
+    return job;
+  }
+
+  int[] workers() {
+    return workers;
+  }
+
+  @Nullable GuaranteeSlot slot() {
+    return slot;
+  }
+
+  /** Returns the jobs that were preempted for the claim. */
+  List<String> victims() {
+    return victims;
+  }
+
+  ResourceShape total() {
+    return job.shape().perTask().times(workers.length);
+  }
+
+  /** Returns whether the claim's resources count as taken when guarantees are planned. */
+  boolean isFixed() {
+    return slot == null && !job.preemptible();
+  }
+
+  int tasksOn(int worker) {
+    int tasks = 0;
+    for (int used : workers) {
+      tasks += used == worker ? 1 : 0;
+    }
+    return tasks;
+  }
+}
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/scheduling/ClusterState.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/scheduling/ClusterState.java
@@ -1,17 +1,22 @@
 package org.hickoryspar.kernel.scheduling;
 
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import org.jspecify.annotations.Nullable;
 
-/** Workers, gangs, teams and waiting jobs, with the amounts that follow from them. */
+/** Workers, gangs, claims, teams and waiting jobs, with the amounts that follow from them. */
 final class ClusterState {
 
   private final Fleet fleet = new Fleet();
   private final Map<String, Gang> gangs = new LinkedHashMap<>();
+  private final List<Map<Gang, Integer>> gangsOn = new ArrayList<>();
+  private final Map<String, Claim> claims = new LinkedHashMap<>();
   private final TreeMap<String, TeamState> teams = new TreeMap<>();
   private final WaitingQueue waiting = new WaitingQueue();
+  private long version;
 
   Fleet fleet() {
     return fleet;
@@ -21,6 +26,11 @@
     return gangs;
   }
 
+  /** Returns the jobs for which a place is reserved. */
+  Map<String, Claim> claims() {
+    return claims;
+  }
+
   WaitingQueue waiting() {
     return waiting;
   }
@@ -33,20 +43,33 @@
     return teams;
   }
 
+  /** Returns a number that grows whenever a search that failed could succeed again. */
+  long version() {
+    return version;
+  }
+
+  void changed() {
+    version++;
+  }
+
+  /** Returns the gangs on a worker with the number of their tasks there. */
+  Map<Gang, Integer> gangsOn(int worker) {
+    return worker < gangsOn.size() ? gangsOn.get(worker) : Map.of();
+  }
+
   /** Counts a gang's resources as held. */
   void start(Gang gang) {
-    JobRequest job = gang.job();
-    gangs.put(job.jobId(), gang);
+    gangs.put(gang.job().jobId(), gang);
     for (int worker : gang.workers()) {
       fleet.hold(worker);
       fleet.free().take(worker, gang.perTask(), 1);
+      while (gangsOn.size() <= worker) {
+        gangsOn.add(new LinkedHashMap<>(4));
+      }
+      gangsOn.get(worker).merge(gang, 1, Integer::sum);
     }
-    TeamState team = team(job.team());
-    ResourceShape total = gang.perTask().times(gang.workers().length);
-    team.hold(total);
-    if (gang.isFixed()) {
-      fix(gang, true);
-    }
+    team(gang.job().team()).hold(total(gang));
+    account(gang, 1);
   }
 
   /** Releases a gang's resources and returns it, or null when there is no such gang. */
@@ -55,32 +78,73 @@
     if (gang == null) {
       return null;
     }
-    if (gang.isFixed()) {
-      fix(gang, false);
-    }
+    account(gang, -1);
+    team(gang.job().team()).release(total(gang));
     for (int worker : gang.workers()) {
       fleet.free().add(worker, gang.perTask(), 1);
+      gangsOn.get(worker).remove(gang);
       fleet.unhold(worker);
     }
-    team(gang.job().team()).release(gang.perTask().times(gang.workers().length));
+    changed();
     return gang;
   }
 
-  /** Counts, or stops counting, a gang as one that guarantees cannot reclaim. */
-  void fix(Gang gang, boolean fixed) {
-    TeamState team = team(gang.job().team());
-    ResourceShape total = gang.perTask().times(gang.workers().length);
-    if (fixed) {
-      team.fix(total);
-    } else {
-      team.unfix(total);
+  /** Changes which guarantee a running gang uses. */
+  void setSlot(Gang gang, @Nullable GuaranteeSlot slot) {
+    account(gang, -1);
+    gang.setSlot(slot);
+    account(gang, 1);
+  }
+
+  /** Reserves the place of a claim. */
+  void reserve(Claim claim) {
+    claims.put(claim.job().jobId(), claim);
+    for (int worker : claim.workers()) {
+      fleet.hold(worker);
+    }
+    account(claim, 1);
+    team(claim.job().team()).hold(claim.total());
+  }
+
+  /** Ends the reservation of a claim. */
+  void unreserve(Claim claim) {
+    claims.remove(claim.job().jobId());
+    account(claim, -1);
+    team(claim.job().team()).release(claim.total());
+    for (int worker : claim.workers()) {
+      fleet.unhold(worker);
+    }
+  }
+
+  private void account(Claim claim, int sign) {
+    ResourceShape perTask = claim.job().shape().perTask();
+    for (int worker : claim.workers()) {
+      fleet.free().take(worker, perTask, sign);
+      fleet.open().take(worker, perTask, sign);
+      if (claim.isFixed()) {
+        fleet.reclaimable().take(worker, perTask, sign);
+      }
+    }
+    if (claim.isFixed()) {
+      team(claim.job().team()).fix(claim.total(), sign);
+    }
+  }
+
+  private void account(Gang gang, int sign) {
+    if (gang.isFixed()) {
+      team(gang.job().team()).fix(total(gang), sign);
     }
     for (int worker : gang.workers()) {
-      if (fixed) {
-        fleet.reclaimable().take(worker, gang.perTask(), 1);
-      } else {
-        fleet.reclaimable().add(worker, gang.perTask(), 1);
+      if (gang.isFixed()) {
+        fleet.reclaimable().take(worker, gang.perTask(), sign);
+      }
+      if (!gang.isReclaimable()) {
+        fleet.open().take(worker, gang.perTask(), sign);
       }
     }
   }
+
+  private static ResourceShape total(Gang gang) {
+    return gang.perTask().times(gang.workers().length);
+  }
 }
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/scheduling/Demand.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/scheduling/Demand.java
@@ -8,37 +8,44 @@
  *
  * @param tasks number of tasks
  * @param adjacency how close together the tasks must be
- * @param free what each task takes of the free capacity; null to ignore what is held
- * @param reclaimable what each task takes of the reclaimable capacity; null to ignore guarantees
+ * @param index the amounts from which each task takes, and by which workers are visited
+ * @param perTask what each task takes
+ * @param limit a second index that must have room as well, or null
  * @param allowed the workers that may be used, among the usable ones
  */
 record Demand(
     int tasks,
     Adjacency adjacency,
-    @Nullable ResourceShape free,
-    @Nullable ResourceShape reclaimable,
+    CapacityIndex index,
+    ResourceShape perTask,
+    @Nullable Limit limit,
     IntPredicate allowed) {
 
-  /** Returns how many tasks fit on a worker. */
-  int count(Fleet fleet, int worker) {
-    int most = tasks;
-    if (free != null) {
-      most = Math.min(most, fleet.free().count(worker, free));
-    }
-    if (reclaimable != null && most > 0) {
-      most = Math.min(most, fleet.reclaimable().count(worker, reclaimable));
-    }
-    return most > 0 && allowed.test(worker) ? most : 0;
+  /**
+   * A second index that must have room.
+   *
+   * @param index the amounts
+   * @param perTask what each task takes of them
+   */
+  record Limit(CapacityIndex index, ResourceShape perTask) {}
+
+  /** Asks for a shape from one index without further limits. */
+  static Demand of(GangShape shape, CapacityIndex index) {
+    return new Demand(
+        shape.tasks(), shape.adjacency(), index, shape.perTask(), null, worker -> true);
   }
 
-  /** Returns the index by which candidates are visited. */
-  CapacityIndex index(Fleet fleet) {
-    return free == null ? fleet.reclaimable() : fleet.free();
+  /** Returns how many of the tasks fit on a worker. */
+  int count(int worker) {
+    int most = Math.min(tasks, index.count(worker, perTask));
+    if (limit != null && most > 0) {
+      most = Math.min(most, limit.index().count(worker, limit.perTask()));
+    }
+    return most > 0 && allowed.test(worker) ? most : 0;
   }
 
   /** Returns the accelerators of one task. */
   int acceleratorsPerTask() {
-    ResourceShape perTask = free == null ? reclaimable : free;
-    return perTask == null ? 0 : perTask.accelerators();
+    return perTask.accelerators();
   }
 }
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/scheduling/Fleet.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/scheduling/Fleet.java
@@ -15,7 +15,8 @@
  * The workers under small numbers, and what is left of each.
  *
  * <p>{@link #free()} is what nobody holds or has reserved. {@link #reclaimable()} is what is left
- * when all preemptible work is ignored and the plan of the guarantees is counted.
+ * when all preemptible work is ignored and the plan of the guarantees is counted. {@link #open()}
+ * is what is left when all gangs are preempted that may be.
  */
 final class Fleet {
 
@@ -23,6 +24,7 @@
 
   private final CapacityIndex free = new CapacityIndex();
   private final CapacityIndex reclaimable = new CapacityIndex();
+  private final CapacityIndex open = new CapacityIndex();
   private final Map<String, Integer> numberOf = new HashMap<>();
   private final List<@Nullable WorkerState> states = new ArrayList<>();
   private final List<String> names = new ArrayList<>();
@@ -45,6 +47,10 @@
     return reclaimable;
   }
 
+  CapacityIndex open() {
+    return open;
+  }
+
   /** Returns the sum of the known workers' capacities. */
   ResourceShape total() {
     return total;
@@ -75,6 +81,7 @@
     }
     free.setUsable(number, false);
     reclaimable.setUsable(number, false);
+    open.setUsable(number, false);
     addCapacity(number, before.capacity(), -1);
     states.set(number, null);
     leaveRack(number);
@@ -106,10 +113,16 @@
         && !workersOut.contains(state.workerId());
   }
 
-  /** Makes a worker usable or unusable in both indexes. */
+  /** Makes a worker usable or unusable. */
   void setUsable(int number, boolean usable) {
+    setUsable(number, usable, usable);
+  }
+
+  /** Makes a worker usable or unusable, and says whether guarantees may rely on it. */
+  void setUsable(int number, boolean usable, boolean reliable) {
     free.setUsable(number, usable);
-    reclaimable.setUsable(number, usable);
+    reclaimable.setUsable(number, reliable);
+    open.setUsable(number, reliable);
   }
 
   @Nullable Integer find(String workerId) {
@@ -174,6 +187,7 @@
     rackOf[number] = rackNumber("", "");
     free.define(number, rackOf[number]);
     reclaimable.define(number, rackOf[number]);
+    open.define(number, rackOf[number]);
     numberOf.put(workerId, number);
     return number;
   }
@@ -208,6 +222,7 @@
     membersOfRack.set(rack, Ints.concat(membersOfRack.get(rack), new int[] {number}));
     free.define(number, rack);
     reclaimable.define(number, rack);
+    open.define(number, rack);
   }
 
   private void leaveRack(int number) {
@@ -220,10 +235,12 @@
     if (sign > 0) {
       free.add(number, capacity, 1);
       reclaimable.add(number, capacity, 1);
+      open.add(number, capacity, 1);
       total = total.plus(capacity);
     } else {
       free.take(number, capacity, 1);
       reclaimable.take(number, capacity, 1);
+      open.take(number, capacity, 1);
       total = total.minus(capacity);
     }
   }
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/scheduling/Gang.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/scheduling/Gang.java
@@ -65,8 +65,18 @@
     return slot == null && !job.preemptible();
   }
 
+  /** Returns whether the gang's resources can be had by preemption, or will be free soon. */
+  boolean isReclaimable() {
+    return slot == null && job.preemptible();
+  }
+
   /** Returns whether the gang may be preempted for another job. */
   boolean isVictim() {
-    return slot == null && job.preemptible() && !stopping;
+    return isReclaimable() && !stopping;
+  }
+
+  /** Returns the gang as policies see it. */
+  RunningGang asRunning(Fleet fleet) {
+    return new RunningGang(job, fleet.names(workers), startedMillis, checkpointMillis, stopping);
   }
 }
--- /dev/null
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/scheduling/GuaranteePlan.java
@@ -0,0 +1,246 @@
+package org.hickoryspar.kernel.scheduling;
+
+import com.google.common.collect.LinkedHashMultimap;
+import com.google.common.collect.SetMultimap;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * A place for every guaranteed shape of all teams at once, next to all work that must stay.
+ *
+ * <p>The plan is the proof of the guarantee: as long as each shape has a place in the reclaimable
+ * capacity, all shapes can be formed at once. It errs on the safe side, because a shape for which
+ * the search finds no place may still have one.
+ */
+final class GuaranteePlan {
+
+  /** Shapes that leave least choice come first; those without adjacency fill what is left. */
+  private static final Comparator<GuaranteeSlot> HARDEST_FIRST =
+      Comparator.<GuaranteeSlot>comparingInt(
+              slot ->
+                  slot.shape().adjacency() == Adjacency.NONE && slot.shape().tasks() > 1 ? 1 : 0)
+          .thenComparingInt(slot -> -slot.accelerators())
+          .thenComparingInt(slot -> slot.shape().adjacency() == Adjacency.RACK ? 1 : 0)
+          .thenComparingInt(slot -> -slot.shape().perTask().accelerators())
+          .thenComparingInt(slot -> -slot.shape().perTask().cores() * slot.shape().tasks())
+          .thenComparing(GuaranteeSlot::team);
+
+  private final Fleet fleet;
+  private final CandidateSearch search;
+  private final List<GuaranteeSlot> slots = new ArrayList<>();
+  private final Map<String, List<GuaranteeSlot>> slotsOfTeam = new HashMap<>();
+  private final SetMultimap<Integer, GuaranteeSlot> slotsOn = LinkedHashMultimap.create();
+
+  GuaranteePlan(Fleet fleet) {
+    this.fleet = fleet;
+    this.search = new CandidateSearch(fleet);
+  }
+
+  /** Replaces the guaranteed shapes; nothing is planned yet. */
+  void define(List<TeamPolicy> teams) {
+    slots.forEach(this::unassign);
+    slots.clear();
+    slotsOfTeam.clear();
+    for (TeamPolicy team : teams) {
+      for (GangShape shape : team.guarantees()) {
+        GuaranteeSlot slot = new GuaranteeSlot(team.team(), shape);
+        slots.add(slot);
+        slotsOfTeam.computeIfAbsent(team.team(), t -> new ArrayList<>()).add(slot);
+      }
+    }
+  }
+
+  List<GuaranteeSlot> slots() {
+    return slots;
+  }
+
+  List<GuaranteeSlot> slotsOf(String team) {
+    return slotsOfTeam.getOrDefault(team, List.of());
+  }
+
+  /** Returns the guarantees that nobody uses and that have no place. */
+  List<GuaranteeSlot> missing() {
+    return slots.stream().filter(slot -> slot.isIdle() && slot.plan() == null).toList();
+  }
+
+  List<GuaranteeSlot> slotsOn(int worker) {
+    return List.copyOf(slotsOn.get(worker));
+  }
+
+  void assign(GuaranteeSlot slot, int[] workers) {
+    unassign(slot);
+    for (int worker : workers) {
+      fleet.reclaimable().take(worker, slot.shape().perTask(), 1);
+      fleet.hold(worker);
+      slotsOn.put(worker, slot);
+    }
+    slot.setPlan(workers);
+  }
+
+  void unassign(GuaranteeSlot slot) {
+    int[] workers = slot.plan();
+    if (workers == null) {
+      return;
+    }
+    slot.setPlan(null);
+    for (int worker : workers) {
+      fleet.reclaimable().add(worker, slot.shape().perTask(), 1);
+      slotsOn.remove(worker, slot);
+      fleet.unhold(worker);
+    }
+  }
+
+  /** Drops the places of unused guarantees on a worker that cannot hold them any more. */
+  void dropBroken(int worker) {
+    for (GuaranteeSlot slot : slotsOn(worker)) {
+      boolean broken =
+          !fleet.reclaimable().isUsable(worker) || fleet.reclaimable().isOverdrawn(worker);
+      if (slot.isIdle() && broken) {
+        unassign(slot);
+      }
+    }
+  }
+
+  /** Finds a place for one shape without moving others. */
+  boolean place(GuaranteeSlot slot) {
+    List<int[]> found = search.find(Demand.of(slot.shape(), fleet.reclaimable()), 1);
+    if (found.isEmpty()) {
+      return false;
+    }
+    assign(slot, found.get(0));
+    return true;
+  }
+
+  /**
+   * Finds places for all unused guarantees that have none, moving the places of others if needed.
+   *
+   * @param rounds how many orders to try
+   */
+  void repair(int rounds) {
+    List<GuaranteeSlot> missing = new ArrayList<>(missing());
+    missing.sort(HARDEST_FIRST);
+    missing.removeIf(this::place);
+    if (missing.isEmpty()) {
+      return;
+    }
+    List<GuaranteeSlot> order = new ArrayList<>(slots);
+    order.removeIf(slot -> !slot.isIdle());
+    order.sort(HARDEST_FIRST);
+    Map<GuaranteeSlot, int[]> best = snapshot(order);
+    for (int round = 0; round < rounds; round++) {
+      order.forEach(this::unassign);
+      List<GuaranteeSlot> failed = new ArrayList<>(order);
+      failed.removeIf(this::place);
+      if (failed.isEmpty()) {
+        return;
+      }
+      if (order.size() - failed.size() > best.size()) {
+        best = snapshot(order);
+      }
+      // What found no place goes first in the next round.
+      List<GuaranteeSlot> next = new ArrayList<>(failed);
+      order.stream().filter(slot -> !failed.contains(slot)).forEach(next::add);
+      if (next.equals(order)) {
+        break;
+      }
+      order = next;
+    }
+    restore(order, best);
+  }
+
+  /**
+   * Makes room in the reclaimable capacity by planning unused guarantees elsewhere.
+   *
+   * @param workers where room is needed, per task
+   * @param perTask how much per task
+   * @return false, with an unchanged plan, if some guarantee would have no place
+   */
+  boolean displace(int[] workers, ResourceShape perTask) {
+    Map<GuaranteeSlot, int[]> moved = new HashMap<>();
+    List<GuaranteeSlot> order = new ArrayList<>();
+    for (int worker : workers) {
+      fleet.reclaimable().take(worker, perTask, 1);
+    }
+    for (int worker : workers) {
+      for (GuaranteeSlot slot : slotsOn(worker)) {
+        int[] plan = slot.plan();
+        if (slot.isIdle() && plan != null && fleet.reclaimable().isOverdrawn(worker)) {
+          moved.put(slot, plan);
+          order.add(slot);
+          unassign(slot);
+        }
+      }
+    }
+    order.sort(HARDEST_FIRST);
+    boolean possible =
+        Arrays.stream(workers).noneMatch(fleet.reclaimable()::isOverdrawn)
+            && order.stream().allMatch(this::place);
+    if (!possible) {
+      restore(order, moved);
+    }
+    for (int worker : workers) {
+      fleet.reclaimable().add(worker, perTask, 1);
+    }
+    return possible;
+  }
+
+  static Map<GuaranteeSlot, int[]> snapshot(List<GuaranteeSlot> order) {
+    Map<GuaranteeSlot, int[]> places = new HashMap<>();
+    for (GuaranteeSlot slot : order) {
+      int[] plan = slot.plan();
+      if (plan != null) {
+        places.put(slot, plan);
+      }
+    }
+    return places;
+  }
+
+  void restore(List<GuaranteeSlot> order, Map<GuaranteeSlot, int[]> places) {
+    order.forEach(this::unassign);
+    for (GuaranteeSlot slot : order) {
+      int[] plan = places.get(slot);
+      if (plan != null) {
+        assign(slot, plan);
+      }
+    }
+  }
+
+  /** Says in one sentence what a shape without a place lacks. */
+  String missing(GuaranteeSlot slot) {
+    GangShape shape = slot.shape();
+    int best = 0;
+    @Nullable String where = null;
+    for (int rack = 0; rack < fleet.racks(); rack++) {
+      int sum = 0;
+      for (int worker : fleet.membersOfRack(rack)) {
+        int count = fleet.reclaimable().count(worker, shape.perTask());
+        sum = shape.adjacency() == Adjacency.WORKER ? Math.max(sum, count) : sum + count;
+      }
+      if (shape.adjacency() == Adjacency.NONE) {
+        best += sum;
+      } else if (sum > best) {
+        best = sum;
+        where = "rack " + fleet.rackName(rack) + " in " + fleet.dataCentreOfRack(rack);
+      }
+    }
+    if (best >= shape.tasks()) {
+      return "The shape fits alone, but no place was found next to the other guarantees.";
+    }
+    int lacking = shape.tasks() - best;
+    return "At most "
+        + best
+        + " of "
+        + shape.tasks()
+        + " tasks fit"
+        + (where == null ? "" : ", on " + where)
+        + "; missing "
+        + Sentences.amount(shape.perTask().times(lacking))
+        + Sentences.where(shape.adjacency())
+        + '.';
+  }
+}
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/scheduling/GuaranteeScheduler.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/scheduling/GuaranteeScheduler.java
@@ -3,24 +3,68 @@
 import static java.util.Objects.requireNonNull;
 
 import java.util.ArrayList;
-import java.util.Arrays;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import java.util.TreeMap;
 import org.hickoryspar.kernel.value.Result;
 import org.jspecify.annotations.Nullable;
 
-/** Places whole gangs within quotas, under the guarantees of all teams. */
+/**
+ * Places whole gangs within quotas so that all guarantees of all teams stay formable at once.
+ *
+ * <p>The method is described in {@code docs/scheduling.md}.
+ */
 public final class GuaranteeScheduler implements Scheduler {
 
+  private static final WorkerState NO_WORKER =
+      new WorkerState("", "", "", ResourceShape.NONE, false);
+
   private final ClusterState state = new ClusterState();
-  private final CandidateSearch search = new CandidateSearch(state.fleet());
+  private final GuaranteePlan plan = new GuaranteePlan(state.fleet());
+  private final FaultTracker faults = new FaultTracker();
+  private final DataCentreRamp ramp = new DataCentreRamp();
+  private final FitCheck fitCheck = new FitCheck(state);
+  private final TreeMap<String, PlacementPolicy> placementPolicies = Policies.placements();
+  private final RunTimeEstimator estimator;
+  private final Reservations reservations;
+  private final GangStarter starter;
+  private final ClaimTable claims;
+  private final GuaranteeKeeper keeper;
+  private final Placer placer;
+  private final QueueRound round;
+  private final GuaranteeReports reports;
+  private final Explainer explainer;
+  private final Set<String> unchecked = new LinkedHashSet<>();
+  private final Set<String> interrupted = new HashSet<>();
+  private @Nullable List<TeamPolicy> teams;
+  private long nowMillis;
 
-  /** Makes a scheduler without workers, jobs or configuration. */
-  public GuaranteeScheduler() {}
+  /**
+   * Makes a scheduler without workers, jobs or configuration.
+   *
+   * @param policies the policies that are not chosen by the configuration
+   */
+  public GuaranteeScheduler(Policies policies) {
+    requireNonNull(policies, "policies is null");
+    estimator = policies.estimator();
+    reservations = new Reservations(state, estimator);
+    starter = new GangStarter(state, faults, ramp, reservations, this::refresh);
+    claims = new ClaimTable(state, plan, policies.preemption(), starter);
+    keeper = new GuaranteeKeeper(state, plan, policies.preemption());
+    Placer.Restrictions restrictions =
+        new Placer.Restrictions(state.fleet(), faults, ramp, reservations, estimator);
+    placer = new Placer(state, plan, keeper, claims, starter, restrictions);
+    round = new QueueRound(state, policies.queue());
+    reports = new GuaranteeReports(state, plan, claims.victims());
+    explainer = new Explainer(state, plan, reservations, ramp);
+  }
 
   @Override
   public Result<Long> check(SchedulingConfig config) {
-    return Result.success(config.version());
+    return reports.check(requireNonNull(config, "config is null"), placementPolicies.keySet());
   }
 
   @Override
@@ -31,36 +75,89 @@
     for (int worker = 0; worker < fleet.bound(); worker++) {
       refresh(worker);
     }
-    state.teams().values().forEach(team -> team.setPolicy(null));
-    config.teams().forEach(policy -> state.team(policy.team()).setPolicy(policy));
+    placer.setPolicy(
+        placementPolicies.getOrDefault(
+            config.placementPolicy(), new PlacementPolicy.Fragmentation()));
+    if (!config.teams().equals(teams)) {
+      teams = config.teams();
+      state.teams().values().forEach(team -> team.setPolicy(null));
+      config.teams().forEach(policy -> state.team(policy.team()).setPolicy(policy));
+      for (Claim claim : List.copyOf(state.claims().values())) {
+        claims.cancel(claim, true);
+      }
+      keeper.define(config.teams());
+    }
+    state.changed();
   }
 
   @Override
   public void workerChanged(WorkerState worker) {
-    refresh(state.fleet().put(requireNonNull(worker, "worker is null")));
+    requireNonNull(worker, "worker is null");
+    Integer known = state.fleet().find(worker.workerId());
+    WorkerState before = known == null ? null : state.fleet().state(known);
+    if (worker.equals(before)) {
+      return;
+    }
+    boolean moved =
+        before != null
+            && !(before.rack().equals(worker.rack())
+                && before.dataCentre().equals(worker.dataCentre())
+                && before.capacity().equals(worker.capacity()));
+    if (known != null && moved) {
+      use(known, false, false);
+    }
+    int number = state.fleet().put(worker);
+    if (before == null || moved) {
+      fitCheck.workersChanged();
+      state.changed();
+    }
+    refresh(number);
   }
 
   @Override
   public void workerRemoved(String workerId) {
     Integer number = state.fleet().find(requireNonNull(workerId, "workerId is null"));
-    if (number != null) {
+    if (number != null && state.fleet().state(number) != null) {
+      use(number, false, false);
       state.fleet().remove(number);
+      fitCheck.workersChanged();
     }
   }
 
   @Override
   public void jobQueued(JobRequest job) {
-    state.waiting().add(requireNonNull(job, "job is null"), false);
+    requireNonNull(job, "job is null");
+    String jobId = job.jobId();
+    boolean known =
+        state.waiting().get(jobId) != null
+            || state.gangs().containsKey(jobId)
+            || state.claims().containsKey(jobId);
+    if (!known) {
+      starter.requeue(job);
+      unchecked.add(jobId);
+    }
   }
 
   @Override
   public void jobRemoved(String jobId) {
-    state.waiting().remove(requireNonNull(jobId, "jobId is null"));
+    requireNonNull(jobId, "jobId is null");
+    Claim claim = state.claims().get(jobId);
+    if (claim != null) {
+      claims.cancel(claim, false);
+    }
+    if (state.waiting().remove(jobId) || claim != null) {
+      forget(jobId);
+    }
   }
 
   @Override
   public void gangRecovered(RunningGang running) {
     requireNonNull(running, "running is null");
+    String jobId = running.job().jobId();
+    state.waiting().remove(jobId);
+    if (state.gangs().containsKey(jobId)) {
+      return;
+    }
     int[] workers = running.workers().stream().mapToInt(state.fleet()::findOrReserve).toArray();
     Gang gang =
         new Gang(running.job(), workers, running.startedMillis(), running.checkpointMillis());
@@ -68,98 +165,171 @@
       gang.stop();
     }
     state.start(gang);
+    keeper.adopt(gang);
+    for (int worker : workers) {
+      plan.dropBroken(worker);
+    }
+    state.changed();
   }
 
   @Override
-  public void gangCheckpointed(String jobId, long nowMillis) {
+  public void gangCheckpointed(String jobId, long checkpointMillis) {
     Gang gang = state.gangs().get(requireNonNull(jobId, "jobId is null"));
     if (gang != null) {
-      gang.checkpointed(nowMillis);
+      gang.checkpointed(checkpointMillis);
     }
   }
 
   @Override
   public void gangEnded(
-      String jobId, EndReason reason, List<String> faultyWorkers, long nowMillis) {
-    Gang gang = state.end(requireNonNull(jobId, "jobId is null"));
-    if (gang != null && reason != EndReason.COMPLETED && reason != EndReason.CANCELLED) {
-      state.waiting().add(gang.job(), false);
+      String jobId, EndReason reason, List<String> faultyWorkers, long endedMillis) {
+    requireNonNull(reason, "reason is null");
+    Gang gang = state.gangs().get(requireNonNull(jobId, "jobId is null"));
+    if (gang == null) {
+      return;
+    }
+    List<String> placedOn = state.fleet().names(gang.workers()).stream().distinct().toList();
+    state.end(jobId);
+    keeper.released(gang);
+    reservations.ended(jobId);
+    faults.ended(gang, reason, placedOn, faultyWorkers, endedMillis).forEach(this::refresh);
+    if (reason == EndReason.COMPLETED || reason == EndReason.CANCELLED) {
+      if (reason == EndReason.COMPLETED && !interrupted.contains(jobId)) {
+        estimator.completed(gang.job(), endedMillis - gang.startedMillis());
+      }
+      forget(jobId);
+    } else {
+      interrupted.add(jobId);
+      starter.requeue(gang.job());
+      if (reason == EndReason.TASK_FAILED) {
+        unchecked.add(jobId);
+      }
     }
   }
 
   @Override
-  public List<Decision> decide(long nowMillis) {
+  public List<Decision> decide(long now) {
+    nowMillis = Math.max(nowMillis, now);
     List<Decision> decisions = new ArrayList<>();
-    for (boolean urgent : new boolean[] {true, false}) {
-      for (Map.Entry<String, List<JobClass>> entry :
-          List.copyOf(state.waiting().byTeam(urgent).entrySet())) {
-        for (JobClass jobClass : List.copyOf(entry.getValue())) {
-          placeAll(jobClass, nowMillis, decisions);
-        }
-      }
+    faults.due(nowMillis).forEach(this::refresh);
+    if (ramp.tick(nowMillis)) {
+      state.changed();
+    }
+    keeper.restore(nowMillis, decisions);
+    rejectHopeless(decisions);
+    claims.startReady(nowMillis, decisions);
+    placer.begin();
+    for (Reservations.Reservation kept : reservations.due(nowMillis)) {
+      takeReserved(kept, decisions);
+    }
+    round.run(true, jobClass -> tryStart(jobClass, decisions));
+    boolean limited = round.run(false, jobClass -> tryStart(jobClass, decisions));
+    claims.startReady(nowMillis, decisions);
+    if (limited) {
+      state.changed();
     }
     return decisions;
   }
 
-  private void placeAll(JobClass jobClass, long nowMillis, List<Decision> decisions) {
-    while (!jobClass.isEmpty()) {
-      JobRequest job = jobClass.head();
-      int[] workers = findFree(job);
-      if (workers == null) {
-        return;
-      }
-      state.waiting().remove(job.jobId());
-      state.start(new Gang(job, workers, nowMillis, nowMillis));
-      decisions.add(new Decision.Place(job.jobId(), state.fleet().names(workers)));
+  private boolean tryStart(JobClass jobClass, List<Decision> decisions) {
+    JobRequest job = jobClass.head();
+    boolean started = placer.tryStart(job, jobClass.key(), nowMillis, decisions);
+    TeamState team = state.team(job.team());
+    ResourceShape total = job.shape().perTask().times(job.shape().tasks());
+    if (!started && !job.urgent() && team.hasQuotaFor(total)) {
+      reservations.reserve(job, jobClass.key(), nowMillis);
     }
+    return started;
   }
 
-  private int @Nullable [] findFree(JobRequest job) {
-    GangShape shape = job.shape();
-    if (!state.team(job.team()).hasQuotaFor(shape.perTask().times(shape.tasks()))) {
-      return null;
+  private void takeReserved(Reservations.Reservation kept, List<Decision> decisions) {
+    JobClass jobClass = state.waiting().classOf(kept.key());
+    if (jobClass == null) {
+      return;
+    }
+    JobRequest job = jobClass.head();
+    ResourceShape total = job.shape().perTask().times(job.shape().tasks());
+    boolean quota = state.team(job.team()).hasQuotaFor(total);
+    boolean fixed = job.preemptible() || state.team(job.team()).hasQuotaForFixed(total);
+    if (quota && fixed && claims.takeReserved(job, kept, nowMillis, decisions)) {
+      reservations.drop(kept.key());
+    } else {
+      reservations.postpone(kept, job.shape(), nowMillis);
     }
-    Demand demand =
-        new Demand(shape.tasks(), shape.adjacency(), shape.perTask(), null, worker -> true);
-    List<int[]> found = search.find(demand, 1);
-    return found.isEmpty() ? null : found.get(0);
   }
 
-  @Override
-  public String explain(String jobId, long nowMillis) {
-    JobRequest job = state.waiting().get(requireNonNull(jobId, "jobId is null"));
-    return job == null
-        ? "Job " + jobId + " does not wait."
-        : "Job " + jobId + " waits for " + job.shape().tasks() + " free places.";
+  private void rejectHopeless(List<Decision> decisions) {
+    for (String jobId : unchecked) {
+      JobRequest job = state.waiting().get(jobId);
+      if (job == null) {
+        continue;
+      }
+      String failure = faults.rejection(jobId);
+      String reason = failure == null ? fitCheck.problem(job) : failure;
+      if (reason != null) {
+        state.waiting().remove(jobId);
+        faults.blameJob(jobId);
+        interrupted.remove(jobId);
+        decisions.add(new Decision.Reject(jobId, reason));
+      }
+    }
+    unchecked.clear();
   }
 
   @Override
-  public List<GuaranteeReport> guarantees() {
-    return state.teams().values().stream()
-        .map(TeamState::policy)
-        .flatMap(policy -> policy == null ? java.util.stream.Stream.empty() : reports(policy))
-        .toList();
+  public String explain(String jobId, long now) {
+    return explainer.explain(requireNonNull(jobId, "jobId is null"));
   }
 
-  private static java.util.stream.Stream<GuaranteeReport> reports(TeamPolicy policy) {
-    return policy.guarantees().stream()
-        .map(
-            shape ->
-                new GuaranteeReport(
-                    policy.team(), shape, false, List.of(), List.of(), "not computed yet"));
+  @Override
+  public List<GuaranteeReport> guarantees() {
+    keeper.restorePlan(nowMillis);
+    return reports.reports(nowMillis);
   }
 
   @Override
   public List<String> isolatedWorkers() {
-    return List.of();
+    return faults.isolated();
+  }
+
+  private void forget(String jobId) {
+    faults.forgetJob(jobId);
+    interrupted.remove(jobId);
+    unchecked.remove(jobId);
+  }
+
+  private void refresh(String workerId) {
+    Integer number = state.fleet().find(workerId);
+    if (number == null) {
+      faults.forgetWorker(workerId);
+    } else {
+      refresh((int) number);
+    }
   }
 
   private void refresh(int worker) {
-    state.fleet().setUsable(worker, state.fleet().isIn(worker));
+    Fleet fleet = state.fleet();
+    String name = fleet.name(worker);
+    boolean usable = fleet.isIn(worker) && !faults.isIsolated(name);
+    use(worker, usable, usable && !faults.isAwaitingProbe(name));
   }
 
-  @Override
-  public String toString() {
-    return "GuaranteeScheduler" + Arrays.asList(state.gangs().size(), state.waiting().size());
+  private void use(int worker, boolean usable, boolean reliable) {
+    Fleet fleet = state.fleet();
+    WorkerState known = Objects.requireNonNullElse(fleet.state(worker), NO_WORKER);
+    boolean wasUsable = fleet.free().isUsable(worker);
+    boolean wasReliable = fleet.reclaimable().isUsable(worker);
+    fleet.setUsable(worker, usable, reliable);
+    if (usable != wasUsable) {
+      ramp.usable(known.dataCentre(), known.capacity().accelerators(), usable);
+    }
+    if (wasReliable && !reliable) {
+      claims.cancelOn(worker);
+      reservations.dropOn(worker);
+    }
+    plan.dropBroken(worker);
+    if (usable != wasUsable || reliable != wasReliable) {
+      state.changed();
+    }
   }
 }
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/scheduling/GuaranteeSchedulerFactory.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/scheduling/GuaranteeSchedulerFactory.java
@@ -13,6 +13,6 @@
 
   @Override
   public Scheduler create() {
-    return new GuaranteeScheduler();
+    return new GuaranteeScheduler(Policies.named("dominant-resource", "work-lost", "learned"));
   }
 }
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/scheduling/GuaranteeSlot.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/scheduling/GuaranteeSlot.java
@@ -41,6 +41,16 @@
     this.holder = holder;
   }
 
+  /** Returns whether no job uses or claims the guarantee. */
+  boolean isIdle() {
+    return holder == null;
+  }
+
+  /** Returns the accelerators of the whole shape. */
+  int accelerators() {
+    return shape.tasks() * shape.perTask().accelerators();
+  }
+
   /** Returns whether a job asks for what is guaranteed, so that it may take the guarantee. */
   boolean matches(JobRequest job) {
     GangShape asked = job.shape();
--- /dev/null
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/scheduling/Placer.java
@@ -0,0 +1,320 @@
+package org.hickoryspar.kernel.scheduling;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.function.IntPredicate;
+import org.jspecify.annotations.Nullable;
+
+/** Tries to start one waiting job: under a guarantee, on free capacity, or by preemption. */
+final class Placer {
+
+  /** How many places the placement policy compares. */
+  private static final int COMPARED_PLACES = 16;
+
+  /** For how many places it is tried to plan guarantees elsewhere. */
+  private static final int DISPLACED_PLACES = 4;
+
+  private static final int MOST_TRACKED_SHAPES = 8;
+
+  private record Attempt(GangShape shape, boolean preemptible, boolean urgent) {}
+
+  private final ClusterState state;
+  private final GuaranteePlan plan;
+  private final GuaranteeKeeper keeper;
+  private final ClaimTable claims;
+  private final GangStarter starter;
+  private final Restrictions restrictions;
+  private final CandidateSearch search;
+  private final Set<Attempt> failed = new HashSet<>();
+  private long failedVersion = -1;
+  private PlacementPolicy policy = new PlacementPolicy.Fragmentation();
+  private @Nullable List<GangShape> tracked;
+
+  Placer(
+      ClusterState state,
+      GuaranteePlan plan,
+      GuaranteeKeeper keeper,
+      ClaimTable claims,
+      GangStarter starter,
+      Restrictions restrictions) {
+    this.state = state;
+    this.plan = plan;
+    this.keeper = keeper;
+    this.claims = claims;
+    this.starter = starter;
+    this.restrictions = restrictions;
+    this.search = new CandidateSearch(state.fleet());
+  }
+
+  void setPolicy(PlacementPolicy policy) {
+    this.policy = policy;
+  }
+
+  /** Prepares a round of attempts. */
+  void begin() {
+    tracked = null;
+    if (failedVersion != state.version()) {
+      failed.clear();
+      failedVersion = state.version();
+    }
+  }
+
+  /** Returns whether the job was started or a place was reserved for it. */
+  boolean tryStart(JobRequest job, JobClass.Key key, long nowMillis, List<Decision> decisions) {
+    TeamState team = state.team(job.team());
+    if (team.policy() == null) {
+      return false;
+    }
+    ResourceShape total = job.shape().perTask().times(job.shape().tasks());
+    boolean quota = team.hasQuotaFor(total);
+    GuaranteeSlot slot = idleSlot(job);
+    if (slot != null) {
+      if (quota && startUnder(slot, job, nowMillis, decisions)) {
+        return true;
+      }
+      if (claims.reclaim(job, slot, restrictions.guaranteed(job), nowMillis, decisions)) {
+        return true;
+      }
+    }
+    if (!quota || !(job.preemptible() || team.hasQuotaForFixed(total))) {
+      return false;
+    }
+    if (restrictions.mayProbe(job) && startProbe(job, nowMillis, decisions)) {
+      return true;
+    }
+    Attempt attempt = new Attempt(job.shape(), job.preemptible(), job.urgent());
+    if (failed.contains(attempt)) {
+      return false;
+    }
+    IntPredicate allowed = restrictions.unguaranteed(job, key, nowMillis);
+    int[] workers = findUnguaranteed(job, allowed);
+    if (workers == null && restrictions.hasAvoided(job)) {
+      // The workers on which the job failed are better than none.
+      workers = findUnguaranteed(job, restrictions.withoutAvoided(job, key, nowMillis));
+    }
+    if (workers != null) {
+      starter.start(job, workers, null, nowMillis, decisions);
+      return true;
+    }
+    if (job.urgent() && claims.makeRoom(job, urgentRoom(job, allowed), nowMillis, decisions)) {
+      return true;
+    }
+    if (job.urgent() || restrictions.areEqualForAll()) {
+      failed.add(attempt);
+    }
+    return false;
+  }
+
+  private IntPredicate urgentRoom(JobRequest job, IntPredicate allowed) {
+    return job.preemptible() ? allowed : worker -> allowed.test(worker) && !keeper.isKept(worker);
+  }
+
+  /** Returns a guarantee that the job may take, or null. */
+  @Nullable GuaranteeSlot idleSlot(JobRequest job) {
+    for (GuaranteeSlot slot : plan.slotsOf(job.team())) {
+      if (slot.isIdle() && slot.plan() != null && slot.matches(job)) {
+        return slot;
+      }
+    }
+    return null;
+  }
+
+  private boolean startUnder(
+      GuaranteeSlot slot, JobRequest job, long nowMillis, List<Decision> decisions) {
+    int[] own = slot.plan();
+    if (own == null) {
+      return false;
+    }
+    plan.unassign(slot);
+    ResourceShape promised = slot.shape().perTask();
+    IntPredicate allowed = restrictions.guaranteed(job);
+    GangShape shape =
+        new GangShape(slot.shape().tasks(), job.shape().perTask(), slot.shape().adjacency());
+    int[] workers = find(shape, promised, allowed);
+    if (workers == null) {
+      plan.assign(slot, own);
+      return false;
+    }
+    plan.assign(slot, workers);
+    starter.start(job, workers, slot, nowMillis, decisions);
+    return true;
+  }
+
+  private int @Nullable [] findUnguaranteed(JobRequest job, IntPredicate allowed) {
+    GangShape shape = job.shape();
+    if (job.preemptible()) {
+      CapacityIndex free = state.fleet().free();
+      return best(
+          shape,
+          search.find(
+              new Demand(shape.tasks(), shape.adjacency(), free, shape.perTask(), null, allowed),
+              COMPARED_PLACES));
+    }
+    return find(shape, shape.perTask(), worker -> allowed.test(worker) && !keeper.isKept(worker));
+  }
+
+  /** Finds free capacity that may be taken for good, planning guarantees elsewhere if needed. */
+  private int @Nullable [] find(GangShape shape, ResourceShape promised, IntPredicate allowed) {
+    Fleet fleet = state.fleet();
+    Demand demand =
+        new Demand(
+            shape.tasks(),
+            shape.adjacency(),
+            fleet.free(),
+            shape.perTask(),
+            new Demand.Limit(fleet.reclaimable(), promised),
+            allowed);
+    int[] workers = best(shape, search.find(demand, COMPARED_PLACES));
+    if (workers != null) {
+      return workers;
+    }
+    Demand displacing =
+        new Demand(
+            shape.tasks(),
+            shape.adjacency(),
+            fleet.free(),
+            shape.perTask(),
+            null,
+            worker -> fleet.reclaimable().isUsable(worker) && allowed.test(worker));
+    for (int[] place : search.find(displacing, DISPLACED_PLACES)) {
+      if (plan.displace(place, promised)) {
+        return place;
+      }
+    }
+    return null;
+  }
+
+  private boolean startProbe(JobRequest job, long nowMillis, List<Decision> decisions) {
+    GangShape shape = job.shape();
+    Demand demand =
+        new Demand(
+            shape.tasks(),
+            Adjacency.WORKER,
+            state.fleet().free(),
+            shape.perTask(),
+            null,
+            restrictions::isAwaitingProbe);
+    List<int[]> places = search.find(demand, 1);
+    if (places.isEmpty()) {
+      return false;
+    }
+    starter.start(job, places.get(0), null, nowMillis, decisions);
+    return true;
+  }
+
+  private int @Nullable [] best(GangShape shape, List<int[]> places) {
+    if (places.size() <= 1) {
+      return places.isEmpty() ? null : places.get(0);
+    }
+    int[] best = null;
+    double lowest = 0;
+    for (int[] place : places) {
+      double cost = policy.cost(new CandidateScore(state.fleet(), shape, place, tracked()));
+      if (best == null || cost < lowest) {
+        best = place;
+        lowest = cost;
+      }
+    }
+    return best;
+  }
+
+  /** Returns the large shapes that are guaranteed or wait; others always find room. */
+  private List<GangShape> tracked() {
+    List<GangShape> known = tracked;
+    if (known == null) {
+      Set<GangShape> shapes = new LinkedHashSet<>();
+      plan.slots().forEach(slot -> shapes.add(slot.shape()));
+      state
+          .waiting()
+          .byTeam(false)
+          .values()
+          .forEach(classes -> classes.forEach(c -> shapes.add(c.key().shape())));
+      known = new ArrayList<>(shapes);
+      known.removeIf(shape -> accelerators(shape) < 2);
+      known.sort(Comparator.comparingInt(shape -> -accelerators(shape)));
+      known = List.copyOf(known.subList(0, Math.min(MOST_TRACKED_SHAPES, known.size())));
+      tracked = known;
+    }
+    return known;
+  }
+
+  private static int accelerators(GangShape shape) {
+    return shape.tasks() * shape.perTask().accelerators();
+  }
+
+  /** Which workers a job may use apart from their capacity. */
+  static final class Restrictions {
+
+    private final Fleet fleet;
+    private final FaultTracker faults;
+    private final DataCentreRamp ramp;
+    private final Reservations reservations;
+    private final RunTimeEstimator estimator;
+
+    Restrictions(
+        Fleet fleet,
+        FaultTracker faults,
+        DataCentreRamp ramp,
+        Reservations reservations,
+        RunTimeEstimator estimator) {
+      this.fleet = fleet;
+      this.faults = faults;
+      this.ramp = ramp;
+      this.reservations = reservations;
+      this.estimator = estimator;
+    }
+
+    boolean isAwaitingProbe(int worker) {
+      return faults.isAwaitingProbe(fleet.name(worker));
+    }
+
+    /** Returns whether a job may be the one that probes a worker. */
+    boolean mayProbe(JobRequest job) {
+      GangShape shape = job.shape();
+      return faults.hasAwaitingProbe()
+          && !job.urgent()
+          && (shape.tasks() == 1 || shape.adjacency() == Adjacency.WORKER)
+          && !faults.hasFailed(job.jobId());
+    }
+
+    /** A guarantee is honoured even while a data centre is being filled again. */
+    IntPredicate guaranteed(JobRequest job) {
+      return worker -> !isAwaitingProbe(worker) && !isAvoided(job, worker);
+    }
+
+    IntPredicate unguaranteed(JobRequest job, JobClass.Key key, long nowMillis) {
+      IntPredicate others = withoutAvoided(job, key, nowMillis);
+      return hasAvoided(job) ? worker -> others.test(worker) && !isAvoided(job, worker) : others;
+    }
+
+    IntPredicate withoutAvoided(JobRequest job, JobClass.Key key, long nowMillis) {
+      if (job.urgent() || areEqualForAll()) {
+        return worker -> !isAwaitingProbe(worker);
+      }
+      OptionalLong estimate = estimator.estimateMillis(job);
+      return worker ->
+          !isAwaitingProbe(worker)
+              && ramp.allows(fleet.dataCentreOfRack(fleet.rackOf(worker)))
+              && reservations.allows(worker, key, estimate, nowMillis);
+    }
+
+    boolean hasAvoided(JobRequest job) {
+      return !faults.failedOn(job.jobId()).isEmpty();
+    }
+
+    /** Returns whether workers are restricted in the same way for all jobs. */
+    boolean areEqualForAll() {
+      return reservations.isEmpty() && !ramp.isActive();
+    }
+
+    private boolean isAvoided(JobRequest job, int worker) {
+      Set<String> avoided = faults.failedOn(job.jobId());
+      return !avoided.isEmpty() && avoided.contains(fleet.name(worker));
+    }
+  }
+}
--- /dev/null
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/scheduling/Policies.java
@@ -0,0 +1,61 @@
+package org.hickoryspar.kernel.scheduling;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.ServiceLoader;
+import java.util.TreeMap;
+import java.util.function.Function;
+
+/**
+ * The policies of a scheduler.
+ *
+ * @param queue orders the teams
+ * @param preemption prices victims
+ * @param estimator estimates run times
+ */
+public record Policies(QueuePolicy queue, PreemptionPolicy preemption, RunTimeEstimator estimator) {
+
+  /** Checks the components. */
+  public Policies {
+    requireNonNull(queue, "queue is null");
+    requireNonNull(preemption, "preemption is null");
+    requireNonNull(estimator, "estimator is null");
+  }
+
+  /**
+   * Finds registered policies by their names.
+   *
+   * @param queue name of the queue policy
+   * @param preemption name of the preemption policy
+   * @param estimator name of the run time estimator
+   * @return the policies, with an estimator of their own
+   * @throws IllegalArgumentException if a name is not registered
+   */
+  public static Policies named(String queue, String preemption, String estimator) {
+    return new Policies(
+        find(QueuePolicy.class, QueuePolicy::name, queue),
+        find(PreemptionPolicy.class, PreemptionPolicy::name, preemption),
+        find(RunTimeEstimator.class, RunTimeEstimator::name, estimator));
+  }
+
+  /** Returns the registered placement policies by name. */
+  static TreeMap<String, PlacementPolicy> placements() {
+    return load(PlacementPolicy.class, PlacementPolicy::name);
+  }
+
+  private static <P> P find(Class<P> type, Function<P, String> nameOf, String name) {
+    TreeMap<String, P> known = load(type, nameOf);
+    P policy = known.get(name);
+    if (policy == null) {
+      throw new IllegalArgumentException(
+          "no " + type.getSimpleName() + " named " + name + ", registered: " + known.keySet());
+    }
+    return policy;
+  }
+
+  private static <P> TreeMap<String, P> load(Class<P> type, Function<P, String> nameOf) {
+    TreeMap<String, P> known = new TreeMap<>();
+    ServiceLoader.load(type).forEach(policy -> known.put(nameOf.apply(policy), policy));
+    return known;
+  }
+}
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/scheduling/TeamState.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/scheduling/TeamState.java
@@ -8,6 +8,7 @@
   private final String team;
   private @Nullable TeamPolicy policy;
   private ResourceShape held = ResourceShape.NONE;
+  private ResourceShape guaranteed = ResourceShape.NONE;
   private ResourceShape fixed = ResourceShape.NONE;
 
   TeamState(String team) {
@@ -24,6 +25,12 @@
 
   void setPolicy(@Nullable TeamPolicy policy) {
     this.policy = policy;
+    guaranteed = ResourceShape.NONE;
+    if (policy != null) {
+      for (GangShape shape : policy.guarantees()) {
+        guaranteed = guaranteed.plus(shape.perTask().times(shape.tasks()));
+      }
+    }
   }
 
   /** Returns what the team's gangs hold and what is reserved for its jobs. */
@@ -44,15 +51,26 @@
     held = held.minus(amount);
   }
 
-  void fix(ResourceShape amount) {
-    fixed = fixed.plus(amount);
+  /** Adds to, or with sign -1 subtracts from, what is fixed. */
+  void fix(ResourceShape amount, int sign) {
+    fixed = sign > 0 ? fixed.plus(amount) : fixed.minus(amount);
   }
 
-  void unfix(ResourceShape amount) {
-    fixed = fixed.minus(amount);
+  /** Returns the sum of the team's guarantees. */
+  ResourceShape guaranteed() {
+    return guaranteed;
+  }
+
+  double weight() {
+    return policy == null ? 1 : policy.weight();
   }
 
   boolean hasQuotaFor(ResourceShape amount) {
     return policy != null && held.plus(amount).fitsIn(policy.quota());
   }
+
+  /** Returns whether the guarantees still fit in the quota next to more work that stays. */
+  boolean hasQuotaForFixed(ResourceShape amount) {
+    return policy != null && fixed.plus(amount).plus(guaranteed).fitsIn(policy.quota());
+  }
 }
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/scheduling/WaitingQueue.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/scheduling/WaitingQueue.java
@@ -60,6 +60,19 @@
     return jobs.get(jobId);
   }
 
+  JobClass.@Nullable Key keyOf(String jobId) {
+    JobClass jobClass = classOfJob.get(jobId);
+    return jobClass == null ? null : jobClass.key();
+  }
+
+  boolean hasClass(JobClass.Key key) {
+    return classes.containsKey(key);
+  }
+
+  @Nullable JobClass classOf(JobClass.Key key) {
+    return classes.get(key);
+  }
+
   int size() {
     return jobs.size();
   }
--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/scheduling/GuaranteeSchedulerTest.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/scheduling/GuaranteeSchedulerTest.java
@@ -1,5 +1,6 @@
 package org.hickoryspar.kernel.scheduling;
 
+import static java.util.stream.Collectors.joining;
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
@@ -26,14 +27,14 @@
   @DataProvider
   Object[][] gangs() {
     return new Object[][] {
-      {8, Adjacency.WORKER, Set.of(), true},
-      {9, Adjacency.WORKER, Set.of(), false},
-      {16, Adjacency.RACK, Set.of(), true},
-      {17, Adjacency.RACK, Set.of(), false},
-      {32, Adjacency.NONE, Set.of(), true},
-      {33, Adjacency.NONE, Set.of(), false},
-      {16, Adjacency.NONE, Set.of("b"), true},
-      {17, Adjacency.NONE, Set.of("b"), false},
+      {8, Adjacency.WORKER, Set.of(), "Place"},
+      {9, Adjacency.WORKER, Set.of(), "Reject"},
+      {16, Adjacency.RACK, Set.of(), "Place"},
+      {17, Adjacency.RACK, Set.of(), "Reject"},
+      {32, Adjacency.NONE, Set.of(), "Place"},
+      {33, Adjacency.NONE, Set.of(), "Reject"},
+      {16, Adjacency.NONE, Set.of("b"), "Place"},
+      {17, Adjacency.NONE, Set.of("b"), ""},
     };
   }
 
@@ -42,7 +43,7 @@
    */
   @Test(dataProvider = "gangs")
   public void shouldPlaceTheWholeGangOrNothing(
-      int tasks, Adjacency adjacency, Set<String> out, boolean placed) {
+      int tasks, Adjacency adjacency, Set<String> out, String expected) {
     Scheduler scheduler = new GuaranteeSchedulerFactory().create();
     for (String name : List.of("a1", "a2", "b1", "b2")) {
       String dataCentre = name.substring(0, 1);
@@ -52,6 +53,8 @@
     scheduler.configure(new SchedulingConfig(1, "fragmentation", List.of(team), out, Set.of()));
     GangShape shape = new GangShape(tasks, GPU, adjacency);
     scheduler.jobQueued(new JobRequest("j", "t", "k", shape, false, 1_000, true, 0));
-    assertEquals(scheduler.decide(0).size(), placed ? 1 : 0);
+    String found =
+        scheduler.decide(0).stream().map(d -> d.getClass().getSimpleName()).collect(joining());
+    assertEquals(found, expected);
   }
 }
