Add the operator and job commands

Operators and teams had no way to call the HTTP interface but raw requests, with no rule for what a script may conclude from a failure.

The groups fleet, exception, data-centre and job and the command status call the interface through the Jetty client. Every change prints its identifier before it is sent, so that it can be resent after a lost answer. Exit codes separate refused (3), conflict (4), not found (5), token (6), not run (7) and unknown (8); a request counts as not run only if it was not begun or the server says so.

Jetty's protocol handlers are cleared: its authentication handler turned a 401 without WWW-Authenticate into a failure without status, which a test found.

--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/cli/ExitCode.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/cli/ExitCode.java
@@ -19,7 +19,9 @@
   /** Nothing was changed: the server could not be reached or declined. */
   NOT_RUN(7),
   /** The request was sent and no answer arrived: it may have taken effect. */
-  UNKNOWN(8);
+  UNKNOWN(8),
+  /** A comparison found a difference and was asked to say so. */
+  DIFFERENT(9);
 
   private final int number;
 
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/cli/Main.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/cli/Main.java
@@ -49,7 +49,7 @@
       CommandHandler.parserFor(root).parseArgument(arguments);
       Command command = root.chosen();
       if (command.isHelpWanted()) {
-        printHelp(console.out(), command);
+        printHelp(console.out(), nameOf(root, arguments), command);
         return ExitCode.DONE.number();
       }
       return command.run(console).number();
@@ -65,12 +65,26 @@
     }
   }
 
-  private static void printHelp(PrintStream out, Command command) {
+  /** Returns the words that chose the command, for the usage line. */
+  private static String nameOf(CommandGroup root, String... arguments) {
+    StringBuilder name = new StringBuilder("hickoryspar");
+    Command command = root;
+    for (String argument : arguments) {
+      if (!(command instanceof CommandGroup group) || group.subCommand() == null) {
+        break;
+      }
+      name.append(' ').append(argument);
+      command = group.subCommand();
+    }
+    return name.toString();
+  }
+
+  private static void printHelp(PrintStream out, String name, Command command) {
     out.println(command.summary());
     SubCommands subCommands = subCommandsOf(command.getClass());
     if (subCommands == null) {
       CmdLineParser parser = CommandHandler.parserFor(command);
-      out.print("usage: ");
+      out.print("usage: " + name);
       parser.printSingleLineUsage(out);
       out.println();
       parser.printUsage(out);
@@ -100,7 +114,12 @@
     @SubCommands({
       @SubCommand(name = "entry", impl = EntryCommand.class),
       @SubCommand(name = "control", impl = ControlCommand.class),
-      @SubCommand(name = "check-settings", impl = CheckSettingsCommand.class)
+      @SubCommand(name = "check-settings", impl = CheckSettingsCommand.class),
+      @SubCommand(name = "fleet", impl = FleetCommands.class),
+      @SubCommand(name = "exception", impl = ExceptionCommands.class),
+      @SubCommand(name = "data-centre", impl = DataCentreCommands.class),
+      @SubCommand(name = "job", impl = JobCommands.class),
+      @SubCommand(name = "status", impl = StatusCommand.class)
     })
     private @Nullable Command command;
 
--- /dev/null
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/cli/Output.java
@@ -0,0 +1,115 @@
+package org.hickoryspar.node.cli;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.PrintStream;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** Prints answers for people or for scripts. */
+final class Output {
+
+  private final PrintStream out;
+  private final boolean json;
+
+  /**
+   * Creates an output.
+   *
+   * @param out receives the text
+   * @param json true for JSON, false for text
+   */
+  Output(PrintStream out, boolean json) {
+    this.out = out;
+    this.json = json;
+  }
+
+  boolean isJson() {
+    return json;
+  }
+
+  /** Prints one line, for people only. */
+  void line(String text) {
+    if (!json) {
+      out.println(text);
+    }
+  }
+
+  /** Prints an answer: JSON, or members as lines and arrays of objects as tables. */
+  void print(JsonNode node) {
+    if (json || !node.isObject()) {
+      out.println(node.toPrettyString());
+      return;
+    }
+    for (Map.Entry<String, JsonNode> entry : node.properties()) {
+      if (!isTable(entry.getValue())) {
+        out.println(entry.getKey() + ": " + cell(entry.getKey(), entry.getValue()));
+      }
+    }
+    for (Map.Entry<String, JsonNode> entry : node.properties()) {
+      if (isTable(entry.getValue())) {
+        out.println();
+        out.println(entry.getKey() + ":");
+        table(entry.getValue());
+      }
+    }
+  }
+
+  /** Prints rows: JSON, or a table with one column per member. */
+  void print(String name, JsonNode rows) {
+    if (json) {
+      out.println(rows.toPrettyString());
+    } else if (rows.isEmpty()) {
+      out.println("no " + name);
+    } else {
+      table(rows);
+    }
+  }
+
+  private static boolean isTable(JsonNode node) {
+    return node.isArray() && !node.isEmpty() && node.get(0).isObject();
+  }
+
+  private void table(JsonNode rows) {
+    Set<String> columns = new LinkedHashSet<>();
+    rows.forEach(row -> row.fieldNames().forEachRemaining(columns::add));
+    List<List<String>> lines = new ArrayList<>();
+    lines.add(List.copyOf(columns));
+    for (JsonNode row : rows) {
+      lines.add(columns.stream().map(column -> cell(column, row.path(column))).toList());
+    }
+    int[] widths = new int[columns.size()];
+    for (List<String> line : lines) {
+      for (int i = 0; i < widths.length; i++) {
+        widths[i] = Math.max(widths[i], line.get(i).length());
+      }
+    }
+    for (List<String> line : lines) {
+      StringBuilder text = new StringBuilder(" ");
+      for (int i = 0; i < widths.length; i++) {
+        text.append(' ').append(line.get(i)).append(" ".repeat(widths[i] - line.get(i).length()));
+      }
+      out.println(text.toString().stripTrailing());
+    }
+  }
+
+  private static String cell(String name, JsonNode node) {
+    if (isTime(name) && node.isIntegralNumber()) {
+      return time(node);
+    }
+    return node.isMissingNode() || node.isNull()
+        ? "-"
+        : node.isValueNode() ? node.asText() : node.toString();
+  }
+
+  private static boolean isTime(String name) {
+    return name.equals("timeMillis") || name.equals("createdMillis") || name.equals("endsMillis");
+  }
+
+  /** Formats milliseconds since 1970 in UTC. */
+  static String time(JsonNode millis) {
+    return millis.isIntegralNumber() ? Instant.ofEpochMilli(millis.asLong()).toString() : "?";
+  }
+}
--- /dev/null
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/cli/ServerCommand.java
@@ -0,0 +1,123 @@
+package org.hickoryspar.node.cli;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.net.UrlEscapers;
+import java.io.File;
+import java.io.IOException;
+import java.net.URI;
+import java.nio.file.Files;
+import java.util.Map;
+import org.jspecify.annotations.Nullable;
+import org.kohsuke.args4j.Option;
+
+/** A command that calls a server. */
+abstract class ServerCommand extends Command {
+
+  @Option(
+      name = "--server",
+      metaVar = "ADDRESS",
+      usage = "IP:PORT or URL of an entry or control instance; default: HICKORYSPAR_SERVER")
+  private String server = "";
+
+  @Option(
+      name = "--token-file",
+      metaVar = "FILE",
+      usage = "file that holds the token; default: the token in HICKORYSPAR_TOKEN")
+  private @Nullable File tokenFile;
+
+  @Option(
+      name = "--timeout-millis",
+      metaVar = "N",
+      usage = "longest wait for an answer; default: 10000")
+  private long timeoutMillis = 10_000;
+
+  @Option(name = "--output", metaVar = "text|json", usage = "format of the result; default: text")
+  private OutputFormat output = OutputFormat.TEXT;
+
+  /** Format of a result. */
+  enum OutputFormat {
+    /** For people. */
+    TEXT,
+    /** For scripts. */
+    JSON
+  }
+
+  /**
+   * Runs the command.
+   *
+   * @param session the connection to the server
+   * @return the exit code
+   * @throws Exception if the command fails in an unexpected way
+   */
+  abstract ExitCode execute(Session session) throws Exception;
+
+  @Override
+  final ExitCode run(Console console) throws Exception {
+    String address =
+        server.isBlank() ? console.environment().getOrDefault("HICKORYSPAR_SERVER", "") : server;
+    if (address.isBlank()) {
+      return console.fail(ExitCode.USAGE, "no server: use --server or set HICKORYSPAR_SERVER");
+    }
+    URI uri;
+    try {
+      uri = URI.create(address.contains("://") ? address : "http://" + address);
+    } catch (IllegalArgumentException e) {
+      uri = URI.create("");
+    }
+    if (uri.getHost() == null || uri.getPort() < 1) {
+      return console.fail(ExitCode.USAGE, "expected IP:PORT or a URL, found " + address);
+    }
+    String token;
+    try {
+      token = token(console);
+    } catch (IOException e) {
+      return console.fail(ExitCode.TOKEN, "cannot read the token: " + e);
+    }
+    try (ApiClient client = new ApiClient(uri, token, timeoutMillis)) {
+      Output format = new Output(console.out(), output == OutputFormat.JSON);
+      return execute(new Session(console, client, format));
+    }
+  }
+
+  private String token(Console console) throws IOException {
+    return tokenFile == null
+        ? console.environment().getOrDefault("HICKORYSPAR_TOKEN", "")
+        : Files.readString(tokenFile.toPath()).strip();
+  }
+
+  /** Escapes a name for a path. */
+  static String segment(String name) {
+    return UrlEscapers.urlPathSegmentEscaper().escape(name);
+  }
+
+  /** Returns a new JSON object. */
+  static ObjectNode object() {
+    return JsonNodeFactory.instance.objectNode();
+  }
+
+  /** Sends a read, prints its answer and returns the exit code. */
+  static ExitCode show(Session session, String path) throws InterruptedException {
+    Reply reply = session.client().send("GET", path, Map.of(), null);
+    if (!reply.isDone()) {
+      return session.failed(reply);
+    }
+    session.output().print(reply.body());
+    return ExitCode.DONE;
+  }
+
+  /**
+   * What a command works with.
+   *
+   * @param console streams
+   * @param client the client
+   * @param output prints results
+   */
+  record Session(Console console, ApiClient client, Output output) {
+
+    /** Reports a failed call. */
+    ExitCode failed(Reply reply) {
+      return console.fail(reply.code(), reply.message());
+    }
+  }
+}
--- /dev/null
+++ b/hickoryspar-node/src/test/java/org/hickoryspar/node/cli/FakeServer.java
@@ -0,0 +1,91 @@
+package org.hickoryspar.node.cli;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.component.LifeCycle;
+
+/** Answers requests from a table and records them. */
+final class FakeServer implements AutoCloseable {
+
+  /** An answer; status 0 closes the connection without one. */
+  record Answer(int status, String body) {}
+
+  /** A request as it arrived. */
+  record Received(String method, String path, String token, String key, String body) {}
+
+  private final Map<String, Answer> answers = new ConcurrentHashMap<>();
+  private final List<Received> received = Collections.synchronizedList(new ArrayList<>());
+  private final Server server = new Server();
+  private final ServerConnector connector = new ServerConnector(server);
+
+  FakeServer() throws Exception {
+    connector.setHost("127.0.0.1");
+    server.addConnector(connector);
+    server.setHandler(
+        new Handler.Abstract() {
+          @Override
+          public boolean handle(Request request, Response response, Callback callback)
+              throws Exception {
+            return answer(request, response, callback);
+          }
+        });
+    server.start();
+  }
+
+  String address() {
+    return "127.0.0.1:" + connector.getLocalPort();
+  }
+
+  void on(String methodAndPath, int status, String body) {
+    answers.put(methodAndPath, new Answer(status, body.replace('\'', '"')));
+  }
+
+  void reset() {
+    answers.clear();
+    received.clear();
+  }
+
+  List<Received> received() {
+    return List.copyOf(received);
+  }
+
+  private boolean answer(Request request, Response response, Callback callback) throws Exception {
+    String path = request.getHttpURI().getPathQuery();
+    received.add(
+        new Received(
+            request.getMethod(),
+            path,
+            String.valueOf(request.getHeaders().get(HttpHeader.AUTHORIZATION)),
+            String.valueOf(request.getHeaders().get("Idempotency-Key")),
+            Content.Source.asString(request, StandardCharsets.UTF_8)));
+    Answer answer =
+        answers.getOrDefault(
+            request.getMethod() + " " + path,
+            new Answer(404, "{\"code\":\"not-found\",\"message\":\"nothing here\"}"));
+    if (answer.status() == 0) {
+      request.getConnectionMetaData().getConnection().close();
+      callback.failed(new IllegalStateException("closed by the test"));
+      return true;
+    }
+    response.setStatus(answer.status());
+    Content.Sink.write(response, true, answer.body(), callback);
+    return true;
+  }
+
+  @Override
+  public void close() {
+    LifeCycle.stop(server);
+  }
+}
