--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/replication/Progress.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/replication/Progress.java
@@ -88,7 +88,10 @@
     while (!inFlight.isEmpty() && inFlight.peekFirst() <= matchIndex) {
       inFlight.removeFirst();
     }
-    if (mode == Mode.PROBE || (mode == Mode.SNAPSHOT && matchIndex >= logBase)) {
+    // The log may have been compacted beyond the snapshot while it was sent; then another follows.
+    Snapshot sent = snapshot;
+    boolean hasSnapshot = matchIndex >= logBase || (sent != null && matchIndex >= sent.lastIndex());
+    if (mode == Mode.PROBE || (mode == Mode.SNAPSHOT && hasSnapshot)) {
       mode = Mode.REPLICATE;
       snapshot = null;
       inFlight.clear();
