--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/entry/ControlCalls.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/entry/ControlCalls.java
@@ -9,7 +9,6 @@
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
-import org.eclipse.jetty.util.Fields;
 import org.hickoryspar.kernel.value.Problem;
 import org.hickoryspar.node.settings.Settings.TokenSettings;
 import org.hickoryspar.protocol.JobCall;
@@ -89,24 +88,23 @@
       Response response,
       Callback done) {
     Optional<OperatorCall.Kind> kind = kind(request.getMethod(), path);
-    Optional<Long> base = baseVersion(request);
-    Optional<byte[]> argument = argument(path, body);
+    Optional<ObjectNode> argument = argument(request, path, body);
     if (kind.isEmpty()) {
       Replies.error(response, done, 404, "not-run", "no-such-call", "no such operator call");
       return;
     }
-    if (base.isEmpty() || argument.isEmpty()) {
+    if (argument.isEmpty() || !isVersion(argument.get().path("baseVersion"))) {
       Replies.error(
-          response, done, 400, "not-run", "malformed", "base version or JSON body is malformed");
+          response, done, 400, "not-run", "malformed", "baseVersion or the JSON body is malformed");
       return;
     }
     OperatorCall call =
         OperatorCall.newBuilder()
             .setKind(kind.get())
             .setOwner(token.name())
-            .setChangeId(parameter(request, "Hickoryspar-Change-Id", "changeId"))
-            .setBaseVersion(base.get())
-            .setBodyJson(ByteString.copyFrom(argument.get()))
+            .setChangeId(argument.get().path("changeId").asText(""))
+            .setBaseVersion(argument.get().path("baseVersion").asLong())
+            .setBodyJson(ByteString.copyFrom(Replies.bytes(argument.get())))
             .build();
     var unused =
         control
@@ -140,6 +138,9 @@
                     case "in" -> OperatorCall.Kind.DATA_CENTRE_IN;
                     default -> null;
                   };
+          case "POST replicas" -> OperatorCall.Kind.REPLICA_ADD;
+          case "DELETE replicas" -> OperatorCall.Kind.REPLICA_REMOVE;
+          case "POST leadership" -> OperatorCall.Kind.TRANSFER_LEADERSHIP;
           case "GET status" -> OperatorCall.Kind.STATUS;
           default -> null;
         });
@@ -152,43 +153,31 @@
     };
   }
 
-  /** Returns the body; a name in the path becomes its member {@code name}. */
-  private static Optional<byte[]> argument(List<String> path, byte[] body) {
-    boolean named =
-        path.size() > 2 && (path.get(1).equals("data-centres") || path.get(1).equals("exceptions"));
-    if (!named) {
-      return body.length == 0 || isObject(body) ? Optional.of(body) : Optional.empty();
-    }
+  /** Returns the body with the names of the path and the limit of the query as members. */
+  private static Optional<ObjectNode> argument(Request request, List<String> path, byte[] body) {
+    JsonNode json;
     try {
-      JsonNode json = body.length == 0 ? null : Replies.MAPPER.readTree(body);
-      ObjectNode object =
-          json == null
-              ? Replies.MAPPER.createObjectNode()
-              : json instanceof ObjectNode o ? o : null;
-      return object == null
-          ? Optional.empty()
-          : Optional.of(Replies.bytes(object.put("name", path.get(2))));
+      json = body.length == 0 ? Replies.MAPPER.createObjectNode() : Replies.MAPPER.readTree(body);
     } catch (IOException e) {
       return Optional.empty();
     }
-  }
-
-  private static Optional<Long> baseVersion(Request request) {
-    String text = parameter(request, "Hickoryspar-Base-Version", "baseVersion");
-    try {
-      return Optional.of(text.isEmpty() ? 0L : Long.parseUnsignedLong(text));
-    } catch (NumberFormatException e) {
+    if (!(json instanceof ObjectNode object)) {
       return Optional.empty();
     }
+    if (path.size() > 2 && path.get(1).equals("data-centres")) {
+      object.put("name", path.get(2));
+    } else if (path.size() > 2 && path.get(1).equals("exceptions")) {
+      object.put("id", path.get(2));
+    }
+    String limit = Request.extractQueryParameters(request).getValue("limit");
+    if (limit != null && limit.matches("\\d{1,9}")) {
+      object.put("limit", Integer.parseInt(limit));
+    }
+    return Optional.of(object);
   }
 
-  private static String parameter(Request request, String header, String query) {
-    String value = request.getHeaders().get(header);
-    if (value == null) {
-      Fields fields = Request.extractQueryParameters(request);
-      value = fields.getValue(query);
-    }
-    return value == null ? "" : value;
+  private static boolean isVersion(JsonNode value) {
+    return value.isMissingNode() || (value.canConvertToLong() && value.asLong() >= 0);
   }
 
   private static String traceParent(Request request) {
