--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/entry/EntryHandler.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/entry/EntryHandler.java
@@ -107,7 +107,7 @@
                               token, request, withVersion(path), bytes, response, done)),
               Credentials.TEAM,
               Credentials.OPERATOR);
-      case "fleet", "exceptions", "data-centres", "status" ->
+      case "fleet", "exceptions", "data-centres", "status", "replicas", "leadership" ->
           authorised(
               request,
               response,
--- /dev/null
+++ b/hickoryspar-standins/src/test/java/org/hickoryspar/standins/scenario/ScenarioContext.java
@@ -0,0 +1,19 @@
+package org.hickoryspar.standins.scenario;
+
+/** What the steps of one scenario share. */
+public class ScenarioContext {
+
+  private TestCluster cluster;
+
+  boolean hasCluster() {
+    return cluster != null;
+  }
+
+  TestCluster cluster() {
+    return cluster;
+  }
+
+  void setCluster(TestCluster cluster) {
+    this.cluster = cluster;
+  }
+}
--- /dev/null
+++ b/hickoryspar-standins/src/test/java/org/hickoryspar/standins/scenario/ScenarioTest.java
@@ -0,0 +1,45 @@
+package org.hickoryspar.standins.scenario;
+
+import io.cucumber.testng.CucumberOptions;
+import io.cucumber.testng.FeatureWrapper;
+import io.cucumber.testng.PickleWrapper;
+import io.cucumber.testng.TestNGCucumberRunner;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/**
+ * Runs the scenarios of the feature files against real processes.
+ *
+ * <p>The runner is used directly because the test engine finds no inherited test methods.
+ */
+@CucumberOptions(
+    features = "classpath:org/hickoryspar/standins/scenario",
+    glue = "org.hickoryspar.standins.scenario",
+    plugin = {"summary"})
+public class ScenarioTest {
+
+  private TestNGCucumberRunner runner;
+
+  @BeforeClass
+  public void createRunner() {
+    runner = new TestNGCucumberRunner(getClass());
+  }
+
+  @AfterClass(alwaysRun = true)
+  public void finish() {
+    runner.finish();
+  }
+
+  @DataProvider
+  Object[][] scenarios() {
+    return runner.provideScenarios();
+  }
+
+  /** Guards against promises that are broken when processes and links fail. */
+  @Test(dataProvider = "scenarios")
+  public void shouldHold(PickleWrapper scenario, FeatureWrapper feature) {
+    runner.runScenario(scenario.getPickle());
+  }
+}
