Add JSON log lines, metrics text, tracing and the event catalogue

Daemons need one form of log, metrics and traces, so that an event can be found by number and a request can be followed from hop to hop.

JsonLinesFormatter writes one JSON object per record with event number, instance and trace id; LogSetup installs it when a daemon starts. MetricsText renders a Prometheus registry, ProcessMetrics adds resident memory, heap and processor time. Tracing sets up OpenTelemetry from the settings: spans go to a JSON-lines file or to an OTLP collector. Without either, a processor that exports nothing stays in place, because a provider without processors makes spans without identifiers, which a test showed. docs/events.md lists all events; a test in the last module compares it with the enums of all modules.

--- /dev/null
+++ b/hickoryspar-bench/src/test/java/org/hickoryspar/bench/EventCatalogueTest.java
@@ -0,0 +1,66 @@
+package org.hickoryspar.bench;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+
+import com.tngtech.archunit.core.domain.JavaClass;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.stream.Collectors;
+import org.hickoryspar.node.observability.LogEvent;
+import org.testng.annotations.Test;
+
+/** Runs in the last module, whose class path holds the events of all others. */
+public class EventCatalogueTest {
+
+  private static final Path CATALOGUE = Path.of("..", "docs", "events.md");
+
+  private static List<LogEvent> events() {
+    List<LogEvent> events = new ArrayList<>();
+    for (JavaClass type :
+        new ClassFileImporter()
+            .withImportOption(new ImportOption.DoNotIncludeTests())
+            .importPackages("org.hickoryspar")) {
+      if (type.isEnum() && type.isAssignableTo(LogEvent.class)) {
+        for (Object constant : type.reflect().getEnumConstants()) {
+          events.add((LogEvent) constant);
+        }
+      }
+    }
+    return events;
+  }
+
+  private static String row(LogEvent event) {
+    return "| %d | %s | `%s` |".formatted(event.number(), event.level(), event);
+  }
+
+  /** Guards against an event that an operator finds in a log but not in the catalogue. */
+  @Test
+  public void shouldListEveryEvent() throws Exception {
+    Set<String> expected =
+        events().stream().map(EventCatalogueTest::row).collect(Collectors.toSet());
+    Set<String> listed = new TreeSet<>();
+    for (String line : Files.readAllLines(CATALOGUE)) {
+      if (line.matches("\\| \\d+ \\|.*")) {
+        listed.add(line.replaceAll("^(\\|[^|]*\\|[^|]*\\|[^|]*\\|).*", "$1"));
+      }
+    }
+
+    assertFalse(expected.isEmpty());
+    assertEquals(listed, new TreeSet<>(expected), "rows of docs/events.md");
+  }
+
+  /** Guards against two events that cannot be told apart by number. */
+  @Test
+  public void shouldGiveEachEventItsOwnNumber() {
+    List<Integer> numbers = events().stream().map(LogEvent::number).sorted().toList();
+
+    assertEquals(numbers, numbers.stream().distinct().toList());
+  }
+}
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/cli/DaemonRunner.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/cli/DaemonRunner.java
@@ -5,6 +5,7 @@
 import java.util.ServiceLoader;
 import java.util.concurrent.CountDownLatch;
 import org.hickoryspar.node.observability.EventLogger;
+import org.hickoryspar.node.observability.LogSetup;
 import org.hickoryspar.node.settings.Settings;
 import org.hickoryspar.node.settings.SettingsLoader;
 import org.jspecify.annotations.Nullable;
@@ -40,6 +41,7 @@
   }
 
   private ExitCode start(String kind, Settings settings, boolean initialise) {
+    LogSetup.toStandardError(settings.instanceId());
     if ("entry".equals(kind) ? settings.entry() == null : settings.control() == null) {
       return console.fail(
           ExitCode.REFUSED,
--- /dev/null
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/observability/ObservabilityEvent.java
@@ -0,0 +1,34 @@
+package org.hickoryspar.node.observability;
+
+import java.util.logging.Level;
+
+/** Log events of tracing, 6100 to 6199. */
+@SuppressWarnings("ImmutableEnumChecker") // java.util.logging.Level has no setters
+enum ObservabilityEvent implements LogEvent {
+  SPAN_FILE_FAILED(6100, Level.WARNING, "spans cannot be written to %s; %d spans are lost");
+
+  private final int number;
+  private final Level level;
+  private final String template;
+
+  ObservabilityEvent(int number, Level level, String template) {
+    this.number = number;
+    this.level = level;
+    this.template = template;
+  }
+
+  @Override
+  public int number() {
+    return number;
+  }
+
+  @Override
+  public Level level() {
+    return level;
+  }
+
+  @Override
+  public String template() {
+    return template;
+  }
+}
