--- a/bin/launch.sh
+++ b/bin/launch.sh
@@ -20,15 +20,15 @@
 # The flags keep a daemon small: one collector thread, one compiler tier (C1), little code cache and
 # short stacks. A daemon runs for months on little work, so peak speed matters less than memory.
 hickoryspar_run() {
-  local home="$1" main="$2" heap=64m
+  local home="$1" main="$2" heap="-Xmx64m"
   shift 2
   hickoryspar_build_if_missing "$home"
   case "${1:-}" in
-    entry) heap=24m ;;
-    control) heap=24m ;;
+    entry) heap="-Xms4m -Xmx24m" ;;
+    control) heap="-Xms4m -Xmx48m" ;;
   esac
   # shellcheck disable=SC2086
   exec java -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xss256k -XX:ReservedCodeCacheSize=16m \
-    -Xmx"$heap" -Xshare:auto -XX:-UsePerfData -Dslf4j.internal.verbosity=ERROR -XX:+ExitOnOutOfMemoryError \
+    $heap -Xshare:auto -XX:-UsePerfData -Dslf4j.internal.verbosity=ERROR -XX:+ExitOnOutOfMemoryError \
     ${HICKORYSPAR_JAVA_OPTIONS:-} -cp "$(hickoryspar_class_path "$home")" "$main" "$@"
 }
