--- /dev/null
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/scheduling/Demand.java
@@ -0,0 +1,51 @@
+package org.hickoryspar.kernel.scheduling;
+
+import java.util.function.IntPredicate;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * What a search for a placement must respect.
+ *
+ * @param tasks number of tasks
+ * @param adjacency how close together the tasks must be
+ * @param index the amounts from which each task takes, and by which workers are visited
+ * @param perTask what each task takes
+ * @param limit a second index that must have room as well, or null
+ * @param allowed the workers that may be used, among the usable ones
+ */
+record Demand(
+    int tasks,
+    Adjacency adjacency,
+    CapacityIndex index,
+    ResourceShape perTask,
+    @Nullable Limit limit,
+    IntPredicate allowed) {
+
+  /**
+   * A second index that must have room.
+   *
+   * @param index the amounts
+   * @param perTask what each task takes of them
+   */
+  record Limit(CapacityIndex index, ResourceShape perTask) {}
+
+  /** Asks for a shape from one index without further limits. */
+  static Demand of(GangShape shape, CapacityIndex index) {
+    return new Demand(
+        shape.tasks(), shape.adjacency(), index, shape.perTask(), null, worker -> true);
+  }
+
+  /** Returns how many of the tasks fit on a worker. */
+  int count(int worker) {
+    int most = Math.min(tasks, index.count(worker, perTask));
+    if (limit != null && most > 0) {
+      most = Math.min(most, limit.index().count(worker, limit.perTask()));
+    }
+    return most > 0 && allowed.test(worker) ? most : 0;
+  }
+
+  /** Returns the accelerators of one task. */
+  int acceleratorsPerTask() {
+    return perTask.accelerators();
+  }
+}
--- /dev/null
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/entry/ControlCalls.java
@@ -0,0 +1,213 @@
+package org.hickoryspar.node.entry;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.protobuf.ByteString;
+import java.io.IOException;
+import java.util.List;
+import java.util.Optional;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+import org.hickoryspar.kernel.value.Problem;
+import org.hickoryspar.node.settings.Settings.TokenSettings;
+import org.hickoryspar.protocol.JobCall;
+import org.hickoryspar.protocol.OperatorCall;
+
+/** Passes job calls and operator calls to control. */
+final class ControlCalls {
+
+  /** Longer than an election (2 s), so that a call outlives a change of the leader. */
+  private static final long DEADLINE_MILLIS = 10_000;
+
+  private final ControlLink control;
+
+  ControlCalls(ControlLink control) {
+    this.control = control;
+  }
+
+  /** Serves a call below {@code /v1/jobs}. */
+  void job(
+      TokenSettings token,
+      Request request,
+      List<String> path,
+      byte[] body,
+      Response response,
+      Callback done) {
+    JobCall.Builder call = JobCall.newBuilder().setTeam(token.name());
+    String key = request.getHeaders().get("Idempotency-Key");
+    boolean one = path.size() == 3;
+    switch (request.getMethod() + (one ? " one" : "")) {
+      case "POST" -> {
+        if (key == null || !isObject(body)) {
+          Replies.error(
+              response, done, 400, "not-run", "malformed", "needs Idempotency-Key and a JSON body");
+          return;
+        }
+        call.setKind(JobCall.Kind.SUBMIT)
+            .setIdempotencyKey(key)
+            .setBodyJson(ByteString.copyFrom(body));
+      }
+      case "GET" -> {
+        call.setKind(JobCall.Kind.LIST);
+        if (token.kind().equals(Credentials.OPERATOR)) {
+          String team = Request.extractQueryParameters(request).getValue("team");
+          call.setTeam(team == null ? "" : team);
+        }
+      }
+      case "GET one" -> call.setKind(JobCall.Kind.STATUS).setJobId(path.get(2));
+      case "DELETE one" -> call.setKind(JobCall.Kind.CANCEL).setJobId(path.get(2));
+      default -> {
+        Replies.error(response, done, 405, "not-run", "method", "method not supported here");
+        return;
+      }
+    }
+    var unused =
+        control
+            .job(call.build(), traceParent(request), DEADLINE_MILLIS)
+            .thenAccept(
+                result ->
+                    result.fold(
+                        problem ->
+                            fail(
+                                problem,
+                                call.getKind() == JobCall.Kind.LIST
+                                    || call.getKind() == JobCall.Kind.STATUS,
+                                response,
+                                done),
+                        answer ->
+                            reply(answer.getHttpStatus(), answer.getBodyJson(), response, done)));
+  }
+
+  /** Serves an operator's call. */
+  void operator(
+      TokenSettings token,
+      Request request,
+      List<String> path,
+      byte[] body,
+      Response response,
+      Callback done) {
+    Optional<OperatorCall.Kind> kind = kind(request.getMethod(), path);
+    Optional<ObjectNode> argument = argument(request, path, body);
+    if (kind.isEmpty()) {
+      Replies.error(response, done, 404, "not-run", "no-such-call", "no such operator call");
+      return;
+    }
+    if (argument.isEmpty() || !isVersion(argument.get().path("baseVersion"))) {
+      Replies.error(
+          response, done, 400, "not-run", "malformed", "baseVersion or the JSON body is malformed");
+      return;
+    }
+    OperatorCall call =
+        OperatorCall.newBuilder()
+            .setKind(kind.get())
+            .setOwner(token.name())
+            .setChangeId(argument.get().path("changeId").asText(""))
+            .setBaseVersion(argument.get().path("baseVersion").asLong())
+            .setBodyJson(ByteString.copyFrom(Replies.bytes(argument.get())))
+            .build();
+    var unused =
+        control
+            .operator(call, traceParent(request), DEADLINE_MILLIS)
+            .thenAccept(
+                result ->
+                    result.fold(
+                        problem -> fail(problem, isRead(call.getKind()), response, done),
+                        answer ->
+                            reply(answer.getHttpStatus(), answer.getBodyJson(), response, done)));
+  }
+
+  private static Optional<OperatorCall.Kind> kind(String method, List<String> path) {
+    String first = path.size() > 1 ? path.get(1) : "";
+    String last = path.size() > 2 ? path.get(path.size() - 1) : "";
+    return Optional.ofNullable(
+        switch (method + " " + first) {
+          case "GET fleet" ->
+              last.equals("history")
+                  ? OperatorCall.Kind.FLEET_HISTORY
+                  : path.size() == 2 ? OperatorCall.Kind.FLEET_GET : null;
+          case "PUT fleet" -> path.size() == 2 ? OperatorCall.Kind.FLEET_APPLY : null;
+          case "POST fleet" -> last.equals("check") ? OperatorCall.Kind.FLEET_CHECK : null;
+          case "POST exceptions" -> OperatorCall.Kind.EXCEPTION_ADD;
+          case "DELETE exceptions" -> OperatorCall.Kind.EXCEPTION_END;
+          case "POST data-centres" ->
+              path.size() != 4
+                  ? null
+                  : switch (last) {
+                    case "out" -> OperatorCall.Kind.DATA_CENTRE_OUT;
+                    case "in" -> OperatorCall.Kind.DATA_CENTRE_IN;
+                    default -> null;
+                  };
+          case "POST replicas" -> OperatorCall.Kind.REPLICA_ADD;
+          case "DELETE replicas" -> OperatorCall.Kind.REPLICA_REMOVE;
+          case "POST leadership" -> OperatorCall.Kind.TRANSFER_LEADERSHIP;
+          case "GET status" -> OperatorCall.Kind.STATUS;
+          default -> null;
+        });
+  }
+
+  private static boolean isRead(OperatorCall.Kind kind) {
+    return switch (kind) {
+      case FLEET_GET, FLEET_CHECK, FLEET_HISTORY, STATUS -> true;
+      default -> false;
+    };
+  }
+
+  /** Returns the body with the names of the path and the limit of the query as members. */
+  private static Optional<ObjectNode> argument(Request request, List<String> path, byte[] body) {
+    JsonNode json;
+    try {
+      json = body.length == 0 ? Replies.MAPPER.createObjectNode() : Replies.MAPPER.readTree(body);
+    } catch (IOException e) {
+      return Optional.empty();
+    }
+    if (!(json instanceof ObjectNode object)) {
+      return Optional.empty();
+    }
+    if (path.size() > 2 && path.get(1).equals("data-centres")) {
+      object.put("name", path.get(2));
+    } else if (path.size() > 2 && path.get(1).equals("exceptions")) {
+      object.put("id", path.get(2));
+    }
+    String limit = Request.extractQueryParameters(request).getValue("limit");
+    if (limit != null && limit.matches("\\d{1,9}")) {
+      object.put("limit", Integer.parseInt(limit));
+    }
+    return Optional.of(object);
+  }
+
+  private static boolean isVersion(JsonNode value) {
+    return value.isMissingNode() || (value.canConvertToLong() && value.asLong() >= 0);
+  }
+
+  private static String traceParent(Request request) {
+    String value = request.getHeaders().get("traceparent");
+    return value == null ? "" : value;
+  }
+
+  private static boolean isObject(byte[] body) {
+    try {
+      return Replies.MAPPER.readTree(body) instanceof ObjectNode;
+    } catch (IOException e) {
+      return false;
+    }
+  }
+
+  /** A call that was not sent, or that only reads, changed nothing; any other may have. */
+  private static boolean fail(Problem problem, boolean read, Response response, Callback done) {
+    boolean notRun = read || problem.code().equals("unavailable");
+    Replies.error(
+        response,
+        done,
+        notRun ? 503 : 504,
+        notRun ? "not-run" : "unknown",
+        problem.code(),
+        problem.message());
+    return false;
+  }
+
+  private static boolean reply(int status, ByteString body, Response response, Callback done) {
+    Replies.json(response, done, status, body.toByteArray());
+    return true;
+  }
+}
