--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/cli/Output.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/cli/Output.java
@@ -1,9 +1,11 @@
 package org.hickoryspar.node.cli;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.google.common.base.Ascii;
 import java.io.PrintStream;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -12,6 +14,12 @@
 /** Prints answers for people or for scripts. */
 final class Output {
 
+  /** Longer values are cut in tables; {@code --output json} shows them whole. */
+  private static final int MAX_CELL_LENGTH = 72;
+
+  /** A member in milliseconds above this (the year 2001) is a time, below it a duration. */
+  private static final long MIN_TIME_MILLIS = 1_000_000_000_000L;
+
   private final PrintStream out;
   private final boolean json;
 
@@ -96,16 +104,29 @@
   }
 
   private static String cell(String name, JsonNode node) {
-    if (isTime(name) && node.isIntegralNumber()) {
+    if (name.endsWith("Millis") && node.asLong() > MIN_TIME_MILLIS) {
       return time(node);
     }
-    return node.isMissingNode() || node.isNull()
-        ? "-"
-        : node.isValueNode() ? node.asText() : node.toString();
+    if (node.isMissingNode() || node.isNull()) {
+      return "-";
+    }
+    if (node.isArray()) {
+      return Ascii.truncate(list(node), MAX_CELL_LENGTH, "...");
+    }
+    return Ascii.truncate(
+        node.isValueNode() ? node.asText() : node.toString(), MAX_CELL_LENGTH, "...");
   }
 
-  private static boolean isTime(String name) {
-    return name.equals("timeMillis") || name.equals("createdMillis") || name.equals("endsMillis");
+  /** Writes equal elements once, with their number. */
+  private static String list(JsonNode array) {
+    Map<String, Integer> counts = new LinkedHashMap<>();
+    array.forEach(
+        element ->
+            counts.merge(
+                element.isValueNode() ? element.asText() : element.toString(), 1, Integer::sum));
+    List<String> parts = new ArrayList<>();
+    counts.forEach((text, count) -> parts.add(count == 1 ? text : text + " x" + count));
+    return parts.isEmpty() ? "-" : String.join(", ", parts);
   }
 
   /** Formats milliseconds since 1970 in UTC. */
