--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/scheduling/DataCentreRamp.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/scheduling/DataCentreRamp.java
@@ -44,9 +44,10 @@
     }
   }
 
-  /** Advances the time; returns whether some data centre is being filled. */
+  /** Advances the time; returns whether more may start in some data centre than before. */
   boolean tick(long now) {
     nowMillis = now;
+    boolean more = ramping > 0;
     for (State state : states.values()) {
       if (state.returning) {
         ramping += state.ramping ? 0 : 1;
@@ -59,7 +60,7 @@
         ramping--;
       }
     }
-    return ramping > 0;
+    return more;
   }
 
   boolean isActive() {
--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/scheduling/ClusterModel.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/scheduling/ClusterModel.java
@@ -148,7 +148,7 @@
       String user = user(report, using);
       if (user == null) {
         for (String name : report.workers()) {
-          assertTrue(isIn(name), "formed where it is out: " + report);
+          assertTrue(isIn(name), "formed where it is out: " + report + running);
         }
         take(taken, report.workers(), report.shape().perTask());
       } else {
@@ -193,7 +193,7 @@
     return running.values().stream()
         .filter(gang -> gang.job().team().equals(report.team()))
         .filter(gang -> gang.workers().equals(report.workers()))
-        .filter(gang -> gang.job().shape().perTask().fitsIn(report.shape().perTask()))
+        .filter(gang -> new GuaranteeSlot(report.team(), report.shape()).matches(gang.job()))
         .filter(gang -> !stopping.containsKey(gang.job().jobId()))
         .filter(gang -> !using.contains(gang.job().jobId()))
         .min(Comparator.comparing(gang -> gang.job().preemptible()))
--- /dev/null
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/scheduling/DecisionTimeTest.java
@@ -0,0 +1,162 @@
+package org.hickoryspar.kernel.scheduling;
+
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Measures decisions in a busy fleet and prints the figures. */
+public class DecisionTimeTest {
+
+  private static final ResourceShape WORKER = new ResourceShape(32, 128_000, 8);
+
+  @DataProvider
+  Object[][] sizes() {
+    return new Object[][] {
+      {30, 175, 4, 3},
+      {300, 1_750, 12, 6},
+      {1_700, 9_900, 65, 21},
+      // Full fleets with jobs that wait.
+      {30, 240, 4, 3},
+      {1_700, 13_600, 65, 21},
+    };
+  }
+
+  /** Guards against scans of the whole fleet in each decision, and against state that grows. */
+  @Test(dataProvider = "sizes")
+  public void shouldDecideInTimeWhenTheFleetIsBusy(
+      int workers, int tasks, int teams, int dataCentres) {
+    long heapBefore = heapBytes();
+    Load load = new Load(workers, teams, dataCentres);
+    load.fill(tasks);
+    for (int i = 0; i < 500; i++) {
+      load.exchange();
+    }
+    long[] nanos = new long[2_000];
+    for (int i = 0; i < nanos.length; i++) {
+      nanos[i] = load.exchange();
+    }
+    Arrays.sort(nanos);
+    double medianMillis = nanos[nanos.length / 2] / 1e6;
+    double p99Millis = nanos[nanos.length * 99 / 100] / 1e6;
+    System.out.printf(
+        "%d workers, %d tasks running, %d jobs waiting, %d teams: decision median %.3f ms, p99 %.3f"
+            + " ms, heap %.1f MB%n",
+        workers,
+        load.runningTasks,
+        load.waiting,
+        teams,
+        medianMillis,
+        p99Millis,
+        (heapBytes() - heapBefore) / 1e6);
+    assertTrue(medianMillis < 10 && p99Millis < 50, "decisions are too slow, see the line above");
+    assertTrue(load.runningTasks > 0);
+  }
+
+  private static long heapBytes() {
+    System.gc();
+    Runtime runtime = Runtime.getRuntime();
+    return runtime.totalMemory() - runtime.freeMemory();
+  }
+
+  private static final class Load {
+
+    private final Random random = new Random(7);
+    private final Scheduler scheduler = new GuaranteeSchedulerFactory().create();
+    private final List<JobRequest> running = new ArrayList<>();
+    private final java.util.Map<String, JobRequest> known = new java.util.HashMap<>();
+    private final int teams;
+    private long nowMillis;
+    private int jobs;
+    private int runningTasks;
+    private int waiting;
+
+    Load(int workers, int teams, int dataCentres) {
+      this.teams = teams;
+      for (int w = 0; w < workers; w++) {
+        int rack = w / 8;
+        String dataCentre = "dc" + rack % dataCentres;
+        scheduler.workerChanged(new WorkerState("w" + w, "r" + rack, dataCentre, WORKER, true));
+      }
+      List<TeamPolicy> policies = new ArrayList<>();
+      for (int t = 0; t < teams; t++) {
+        List<GangShape> guarantees =
+            List.of(
+                new GangShape(8, new ResourceShape(2, 8_000, 1), Adjacency.WORKER),
+                new GangShape(16, new ResourceShape(2, 8_000, 1), Adjacency.RACK));
+        policies.add(new TeamPolicy("t" + t, WORKER.times(workers / 2), 1 + t % 3, guarantees));
+      }
+      SchedulingConfig config =
+          new SchedulingConfig(1, "fragmentation", policies, Set.of(), Set.of());
+      assertTrue(scheduler.check(config).isSuccess());
+      scheduler.configure(config);
+    }
+
+    void fill(int tasks) {
+      while (runningTasks < tasks && waiting < 400) {
+        submit();
+        decide();
+      }
+    }
+
+    /** Ends a job, submits another and decides; returns the nanoseconds of the decision. */
+    long exchange() {
+      nowMillis += 1_000;
+      JobRequest ended = running.remove(random.nextInt(running.size()));
+      runningTasks -= ended.shape().tasks();
+      scheduler.gangEnded(ended.jobId(), EndReason.COMPLETED, List.of(), nowMillis);
+      submit();
+      return decide();
+    }
+
+    private void submit() {
+      int size = random.nextInt(100);
+      int tasks = size < 60 ? 1 + random.nextInt(4) : size < 95 ? 8 : size < 99 ? 16 : 64;
+      Adjacency adjacency = Adjacency.values()[random.nextInt(tasks > 8 ? 2 : 3)];
+      if (tasks > 8 && adjacency == Adjacency.WORKER) {
+        adjacency = Adjacency.RACK;
+      }
+      ResourceShape perTask = new ResourceShape(1 + random.nextInt(3), 8_000, 1);
+      JobRequest job =
+          new JobRequest(
+              "j" + jobs++,
+              "t" + random.nextInt(teams),
+              "k" + random.nextInt(3),
+              new GangShape(tasks, perTask, adjacency),
+              random.nextInt(20) == 0,
+              1_000,
+              random.nextInt(10) > 0,
+              nowMillis);
+      known.put(job.jobId(), job);
+      scheduler.jobQueued(job);
+      waiting++;
+    }
+
+    private long decide() {
+      long start = System.nanoTime();
+      List<Decision> decisions = scheduler.decide(nowMillis);
+      long nanos = System.nanoTime() - start;
+      for (Decision decision : decisions) {
+        JobRequest job = known.get(decision.jobId());
+        if (decision instanceof Decision.Place) {
+          running.add(job);
+          runningTasks += job.shape().tasks();
+          waiting--;
+        } else if (decision instanceof Decision.Preempt) {
+          running.remove(job);
+          runningTasks -= job.shape().tasks();
+          waiting++;
+          scheduler.gangEnded(job.jobId(), EndReason.PREEMPTED, List.of(), nowMillis);
+        } else {
+          waiting--;
+        }
+      }
+      return nanos;
+    }
+  }
+}
--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/scheduling/SchedulerPropertyTest.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/scheduling/SchedulerPropertyTest.java
@@ -73,6 +73,10 @@
     }
   }
 
+  /** Work that matches no guarantee, because no guarantee has that many tasks. */
+  private static final GangShape FILLER =
+      new GangShape(5, new ResourceShape(1, 1_000, 1), Adjacency.NONE);
+
   private static final class Run {
 
     private final Random random;
@@ -255,13 +259,8 @@
       model.decide();
       // Fill the fleet with work that may be preempted, then ask for all guarantees at once.
       for (TeamPolicy team : model.config.teams()) {
-        for (int i = 0; i < 20; i++) {
-          model.submit(
-              job(
-                  team.team(),
-                  new GangShape(1, new ResourceShape(1, 1_000, 1), Adjacency.NONE),
-                  false,
-                  true));
+        for (int i = 0; i < 10; i++) {
+          model.submit(job(team.team(), FILLER, false, true));
         }
       }
       for (int i = 0; i < 5; i++) {
