--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/replication/Simulation.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/replication/Simulation.java
@@ -155,8 +155,8 @@
   }
 
   private void clients() {
-    SimulatedReplica replica = any();
-    replica.leaseRead();
+    replicas.forEach(SimulatedReplica::leaseRead);
+    SimulatedReplica replica = random.nextBoolean() ? any() : leaderOr(any());
     if (!replica.isRunning() || replica.isPaused()) {
       return;
     }
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/storage/FileLogStorage.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/storage/FileLogStorage.java
@@ -62,11 +62,14 @@
       snapshot = Optional.of(SnapshotFile.read(files, snapshots.remove(snapshots.size() - 1)));
       deleteAll(snapshots);
     }
-    List<LogEntry> found = log.load(segments);
+    if (segments.isEmpty()) {
+      throw logMissing();
+    }
+    long base = snapshot.map(Snapshot::lastIndex).orElse(0L);
+    List<LogEntry> found = log.load(segments, base);
     boolean firstVoter = identity.replicaId().endsWith(ReplicaFolder.FIRST_SUFFIX);
-    if (segments.isEmpty() || (firstVoter && snapshot.isEmpty() && found.isEmpty())) {
-      // The log is written before the identity; without it, entries were lost.
-      throw new DamagedFileException(folder, 0, "the log is missing; replace this replica");
+    if (firstVoter && base == 0 && found.isEmpty()) {
+      throw logMissing();
     }
     List<LogEntry> entries = reconcile(snapshot, found);
     EventLogger.log(
@@ -144,10 +147,6 @@
   private List<LogEntry> reconcile(Optional<Snapshot> snapshot, List<LogEntry> entries)
       throws IOException {
     long base = snapshot.map(Snapshot::lastIndex).orElse(0L);
-    if (!entries.isEmpty() && entries.get(0).getIndex() > base + 1) {
-      throw new DamagedFileException(
-          folder, 0, "entries " + (base + 1) + " to " + entries.get(0).getIndex() + " are missing");
-    }
     long last = entries.isEmpty() ? 0 : entries.get(entries.size() - 1).getIndex();
     boolean continues =
         snapshot.isEmpty()
@@ -163,6 +162,11 @@
     return List.of();
   }
 
+  // The log is written before the identity; without it, entries were lost.
+  private DamagedFileException logMissing() {
+    return new DamagedFileException(folder, 0, "the log is missing; replace this replica");
+  }
+
   private void deleteAll(List<Path> old) throws IOException {
     for (Path file : old) {
       files.delete(file);
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/storage/SegmentedLog.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/storage/SegmentedLog.java
@@ -34,17 +34,30 @@
     return name.startsWith(PREFIX) && name.endsWith(SUFFIX);
   }
 
-  /** Reads all segments and rewrites the last one. */
-  List<LogEntry> load(List<Path> found) throws IOException {
+  /**
+   * Reads all segments and rewrites the last one.
+   *
+   * @param found the segments, sorted
+   * @param base last index that the snapshot includes; entries after it must be in the log
+   */
+  List<LogEntry> load(List<Path> found, long base) throws IOException {
+    if (firstIndex(found.get(0)) > base + 1) {
+      throw new DamagedFileException(found.get(0), 0, "the entries before it are missing");
+    }
     List<LogEntry> entries = new ArrayList<>();
     for (int i = 0; i < found.size(); i++) {
       Path file = found.get(i);
       boolean last = i == found.size() - 1;
       long firstIndex = firstIndex(file);
-      if (!entries.isEmpty() && firstIndex != entries.get(entries.size() - 1).getIndex() + 1) {
+      byte[] bytes = files.read(file);
+      if (i > 0 && firstIndex != nextIndex()) {
+        if (last && bytes.length == 0 && firstIndex == base + 1) {
+          // A reset was interrupted after it began the new segment.
+          reset(firstIndex);
+          return List.of();
+        }
         throw new DamagedFileException(file, 0, "the entries before it are missing");
       }
-      byte[] bytes = files.read(file);
       RecordFormat.Records records = RecordFormat.decode(file, bytes, firstIndex, last);
       if (last) {
         rewrite(file, bytes, records.endBytes());
@@ -55,14 +68,21 @@
     return entries;
   }
 
-  /** Begins an empty log. */
+  /**
+   * Begins an empty log. The new segment exists before the last old one is deleted: a folder
+   * without any segment has lost its log.
+   */
   void reset(long nextIndex) throws IOException {
     closeOutput();
-    while (!segments.isEmpty()) {
-      // From the end, so that a crash leaves a log without a gap.
-      files.delete(segments.remove(segments.size() - 1).file);
+    if (segments.size() == 1 && nextIndex() == nextIndex && segments.get(0).offsets.isEmpty()) {
+      return;
     }
+    deleteFrom(nextIndex, 0);
     begin(nextIndex);
+    Segment begun = segments.remove(segments.size() - 1);
+    deleteFrom(0, 0);
+    segments.add(begun);
+    files.syncFolder(folder);
   }
 
   /** Appends entries without syncing them. */
@@ -100,9 +120,7 @@
   /** Removes the entries from an index on. */
   void truncateFrom(long index) throws IOException {
     closeOutput();
-    while (segments.size() > 1 && segments.get(segments.size() - 1).firstIndex >= index) {
-      files.delete(segments.remove(segments.size() - 1).file);
-    }
+    deleteFrom(index, 1);
     files.syncFolder(folder);
     Segment segment = segments.get(segments.size() - 1);
     int keep = (int) (index - segment.firstIndex);
@@ -127,7 +145,7 @@
   void roll() throws IOException {
     Segment last = segments.get(segments.size() - 1);
     if (!last.offsets.isEmpty()) {
-      roll(last.firstIndex + last.offsets.size());
+      roll(nextIndex());
     }
   }
 
@@ -143,6 +161,18 @@
     AtomicFile.write(files, file, List.of(ByteBuffer.wrap(bytes, 0, sizeBytes)));
   }
 
+  // From the end, so that a crash leaves a log without a gap.
+  private void deleteFrom(long index, int keep) throws IOException {
+    while (segments.size() > keep && segments.get(segments.size() - 1).firstIndex >= index) {
+      files.delete(segments.remove(segments.size() - 1).file);
+    }
+  }
+
+  private long nextIndex() {
+    Segment last = segments.get(segments.size() - 1);
+    return last.firstIndex + last.offsets.size();
+  }
+
   private Segment roll(long firstIndex) throws IOException {
     sync();
     closeOutput();
--- a/hickoryspar-node/src/test/java/org/hickoryspar/node/replication/ReplicaDriverTest.java
+++ b/hickoryspar-node/src/test/java/org/hickoryspar/node/replication/ReplicaDriverTest.java
@@ -5,18 +5,21 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import com.google.common.io.MoreFiles;
+import com.google.common.io.RecursiveDeleteOption;
 import com.google.protobuf.ByteString;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.stream.Stream;
 import org.hickoryspar.kernel.value.Result;
 import org.hickoryspar.node.replication.LocalCluster.Node;
+import org.hickoryspar.node.storage.FaultyFileOperations;
+import org.hickoryspar.node.storage.FaultyFileOperations.Fault;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
@@ -38,7 +41,7 @@
   @AfterMethod(alwaysRun = true)
   void stopCluster() throws IOException {
     cluster.close();
-    delete(root);
+    MoreFiles.deleteRecursively(root, RecursiveDeleteOption.ALLOW_INSECURE);
   }
 
   // -- propose
@@ -97,7 +100,7 @@
       }
     }
     await()
-        .pollInterval(java.time.Duration.ofMillis(2))
+        .pollInterval(Duration.ofMillis(2))
         .until(
             () -> {
               boolean newLease =
@@ -133,6 +136,39 @@
     assertEquals(newLeader.add(3), Result.success(3L));
   }
 
+  // -- close
+
+  @DataProvider
+  Object[][] diskFaults() {
+    return new Object[][] {{Fault.FAILED_SYNC}, {Fault.DISK_FULL}};
+  }
+
+  /** Guards against a replica that retries a failed sync and acknowledges what it did not store. */
+  @Test(dataProvider = "diskFaults")
+  public void shouldEndTheReplicaWhenItsDiskFails(Fault fault) throws IOException {
+    Node leader = cluster.awaitLeader();
+    cluster.stop(leader);
+    FaultyFileOperations files = new FaultyFileOperations();
+    Node faulty = cluster.start(leader.instance, files);
+    Node next = cluster.awaitLeader();
+    await().until(() -> next.status().matchIndexes().getOrDefault(faulty.replicaId, 0L) > 1);
+    files.failAfter(fault, 0);
+    assertTrue(next.add(1).isSuccess());
+    await().until(() -> !faulty.failures.isEmpty());
+    int syncs = files.syncs();
+    long match = next.status().matchIndexes().get(faulty.replicaId);
+    assertTrue(next.add(1).isSuccess());
+    assertFalse(faulty.add(1).isSuccess());
+    assertFalse(faulty.status().holdsLease());
+    assertEquals(faulty.failures.size(), 1);
+    assertEquals(files.syncs(), syncs);
+    assertEquals(next.status().matchIndexes().get(faulty.replicaId), match);
+    files.failAfter(fault, Integer.MAX_VALUE);
+    cluster.stop(faulty);
+    Node back = cluster.start(leader.instance);
+    await().until(() -> back.counter.sum.get() == 2);
+  }
+
   // -- addVoter
 
   /** Guards against a replica that votes under its old identity after it lost its disk. */
@@ -142,7 +178,7 @@
     proposeMany(leader, 500);
     Node lost = cluster.others(leader).get(0);
     cluster.stop(lost);
-    delete(cluster.path(lost.instance));
+    MoreFiles.deleteRecursively(cluster.path(lost.instance), RecursiveDeleteOption.ALLOW_INSECURE);
     Node fresh = cluster.start(lost.instance);
     assertFalse(fresh.replicaId.equals(lost.replicaId));
     assertEquals(fresh.status().role(), "learner");
@@ -169,12 +205,4 @@
     }
     answers.forEach(answer -> assertTrue(answer.join().isSuccess(), answer.join().toString()));
   }
-
-  private static void delete(Path folder) throws IOException {
-    try (Stream<Path> files = Files.walk(folder)) {
-      for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
-        Files.delete(file);
-      }
-    }
-  }
 }
--- /dev/null
+++ b/hickoryspar-node/src/test/java/org/hickoryspar/node/storage/FaultyFileOperations.java
@@ -0,0 +1,162 @@
+package org.hickoryspar.node.storage;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.file.Path;
+import java.util.List;
+
+/** File operations that fail on purpose. */
+public final class FaultyFileOperations implements FileOperations {
+
+  /** What goes wrong. */
+  public enum Fault {
+    /** The process is killed: half of a write happens, and nothing after it. */
+    KILL,
+    /** One sync fails; later ones succeed although nothing was written again. */
+    FAILED_SYNC,
+    /** Every write fails. */
+    DISK_FULL
+  }
+
+  private final FileOperations files = new SystemFileOperations();
+  private Fault fault = Fault.KILL;
+  private int operationsLeft = Integer.MAX_VALUE;
+  private volatile int syncs;
+  private boolean fired;
+
+  /**
+   * Fails one of the next operations that change something.
+   *
+   * @param newFault what goes wrong
+   * @param operations number of operations that still succeed
+   */
+  public synchronized void failAfter(Fault newFault, int operations) {
+    fault = newFault;
+    operationsLeft = operations;
+    fired = false;
+  }
+
+  /**
+   * Returns whether the fault has happened.
+   *
+   * @return true once an operation failed
+   */
+  public synchronized boolean hasFired() {
+    return fired;
+  }
+
+  /**
+   * Returns the number of syncs of files that were asked for.
+   *
+   * @return the number
+   */
+  public int syncs() {
+    return syncs;
+  }
+
+  @Override
+  public void createFolder(Path folder) throws IOException {
+    files.createFolder(folder);
+  }
+
+  @Override
+  public List<Path> list(Path folder) throws IOException {
+    return files.list(folder);
+  }
+
+  @Override
+  public byte[] read(Path file) throws IOException {
+    return files.read(file);
+  }
+
+  @Override
+  public OutputFile append(Path file) throws IOException {
+    change(false, false);
+    return new Output(files.append(file));
+  }
+
+  @Override
+  public void truncate(Path file, long sizeBytes) throws IOException {
+    change(false, false);
+    files.truncate(file, sizeBytes);
+  }
+
+  @Override
+  public void rename(Path from, Path to) throws IOException {
+    change(false, false);
+    files.rename(from, to);
+  }
+
+  @Override
+  public void delete(Path file) throws IOException {
+    change(false, false);
+    files.delete(file);
+  }
+
+  @Override
+  public void syncFolder(Path folder) throws IOException {
+    change(false, true);
+    files.syncFolder(folder);
+  }
+
+  @Override
+  public Closeable lock(Path file) throws IOException {
+    return files.lock(file);
+  }
+
+  private synchronized void change(boolean write, boolean sync) throws IOException {
+    boolean due = --operationsLeft < 0;
+    boolean fails =
+        switch (fault) {
+          case KILL -> due;
+          case FAILED_SYNC -> due && sync && !fired;
+          case DISK_FULL -> due && write;
+        };
+    if (fails) {
+      fired = true;
+      throw new IOException(
+          switch (fault) {
+            case KILL -> "killed";
+            case FAILED_SYNC -> "Input/output error";
+            case DISK_FULL -> "No space left on device";
+          });
+    }
+  }
+
+  private final class Output implements OutputFile {
+
+    private final OutputFile output;
+
+    Output(OutputFile output) {
+      this.output = output;
+    }
+
+    @Override
+    public void write(ByteBuffer bytes) throws IOException {
+      ByteBuffer half = bytes.slice(bytes.position(), bytes.remaining() / 2);
+      boolean before = hasFired();
+      try {
+        change(true, false);
+      } catch (IOException e) {
+        if (!before) {
+          output.write(half);
+        }
+        throw e;
+      }
+      output.write(bytes);
+    }
+
+    @Override
+    public void sync() throws IOException {
+      syncs++;
+      change(false, true);
+      output.sync();
+    }
+
+    @Override
+    public void close() throws IOException {
+      output.close();
+    }
+  }
+}
