--- /dev/null
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/entry/Batches.java
@@ -0,0 +1,163 @@
+package org.hickoryspar.node.entry;
+
+import com.google.protobuf.ByteString;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.hickoryspar.kernel.requests.BatchState;
+import org.hickoryspar.kernel.value.Result;
+import org.hickoryspar.node.observability.EventLogger;
+import org.hickoryspar.protocol.Claim;
+import org.hickoryspar.protocol.ClaimBatch;
+import org.hickoryspar.protocol.ClaimBatchResult;
+import org.hickoryspar.protocol.ClaimResult;
+import org.hickoryspar.protocol.Outcome;
+import org.hickoryspar.protocol.OutcomeBatch;
+import org.hickoryspar.protocol.OutcomeRecord;
+
+/** Claims keys and records outcomes, one batch of each in flight at a time. */
+final class Batches {
+
+  /** Half of the largest frame (4 MiB), because items are measured without their framing. */
+  private static final long MAX_BATCH_BYTES = 2 << 20;
+
+  private static final int MAX_BATCH_ITEMS = 1_000;
+
+  /** Outlives a change of the leader (2 s). */
+  private static final long DEADLINE_MILLIS = 3_000;
+
+  private static final long RETRY_MILLIS = 200;
+
+  /** Bounds the memory of outcomes that cannot be recorded while control is unreachable. */
+  private static final int MAX_WAITING_OUTCOMES = 500;
+
+  private final String instanceId;
+  private final long incarnation;
+  private final ControlLink control;
+  private final ScheduledExecutorService timer;
+  private final BatchState<PendingClaim> claims =
+      new BatchState<>(MAX_BATCH_ITEMS, MAX_BATCH_BYTES);
+  private final BatchState<PendingOutcome> outcomes =
+      new BatchState<>(MAX_BATCH_ITEMS, MAX_BATCH_BYTES);
+
+  Batches(
+      String instanceId, long incarnation, ControlLink control, ScheduledExecutorService timer) {
+    this.instanceId = instanceId;
+    this.incarnation = incarnation;
+    this.control = control;
+    this.timer = timer;
+  }
+
+  /** Returns whether no further claim should be made until outcomes have been recorded. */
+  boolean isFull() {
+    return outcomes.size() >= MAX_WAITING_OUTCOMES;
+  }
+
+  /** Returns whether no outcome waits to be recorded. */
+  boolean isIdle() {
+    return outcomes.size() == 0;
+  }
+
+  /** Claims a key; the callback gets the result exactly once. */
+  void claim(String team, String key, byte[] fingerprint, Consumer<Result<ClaimResult>> onResult) {
+    Claim claim =
+        Claim.newBuilder()
+            .setTeam(team)
+            .setKey(key)
+            .setFingerprint(ByteString.copyFrom(fingerprint))
+            .build();
+    claims.add(new PendingClaim(claim, onResult), claim.getSerializedSize());
+    sendClaims();
+  }
+
+  /** Records an outcome; repeated until it is durable, then the future completes. */
+  CompletableFuture<Boolean> record(String team, String key, Outcome outcome) {
+    OutcomeRecord made =
+        OutcomeRecord.newBuilder().setTeam(team).setKey(key).setOutcome(outcome).build();
+    CompletableFuture<Boolean> recorded = new CompletableFuture<>();
+    outcomes.add(new PendingOutcome(made, recorded), made.getSerializedSize());
+    sendOutcomes();
+    return recorded;
+  }
+
+  private void sendClaims() {
+    List<PendingClaim> batch = claims.next();
+    if (batch.isEmpty()) {
+      return;
+    }
+    ClaimBatch.Builder message =
+        ClaimBatch.newBuilder().setEntryInstance(instanceId).setEntryIncarnation(incarnation);
+    batch.forEach(pending -> message.addClaims(pending.claim));
+    var unused =
+        control
+            .claim(message.build(), DEADLINE_MILLIS)
+            .whenComplete(
+                (result, failure) -> {
+                  Result<ClaimBatchResult> known =
+                      failure == null ? result : Result.failure("lost", String.valueOf(failure));
+                  claims.ended(false);
+                  deliver(batch, known);
+                  sendClaims();
+                });
+  }
+
+  private static void deliver(List<PendingClaim> batch, Result<ClaimBatchResult> result) {
+    Result<ClaimBatchResult> whole =
+        result.flatMap(
+            r ->
+                r.getResultsCount() == batch.size()
+                    ? Result.success(r)
+                    : Result.failure("protocol", "results do not match the claims"));
+    for (int i = 0; i < batch.size(); i++) {
+      int index = i;
+      batch.get(i).onResult.accept(whole.map(r -> r.getResults(index)));
+    }
+  }
+
+  private void sendOutcomes() {
+    List<PendingOutcome> batch = outcomes.next();
+    if (batch.isEmpty()) {
+      return;
+    }
+    OutcomeBatch.Builder message =
+        OutcomeBatch.newBuilder().setEntryInstance(instanceId).setEntryIncarnation(incarnation);
+    batch.forEach(pending -> message.addRecords(pending.outcome));
+    var unused =
+        control
+            .record(message.build(), DEADLINE_MILLIS)
+            .whenComplete(
+                (result, failure) -> {
+                  if (failure == null && result.isSuccess()) {
+                    outcomes.ended(false);
+                    batch.forEach(pending -> pending.recorded.complete(true));
+                    sendOutcomes();
+                  } else {
+                    EventLogger.log(
+                        EntryEvent.OUTCOME_NOT_RECORDED,
+                        batch.size(),
+                        failure == null ? result.problem().orElse(null) : failure);
+                    repeatOutcomes();
+                  }
+                });
+  }
+
+  private void repeatOutcomes() {
+    if (timer.isShutdown()) {
+      return;
+    }
+    var unused =
+        timer.schedule(
+            () -> {
+              outcomes.ended(true);
+              sendOutcomes();
+            },
+            RETRY_MILLIS,
+            TimeUnit.MILLISECONDS);
+  }
+
+  private record PendingClaim(Claim claim, Consumer<Result<ClaimResult>> onResult) {}
+
+  private record PendingOutcome(OutcomeRecord outcome, CompletableFuture<Boolean> recorded) {}
+}
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/entry/DrainState.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/entry/DrainState.java
@@ -1,37 +1,43 @@
 package org.hickoryspar.node.entry;
 
 import java.util.concurrent.CompletableFuture;
+import java.util.function.LongSupplier;
 
 /** Counts the requests that are being served and tells when a drain is complete. */
 final class DrainState {
 
-  private final CompletableFuture<Void> idle = new CompletableFuture<>();
+  /** Time for load balancers to see that readiness is gone, before connections are refused. */
+  static final long LINGER_MILLIS = 2_000;
+
+  /** A connection that has been quiet for this long is not waited for. */
+  private static final long QUIET_MILLIS = 1_000;
+
+  private final LongSupplier monotonicMillis;
+  private final CompletableFuture<Void> drained = new CompletableFuture<>();
   private int active;
   private boolean draining;
+  private long beganMillis;
+  private long lastMillis;
+
+  DrainState(LongSupplier monotonicMillis) {
+    this.monotonicMillis = monotonicMillis;
+  }
 
   synchronized void requestStarted() {
     active++;
   }
 
-  void requestEnded() {
-    boolean done;
-    synchronized (this) {
-      active--;
-      done = draining && active == 0;
-    }
-    if (done) {
-      idle.complete(null);
-    }
+  synchronized void requestEnded() {
+    active--;
+    lastMillis = monotonicMillis.getAsLong();
   }
 
-  void begin() {
-    boolean done;
-    synchronized (this) {
+  /** Begins the drain; later calls change nothing. */
+  synchronized void begin() {
+    if (!draining) {
       draining = true;
-      done = active == 0;
-    }
-    if (done) {
-      idle.complete(null);
+      beganMillis = monotonicMillis.getAsLong();
+      lastMillis = beganMillis;
     }
   }
 
@@ -39,7 +45,24 @@
     return draining;
   }
 
-  CompletableFuture<Void> whenIdle() {
-    return idle.copy();
+  /** Returns whether new connections are to be refused. */
+  synchronized boolean isLingerOver() {
+    return draining && monotonicMillis.getAsLong() - beganMillis >= LINGER_MILLIS;
+  }
+
+  /** Completes the drain if nothing is left to finish. */
+  void check(int connections, boolean recordsDone) {
+    boolean done;
+    synchronized (this) {
+      boolean quiet = monotonicMillis.getAsLong() - lastMillis >= QUIET_MILLIS;
+      done = isLingerOver() && active == 0 && recordsDone && (connections == 0 || quiet);
+    }
+    if (done) {
+      drained.complete(null);
+    }
+  }
+
+  CompletableFuture<Void> whenDrained() {
+    return drained.copy();
   }
 }
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/entry/EntryDaemon.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/entry/EntryDaemon.java
@@ -8,9 +8,9 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Clock;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.Executors;
-import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.LongSupplier;
@@ -32,22 +32,38 @@
   /** Entries and minions of the planned size (1,700 workers) with room for tombstones. */
   private static final int MAX_ENDPOINTS = 16_384;
 
+  /** Bounds how late a deadline in the queue, or the end of a lease, is noticed. */
+  private static final long DISPATCH_MILLIS = 50;
+
+  private static final long SLOT_LEASE_MILLIS = 100;
+
+  /** A caller that takes none of its answer for this long is disconnected. */
+  private static final long CALLER_IDLE_MILLIS = 30_000;
+
+  private static final long CONNECT_TIMEOUT_MILLIS = 2_000;
+
   private final Settings settings;
   private final Settings.EntrySettings entrySettings;
-  private final ScheduledExecutorService timer;
+  private final ScheduledThreadPoolExecutor timer;
   private final QueuedThreadPool threads = new QueuedThreadPool(32, 4);
   private final Server server;
   private final ServerConnector connector;
   private final HttpClient client;
   private final EndpointCalls endpoints;
   private final EntryHandler handler;
-  private final DrainState drainState = new DrainState();
+  private final DrainState drainState;
+  private final RequestForwarder forwarder;
+  private final ConfigLease config;
+  private final SlotLeases leases;
+  private final Batches batches;
   private final AtomicBoolean closed = new AtomicBoolean();
 
   /**
    * Creates a daemon that is not started.
    *
    * @param settings settings of this instance, with an {@code entry} section
+   * @param processIncarnation incarnation of this process, the same that the transport announces;
+   *     claims carry it, so that control can tell which claims died with a process
    * @param control the link to the control leader
    * @param peers the link to the other entries
    * @param metrics the registry that {@code /metrics} shows
@@ -57,6 +73,7 @@
    */
   public EntryDaemon(
       Settings settings,
+      long processIncarnation,
       ControlLink control,
       PeerLink peers,
       PrometheusRegistry metrics,
@@ -73,16 +90,35 @@
     requireNonNull(monotonicMillis, "monotonicMillis is null");
     threads.setName("entry-" + settings.instanceId());
     timer =
-        Executors.newSingleThreadScheduledExecutor(
+        new ScheduledThreadPoolExecutor(
+            1,
             task -> {
               Thread thread = new Thread(task, "entry-timer-" + settings.instanceId());
               thread.setDaemon(true);
               return thread;
             });
+    timer.setRemoveOnCancelPolicy(true);
     client = newClient();
+    drainState = new DrainState(monotonicMillis);
     EndpointTable table = new EndpointTable(MAX_ENDPOINTS);
-    endpoints = new EndpointCalls(settings, table, peers, monotonicMillis, () -> {});
-    RequestForwarder forwarder = new RequestForwarder(table, client, monotonicMillis);
+    EntryMetrics entryMetrics = new EntryMetrics(metrics);
+    endpoints = new EndpointCalls(settings, table, peers, monotonicMillis, this::dispatchAll);
+    batches = new Batches(settings.instanceId(), processIncarnation, control, timer);
+    config =
+        new ConfigLease(settings.instanceId(), control, timer, monotonicMillis, this::dispatchAll);
+    leases =
+        new SlotLeases(
+            settings.instanceId(), control, monotonicMillis, this::demands, this::dispatchAll);
+    forwarder =
+        new RequestForwarder(
+            new ServiceDispatcher.Shared(
+                settings, table, client, config, leases, entryMetrics, monotonicMillis),
+            new OrderParser(wallClock, monotonicMillis),
+            batches,
+            new CallEnds(batches, entryMetrics, monotonicMillis, timer),
+            new Traces(tracer),
+            timer,
+            entrySettings.queueLength());
     handler =
         new EntryHandler(
             settings, forwarder, endpoints, new ControlCalls(control), drainState, metrics);
@@ -100,14 +136,19 @@
       server.addConnector(connector);
       server.setHandler(handler);
       client.start();
+      client.getProtocolHandlers().clear();
+      client.getContentDecoderFactories().clear();
       server.start();
     } catch (IOException e) {
       throw e;
     } catch (Exception e) {
       throw new IOException("entry cannot start", e);
     }
-    var unused =
-        timer.scheduleWithFixedDelay(() -> guarded(endpoints::tick), 1, 1, TimeUnit.SECONDS);
+    config.watch();
+    every(DISPATCH_MILLIS, () -> forwarder.tick(false));
+    every(SLOT_LEASE_MILLIS, leases::tick);
+    every(1_000, () -> forwarder.tick(true));
+    every(1_000, endpoints::tick);
     EventLogger.log(EntryEvent.STARTED, settings.instanceId(), port());
   }
 
@@ -140,7 +181,8 @@
   public CompletableFuture<Void> drain() {
     EventLogger.log(EntryEvent.DRAINING, settings.instanceId());
     drainState.begin();
-    return drainState.whenIdle();
+    every(DISPATCH_MILLIS, this::checkDrain);
+    return drainState.whenDrained();
   }
 
   /** Stops at once; {@link #drain} first for a planned stop. */
@@ -163,6 +205,8 @@
     made.setExecutor(threads);
     made.setFollowRedirects(false);
     made.setUserAgentField(null);
+    made.setConnectTimeout(CONNECT_TIMEOUT_MILLIS);
+    made.setIdleTimeout(0); // the pool closes idle connections; a run may take long
     return made;
   }
 
@@ -173,14 +217,38 @@
     InetSocketAddress address = Settings.socketAddress(entrySettings.httpAddress());
     made.setHost(address.getAddress().getHostAddress());
     made.setPort(address.getPort());
+    made.setIdleTimeout(CALLER_IDLE_MILLIS);
+    made.setShutdownIdleTimeout(CALLER_IDLE_MILLIS);
     return made;
   }
 
-  private static void guarded(Runnable task) {
-    try {
-      task.run();
-    } catch (RuntimeException e) {
-      EventLogger.log(EntryEvent.TASK_FAILED, e);
+  private void checkDrain() {
+    if (drainState.isLingerOver()) {
+      var unused = connector.shutdown();
     }
+    drainState.check(connector.getConnectedEndPoints().size(), batches.isIdle());
+  }
+
+  private void dispatchAll() {
+    forwarder.dispatchAll();
+  }
+
+  private Map<String, Integer> demands() {
+    return forwarder.slotDemands();
+  }
+
+  private void every(long periodMillis, Runnable task) {
+    var unused =
+        timer.scheduleWithFixedDelay(
+            () -> {
+              try {
+                task.run();
+              } catch (RuntimeException e) {
+                EventLogger.log(EntryEvent.TASK_FAILED, e);
+              }
+            },
+            periodMillis,
+            periodMillis,
+            TimeUnit.MILLISECONDS);
   }
 }
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/entry/EntryHandler.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/entry/EntryHandler.java
@@ -33,6 +33,7 @@
   private final DrainState drainState;
   private final PrometheusRegistry metrics;
   private final int maxRequestBytes;
+  private final ByteBudget bodies = new ByteBudget(Runtime.getRuntime().maxMemory() / 4);
 
   EntryHandler(
       Settings settings,
@@ -56,6 +57,8 @@
   public boolean handle(Request request, Response response, Callback callback) {
     drainState.requestStarted();
     Request.addCompletionListener(request, failure -> drainState.requestEnded());
+    // Waiting for control or a minion transfers nothing; deadlines end such requests instead.
+    request.addIdleTimeoutListener(timeout -> response.isCommitted());
     if (drainState.isDraining()) {
       response.getHeaders().put(HttpHeader.CONNECTION, "close");
     }
@@ -187,10 +190,17 @@
     }
   }
 
-  private static void body(
+  private void body(
       Request request, Response response, Callback done, int maxBytes, Consumer<byte[]> next) {
     BodyReader.read(
-        request, maxBytes, next, () -> tooLarge(response, done, maxBytes), done::failed);
+        request,
+        new BodyReader.Limits(maxBytes, bodies),
+        next,
+        () -> tooLarge(response, done, maxBytes),
+        () ->
+            Replies.error(
+                response, done, 429, "not-run", "no-memory", "too many request bodies wait"),
+        done::failed);
   }
 
   private void ready(Response response, Callback done) {
--- /dev/null
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/entry/FleetView.java
@@ -0,0 +1,90 @@
+package org.hickoryspar.node.entry;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.util.Iterator;
+import java.util.Map;
+import java.util.Optional;
+import org.hickoryspar.protocol.ConfigUpdate;
+import org.hickoryspar.protocol.FleetDelta;
+
+/**
+ * The part of the fleet document that an entry uses.
+ *
+ * @param version version of the document, 0 for none
+ * @param document the whole document
+ */
+record FleetView(long version, ObjectNode document) {
+
+  static final FleetView NONE = new FleetView(0, JsonNodeFactory.instance.objectNode());
+
+  boolean hasTeam(String team) {
+    return document.path("teams").has(team);
+  }
+
+  boolean hasService(String service) {
+    return document.path("services").has(service);
+  }
+
+  boolean isOut(String dataCentre) {
+    return document.path("dataCentres").path(dataCentre).path("out").asBoolean(false);
+  }
+
+  Optional<String> regionOf(String dataCentre) {
+    JsonNode region = document.path("dataCentres").path(dataCentre).path("region");
+    return region.isTextual() ? Optional.of(region.textValue()) : Optional.empty();
+  }
+
+  /**
+   * Returns the view after an update, or empty when deltas are missing in between.
+   *
+   * @throws IOException if a document is not a JSON object
+   */
+  Optional<FleetView> apply(ConfigUpdate update) throws IOException {
+    if (!update.getFullDocumentJson().isEmpty()) {
+      return Optional.of(
+          new FleetView(update.getVersion(), object(update.getFullDocumentJson().toByteArray())));
+    }
+    ObjectNode next = document.deepCopy();
+    long at = version;
+    for (FleetDelta delta : update.getDeltasList()) {
+      if (delta.getVersion() <= at) {
+        continue;
+      }
+      if (delta.getVersion() != at + 1) {
+        return Optional.empty();
+      }
+      merge(next, object(delta.getMergePatchJson().toByteArray()));
+      at = delta.getVersion();
+    }
+    return at == update.getVersion() ? Optional.of(new FleetView(at, next)) : Optional.empty();
+  }
+
+  private static ObjectNode object(byte[] json) throws IOException {
+    if (Replies.MAPPER.readTree(json) instanceof ObjectNode object) {
+      return object;
+    }
+    throw new IOException("the fleet document is not a JSON object");
+  }
+
+  /** Applies a merge patch (RFC 7396). */
+  private static void merge(ObjectNode target, ObjectNode patch) {
+    Iterator<Map.Entry<String, JsonNode>> members = patch.properties().iterator();
+    while (members.hasNext()) {
+      Map.Entry<String, JsonNode> member = members.next();
+      if (member.getValue().isNull()) {
+        target.remove(member.getKey());
+      } else if (member.getValue() instanceof ObjectNode inner) {
+        ObjectNode old =
+            target.get(member.getKey()) instanceof ObjectNode object
+                ? object
+                : target.putObject(member.getKey());
+        merge(old, inner);
+      } else {
+        target.set(member.getKey(), member.getValue());
+      }
+    }
+  }
+}
--- /dev/null
+++ b/hickoryspar-standins/src/test/java/org/hickoryspar/node/entry/RequestOutcomeTest.java
@@ -0,0 +1,136 @@
+package org.hickoryspar.node.entry;
+
+import static org.awaitility.Awaitility.await;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import org.hickoryspar.standins.minion.Faults;
+import org.hickoryspar.standins.minion.Minion;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+public class RequestOutcomeTest {
+
+  private static final Faults NONE = Faults.NONE;
+
+  /** Columns: fault, idempotent, deadline, status, outcome, least and most runs of the key. */
+  @DataProvider
+  Object[][] faults() {
+    Faults breaks = new Faults(false, true, 0, false, false, false, false, false, 0, 1_000);
+    Faults dies = new Faults(true, false, 0, false, false, false, false, false, 0, 1_000);
+    Faults late = new Faults(false, false, 2_500, false, false, false, false, false, 0, 0);
+    Faults twice = new Faults(false, false, 0, true, false, false, false, false, 0, 0);
+    Faults wrongId = new Faults(false, false, 0, false, true, false, false, false, 0, 0);
+    Faults never = new Faults(false, false, 0, false, false, true, false, false, 0, 0);
+    Faults refuses = new Faults(false, false, 0, false, false, false, true, false, 0, 0);
+    Faults fails = new Faults(false, false, 0, false, false, false, false, false, 500, 0);
+    Faults large = new Faults(false, false, 0, false, false, false, false, false, 0, 3_000_000);
+    return new Object[][] {
+      {"none", NONE, false, 20_000, 200, "answered", 1, 1},
+      {"none", NONE, true, 20_000, 200, "answered", 1, 1},
+      {"breaks half-way", breaks, false, 20_000, 504, "unknown", 1, 1},
+      {"breaks half-way", breaks, true, 20_000, 504, "unknown", 2, 3},
+      {"dies half-way", dies, false, 20_000, 504, "unknown", 1, 1},
+      {"late, in time", late, false, 20_000, 200, "answered", 1, 1},
+      {"late, too late", late, false, 1_000, 504, "unknown", 1, 1},
+      {"answers twice", twice, false, 20_000, 200, "answered", 1, 1},
+      {"wrong id", wrongId, false, 20_000, 504, "unknown", 1, 1},
+      {"wrong id", wrongId, true, 20_000, 504, "unknown", 2, 3},
+      {"never answers", never, false, 1_000, 504, "unknown", 1, 1},
+      {"refuses all", refuses, false, 20_000, 503, "not-run", 0, 0},
+      {"refuses all", refuses, true, 20_000, 503, "not-run", 0, 0},
+      {"fails", fails, false, 20_000, 500, "minion-failed", 1, 1},
+      {"large", large, false, 20_000, 200, "answered", 1, 1},
+    };
+  }
+
+  // -- serve
+
+  /** Guards against an outcome that is not what happened at the minion. */
+  @Test(dataProvider = "faults")
+  public void shouldGiveTheTrueOutcomeWhenTheMinionMisbehaves(
+      String name,
+      Faults fault,
+      boolean idempotent,
+      long deadlineMillis,
+      int status,
+      String outcome,
+      int leastRuns,
+      int mostRuns)
+      throws Exception {
+    try (Rig rig = new Rig()) {
+      EntryDaemon entry = rig.startEntry();
+      Minion minion = rig.startMinion(fault);
+      String key = Rig.newKey();
+      HttpResponse<byte[]> answer =
+          rig.call(entry, "north", idempotent).key(key).deadline(deadlineMillis).send().join();
+      assertEquals(Rig.outcome(answer), outcome, new String(answer.body(), StandardCharsets.UTF_8));
+      assertEquals(answer.statusCode(), status);
+      int runs = minion.runs().getOrDefault(key, 0);
+      assertTrue(runs >= leastRuns && runs <= mostRuns, "runs: " + runs);
+      if (fault.answerBytes() > 0 && status == 200) {
+        assertEquals(answer.body().length, fault.answerBytes());
+      } else if (status == 200) {
+        assertEquals(answer.body(), "wear".getBytes(StandardCharsets.UTF_8));
+      }
+      if (!idempotent) {
+        await().atMost(Rig.GENEROUS).until(() -> rig.control.outcome("north", key) != null);
+        assertEquals(Outcomes.name(rig.control.outcome("north", key).getKind()), outcome);
+      }
+    }
+  }
+
+  /** Guards against an answer of an earlier request that arrives late on a reused connection. */
+  @Test
+  public void shouldGiveEachCallerItsOwnAnswerWhenMinionsAnswerTwice() throws Exception {
+    try (Rig rig = new Rig()) {
+      EntryDaemon entry = rig.startEntry();
+      rig.startMinion(new Faults(false, false, 0, true, false, false, false, false, 0, 0));
+      for (int i = 0; i < 50; i++) {
+        byte[] body = ("request " + i).getBytes(StandardCharsets.UTF_8);
+        HttpResponse<byte[]> answer = rig.call(entry, "north", true).body(body).send().join();
+        if (answer.statusCode() == 200) {
+          assertEquals(answer.body(), body);
+        }
+      }
+    }
+  }
+
+  /** Guards against an idempotent request that is given up although another minion works. */
+  @Test
+  public void shouldAnswerWhenOneOfTwoMinionsRefuses() throws Exception {
+    try (Rig rig = new Rig()) {
+      EntryDaemon entry = rig.startEntry();
+      rig.startMinion(new Faults(false, false, 0, false, false, false, true, false, 0, 0));
+      Minion good = rig.startMinion("good", "brest-a", NONE);
+      await()
+          .atMost(Rig.GENEROUS)
+          .until(
+              () -> {
+                rig.call(entry, "north", true).send().join();
+                return !good.runs().isEmpty();
+              });
+      for (boolean idempotent : new boolean[] {true, false}) {
+        HttpResponse<byte[]> answer = rig.call(entry, "north", idempotent).send().join();
+        assertEquals(Rig.outcome(answer), "answered");
+      }
+    }
+  }
+
+  /** Guards against reuse of connections that stopped responding while new ones work. */
+  @Test
+  public void shouldRecoverWhenExistingConnectionsSwallowEverything() throws Exception {
+    try (Rig rig = new Rig()) {
+      EntryDaemon entry = rig.startEntry();
+      Minion minion = rig.startMinion(NONE);
+      assertEquals(rig.call(entry, "north", true).send().join().statusCode(), 200);
+      minion.setFaults(new Faults(false, false, 0, false, false, false, false, true, 0, 0));
+      HttpResponse<byte[]> first = rig.call(entry, "north", true).deadline(4_000).send().join();
+      assertEquals(Rig.outcome(first), "answered");
+      HttpResponse<byte[]> second = rig.call(entry, "north", false).send().join();
+      assertEquals(Rig.outcome(second), "answered");
+    }
+  }
+}
--- /dev/null
+++ b/hickoryspar-standins/src/test/java/org/hickoryspar/node/entry/Rig.java
@@ -0,0 +1,234 @@
+package org.hickoryspar.node.entry;
+
+import static org.awaitility.Awaitility.await;
+
+import com.google.common.hash.Hashing;
+import io.opentelemetry.api.OpenTelemetry;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.time.Clock;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ThreadLocalRandom;
+import org.hickoryspar.kernel.requests.IdempotencyKeys;
+import org.hickoryspar.node.settings.Settings;
+import org.hickoryspar.protocol.Envelope;
+import org.hickoryspar.standins.minion.Faults;
+import org.hickoryspar.standins.minion.Minion;
+import org.hickoryspar.standins.minion.MinionOptions;
+
+/** Entries, minions and callers on free loopback ports. */
+final class Rig implements AutoCloseable {
+
+  static final Duration GENEROUS = Duration.ofSeconds(30);
+
+  final FakeControl control = new FakeControl();
+  final HttpClient http = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+  private final int entryCount;
+  private final int queueLength;
+  private final List<EntryDaemon> entries = new ArrayList<>();
+  private final List<Minion> minions = new ArrayList<>();
+
+  Rig() {
+    this(1, 1_000);
+  }
+
+  Rig(int entryCount, int queueLength) {
+    this.entryCount = entryCount;
+    this.queueLength = queueLength;
+  }
+
+  EntryDaemon startEntry() throws IOException {
+    int index = entries.size();
+    EntryDaemon made =
+        new EntryDaemon(
+            settings("e" + index),
+            1_000 + index,
+            control,
+            new Peers("e" + index),
+            new PrometheusRegistry(),
+            OpenTelemetry.noop().getTracer("test"),
+            Clock.systemUTC(),
+            () -> System.nanoTime() / 1_000_000);
+    entries.add(made);
+    made.start();
+    return made;
+  }
+
+  private Settings settings(String id) {
+    List<Settings.InstanceSettings> instances = new ArrayList<>();
+    for (int i = 0; i < entryCount; i++) {
+      instances.add(
+          new Settings.InstanceSettings("e" + i, "brest-a", "finistere", "127.0.0.1:1", null));
+    }
+    return new Settings(
+        "test",
+        id,
+        "brest-a",
+        "finistere",
+        new Settings.EntrySettings("127.0.0.1:0", "127.0.0.1:1", queueLength, 1_000_000),
+        null,
+        instances,
+        List.of(
+            token("team", "north"),
+            token("team", "south"),
+            token("team", "nobody"),
+            token("operator", "olive"),
+            token("minion", "catalogue")),
+        null,
+        null);
+  }
+
+  private static Settings.TokenSettings token(String kind, String name) {
+    String hash = Hashing.sha256().hashString(kind + "-" + name, StandardCharsets.UTF_8).toString();
+    return new Settings.TokenSettings(kind, name, hash);
+  }
+
+  /** Starts a minion with faults and waits until every entry forwards to it. */
+  Minion startMinion(String id, String dataCentre, Faults faults) throws IOException {
+    List<String> addresses = entries.stream().map(e -> "127.0.0.1:" + e.port()).toList();
+    Minion made =
+        new Minion(
+            new MinionOptions(
+                id,
+                "catalogue",
+                dataCentre,
+                "127.0.0.1",
+                0,
+                addresses,
+                "minion-catalogue",
+                1,
+                20_000),
+            () -> {});
+    minions.add(made);
+    made.setFaults(faults);
+    made.start();
+    return made;
+  }
+
+  Minion startMinion(Faults faults) throws IOException {
+    Minion made = startMinion("m" + minions.size(), "brest-a", faults);
+    awaitServing(entries.get(0));
+    return made;
+  }
+
+  /** Waits until an entry has a configuration and a minion. */
+  void awaitServing(EntryDaemon entry) {
+    await()
+        .atMost(GENEROUS)
+        .until(
+            () -> {
+              // A malformed deadline is rejected only after the checks of token and path; the
+              // probe uses an expired deadline instead, so that nothing is ever run.
+              HttpResponse<byte[]> answer =
+                  call(entry, "south", true).key(null).deadline(1).send().join();
+              String body = new String(answer.body(), StandardCharsets.UTF_8);
+              return !body.contains("no-minion") && !body.contains("no-configuration-lease");
+            });
+  }
+
+  Call call(EntryDaemon entry, String team, boolean idempotent) {
+    return new Call(entry.port(), team, idempotent);
+  }
+
+  static String newKey() {
+    return newKey(System.currentTimeMillis());
+  }
+
+  static String newKey(long millis) {
+    ThreadLocalRandom random = ThreadLocalRandom.current();
+    return IdempotencyKeys.of(millis, random.nextLong(), random.nextLong()).toString();
+  }
+
+  static String outcome(HttpResponse<?> answer) {
+    return answer.headers().firstValue("Hickoryspar-Outcome").orElse("none");
+  }
+
+  @Override
+  public void close() {
+    entries.forEach(EntryDaemon::close);
+    minions.forEach(Minion::close);
+  }
+
+  /** A call to a service. */
+  final class Call {
+    private final int port;
+    private final String team;
+    private final boolean idempotent;
+    private String key = newKey();
+    private String service = "catalogue";
+    private byte[] body = "wear".getBytes(StandardCharsets.UTF_8);
+    private long deadlineMillis = 20_000;
+
+    private Call(int port, String team, boolean idempotent) {
+      this.port = port;
+      this.team = team;
+      this.idempotent = idempotent;
+    }
+
+    Call key(String newKey) {
+      key = newKey;
+      return this;
+    }
+
+    Call service(String newService) {
+      service = newService;
+      return this;
+    }
+
+    Call body(byte[] newBody) {
+      body = newBody;
+      return this;
+    }
+
+    Call deadline(long millis) {
+      deadlineMillis = millis;
+      return this;
+    }
+
+    HttpRequest.Builder request() {
+      HttpRequest.Builder request =
+          HttpRequest.newBuilder(
+                  URI.create("http://127.0.0.1:" + port + "/v1/services/" + service + "/requests"))
+              .header("Authorization", "Bearer team-" + team)
+              .header("Hickoryspar-Idempotent", String.valueOf(idempotent))
+              .header("Hickoryspar-Deadline-Millis", String.valueOf(deadlineMillis))
+              .POST(HttpRequest.BodyPublishers.ofByteArray(body));
+      return key == null ? request : request.header("Idempotency-Key", key);
+    }
+
+    CompletableFuture<HttpResponse<byte[]>> send() {
+      return http.sendAsync(request().build(), HttpResponse.BodyHandlers.ofByteArray());
+    }
+  }
+
+  private final class Peers implements PeerLink {
+    private final String self;
+
+    private Peers(String self) {
+      this.self = self;
+    }
+
+    @Override
+    public void broadcast(Envelope message) {
+      for (int i = 0; i < entries.size(); i++) {
+        send("e" + i, message);
+      }
+    }
+
+    @Override
+    public void send(String instanceId, Envelope message) {
+      int index = Integer.parseInt(instanceId.substring(1));
+      if (!instanceId.equals(self) && index < entries.size()) {
+        entries.get(index).receive(self, message);
+      }
+    }
+  }
+}
