Wire the request path, tracing and process metrics

Each claim gets an id of its own, and a batch stays below the largest command that a replica accepts (2 MiB; batches of 2 MiB plus framing were refused for good).

--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/daemon/ControlAssembly.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/daemon/ControlAssembly.java
@@ -25,6 +25,7 @@
 import org.hickoryspar.node.control.Proposer;
 import org.hickoryspar.node.control.ReplicatedLog;
 import org.hickoryspar.node.control.SchedulingLoop;
+import org.hickoryspar.node.observability.ProcessMetrics;
 import org.hickoryspar.node.platform.HttpPlatform;
 import org.hickoryspar.node.replication.ReplicaDriver;
 import org.hickoryspar.node.settings.Settings;
@@ -78,6 +79,7 @@
             () -> UUID.randomUUID().toString());
     stateMachine.addListener(services::applied);
     PrometheusRegistry registry = new PrometheusRegistry();
+    ProcessMetrics.register(registry);
     daemon =
         new ControlDaemon(
             settings,
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/daemon/EntryAssembly.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/daemon/EntryAssembly.java
@@ -3,7 +3,6 @@
 import static java.util.Objects.requireNonNull;
 
 import com.google.common.io.Closer;
-import io.opentelemetry.api.OpenTelemetry;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -17,6 +16,8 @@
 import org.hickoryspar.node.entry.ControlClient;
 import org.hickoryspar.node.entry.EntryDaemon;
 import org.hickoryspar.node.entry.PeerNetwork;
+import org.hickoryspar.node.observability.ProcessMetrics;
+import org.hickoryspar.node.observability.Tracing;
 import org.hickoryspar.node.settings.Settings;
 import org.hickoryspar.node.transport.PeerConnection;
 import org.hickoryspar.node.transport.PeerHandler;
@@ -34,6 +35,10 @@
   private EntryAssembly(Settings settings) throws IOException {
     Settings.EntrySettings entry =
         requireNonNull(settings.entry(), "the settings have no entry section");
+    Tracing tracing = Tracing.start(settings, "entry");
+    closer.register(tracing::close);
+    PrometheusRegistry registry = new PrometheusRegistry();
+    ProcessMetrics.register(registry);
     ProcessResources process = closer.register(new ProcessResources(settings));
     List<PeerConnection> controls = new ArrayList<>();
     List<PeerConnection> entries = new ArrayList<>();
@@ -50,10 +55,11 @@
     daemon =
         new EntryDaemon(
             settings,
+            process.identity().processIncarnation(),
             new ControlClient(controls, ProcessResources::monotonicMillis),
             new PeerNetwork(entries),
-            new PrometheusRegistry(),
-            OpenTelemetry.noop().getTracer("hickoryspar"),
+            registry,
+            tracing.tracer(),
             Clock.systemUTC(),
             ProcessResources::monotonicMillis);
     PeerServer server =
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/entry/Batches.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/entry/Batches.java
@@ -2,6 +2,7 @@
 
 import com.google.protobuf.ByteString;
 import java.util.List;
+import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -20,8 +21,8 @@
 /** Claims keys and records outcomes, one batch of each in flight at a time. */
 final class Batches {
 
-  /** Half of the largest frame (4 MiB), because items are measured without their framing. */
-  private static final long MAX_BATCH_BYTES = 2 << 20;
+  /** Half of the largest command that a replica accepts (2 MiB); leaves room for the framing. */
+  private static final long MAX_BATCH_BYTES = 1 << 20;
 
   private static final int MAX_BATCH_ITEMS = 1_000;
 
@@ -67,6 +68,7 @@
             .setTeam(team)
             .setKey(key)
             .setFingerprint(ByteString.copyFrom(fingerprint))
+            .setClaimId(UUID.randomUUID().toString())
             .build();
     claims.add(new PendingClaim(claim, onResult), claim.getSerializedSize());
     sendClaims();
