--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/control/JobService.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/control/JobService.java
@@ -166,6 +166,7 @@
             .put("team", job.getSpec().getTeam())
             .put("kind", job.getSpec().getKind())
             .put("phase", job.getPhase().name().toLowerCase(Locale.ROOT))
+            .put("tasks", job.getSpec().getTasks())
             .put("attempt", job.getAttempt())
             .put("result", job.getResult())
             .put("detail", job.getDetail())
--- /dev/null
+++ b/hickoryspar-standins/src/test/java/org/hickoryspar/standins/scenario/JobSteps.java
@@ -0,0 +1,325 @@
+package org.hickoryspar.standins.scenario;
+
+import static org.awaitility.Awaitility.await;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.cucumber.java.en.Given;
+import io.cucumber.java.en.Then;
+import io.cucumber.java.en.When;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.locks.LockSupport;
+import org.hickoryspar.standins.scenario.TestCluster.Answer;
+
+/** Steps that submit jobs and read from the stand-in platform what really ran. */
+public class JobSteps {
+
+  private static final Duration LIMIT = Duration.ofSeconds(90);
+  private static final long NANOS_PER_MILLI = 1_000_000;
+
+  private final ScenarioContext context;
+  private final ClusterSteps clusterSteps;
+  private final List<String> jobs = new ArrayList<>();
+  private final Map<String, Answer> cancellations = new LinkedHashMap<>();
+  private long outMillis;
+  private long backMillis;
+
+  /** Creates the steps of one scenario. */
+  public JobSteps(ScenarioContext context, ClusterSteps clusterSteps) {
+    this.context = context;
+    this.clusterSteps = clusterSteps;
+  }
+
+  @When("a gang of {int} tasks on one {word} for {int} s is submitted")
+  public void submitGang(int tasks, String adjacency, int seconds) {
+    jobs.add(submit("plates", TestCluster.TEAM_TOKEN, tasks, adjacency, seconds, false));
+  }
+
+  @When("{int} jobs of 1 accelerator for {int} s are submitted")
+  public void submitJobs(int count, int seconds) {
+    for (int i = 0; i < count; i++) {
+      jobs.add(submit("plates", TestCluster.TEAM_TOKEN, 1, "none", seconds, true));
+    }
+  }
+
+  /** Sends the submission again with the same key until it is answered. */
+  private String submit(
+      String team, String token, int tasks, String adjacency, int seconds, boolean preemptible) {
+    ObjectNode job =
+        TestCluster.JSON
+            .createObjectNode()
+            .put("name", "job")
+            .put("kind", "reconstruction")
+            .put("tasks", tasks)
+            .put("adjacency", adjacency)
+            .put("declaredRunSeconds", seconds)
+            .put("preemptible", preemptible);
+    job.putObject("perTask").put("cores", 1).put("memoryMegabytes", 100).put("accelerators", 1);
+    String key = Keys.newKey();
+    Answer[] answer = new Answer[1];
+    await()
+        .atMost(LIMIT)
+        .until(
+            () -> {
+              answer[0] =
+                  context
+                      .cluster()
+                      .call("e1", "POST", "/v1/jobs", token, "" + job, "Idempotency-Key", key);
+              return answer[0].status() == 200;
+            });
+    return answer[0].json().path("id").asText();
+  }
+
+  @When("{int} ms later the leader is {word}")
+  public void loseLeaderLater(int millis, String how) throws Exception {
+    LockSupport.parkNanos(millis * NANOS_PER_MILLI);
+    clusterSteps.loseLeader(how);
+  }
+
+  @Then("the job ends as {word}")
+  public void checkEnd(String result) {
+    await().atMost(LIMIT).until(() -> job(jobs.get(0)).path("result").asText().equals(result));
+  }
+
+  @Then("all jobs end as {word}")
+  public void checkEnds(String result) {
+    for (String id : jobs) {
+      await().atMost(LIMIT).until(() -> job(id).path("result").asText().equals(result));
+    }
+  }
+
+  @Given("worker {word} fails every task")
+  public void failTasks(String worker) {
+    setFaults("failTasksOn", worker);
+  }
+
+  @When("the gang runs")
+  public void awaitRunning() {
+    await().atMost(LIMIT).until(() -> job(jobs.get(0)).path("phase").asText().equals("running"));
+  }
+
+  @When("its worker goes silent")
+  public void silenceWorker() {
+    setFaults("silentWorkers", job(jobs.get(0)).path("workers").path(0).asText());
+  }
+
+  @Then("the gang runs on other workers")
+  public void awaitOtherWorkers() {
+    await()
+        .atMost(LIMIT)
+        .until(
+            () -> {
+              JsonNode job = job(jobs.get(0));
+              return job.path("attempt").asInt() > 1
+                  && job.path("phase").asText().equals("running");
+            });
+  }
+
+  @When("jobs are submitted for {int} s and data centre {word} is taken out after {int} s")
+  public void submitWhileOut(int seconds, String dataCentre, int outAfterSeconds) {
+    long startMillis = nowMillis();
+    boolean out = false;
+    while (nowMillis() - startMillis < seconds * 1000L) {
+      jobs.add(submit("plates", TestCluster.TEAM_TOKEN, 1, "none", 1, true));
+      if (!out && nowMillis() - startMillis > outAfterSeconds * 1000L) {
+        changeDataCentre(dataCentre, "out");
+        outMillis = nowMillis();
+        out = true;
+      }
+    }
+  }
+
+  private void changeDataCentre(String dataCentre, String direction) {
+    String body =
+        TestCluster.JSON
+            .createObjectNode()
+            .put("changeId", dataCentre + direction)
+            .put("reason", "cooling")
+            .toString();
+    String path = "/v1/data-centres/" + dataCentre + "/" + direction;
+    Answer answer = context.cluster().call("e2", "POST", path, "maela-token", body);
+    assertEquals(answer.status(), 200, answer.toString());
+  }
+
+  @Then("nothing started in {word} later than {int} s after the answer")
+  public void checkNoStart(String dataCentre, int seconds) throws IOException {
+    int before = 0;
+    for (JsonNode row : context.cluster().platformHistory()) {
+      if (row.path("dataCentre").asText().equals(dataCentre)) {
+        long lateMillis = row.path("startedMillis").asLong() - outMillis;
+        assertTrue(lateMillis <= seconds * 1000L, "late start: " + row);
+        before++;
+      }
+    }
+    assertTrue(before > 0, "no job ever started in " + dataCentre);
+  }
+
+  @When("data centre {word} is taken in")
+  public void takeIn(String dataCentre) {
+    changeDataCentre(dataCentre, "in");
+    backMillis = nowMillis();
+  }
+
+  @Then("jobs start in {word} again")
+  public void checkStartsAgain(String dataCentre) {
+    await()
+        .atMost(LIMIT)
+        .until(
+            () -> {
+              submitJobs(1, 1);
+              for (JsonNode row : context.cluster().platformHistory()) {
+                if (row.path("dataCentre").asText().equals(dataCentre)
+                    && row.path("startedMillis").asLong() > backMillis) {
+                  return true;
+                }
+              }
+              return false;
+            });
+  }
+
+  @When("{int} gangs of {int} tasks for {int} s are submitted and all are cancelled at once")
+  public void cancelWave(int count, int tasks, int seconds) {
+    for (int i = 0; i < count; i++) {
+      jobs.add(submit("plates", TestCluster.TEAM_TOKEN, tasks, "none", seconds, true));
+    }
+    Map<String, CompletableFuture<Answer>> calls = new LinkedHashMap<>();
+    for (String id : jobs) {
+      calls.put(
+          id,
+          CompletableFuture.supplyAsync(
+              () ->
+                  context
+                      .cluster()
+                      .call("e2", "DELETE", "/v1/jobs/" + id, TestCluster.TEAM_TOKEN, "")));
+    }
+    calls.forEach((id, call) -> cancellations.put(id, call.join()));
+  }
+
+  @Then("each cancellation was answered truthfully")
+  public void checkCancellations() {
+    for (Map.Entry<String, Answer> cancellation : cancellations.entrySet()) {
+      assertEquals(cancellation.getValue().status(), 200, cancellation.toString());
+      await()
+          .atMost(LIMIT)
+          .until(() -> job(cancellation.getKey()).path("result").asText().equals("cancelled"));
+    }
+  }
+
+  @Then("no task runs any more")
+  public void checkNothingRuns() {
+    await()
+        .atMost(LIMIT)
+        .until(
+            () -> {
+              for (JsonNode row : context.cluster().platformHistory()) {
+                if (List.of("prepared", "running").contains(row.path("state").asText())) {
+                  return false;
+                }
+              }
+              return true;
+            });
+  }
+
+  @When("team {word} fills the fleet with preemptible work")
+  public void fill(String team) {
+    List<String> fillers = new ArrayList<>();
+    for (int i = 0; i < 4; i++) {
+      fillers.add(submit(team, team + "-token", 4, "worker", 300, true));
+    }
+    await()
+        .atMost(LIMIT)
+        .until(
+            () -> {
+              int running = 0;
+              for (JsonNode row : context.cluster().platformHistory()) {
+                running += row.path("state").asText().equals("running") ? 1 : 0;
+              }
+              return running == 4 * fillers.size();
+            });
+  }
+
+  /** Compares the run times of the members of each attempt, as the platform recorded them. */
+  @Then("no part of a gang ran without the rest for more than {int} s")
+  public void checkWhole(int seconds) throws IOException {
+    for (List<JsonNode> gang : attempts().values()) {
+      int size = job(gang.get(0).path("jobId").asText()).path("tasks").asInt(gang.size());
+      long allStarted = Long.MIN_VALUE;
+      long firstStarted = Long.MAX_VALUE;
+      long firstEnded = Long.MAX_VALUE;
+      long lastEnded = Long.MIN_VALUE;
+      int started = 0;
+      for (JsonNode row : gang) {
+        if (row.path("startedMillis").asLong() >= 0) {
+          started++;
+          firstStarted = Math.min(firstStarted, row.path("startedMillis").asLong());
+          allStarted = Math.max(allStarted, row.path("startedMillis").asLong());
+          firstEnded = Math.min(firstEnded, endMillis(row));
+          lastEnded = Math.max(lastEnded, endMillis(row));
+        }
+      }
+      if (started > 0) {
+        long alone = started < size ? lastEnded - firstStarted : allStarted - firstStarted;
+        assertTrue(alone <= seconds * 1000L, "part of a gang ran " + alone + " ms: " + gang);
+        assertTrue(lastEnded - firstEnded <= seconds * 1000L, "ends apart: " + gang);
+      }
+    }
+  }
+
+  @Then("no task of the job ran twice at the same time")
+  public void checkOneAttemptAtATime() throws IOException {
+    long previousEnd = Long.MIN_VALUE;
+    for (List<JsonNode> gang : attempts().values()) {
+      long start = Long.MAX_VALUE;
+      long end = previousEnd;
+      for (JsonNode row : gang) {
+        if (row.path("startedMillis").asLong() >= 0) {
+          start = Math.min(start, row.path("startedMillis").asLong());
+          end = Math.max(end, endMillis(row));
+        }
+      }
+      assertTrue(start >= previousEnd, "attempts overlap: " + attempts());
+      previousEnd = end;
+    }
+  }
+
+  private static long endMillis(JsonNode row) {
+    long endMillis = row.path("endedMillis").asLong();
+    return endMillis < 0 ? nowMillis() : endMillis;
+  }
+
+  private Map<String, List<JsonNode>> attempts() throws IOException {
+    Map<String, List<JsonNode>> byAttempt = new LinkedHashMap<>();
+    for (JsonNode row : context.cluster().platformHistory()) {
+      String lease = row.path("leaseId").asText();
+      if (jobs.contains(row.path("jobId").asText())) {
+        byAttempt
+            .computeIfAbsent(lease.substring(0, lease.lastIndexOf('-')), k -> new ArrayList<>())
+            .add(row);
+      }
+    }
+    return byAttempt;
+  }
+
+  private JsonNode job(String id) {
+    return context.cluster().call("e2", "GET", "/v1/jobs/" + id, TestCluster.TEAM_TOKEN, "").json();
+  }
+
+  private void setFaults(String fault, String worker) {
+    ObjectNode faults = TestCluster.JSON.createObjectNode();
+    faults.putArray(fault).add(worker);
+    context.cluster().call("platform", "POST", "/faults", "", faults.toString());
+  }
+
+  /** The stand-in platform uses the same monotonic clock of the machine. */
+  private static long nowMillis() {
+    return System.nanoTime() / NANOS_PER_MILLI;
+  }
+}
