Add guides, README and a class-data archive

README, glossary and guides for operators and for the HTTP interface were missing, and a daemon held about 99 MB of resident memory, most of it private.

README leads from what it is to the two commands and a first job. docs/operators.md documents settings, commands, exit codes, the fleet document and incidents with the reasons; a test requires a row for each exit code. The launcher sets a young generation of 2 MB. bin/make-archive makes a class-data archive from a run of the quickstart's cluster. It is mapped at its fixed address: the JVM (17.0.15) relocates archives by default, which copies their pages into private memory.

--- a/bin/launch.sh
+++ b/bin/launch.sh
@@ -3,7 +3,7 @@
 # Builds the class path when it is missing. $1: root of the project.
 hickoryspar_build_if_missing() {
   if [ ! -d "$1/hickoryspar-bench/target/lib" ]; then
-    echo "hickoryspar: building first; this needs Maven and takes about a minute" >&2
+    echo "hickoryspar: building first; this needs Maven and takes a minute or more" >&2
     (cd "$1" && mvn -B -q -DskipTests package) >&2
   fi
 }
@@ -16,19 +16,37 @@
   printf '%s' "${jars%:}"
 }
 
+# Prints the path of the class-data archive. $1: root.
+hickoryspar_archive() { printf '%s/hickoryspar-bench/target/hickoryspar.jsa' "$1"; }
+
+# Returns whether there is a class-data archive that is newer than every jar. $1: root.
+hickoryspar_archive_is_current() {
+  local archive
+  archive=$(hickoryspar_archive "$1")
+  [ -f "$archive" ] &&
+    [ -z "$(find "$1/hickoryspar-bench/target/lib" -name '*.jar' -newer "$archive" -print -quit)" ]
+}
+
 # Replaces the shell by a JVM. $1: root, $2: main class, others: arguments.
-# The flags keep a daemon small: one collector thread, one compiler tier (C1), little code cache and
-# short stacks. A daemon runs for months on little work, so peak speed matters less than memory.
+# The flags keep a daemon small: one collector thread, one compiler tier (C1), little code cache,
+# short stacks and a young generation of 2 MB. A daemon runs for months on little work, so peak
+# speed matters less than memory.
 hickoryspar_run() {
-  local home="$1" main="$2" heap="-Xmx64m"
+  local home="$1" main="$2" heap=64m archive=()
   shift 2
   hickoryspar_build_if_missing "$home"
   case "${1:-}" in
-    entry) heap="-Xms4m -Xmx24m" ;;
-    control) heap="-Xms4m -Xmx48m" ;;
+    entry) heap=24m ;;
+    control) heap=48m ;;
   esac
+  # A relocated archive is copied into private memory, which costs more than it saves.
+  if hickoryspar_archive_is_current "$home"; then
+    archive=(-XX:+UnlockDiagnosticVMOptions -XX:ArchiveRelocationMode=0
+      "-XX:SharedArchiveFile=$(hickoryspar_archive "$home")")
+  fi
   # shellcheck disable=SC2086
   exec java -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xss256k -XX:ReservedCodeCacheSize=16m \
-    $heap -Xshare:auto -XX:-UsePerfData -Dslf4j.internal.verbosity=ERROR -XX:+ExitOnOutOfMemoryError \
-    ${HICKORYSPAR_JAVA_OPTIONS:-} -cp "$(hickoryspar_class_path "$home")" "$main" "$@"
+    -Xms4m -Xmn2m -Xmx$heap -Xshare:auto "${archive[@]}" -XX:-UsePerfData \
+    -Dslf4j.internal.verbosity=ERROR -XX:+ExitOnOutOfMemoryError ${HICKORYSPAR_JAVA_OPTIONS:-} \
+    -cp "$(hickoryspar_class_path "$home")" "$main" "$@"
 }
--- a/hickoryspar-node/src/test/java/org/hickoryspar/node/cli/MainTest.java
+++ b/hickoryspar-node/src/test/java/org/hickoryspar/node/cli/MainTest.java
@@ -151,6 +151,16 @@
     assertEquals(numbers, ExitCode.values().length);
   }
 
+  /** Guards against an exit code that scripts cannot look up. */
+  @Test
+  public void shouldDocumentEveryExitCode() throws Exception {
+    String guide = Files.readString(Path.of("..", "docs", "operators.md"));
+
+    for (ExitCode code : ExitCode.values()) {
+      assertTrue(guide.contains("\n| " + code.number() + " | "), code.name());
+    }
+  }
+
   // ------------------------------------------------------------- requests
 
   /** Guards against a change that loses its base version, reason, identifier or token. */
