Settle which job uses which guarantee, also after a change of leader

Gangs recovered before their workers could not be matched to guarantees.

A job now takes the guarantee that exceeds it least. Guarantees are matched to recovered gangs at the first decision, when all are known. A change of quotas or weights alone no longer ends claims. An urgent job takes over a guarantee that batch work of its own team uses. A job that could not start on a worker is tried on others first. The explanation of a running job says whether it uses a guarantee, which lets the test count exactly what is taken.

--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/scheduling/Explainer.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/scheduling/Explainer.java
@@ -24,9 +24,14 @@
     if (gang != null) {
       String where =
           String.join(", ", state.fleet().names(gang.workers()).stream().distinct().toList());
-      return gang.isStopping()
-          ? "Job " + jobId + " is being stopped on " + where + " and then waits again."
-          : "Job " + jobId + " does not wait: it was placed on " + where + ".";
+      if (gang.isStopping()) {
+        return "Job " + jobId + " is being stopped on " + where + " and then waits again.";
+      }
+      return "Job "
+          + jobId
+          + " does not wait: it was placed on "
+          + where
+          + (gang.slot() == null ? "." : " under a guarantee of its team.");
     }
     Claim claim = state.claims().get(jobId);
     if (claim != null) {
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/scheduling/FaultTracker.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/scheduling/FaultTracker.java
@@ -47,6 +47,7 @@
 
   private static final class JobRecord {
     private final Set<String> healthyWorkers = new LinkedHashSet<>();
+    private final Set<String> avoided = new LinkedHashSet<>();
     private int failures;
   }
 
@@ -85,10 +86,12 @@
     return jobs.containsKey(jobId);
   }
 
-  /** Returns the healthy workers on which a job failed, so that it is tried on others. */
+  /**
+   * Returns the workers on which a job failed or could not start, so that it is tried on others.
+   */
   Set<String> failedOn(String jobId) {
     JobRecord known = jobs.get(jobId);
-    return known == null ? Set.of() : known.healthyWorkers;
+    return known == null ? Set.of() : known.avoided;
   }
 
   /** Returns why a job must be ended, or null if it may be tried again. */
@@ -145,6 +148,10 @@
         }
       }
     }
+    if (reason == EndReason.UNDONE && !faulty.isEmpty()) {
+      // A lost worker or a refused start says nothing about the job; other workers are tried first.
+      jobs.computeIfAbsent(jobId, id -> new JobRecord()).avoided.addAll(faulty);
+    }
     if (reason == EndReason.TASK_FAILED) {
       boolean fast = nowMillis - gang.startedMillis() <= FAST_MILLIS;
       failed(jobId, new LinkedHashSet<>(faulty), fast, nowMillis, changed);
@@ -156,6 +163,7 @@
       String jobId, Set<String> faulty, boolean fast, long nowMillis, List<String> changed) {
     JobRecord job = jobs.computeIfAbsent(jobId, id -> new JobRecord());
     job.failures++;
+    job.avoided.addAll(faulty);
     for (String worker : faulty) {
       WorkerRecord known = record(worker);
       if (known.phase == Phase.WATCHED) {
@@ -214,7 +222,7 @@
 
   /** Clears a job that is ended as faulty from the records of the workers it failed on. */
   void blameJob(String jobId) {
-    for (String worker : failedOn(jobId)) {
+    for (String worker : Set.copyOf(failedOn(jobId))) {
       WorkerRecord known = workers.get(worker);
       if (known != null) {
         known.fastFailures.remove(jobId);
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/scheduling/GuaranteeKeeper.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/scheduling/GuaranteeKeeper.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.jspecify.annotations.Nullable;
 
 /** Keeps the plan of the guarantees valid, and restores it when capacity has left. */
 final class GuaranteeKeeper {
@@ -60,8 +61,11 @@
 
   /** Lets a running gang use a guarantee of its team that it matches and that nobody uses. */
   void adopt(Gang gang) {
-    for (GuaranteeSlot slot : plan.slotsOf(gang.job().team())) {
-      if (slot.isIdle() && adopt(gang, slot)) {
+    List<GuaranteeSlot> matching = new ArrayList<>(plan.slotsOf(gang.job().team()));
+    matching.removeIf(slot -> !slot.isIdle() || !slot.matches(gang.job()));
+    matching.sort(Comparator.comparingLong(slot -> slot.excess(gang.job())));
+    for (GuaranteeSlot slot : matching) {
+      if (adopt(gang, slot)) {
         return;
       }
     }
@@ -262,6 +266,31 @@
     return false;
   }
 
+  /**
+   * Preempts batch work of the team that uses a guarantee which an urgent job asks for.
+   *
+   * @return the guarantee, or null if no batch work uses one that matches
+   */
+  @Nullable GuaranteeSlot takeOver(JobRequest job, List<Decision> decisions) {
+    for (GuaranteeSlot slot : plan.slotsOf(job.team())) {
+      Gang gang = slot.holder() == null ? null : state.gangs().get(slot.holder());
+      if (gang != null
+          && gang.job().preemptible()
+          && !gang.job().urgent()
+          && !gang.isStopping()
+          && slot.matches(job)
+          && Arrays.stream(gang.workers()).allMatch(state.fleet().reclaimable()::isUsable)) {
+        slot.setHolder(null);
+        state.setSlot(gang, null);
+        gang.stop();
+        String reason = "Preempted to start urgent work of its own team " + job.team() + ".";
+        decisions.add(new Decision.Preempt(gang.job().jobId(), job.jobId(), reason));
+        return slot;
+      }
+    }
+    return null;
+  }
+
   private void stop(Gang gang, GuaranteeSlot slot, List<Decision> decisions) {
     GuaranteeSlot used = gang.slot();
     if (used != null) {
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/scheduling/GuaranteeScheduler.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/scheduling/GuaranteeScheduler.java
@@ -3,14 +3,15 @@
 import static java.util.Objects.requireNonNull;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
 import java.util.TreeMap;
 import org.hickoryspar.kernel.value.Result;
-import org.jspecify.annotations.Nullable;
 
 /**
  * Places whole gangs within quotas so that all guarantees of all teams stay formable at once.
@@ -39,7 +40,8 @@
   private final Explainer explainer;
   private final Set<String> unchecked = new LinkedHashSet<>();
   private final Set<String> interrupted = new HashSet<>();
-  private @Nullable List<TeamPolicy> teams;
+  private List<TeamPolicy> teams = List.of();
+  private boolean recovered;
   private long nowMillis;
 
   /**
@@ -78,16 +80,30 @@
     placer.setPolicy(
         placementPolicies.getOrDefault(
             config.placementPolicy(), new PlacementPolicy.Fragmentation()));
-    if (!config.teams().equals(teams)) {
-      teams = config.teams();
-      state.teams().values().forEach(team -> team.setPolicy(null));
-      config.teams().forEach(policy -> state.team(policy.team()).setPolicy(policy));
-      for (Claim claim : List.copyOf(state.claims().values())) {
+    boolean sameGuarantees = guarantees(config.teams()).equals(guarantees(teams));
+    teams = config.teams();
+    state.teams().values().forEach(team -> team.setPolicy(null));
+    config.teams().forEach(policy -> state.team(policy.team()).setPolicy(policy));
+    if (!sameGuarantees) {
+      defineGuarantees();
+    }
+    state.changed();
+  }
+
+  private static Map<String, List<GangShape>> guarantees(List<TeamPolicy> policies) {
+    Map<String, List<GangShape>> shapes = new HashMap<>();
+    policies.forEach(policy -> shapes.put(policy.team(), policy.guarantees()));
+    return shapes;
+  }
+
+  private void defineGuarantees() {
+    for (Claim claim : List.copyOf(state.claims().values())) {
+      if (claim.slot() != null) {
         claims.cancel(claim, true);
       }
-      keeper.define(config.teams());
     }
-    state.changed();
+    keeper.define(teams);
+    recovered = false;
   }
 
   @Override
@@ -165,7 +181,8 @@
       gang.stop();
     }
     state.start(gang);
-    keeper.adopt(gang);
+    // Which gang uses which guarantee is decided once all gangs and workers are known.
+    recovered = true;
     for (int worker : workers) {
       plan.dropBroken(worker);
     }
@@ -215,6 +232,9 @@
     if (ramp.tick(nowMillis)) {
       state.changed();
     }
+    if (recovered) {
+      defineGuarantees();
+    }
     keeper.restore(nowMillis, decisions);
     rejectHopeless(decisions);
     claims.startReady(nowMillis, decisions);
@@ -283,6 +303,9 @@
 
   @Override
   public List<GuaranteeReport> guarantees() {
+    if (recovered) {
+      defineGuarantees();
+    }
     keeper.restorePlan(nowMillis);
     return reports.reports(nowMillis);
   }
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/scheduling/GuaranteeSlot.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/scheduling/GuaranteeSlot.java
@@ -64,4 +64,14 @@
         && asked.perTask().accelerators() == shape.perTask().accelerators()
         && asked.perTask().fitsIn(shape.perTask());
   }
+
+  /** Returns how much more the guarantee gives than a matching job asks for; 0 if it is equal. */
+  long excess(JobRequest job) {
+    GangShape asked = job.shape();
+    long stricter = asked.adjacency() == shape.adjacency() ? 0 : 1;
+    long cores = (long) shape.perTask().cores() - asked.perTask().cores();
+    long memory = (long) shape.perTask().memoryMegabytes() - asked.perTask().memoryMegabytes();
+    // Adjacency is the scarcest, then cores; a gigabyte weighs a quarter of a core.
+    return (stricter << 52) + (cores << 16) + memory * 16;
+  }
 }
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/scheduling/Placer.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/scheduling/Placer.java
@@ -81,6 +81,9 @@
         return true;
       }
     }
+    if (slot == null && job.urgent() && !quota) {
+      return takeOver(job, nowMillis, decisions);
+    }
     if (!quota || !(job.preemptible() || team.hasQuotaForFixed(total))) {
       return false;
     }
@@ -110,18 +113,28 @@
     return false;
   }
 
+  private boolean takeOver(JobRequest job, long nowMillis, List<Decision> decisions) {
+    GuaranteeSlot taken = keeper.takeOver(job, decisions);
+    return taken != null
+        && claims.reclaim(job, taken, restrictions.guaranteed(job), nowMillis, decisions);
+  }
+
   private IntPredicate urgentRoom(JobRequest job, IntPredicate allowed) {
     return job.preemptible() ? allowed : worker -> allowed.test(worker) && !keeper.isKept(worker);
   }
 
-  /** Returns a guarantee that the job may take, or null. */
+  /** Returns the guarantee that the job may take and that exceeds it least, or null. */
   @Nullable GuaranteeSlot idleSlot(JobRequest job) {
+    GuaranteeSlot best = null;
     for (GuaranteeSlot slot : plan.slotsOf(job.team())) {
-      if (slot.isIdle() && slot.plan() != null && slot.matches(job)) {
-        return slot;
+      if (slot.isIdle()
+          && slot.plan() != null
+          && slot.matches(job)
+          && (best == null || slot.excess(job) < best.excess(job))) {
+        best = slot;
       }
     }
-    return null;
+    return best;
   }
 
   private boolean startUnder(
