--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/replication/ReplicaCore.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/replication/ReplicaCore.java
@@ -389,6 +389,12 @@
       rejectNotLeader(requestId);
     } else if (context.id().equals(removed)) {
       context.reject(requestId, "unavailable", "the leader cannot be removed; transfer it first");
+    } else if (added != null && otherVoterOfInstance(added, removed).isPresent()) {
+      // Its messages would reach the new replica and be dropped: a voter that can never answer.
+      context.reject(
+          requestId,
+          "instance-has-voter",
+          "expected " + otherVoterOfInstance(added, removed).get() + " to be replaced or removed");
     } else {
       long limit = ReplicaOptions.nanos(context.options().membershipTimeoutMillis());
       leading.changeMembership(
@@ -397,6 +403,14 @@
     }
   }
 
+  private Optional<String> otherVoterOfInstance(String added, @Nullable String removed) {
+    String prefix = added.substring(0, added.lastIndexOf('/') + 1);
+    return context.log().membership().getVotersList().stream()
+        .filter(v -> !prefix.isEmpty() && v.startsWith(prefix))
+        .filter(v -> !v.equals(added) && !v.equals(removed))
+        .findFirst();
+  }
+
   private void rejectNotLeader(long requestId) {
     context.reject(
         requestId, "not-leader", leaderId.isEmpty() ? "no leader is known" : leaderId + " leads");
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/replication/ReplicaDriver.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/replication/ReplicaDriver.java
@@ -161,6 +161,12 @@
   public CompletableFuture<Result<String>> addVoter(String newReplica, Optional<String> replaces) {
     requireNonNull(newReplica, "newReplica is null");
     requireNonNull(replaces, "replaces is null");
+    if (newReplica.indexOf('/') < 1 || replaces.equals(Optional.of(newReplica))) {
+      return CompletableFuture.completedFuture(
+          Result.failure(
+              "bad-replica-id",
+              "expected INSTANCE/INCARNATION that differs from the old id, found " + newReplica));
+    }
     long id = pending.nextId();
     CompletableFuture<Result<String>> future = pending.addChange(id);
     coreEvent(new ReplicaEvent.AddVoter(id, newReplica, replaces));
--- a/hickoryspar-node/src/test/java/org/hickoryspar/node/replication/ReplicaDriverTest.java
+++ b/hickoryspar-node/src/test/java/org/hickoryspar/node/replication/ReplicaDriverTest.java
@@ -16,6 +16,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import org.hickoryspar.kernel.value.Problem;
 import org.hickoryspar.kernel.value.Result;
 import org.hickoryspar.node.replication.LocalCluster.Node;
 import org.hickoryspar.node.storage.FaultyFileOperations;
@@ -182,6 +183,8 @@
     Node fresh = cluster.start(lost.instance);
     assertFalse(fresh.replicaId.equals(lost.replicaId));
     assertEquals(fresh.status().role(), "learner");
+    Result<String> forgotten = leader.driver.addVoter(fresh.replicaId, Optional.empty()).join();
+    assertEquals(forgotten.fold(Problem::code, d -> d), "instance-has-voter");
     Result<String> added =
         leader.driver.addVoter(fresh.replicaId, Optional.of(lost.replicaId)).join();
     assertTrue(added.isSuccess(), added.toString());
