--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/entry/EntryDaemon.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/entry/EntryDaemon.java
@@ -49,6 +49,8 @@
   private final Server server;
   private final ServerConnector connector;
   private final HttpClient client;
+  private final LongSupplier monotonicMillis;
+  private final EndpointTable table;
   private final EndpointCalls endpoints;
   private final EntryHandler handler;
   private final DrainState drainState;
@@ -87,7 +89,7 @@
     requireNonNull(metrics, "metrics is null");
     requireNonNull(tracer, "tracer is null");
     requireNonNull(wallClock, "wallClock is null");
-    requireNonNull(monotonicMillis, "monotonicMillis is null");
+    this.monotonicMillis = requireNonNull(monotonicMillis, "monotonicMillis is null");
     threads.setName("entry-" + settings.instanceId());
     timer =
         new ScheduledThreadPoolExecutor(
@@ -100,7 +102,7 @@
     timer.setRemoveOnCancelPolicy(true);
     client = newClient();
     drainState = new DrainState(monotonicMillis);
-    EndpointTable table = new EndpointTable(MAX_ENDPOINTS);
+    table = new EndpointTable(MAX_ENDPOINTS);
     EntryMetrics entryMetrics = new EntryMetrics(metrics);
     endpoints = new EndpointCalls(settings, table, peers, monotonicMillis, this::dispatchAll);
     batches = new Batches(settings.instanceId(), processIncarnation, control, timer);
@@ -161,6 +163,12 @@
     return connector.getLocalPort();
   }
 
+  /** Returns whether requests to a service can be forwarded to at least this many minions. */
+  boolean isServing(String service, int minions) {
+    return config.current().isPresent()
+        && table.live(service, monotonicMillis.getAsLong()).size() >= minions;
+  }
+
   /**
    * Takes a one-way message from another entry; safe for use by several threads.
    *
@@ -192,6 +200,7 @@
       return;
     }
     try (Closer closer = Closer.create()) {
+      // Closed from the last to the first; the client stops the shared thread pool.
       closer.register(timer::shutdownNow);
       closer.register(() -> LifeCycle.stop(client));
       closer.register(() -> LifeCycle.stop(server));
--- a/hickoryspar-standins/src/main/java/org/hickoryspar/standins/minion/Minion.java
+++ b/hickoryspar-standins/src/main/java/org/hickoryspar/standins/minion/Minion.java
@@ -112,7 +112,8 @@
   @Override
   public void close() {
     announcer.close();
-    LifeCycle.stop(client);
+    // The client started the shared thread pool and stops it, so it goes last.
     LifeCycle.stop(server);
+    LifeCycle.stop(client);
   }
 }
--- a/hickoryspar-standins/src/main/java/org/hickoryspar/standins/minion/MinionHandler.java
+++ b/hickoryspar-standins/src/main/java/org/hickoryspar/standins/minion/MinionHandler.java
@@ -118,10 +118,6 @@
     long size = now.answerBytes() > 0 ? now.answerBytes() : body.length;
     byte[] pattern = body.length > 0 && now.answerBytes() == 0 ? body : pattern();
     String id = now.wrongRequestId() ? "00000000-another-request" : requestId(request);
-    if (now.answerTwice()) {
-      answerTwice(request, id, body);
-      return;
-    }
     response.setStatus(now.failStatus() == 0 ? 200 : now.failStatus());
     response.getHeaders().put(REQUEST_ID, id);
     response.getHeaders().put(HttpHeader.CONTENT_TYPE, "application/octet-stream");
@@ -136,24 +132,19 @@
                   }
                   endPoint(request).close();
                 })
-            : callback;
+            : now.answerTwice() ? secondAnswer(request, id, body, callback) : callback;
     new Writer(response, pattern, half ? size / 2 : size, !half, then).iterate();
   }
 
-  /** Writes two whole answers past the HTTP layer, which would refuse the second. */
-  private static void answerTwice(Request request, String id, byte[] body) {
+  /** Writes a second whole answer past the HTTP layer, which would refuse it. */
+  private static Callback secondAnswer(Request request, String id, byte[] body, Callback callback) {
     String head =
         "HTTP/1.1 200 OK\r\n"
-            + REQUEST_ID
-            + ": "
-            + id
-            + "\r\nContent-Length: "
-            + body.length
-            + "\r\n\r\n";
+            + (REQUEST_ID + ": " + id + "\r\nContent-Length: " + body.length + "\r\n\r\n");
     byte[] headBytes = head.getBytes(StandardCharsets.US_ASCII);
-    ByteBuffer twice = ByteBuffer.allocate(2 * (headBytes.length + body.length));
-    twice.put(headBytes).put(body).put(headBytes).put(body).flip();
-    endPoint(request).write(Callback.NOOP, twice);
+    ByteBuffer second = ByteBuffer.allocate(headBytes.length + body.length);
+    second.put(headBytes).put(body).flip();
+    return Callback.from(() -> endPoint(request).write(callback, second), callback::failed);
   }
 
   private static byte[] pattern() {
--- a/hickoryspar-standins/src/test/java/org/hickoryspar/node/entry/Rig.java
+++ b/hickoryspar-standins/src/test/java/org/hickoryspar/node/entry/Rig.java
@@ -119,19 +119,9 @@
     return made;
   }
 
-  /** Waits until an entry has a configuration and a minion. */
+  /** Waits until an entry has a configuration and knows all minions. */
   void awaitServing(EntryDaemon entry) {
-    await()
-        .atMost(GENEROUS)
-        .until(
-            () -> {
-              // A malformed deadline is rejected only after the checks of token and path; the
-              // probe uses an expired deadline instead, so that nothing is ever run.
-              HttpResponse<byte[]> answer =
-                  call(entry, "south", true).key(null).deadline(1).send().join();
-              String body = new String(answer.body(), StandardCharsets.UTF_8);
-              return !body.contains("no-minion") && !body.contains("no-configuration-lease");
-            });
+    await().atMost(GENEROUS).until(() -> entry.isServing("catalogue", minions.size()));
   }
 
   Call call(EntryDaemon entry, String team, boolean idempotent) {
@@ -200,6 +190,7 @@
               .header("Authorization", "Bearer team-" + team)
               .header("Hickoryspar-Idempotent", String.valueOf(idempotent))
               .header("Hickoryspar-Deadline-Millis", String.valueOf(deadlineMillis))
+              .timeout(Duration.ofSeconds(60))
               .POST(HttpRequest.BodyPublishers.ofByteArray(body));
       return key == null ? request : request.header("Idempotency-Key", key);
     }
