--- /dev/null
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/requests/FairQueueTest.java
@@ -0,0 +1,95 @@
+package org.hickoryspar.kernel.requests;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+public class FairQueueTest {
+
+  @DataProvider
+  Object[][] seeds() {
+    return new Object[][] {{1L}, {2L}, {3L}, {5L}, {8L}};
+  }
+
+  // -- poll
+
+  /** Guards against lost, doubled, late or over-many items, whatever the order of the calls. */
+  @Test(dataProvider = "seeds")
+  public void shouldKeepEachItemOnceWithinTheCapacity(long seed) {
+    Random random = new Random(seed);
+    FairQueue<Integer> queue = new FairQueue<>(20);
+    List<Integer> in = new ArrayList<>();
+    List<Integer> out = new ArrayList<>();
+    for (int step = 0; step < 5_000; step++) {
+      long now = step;
+      String team = "t" + random.nextInt(4);
+      if (random.nextInt(3) > 0) {
+        if (queue.reserve(team)) {
+          in.add(step);
+          queue.offer(
+              new FairQueue.Item<>(team, random.nextBoolean(), now + random.nextInt(60), step));
+        }
+      } else {
+        List<FairQueue.Item<Integer>> expired = new ArrayList<>(queue.removeExpired(now));
+        Optional<FairQueue.Item<Integer>> next = queue.poll(now, expired);
+        if (next.isPresent() && random.nextInt(4) == 0) {
+          queue.putBack(next.get());
+        } else {
+          next.ifPresent(
+              item -> {
+                assertTrue(item.deadlineMillis() > now, "seed " + seed + ": expired item");
+                out.add(item.value());
+              });
+        }
+        expired.forEach(item -> out.add(item.value()));
+      }
+      assertTrue(queue.size() <= 20 && queue.size() == in.size() - out.size(), "seed " + seed);
+    }
+    queue.removeExpired(Long.MAX_VALUE).forEach(item -> out.add(item.value()));
+    out.sort(null);
+    assertEquals(out, in, "seed " + seed);
+  }
+
+  /** Guards against a team that delays the others by the length of its own backlog. */
+  @Test
+  public void shouldServeTeamsInTurnAndUrgentItemsFirst() {
+    FairQueue<String> queue = new FairQueue<>(100);
+    for (int i = 0; i < 5; i++) {
+      add(queue, "a", false, "a" + i);
+    }
+    add(queue, "b", false, "b0");
+    add(queue, "c", true, "c0");
+    List<String> order = new ArrayList<>();
+    for (int i = 0; i < 4; i++) {
+      order.add(queue.poll(0, new ArrayList<>()).orElseThrow().value());
+    }
+    assertEquals(order, List.of("c0", "a0", "b0", "a1"));
+  }
+
+  // -- reserve
+
+  /** Guards against a queue that one team fills so that another is rejected. */
+  @Test
+  public void shouldKeepPlacesForANewcomerWhenOneTeamFillsItsPart() {
+    FairQueue<String> queue = new FairQueue<>(10);
+    int places = 0;
+    while (queue.reserve("a")) {
+      places++;
+    }
+    assertEquals(places, 5);
+    assertTrue(queue.reserve("b"));
+    assertFalse(queue.reserve("a"));
+  }
+
+  private static void add(FairQueue<String> queue, String team, boolean urgent, String value) {
+    assertTrue(queue.reserve(team));
+    queue.offer(new FairQueue.Item<>(team, urgent, 1_000, value));
+  }
+}
--- /dev/null
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/requests/RoutingRulesTest.java
@@ -0,0 +1,175 @@
+package org.hickoryspar.kernel.requests;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.UUID;
+import org.hickoryspar.kernel.value.Problem;
+import org.hickoryspar.protocol.Endpoint;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+public class RoutingRulesTest {
+
+  // -- EndpointTable.apply
+
+  /** Columns: known and arriving (incarnation, sequence, leaving), whether it is newer. */
+  @DataProvider
+  Object[][] orders() {
+    return new Object[][] {
+      {1, 5, false, 1, 6, false, true},
+      {1, 5, false, 1, 5, false, false},
+      {1, 5, false, 1, 4, true, false},
+      {1, 5, false, 1, 5, true, true},
+      {1, 5, true, 1, 5, false, false},
+      {1, 5, true, 1, 4, false, false},
+      {1, 5, true, 1, 6, false, true},
+      {1, 5, true, 2, 1, false, true},
+      {2, 1, false, 1, 9, true, false},
+    };
+  }
+
+  /** Guards against an old announcement that replaces a newer one or a leave. */
+  @Test(dataProvider = "orders")
+  public void shouldApplyOnlyWhatIsNewer(
+      int i1, int s1, boolean leaving1, int i2, int s2, boolean leaving2, boolean newer) {
+    EndpointTable table = new EndpointTable(1_000);
+    EndpointTable other = new EndpointTable(1_000);
+    assertTrue(table.apply(endpoint(i1, s1, leaving1), 0));
+    assertTrue(other.apply(endpoint(i2, s2, leaving2), 0));
+    assertEquals(other.newerThan(table.digest(0), 0).size(), newer ? 1 : 0, "digest");
+    assertEquals(table.apply(endpoint(i2, s2, leaving2), 0), newer);
+    boolean live = newer ? !leaving2 : !leaving1;
+    assertEquals(table.live("catalogue", 1).size(), live ? 1 : 0);
+  }
+
+  /** Guards against requests to an endpoint that is no longer announced. */
+  @Test
+  public void shouldForgetEndpointsAfterTheirTtlAndLeavesAfterTenMinutes() {
+    EndpointTable table = new EndpointTable(1_000);
+    table.apply(endpoint(1, 1, false), 0);
+    assertEquals(table.live("catalogue", 999).size(), 1);
+    assertEquals(table.live("catalogue", 1_000).size(), 0);
+    assertEquals(table.removeExpired(1_000), 1);
+    table.apply(endpoint(1, 2, true), 1_000);
+    table.removeExpired(600_999);
+    assertFalse(table.apply(endpoint(1, 1, false), 600_999), "tombstone");
+    table.removeExpired(601_000);
+    assertTrue(table.apply(endpoint(1, 1, false), 601_000));
+  }
+
+  private static Endpoint endpoint(int incarnation, int sequence, boolean leaving) {
+    return Endpoint.newBuilder()
+        .setService("catalogue")
+        .setMinionId("m")
+        .setIncarnation(incarnation)
+        .setSequence(sequence)
+        .setLeaving(leaving)
+        .setTtlMillis(1_000)
+        .build();
+  }
+
+  // -- IdempotencyKeys.check
+
+  @DataProvider
+  Object[][] keys() {
+    long now = 1_800_000_000_000L;
+    long day = IdempotencyKeys.MAX_AGE_MILLIS;
+    return new Object[][] {
+      {IdempotencyKeys.of(now, 5, 7), now, ""},
+      {IdempotencyKeys.of(now - day, 5, 7), now, ""},
+      {IdempotencyKeys.of(now - day - 1, 5, 7), now, "key-expired"},
+      {IdempotencyKeys.of(now + 300_000, 5, 7), now, ""},
+      {IdempotencyKeys.of(now + 300_001, 5, 7), now, "key-in-future"},
+      {new UUID(0x4000L, 0x8000_0000_0000_0000L), now, "malformed-key"},
+      {new UUID(0x7000L, 0), now, "malformed-key"},
+    };
+  }
+
+  /** Guards against a key that could run again after its record has been discarded. */
+  @Test(dataProvider = "keys")
+  public void shouldAcceptOnlyKeysOfTheLastDay(UUID key, long now, String code) {
+    assertEquals(
+        IdempotencyKeys.check(key.toString(), now).problem().map(Problem::code).orElse(""), code);
+  }
+
+  // -- CircuitBreaker
+
+  /** Guards against a dead minion that keeps getting requests, and one that never returns. */
+  @Test
+  public void shouldOpenAfterFailuresAndCloseAfterATrial() {
+    CircuitBreaker breaker = new CircuitBreaker();
+    for (int i = 1; i < CircuitBreaker.FAILURES_TO_OPEN; i++) {
+      assertFalse(breaker.onFailure(0));
+    }
+    assertTrue(breaker.onFailure(0));
+    assertFalse(breaker.permits(999));
+    assertTrue(breaker.permits(1_000));
+    breaker.onSend(1_000);
+    assertFalse(breaker.permits(1_001), "one trial at a time");
+    breaker.onFailure(1_100);
+    assertFalse(breaker.permits(3_099), "twice as long");
+    breaker.onSend(3_100);
+    breaker.onSuccess();
+    assertTrue(breaker.permits(3_101));
+  }
+
+  // -- RetryBudget
+
+  /** Columns: requests within the window, retries allowed. */
+  @DataProvider
+  Object[][] budgets() {
+    return new Object[][] {{0, 30}, {100, 30}, {1_000, 100}};
+  }
+
+  /** Guards against retries that multiply the load of minions in trouble. */
+  @Test(dataProvider = "budgets")
+  public void shouldAllowATenthAndAtLeastThreePerSecond(int requests, int allowed) {
+    RetryBudget budget = new RetryBudget();
+    for (int i = 0; i < requests; i++) {
+      budget.onRequest(50_000);
+    }
+    int retried = 0;
+    while (budget.tryRetry(51_000)) {
+      retried++;
+    }
+    assertEquals(retried, allowed);
+    assertTrue(budget.tryRetry(70_000), "a new window");
+  }
+
+  // -- MinionChooser.choose
+
+  /** Guards against a far minion that is chosen while a near one has a free slot. */
+  @Test
+  public void shouldChooseTheNearestWithAFreeSlotAndTheLessLoaded() {
+    Random random = new Random(7);
+    List<MinionChooser.Candidate<String>> candidates =
+        List.of(
+            new MinionChooser.Candidate<>("near, full", 0, 2, 2),
+            new MinionChooser.Candidate<>("region, busy", 1, 1, 2),
+            new MinionChooser.Candidate<>("region, idle", 1, 0, 2),
+            new MinionChooser.Candidate<>("far, idle", 2, 0, 2));
+    for (int i = 0; i < 50; i++) {
+      assertEquals(MinionChooser.choose(candidates, random), Optional.of("region, idle"));
+    }
+  }
+
+  // -- BatchState
+
+  /** Guards against two batches in flight, and against items lost when a batch is repeated. */
+  @Test
+  public void shouldKeepOneBatchInFlightAndRepeatItWhenAsked() {
+    BatchState<String> state = new BatchState<>(2, 1_000);
+    List.of("a", "b", "c").forEach(item -> state.add(item, 1));
+    assertEquals(state.next(), List.of("a", "b"));
+    assertEquals(state.next(), List.of());
+    state.ended(true);
+    assertEquals(state.next(), List.of("a", "b"));
+    state.ended(false);
+    assertEquals(state.next(), List.of("c"));
+  }
+}
--- a/hickoryspar-standins/src/test/java/org/hickoryspar/node/entry/Rig.java
+++ b/hickoryspar-standins/src/test/java/org/hickoryspar/node/entry/Rig.java
@@ -14,7 +14,9 @@
 import java.time.Clock;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.IdentityHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
 import org.hickoryspar.kernel.requests.IdempotencyKeys;
@@ -34,6 +36,7 @@
   private final int entryCount;
   private final int queueLength;
   private final List<EntryDaemon> entries = new ArrayList<>();
+  private final Map<EntryDaemon, Integer> ports = new IdentityHashMap<>();
   private final List<Minion> minions = new ArrayList<>();
 
   Rig() {
@@ -59,6 +62,7 @@
             () -> System.nanoTime() / 1_000_000);
     entries.add(made);
     made.start();
+    ports.put(made, made.port());
     return made;
   }
 
@@ -125,7 +129,7 @@
   }
 
   Call call(EntryDaemon entry, String team, boolean idempotent) {
-    return new Call(entry.port(), team, idempotent);
+    return new Call(ports.get(entry), team, idempotent);
   }
 
   static String newKey() {
