--- /dev/null
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/control/ControlStateMachine.java
@@ -0,0 +1,62 @@
+package org.hickoryspar.node.control;
+
+import static java.util.Objects.requireNonNull;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Consumer;
+import org.hickoryspar.kernel.control.CommandResult;
+import org.hickoryspar.kernel.control.ControlState;
+import org.hickoryspar.protocol.Command;
+
+/** Applies committed commands to the control state and tells listeners about them. */
+public final class ControlStateMachine implements StateMachine<CommandResult> {
+
+  private final ControlState state;
+  private final List<Consumer<Command>> listeners = new CopyOnWriteArrayList<>();
+
+  /**
+   * Creates a state machine.
+   *
+   * @param state the state that commands are applied to
+   */
+  public ControlStateMachine(ControlState state) {
+    this.state = requireNonNull(state, "state is null");
+  }
+
+  /**
+   * Adds a listener that is told about each command after it was applied, on the applying thread.
+   *
+   * @param listener must not block
+   */
+  public void addListener(Consumer<Command> listener) {
+    listeners.add(requireNonNull(listener, "listener is null"));
+  }
+
+  @Override
+  public CommandResult apply(long index, ByteString bytes) {
+    Command command;
+    try {
+      command = Command.parseFrom(bytes);
+    } catch (InvalidProtocolBufferException e) {
+      throw new IllegalStateException("log entry " + index + " is not a command", e);
+    }
+    CommandResult result = state.apply(command);
+    for (Consumer<Command> listener : listeners) {
+      listener.accept(command);
+    }
+    return result;
+  }
+
+  @Override
+  public ByteString snapshot() {
+    return state.snapshot();
+  }
+
+  @Override
+  public void restore(ByteString snapshot) {
+    state.restore(snapshot);
+  }
+}
--- /dev/null
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/control/GangLeases.java
@@ -0,0 +1,67 @@
+package org.hickoryspar.node.control;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.hickoryspar.protocol.JobRecord;
+import org.hickoryspar.protocol.TaskPlacement;
+
+/**
+ * The times at which the leases of one gang end at the latest, as seen by this leader.
+ *
+ * <p>Confined to the scheduling loop.
+ */
+final class GangLeases {
+
+  /** Length of a task lease; bounds how long part of a gang may run without the rest. */
+  static final long LEASE_MILLIS = 10_000;
+
+  /** Leases are renewed at this interval, so that two renewals may be lost. */
+  static final long RENEW_MILLIS = 3_000;
+
+  /** Allowance for clocks that run at different speeds: 10% of the lease. */
+  static final long DRIFT_MILLIS = LEASE_MILLIS / 10;
+
+  private final Map<String, Long> endMillisByLease = new HashMap<>();
+  private final Map<String, Long> confirmedMillisByLease = new HashMap<>();
+  private final Map<String, Boolean> stoppedByLease = new HashMap<>();
+
+  /** The leases may have been renewed just before this leader took over. */
+  GangLeases(JobRecord job, long nowMillis) {
+    for (TaskPlacement placement : job.getPlacementsList()) {
+      endMillisByLease.put(placement.getLeaseId(), nowMillis + LEASE_MILLIS + DRIFT_MILLIS);
+      confirmedMillisByLease.put(placement.getLeaseId(), nowMillis);
+    }
+  }
+
+  /** Records that a renewal was sent; it may take effect even when no answer comes. */
+  void renewalSent(long nowMillis) {
+    endMillisByLease.replaceAll((lease, end) -> nowMillis + LEASE_MILLIS + DRIFT_MILLIS);
+  }
+
+  void confirmed(String leaseId, long nowMillis) {
+    confirmedMillisByLease.replace(leaseId, nowMillis);
+  }
+
+  void stopped(String leaseId) {
+    stoppedByLease.put(leaseId, true);
+  }
+
+  boolean isOver(String leaseId, long nowMillis) {
+    return stoppedByLease.containsKey(leaseId)
+        || endMillisByLease.getOrDefault(leaseId, 0L) <= nowMillis;
+  }
+
+  boolean allOver(long nowMillis) {
+    return endMillisByLease.keySet().stream().allMatch(lease -> isOver(lease, nowMillis));
+  }
+
+  /** Returns the leases that no worker has confirmed for a while. */
+  List<String> unconfirmed(long nowMillis, long silenceMillis) {
+    return confirmedMillisByLease.entrySet().stream()
+        .filter(entry -> nowMillis - entry.getValue() > silenceMillis)
+        .map(Map.Entry::getKey)
+        .sorted()
+        .toList();
+  }
+}
