--- a/hickoryspar-standins/src/test/java/org/hickoryspar/node/entry/Rig.java
+++ b/hickoryspar-standins/src/test/java/org/hickoryspar/node/entry/Rig.java
@@ -14,7 +14,9 @@
 import java.time.Clock;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.IdentityHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
 import org.hickoryspar.kernel.requests.IdempotencyKeys;
@@ -34,6 +36,7 @@
   private final int entryCount;
   private final int queueLength;
   private final List<EntryDaemon> entries = new ArrayList<>();
+  private final Map<EntryDaemon, Integer> ports = new IdentityHashMap<>();
   private final List<Minion> minions = new ArrayList<>();
 
   Rig() {
@@ -59,6 +62,7 @@
             () -> System.nanoTime() / 1_000_000);
     entries.add(made);
     made.start();
+    ports.put(made, made.port());
     return made;
   }
 
@@ -119,23 +123,13 @@
     return made;
   }
 
-  /** Waits until an entry has a configuration and a minion. */
+  /** Waits until an entry has a configuration and knows all minions. */
   void awaitServing(EntryDaemon entry) {
-    await()
-        .atMost(GENEROUS)
-        .until(
-            () -> {
-              // A malformed deadline is rejected only after the checks of token and path; the
-              // probe uses an expired deadline instead, so that nothing is ever run.
-              HttpResponse<byte[]> answer =
-                  call(entry, "south", true).key(null).deadline(1).send().join();
-              String body = new String(answer.body(), StandardCharsets.UTF_8);
-              return !body.contains("no-minion") && !body.contains("no-configuration-lease");
-            });
+    await().atMost(GENEROUS).until(() -> entry.isServing("catalogue", minions.size()));
   }
 
   Call call(EntryDaemon entry, String team, boolean idempotent) {
-    return new Call(entry.port(), team, idempotent);
+    return new Call(ports.get(entry), team, idempotent);
   }
 
   static String newKey() {
@@ -200,6 +194,7 @@
               .header("Authorization", "Bearer team-" + team)
               .header("Hickoryspar-Idempotent", String.valueOf(idempotent))
               .header("Hickoryspar-Deadline-Millis", String.valueOf(deadlineMillis))
+              .timeout(Duration.ofSeconds(60))
               .POST(HttpRequest.BodyPublishers.ofByteArray(body));
       return key == null ? request : request.header("Idempotency-Key", key);
     }
