--- a/hickoryspar-standins/src/test/java/org/hickoryspar/standins/scenario/ClusterSteps.java
+++ b/hickoryspar-standins/src/test/java/org/hickoryspar/standins/scenario/ClusterSteps.java
@@ -39,9 +39,9 @@
   public void stopCluster(Scenario scenario) throws Exception {
     if (context.hasCluster()) {
       if (scenario.isFailed()) {
-        for (String name : context.cluster().controls()) {
-          scenario.attach(context.cluster().logOf(name), "text/plain", name);
-        }
+        String kept = context.cluster().keepLogs();
+        scenario.log("logs kept in " + kept);
+        System.err.println(scenario.getName() + " failed; logs are kept in " + kept);
       }
       context.cluster().close();
     }
--- a/hickoryspar-standins/src/test/java/org/hickoryspar/standins/scenario/ScenarioTest.java
+++ b/hickoryspar-standins/src/test/java/org/hickoryspar/standins/scenario/ScenarioTest.java
@@ -4,6 +4,7 @@
 import io.cucumber.testng.FeatureWrapper;
 import io.cucumber.testng.PickleWrapper;
 import io.cucumber.testng.TestNGCucumberRunner;
+import org.testng.ITestContext;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.BeforeClass;
 import org.testng.annotations.DataProvider;
@@ -22,8 +23,10 @@
 
   private TestNGCucumberRunner runner;
 
+  /** Four clusters of about eight processes each leave most of the machine free. */
   @BeforeClass
-  public void createRunner() {
+  public void createRunner(ITestContext testContext) {
+    testContext.getCurrentXmlTest().getSuite().setDataProviderThreadCount(4);
     runner = new TestNGCucumberRunner(getClass());
   }
 
@@ -32,7 +35,7 @@
     runner.finish();
   }
 
-  @DataProvider
+  @DataProvider(parallel = true)
   Object[][] scenarios() {
     return runner.provideScenarios();
   }
--- a/hickoryspar-standins/src/test/java/org/hickoryspar/standins/scenario/TestCluster.java
+++ b/hickoryspar-standins/src/test/java/org/hickoryspar/standins/scenario/TestCluster.java
@@ -19,6 +19,7 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -95,7 +96,7 @@
   void addMinion(String id, String service, String dataCentre) throws IOException {
     httpPorts.put(id, freePort());
     List<String> arguments = new ArrayList<>(List.of("--id", id, "--service", service));
-    arguments.addAll(List.of("--data-centre", dataCentre, "--http", address(id)));
+    arguments.addAll(List.of("--data-centre", dataCentre, "--port", "" + httpPorts.get(id)));
     arguments.addAll(List.of("--token", "minion-token"));
     for (String entry : entries()) {
       arguments.addAll(List.of("--entry", address(entry)));
@@ -136,7 +137,7 @@
 
   void eraseDisk(String name) throws IOException {
     try (var files = Files.walk(folder.resolve(name))) {
-      files.sorted(java.util.Comparator.reverseOrder()).map(Path::toFile).forEach(File::delete);
+      files.sorted(Comparator.reverseOrder()).map(Path::toFile).forEach(File::delete);
     }
   }
 
@@ -144,6 +145,10 @@
     return Files.readString(folder.resolve(name + ".log"));
   }
 
+  String keepLogs() {
+    return folder.toString();
+  }
+
   /** Cuts a process off from all others, silently. */
   void cutOff(String name, boolean outward, boolean inward) {
     links.forEach(
@@ -307,11 +312,9 @@
   }
 
   @Override
-  public void close() throws Exception {
+  public void close() throws IOException {
     processes.values().forEach(Process::destroyForcibly);
-    for (Process process : processes.values()) {
-      process.waitFor();
-    }
+    processes.values().forEach(process -> process.onExit().join());
     for (LinkProxy link : links.values()) {
       link.close();
     }
