Compare reports of guarantees with complete search while work runs

A property test compares the reports after each step on small fleets. DecisionTimeTest measures the processor time of its thread, and asserts the p99 while data centres are out as well.

--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/scheduling/ClusterModel.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/scheduling/ClusterModel.java
@@ -216,6 +216,20 @@
     return idle;
   }
 
+  /** Returns per worker what gangs hold that may not be preempted or use a guarantee. */
+  Map<String, ResourceShape> heldForGood() {
+    Map<String, ResourceShape> held = new HashMap<>();
+    running.forEach(
+        (id, gang) -> {
+          boolean stays =
+              !gang.job().preemptible() || scheduler.explain(id, nowMillis).contains("a guarantee");
+          for (String name : stays ? gang.workers() : List.<String>of()) {
+            held.merge(name, gang.job().shape().perTask(), ResourceShape::plus);
+          }
+        });
+    return held;
+  }
+
   /** Returns the running gang that uses a guarantee, or null. */
   private String user(GuaranteeReport report, Set<String> using) {
     GuaranteeSlot slot = new GuaranteeSlot(report.team(), report.shape());
--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/scheduling/DecisionTimeTest.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/scheduling/DecisionTimeTest.java
@@ -2,6 +2,7 @@
 
 import static org.testng.Assert.assertTrue;
 
+import java.lang.management.ManagementFactory;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
@@ -10,7 +11,7 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
-/** Measures decisions in a busy fleet and prints the figures. */
+/** Measures the processor time of decisions in a busy fleet and prints the figures. */
 public class DecisionTimeTest {
 
   private static final ResourceShape WORKER = new ResourceShape(32, 128_000, 8);
@@ -102,7 +103,13 @@
         after[200] / 1e6,
         after[396] / 1e6,
         burst / 1e6);
-    assertTrue(after[200] < 10e6, "decisions are too slow, see the line above");
+    assertTrue(
+        after[200] < 10e6 && after[396] < 50e6, "decisions are too slow, see the line above");
+  }
+
+  /** Time of this thread only, so that other work on the machine does not show in the figures. */
+  private static long cpuNanos() {
+    return ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime();
   }
 
   private static long heapBytes() {
@@ -145,9 +152,9 @@
     /** Takes data centres out, or returns them, and decides; returns the nanoseconds of both. */
     long takeOut(Set<String> out) {
       nowMillis += 1_000;
-      long start = System.nanoTime();
+      long start = cpuNanos();
       scheduler.configure(config(out));
-      return System.nanoTime() - start + decide();
+      return cpuNanos() - start + decide();
     }
 
     /** Submits many jobs and decides until nothing more starts; returns the slowest decision. */
@@ -204,9 +211,9 @@
     }
 
     private long decide() {
-      long start = System.nanoTime();
+      long start = cpuNanos();
       List<Decision> decisions = scheduler.decide(nowMillis);
-      long nanos = System.nanoTime() - start;
+      long nanos = cpuNanos() - start;
       for (Decision decision : decisions) {
         JobRequest job = known.get(decision.jobId());
         if (decision instanceof Decision.Place) {
--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/scheduling/SchedulerPropertyTest.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/scheduling/SchedulerPropertyTest.java
@@ -5,12 +5,15 @@
 import static org.testng.Assert.assertTrue;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicLong;
+import org.testng.annotations.AfterClass;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -19,6 +22,8 @@
 
   private static final int RUNS = Integer.getInteger("hickoryspar.runs", 400);
   private static final int STEPS = 120;
+  private static final AtomicLong COMPARED = new AtomicLong();
+  private static final AtomicLong SAFE_SIDE = new AtomicLong();
   private static final Adjacency[] ADJACENCIES = Adjacency.values();
 
   @DataProvider
@@ -66,25 +71,64 @@
     return again.log;
   }
 
-  /** Guards against a report of formable guarantees that complete search cannot confirm. */
+  /** Guards against an accepted configuration that complete search cannot confirm. */
   @Test(dataProvider = "seeds")
-  public void shouldAgreeWithCompleteSearchWhenGuaranteesAreChecked(long seed) {
+  public void shouldAgreeWithCompleteSearchWhenConfigurationsAreChecked(long seed) {
     Run run = new Run(seed);
     run.fleet(1, 2, 2);
     List<TeamPolicy> teams = run.teams(2, 2, 3);
     boolean accepted = run.model.scheduler.check(run.config(teams)).isSuccess();
+    List<GangShape> shapes = teams.stream().flatMap(t -> t.guarantees().stream()).toList();
+    compare(seed, accepted, exact(run.model.workers.values(), Map.of(), shapes).isFormable());
+  }
+
+  /** Guards against a report of formable guarantees that complete search cannot confirm. */
+  @Test(dataProvider = "seeds")
+  public void shouldAgreeWithCompleteSearchWhenWorkRuns(long seed) {
+    Run run = new Run(seed);
+    run.start(1, 2, 2);
+    for (int step = 0; step < STEPS / 2; step++) {
+      run.step();
+      ClusterModel model = run.model;
+      List<String> isolated = model.scheduler.isolatedWorkers();
+      List<WorkerState> usable =
+          model.workers.values().stream()
+              .filter(worker -> model.isIn(worker.workerId()))
+              .filter(worker -> !isolated.contains(worker.workerId()))
+              .toList();
+      List<GuaranteeReport> reports = new ArrayList<>(model.scheduler.guarantees());
+      boolean formable = reports.stream().allMatch(GuaranteeReport::formable);
+      reports.removeIf(report -> report.formable() && !model.idleGuarantees().contains(report));
+      List<GangShape> shapes = reports.stream().map(GuaranteeReport::shape).toList();
+      Map<String, ResourceShape> held = model.heldForGood();
+      compare(seed, formable, exact(usable, held, shapes).isFormable());
+    }
+  }
+
+  private static void compare(long seed, boolean reported, boolean exact) {
+    assertTrue(exact || !reported, "seed " + seed + ": reported as formable, but it is not");
+    COMPARED.incrementAndGet();
+    if (exact && !reported) {
+      SAFE_SIDE.incrementAndGet();
+    }
+  }
+
+  private static ExactGuaranteeCheck exact(
+      Collection<WorkerState> workers, Map<String, ResourceShape> held, List<GangShape> shapes) {
     Map<String, ResourceShape> left = new HashMap<>();
     Map<String, String> racks = new HashMap<>();
-    for (WorkerState worker : run.model.workers.values()) {
-      left.put(worker.workerId(), worker.capacity());
-      racks.put(worker.workerId(), worker.dataCentre() + worker.rack());
-    }
-    List<GangShape> shapes = teams.stream().flatMap(t -> t.guarantees().stream()).toList();
-    boolean exact = new ExactGuaranteeCheck(left, racks, shapes).isFormable();
-    assertTrue(exact || !accepted, "seed " + seed + ": accepted " + shapes + " on " + left);
-    if (exact && !accepted) {
-      System.out.println("seed " + seed + ": refused, but formable: " + shapes + " on " + left);
+    for (WorkerState worker : workers) {
+      String name = worker.workerId();
+      left.put(name, worker.capacity().minus(held.getOrDefault(name, ResourceShape.NONE)));
+      racks.put(name, worker.dataCentre() + worker.rack());
     }
+    return new ExactGuaranteeCheck(left, racks, shapes);
+  }
+
+  @AfterClass
+  public void printComparisons() {
+    System.out.println(
+        COMPARED + " comparisons with complete search, " + SAFE_SIDE + " on the safe side");
   }
 
   /** Work that matches no guarantee, because no guarantee has that many tasks. */
@@ -108,7 +152,11 @@
     }
 
     void start() {
-      fleet(3, 2, 3);
+      start(3, 2, 3);
+    }
+
+    void start(int mostDataCentres, int mostRacks, int mostWorkers) {
+      fleet(mostDataCentres, mostRacks, mostWorkers);
       List<TeamPolicy> teams;
       do {
         teams = teams(3, 2, 4);
