Sum the fleet without overflow

The memory of 1,700 workers with 2 TB each exceeds an int, so the sum over the fleet became negative and the event was refused with an exception.

The sums are kept as longs and stop at the largest int where a shape is needed. A test adds two workers whose memory exceeds an int together. The explanation for work that would stand in the way of guarantees is worded more plainly.

--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/scheduling/Explainer.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/scheduling/Explainer.java
@@ -145,8 +145,8 @@
     if (!job.preemptible()) {
       List<GuaranteeSlot> missing = plan.missing();
       return missing.isEmpty()
-          ? "it may not be preempted and the free capacity is needed to form guarantees of other"
-              + " work; make it preemptible or ask for a guarantee."
+          ? "it may not be preempted and would stand in the way of guarantees on the free capacity;"
+              + " make it preemptible or ask for a guaranteed shape."
           : "it may not be preempted and a guarantee of team "
               + missing.get(0).team()
               + " cannot be formed at the moment; make it preemptible or return workers.";
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/scheduling/Fleet.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/scheduling/Fleet.java
@@ -37,7 +37,9 @@
   private int[] rackOf = new int[64];
   private Set<String> dataCentresOut = Set.of();
   private Set<String> workersOut = Set.of();
-  private ResourceShape total = ResourceShape.NONE;
+  private long totalCores;
+  private long totalMemoryMegabytes;
+  private long totalAccelerators;
 
   CapacityIndex free() {
     return free;
@@ -51,9 +53,15 @@
     return open;
   }
 
-  /** Returns the sum of the known workers' capacities. */
+  /**
+   * Returns the sum of the known workers' capacities; 1,700 workers with 2 TB each would exceed an
+   * int, so each component stops at the largest one.
+   */
   ResourceShape total() {
-    return total;
+    return new ResourceShape(
+        Ints.saturatedCast(totalCores),
+        Ints.saturatedCast(totalMemoryMegabytes),
+        Ints.saturatedCast(totalAccelerators));
   }
 
   /** Adds or changes a worker and returns its number. */
@@ -236,12 +244,13 @@
       free.add(number, capacity, 1);
       reclaimable.add(number, capacity, 1);
       open.add(number, capacity, 1);
-      total = total.plus(capacity);
     } else {
       free.take(number, capacity, 1);
       reclaimable.take(number, capacity, 1);
       open.take(number, capacity, 1);
-      total = total.minus(capacity);
     }
+    totalCores += (long) sign * capacity.cores();
+    totalMemoryMegabytes += (long) sign * capacity.memoryMegabytes();
+    totalAccelerators += (long) sign * capacity.accelerators();
   }
 }
--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/scheduling/GuaranteeSchedulerTest.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/scheduling/GuaranteeSchedulerTest.java
@@ -109,6 +109,17 @@
     assertEquals(used, 1);
   }
 
+  /** Guards against sums over the fleet that overflow: 1,700 workers may have 2 TB each. */
+  @Test
+  public void shouldPlaceJobsWhenTheMemoryOfTheFleetExceedsAnInt() {
+    ResourceShape huge = new ResourceShape(32, 2_000_000_000, 8);
+    for (String name : List.of("c-r1-1", "c-r1-2")) {
+      model.worker(new WorkerState(name, "r1", "c", huge, true));
+    }
+    submit("t", ONE, false, true);
+    assertEquals(kinds(model.decide()), "Place");
+  }
+
   // -- decide: guarantees
 
   /** Guards against work that may not be preempted in the place of a guarantee. */
