Mend five faults that the scenarios showed

A tick repeated a gang step whose proposal was in flight; the second proposal was refused as stale and rolled back a healthy gang. The step stays marked until its proposal is answered, and only a refusal for a missing worker or a data centre that is out rolls back. 2. A restarted entry was ready before it knew any endpoint and answered not-run. It waits for its configuration lease and endpoints. 3. Two changes of the leader within 4 s let the configuration lease of an entry end, because each watch waited up to 1 s at a leader that had stepped down and again at the new one. A watch is answered at once when the leader lease ends and on first contact with a new leader. 4. Workers that refuse a start or go silent are passed to the scheduler, so that the next attempt avoids them. 5. The scenarios took ports from the range for outgoing connections; two of 28 failed with 'Failed to bind'. They take ports below it.

--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/control/ConfigService.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/control/ConfigService.java
@@ -27,6 +27,9 @@
   /** A watch without news is answered after this time, so that the lease is renewed in time. */
   static final long WAIT_MILLIS = 1_000;
 
+  /** How often a waiting watch is checked for the loss of the leader lease. */
+  private static final long CHECK_MILLIS = 250;
+
   private final ControlState state;
   private final Proposer proposer;
   private final LongSupplier monotonicMillis;
@@ -39,24 +42,39 @@
     this.monotonicMillis = requireNonNull(monotonicMillis, "monotonicMillis is null");
   }
 
-  /** Answers at once when the entry is behind, else when a change comes or the wait is over. */
+  /**
+   * Answers at once when the entry is behind or has not watched here lately, else when a change
+   * comes, the lease of this leader ends or the wait is over.
+   */
   CompletableFuture<Optional<ConfigUpdate>> watch(ConfigWatch watch) {
-    long version = state.fleetVersion();
+    long nowMillis = monotonicMillis.getAsLong();
     Waiter waiter = new Waiter(new CompletableFuture<>());
     synchronized (this) {
-      watches.put(
-          watch.getEntryInstance(),
-          new Watch(watch.getVersionInForce(), monotonicMillis.getAsLong()));
-      if (watch.getVersionInForce() != version) {
+      Watch before =
+          watches.put(
+              watch.getEntryInstance(), new Watch(watch.getVersionInForce(), nowMillis));
+      // After a change of the leader an entry has little of its lease left and must not wait.
+      boolean recent =
+          before != null && nowMillis - before.confirmedMillis() <= 2 * WAIT_MILLIS;
+      if (!recent || watch.getVersionInForce() != state.fleetVersion()) {
         waiter.news.complete(true);
       } else {
         waiting.add(waiter);
       }
     }
+    return awaitNews(waiter, WAIT_MILLIS).thenApply(changed -> update(watch, waiter));
+  }
+
+  private CompletableFuture<Boolean> awaitNews(Waiter waiter, long leftMillis) {
     return waiter
         .news
-        .completeOnTimeout(false, WAIT_MILLIS, TimeUnit.MILLISECONDS)
-        .thenApply(changed -> update(watch, waiter));
+        .copy()
+        .completeOnTimeout(false, CHECK_MILLIS, TimeUnit.MILLISECONDS)
+        .thenCompose(
+            changed ->
+                changed || leftMillis <= CHECK_MILLIS || !proposer.mayGrant()
+                    ? CompletableFuture.completedFuture(changed)
+                    : awaitNews(waiter, leftMillis - CHECK_MILLIS));
   }
 
   /** The lease is checked last: a leader that lost it must not extend an entry's lease. */
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/control/ControlDaemon.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/control/ControlDaemon.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import org.hickoryspar.kernel.control.CommandResult;
@@ -93,7 +94,7 @@
         log.transferLeadership().get(TRANSFER_LIMIT_MILLIS, TimeUnit.MILLISECONDS);
       } catch (InterruptedException e) {
         Thread.currentThread().interrupt();
-      } catch (java.util.concurrent.ExecutionException | TimeoutException e) {
+      } catch (ExecutionException | TimeoutException e) {
         // The others elect a leader after the election time-out.
       }
     }
--- /dev/null
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/control/ControlMetrics.java
@@ -0,0 +1,81 @@
+package org.hickoryspar.node.control;
+
+import static java.util.Objects.requireNonNull;
+
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.util.EnumMap;
+import java.util.Locale;
+import java.util.Map;
+import org.hickoryspar.kernel.control.CommandResult;
+import org.hickoryspar.kernel.control.ControlState;
+import org.hickoryspar.protocol.GangStep;
+import org.hickoryspar.protocol.JobRecord;
+import org.hickoryspar.protocol.WorkerInfo;
+
+/** Metrics of a control daemon, read from the state when they are scraped. */
+public final class ControlMetrics {
+
+  private ControlMetrics() {}
+
+  /**
+   * Registers the metrics.
+   *
+   * @param registry where they are registered
+   * @param log the replica of this instance
+   * @param state the replicated state
+   */
+  public static void register(
+      PrometheusRegistry registry, ReplicatedLog<CommandResult> log, ControlState state) {
+    requireNonNull(registry, "registry is null");
+    requireNonNull(log, "log is null");
+    requireNonNull(state, "state is null");
+    gauge("term", "Current term of the replica.", registry, () -> log.status().term());
+    gauge(
+        "leader",
+        "1 while this replica leads and holds the leader lease.",
+        registry,
+        () -> log.status().holdsLease() ? 1 : 0);
+    gauge("commit_index", "Highest committed index.", registry, () -> log.status().commitIndex());
+    gauge("applied_index", "Highest applied index.", registry, () -> log.status().appliedIndex());
+    gauge("fleet_version", "Version of the fleet document.", registry, state::fleetVersion);
+    gauge("claims", "Claims that are kept.", registry, state::claimCount);
+    gauge(
+        "silent_workers",
+        "Workers that the platform reports as silent.",
+        registry,
+        () -> state.workers().stream().filter(WorkerInfo::getSilent).count());
+    GaugeWithCallback.builder()
+        .name("hickoryspar_control_jobs")
+        .help("Jobs by phase.")
+        .labelNames("phase")
+        .callback(
+            callback ->
+                jobsByPhase(state)
+                    .forEach(
+                        (phase, count) ->
+                            callback.call(count, phase.name().toLowerCase(Locale.ROOT))))
+        .register(registry);
+  }
+
+  private static Map<GangStep.Phase, Integer> jobsByPhase(ControlState state) {
+    Map<GangStep.Phase, Integer> counts = new EnumMap<>(GangStep.Phase.class);
+    for (JobRecord job : state.jobs()) {
+      counts.merge(job.getPhase(), 1, Integer::sum);
+    }
+    return counts;
+  }
+
+  private interface Reading {
+    double value();
+  }
+
+  private static void gauge(
+      String name, String help, PrometheusRegistry registry, Reading reading) {
+    GaugeWithCallback.builder()
+        .name("hickoryspar_control_" + name)
+        .help(help)
+        .callback(callback -> callback.call(reading.value()))
+        .register(registry);
+  }
+}
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/control/GangDriver.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/control/GangDriver.java
@@ -137,37 +137,53 @@
 
   private void finishStep(
       JobRecord job, List<Result<String>> results, GangStep.Phase next, String failure) {
-    inProgress.remove(stepKey(job));
-    for (Result<String> result : results) {
-      if (!result.isSuccess()) {
-        String detail = failure + ": " + result.problem().map(Problem::toString).orElse("");
-        rollBack(job, "undone", detail, List.of());
-        return;
+    List<String> refusing = new ArrayList<>();
+    String reason = "";
+    for (int i = 0; i < results.size(); i++) {
+      if (!results.get(i).isSuccess()) {
+        refusing.add(job.getPlacements(i).getWorker());
+        reason = results.get(i).problem().map(Problem::toString).orElse("");
       }
     }
-    GangStep.Builder step = step(job, next);
-    propose(step)
+    if (!refusing.isEmpty()) {
+      inProgress.remove(stepKey(job));
+      rollBack(job, "undone", failure + ": " + reason, refusing);
+      return;
+    }
+    propose(step(job, next))
         .thenAcceptAsync(
             refusal -> {
-              if (!refusal.isEmpty() && next == GangStep.Phase.STARTING) {
-                rollBack(job, "undone", refusal, List.of());
-              } else if (refusal.isEmpty() && next == GangStep.Phase.RUNNING) {
-                EventLogger.log(
-                    ControlEvent.GANG_RUNNING, job.getJobId(), job.getPlacementsCount());
-              }
+              // The key is kept until now, so that a tick does not repeat a step in flight.
+              inProgress.remove(stepKey(job));
+              recorded(job, next, refusal);
             },
             loop);
   }
 
+  private void recorded(JobRecord job, GangStep.Phase next, String refusal) {
+    if (refusal.isEmpty()) {
+      if (next == GangStep.Phase.RUNNING) {
+        EventLogger.log(ControlEvent.GANG_RUNNING, job.getJobId(), job.getPlacementsCount());
+      }
+    } else if (refusal.startsWith("data-centre-out") || refusal.startsWith("no-worker")) {
+      rollBack(job, "undone", refusal, List.of());
+    }
+  }
+
   /** Proposes to stop the whole gang and to queue the job again. */
   void rollBack(JobRecord job, String result, String detail, List<String> faultyWorkers) {
+    String key = job.getJobId() + '/' + job.getAttempt() + "/roll-back";
+    if (!inProgress.add(key)) {
+      return;
+    }
     EventLogger.log(ControlEvent.GANG_UNDONE, job.getJobId(), detail);
     propose(
-        step(job, GangStep.Phase.UNDOING)
-            .setThen(GangStep.Phase.QUEUED)
-            .setResult(result)
-            .setDetail(detail)
-            .addAllFaultyWorkers(faultyWorkers));
+            step(job, GangStep.Phase.UNDOING)
+                .setThen(GangStep.Phase.QUEUED)
+                .setResult(result)
+                .setDetail(detail)
+                .addAllFaultyWorkers(faultyWorkers))
+        .thenAcceptAsync(refusal -> inProgress.remove(key), loop);
   }
 
   private void undo(JobRecord job) {
@@ -204,10 +220,10 @@
   }
 
   private void finishUndo(JobRecord undone) {
-    inProgress.remove(stepKey(undone));
     // A cancellation may have changed what follows since the roll-back began.
     JobRecord job = held.getOrDefault(undone.getJobId(), undone);
-    propose(step(job, job.getThen()).setResult(job.getResult()).setDetail(job.getDetail()));
+    propose(step(job, job.getThen()).setResult(job.getResult()).setDetail(job.getDetail()))
+        .thenAcceptAsync(refusal -> inProgress.remove(stepKey(undone)), loop);
   }
 
   /** Renews leases, reads usage and repeats steps whose proposal failed. */
@@ -287,30 +303,30 @@
     GangLeases leases = requireNonNull(leasesByJob.get(job.getJobId()), "no leases of a gang");
     long nowMillis = monotonicMillis.getAsLong();
     List<String> failedWorkers = new ArrayList<>();
-    String lost = "";
+    List<String> lostWorkers = new ArrayList<>();
     int succeeded = 0;
     for (TaskPlacement placement : job.getPlacementsList()) {
       Platform.TaskReport report = byLease.get(placement.getLeaseId());
-      String state = report == null ? "" : report.state();
-      switch (state) {
+      switch (report == null ? "" : report.state()) {
         case "succeeded" -> {
           succeeded++;
           leases.confirmed(placement.getLeaseId(), nowMillis);
         }
         case "failed" -> failedWorkers.add(placement.getWorker());
-        case "expired", "stopped" -> lost = "task on " + placement.getWorker() + " " + state;
-        default -> {}
+        case "expired", "stopped" -> lostWorkers.add(placement.getWorker());
+        default -> {
+          if (leases.isUnconfirmed(placement.getLeaseId(), nowMillis, SILENCE_MILLIS)) {
+            lostWorkers.add(placement.getWorker());
+          }
+        }
       }
     }
-    List<String> silent = leases.unconfirmed(nowMillis, SILENCE_MILLIS);
     if (!failedWorkers.isEmpty()) {
       rollBack(job, "task-failed", "a task failed on " + failedWorkers, failedWorkers);
-    } else if (!lost.isEmpty()) {
-      rollBack(job, "undone", lost, List.of());
+    } else if (!lostWorkers.isEmpty()) {
+      rollBack(job, "undone", "the tasks on " + lostWorkers + " were lost", lostWorkers);
     } else if (succeeded == job.getPlacementsCount()) {
       propose(step(job, GangStep.Phase.ENDED).setResult("completed"));
-    } else if (!silent.isEmpty()) {
-      rollBack(job, "undone", "no worker has confirmed the leases " + silent, List.of());
     }
   }
 
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/control/GangLeases.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/control/GangLeases.java
@@ -1,7 +1,6 @@
 package org.hickoryspar.node.control;
 
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import org.hickoryspar.protocol.JobRecord;
 import org.hickoryspar.protocol.TaskPlacement;
@@ -56,12 +55,8 @@
     return endMillisByLease.keySet().stream().allMatch(lease -> isOver(lease, nowMillis));
   }
 
-  /** Returns the leases that no worker has confirmed for a while. */
-  List<String> unconfirmed(long nowMillis, long silenceMillis) {
-    return confirmedMillisByLease.entrySet().stream()
-        .filter(entry -> nowMillis - entry.getValue() > silenceMillis)
-        .map(Map.Entry::getKey)
-        .sorted()
-        .toList();
+  /** Returns whether no worker has confirmed a lease for a while. */
+  boolean isUnconfirmed(String leaseId, long nowMillis, long silenceMillis) {
+    return nowMillis - confirmedMillisByLease.getOrDefault(leaseId, nowMillis) > silenceMillis;
   }
 }
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/daemon/ControlAssembly.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/daemon/ControlAssembly.java
@@ -20,6 +20,7 @@
 import org.hickoryspar.kernel.value.Result;
 import org.hickoryspar.node.control.AdminServer;
 import org.hickoryspar.node.control.ControlDaemon;
+import org.hickoryspar.node.control.ControlMetrics;
 import org.hickoryspar.node.control.ControlServices;
 import org.hickoryspar.node.control.ControlStateMachine;
 import org.hickoryspar.node.control.Proposer;
@@ -80,6 +81,7 @@
     stateMachine.addListener(services::applied);
     PrometheusRegistry registry = new PrometheusRegistry();
     ProcessMetrics.register(registry);
+    ControlMetrics.register(registry, log, state);
     daemon =
         new ControlDaemon(
             settings,
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/entry/ConfigLease.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/entry/ConfigLease.java
@@ -47,6 +47,11 @@
         : Optional.empty();
   }
 
+  /** Returns whether control has answered lately, also with an empty configuration. */
+  boolean isUnexpired() {
+    return monotonicMillis.getAsLong() < held.leaseUntilMillis;
+  }
+
   /** Sends the next watch; each answer leads to the one after it. */
   void watch() {
     long calledMillis = monotonicMillis.getAsLong();
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/entry/EntryDaemon.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/entry/EntryDaemon.java
@@ -121,9 +121,11 @@
             new Traces(tracer),
             timer,
             entrySettings.queueLength());
+    StartupGate gate =
+        new StartupGate(config::isUnexpired, () -> table.version() > 0, monotonicMillis);
     handler =
         new EntryHandler(
-            settings, forwarder, endpoints, new ControlCalls(control), drainState, metrics);
+            settings, forwarder, endpoints, new ControlCalls(control), drainState, gate, metrics);
     server = new Server(threads);
     connector = newConnector();
   }
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/entry/EntryHandler.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/entry/EntryHandler.java
@@ -31,6 +31,7 @@
   private final EndpointCalls endpoints;
   private final ControlCalls controlCalls;
   private final DrainState drainState;
+  private final StartupGate startupGate;
   private final PrometheusRegistry metrics;
   private final int maxRequestBytes;
   private final ByteBudget bodies = new ByteBudget(Runtime.getRuntime().maxMemory() / 4);
@@ -41,6 +42,7 @@
       EndpointCalls endpoints,
       ControlCalls controlCalls,
       DrainState drainState,
+      StartupGate startupGate,
       PrometheusRegistry metrics) {
     super(InvocationType.NON_BLOCKING);
     this.credentials = new Credentials(settings.tokens());
@@ -48,6 +50,7 @@
     this.endpoints = endpoints;
     this.controlCalls = controlCalls;
     this.drainState = drainState;
+    this.startupGate = startupGate;
     this.metrics = metrics;
     long max = settings.entry() == null ? 0 : settings.entry().maxRequestBodyBytes();
     this.maxRequestBytes = (int) Math.min(max, Integer.MAX_VALUE - 8);
@@ -206,6 +209,8 @@
   private void ready(Response response, Callback done) {
     if (drainState.isDraining()) {
       Replies.text(response, done, 503, "text/plain", "draining\n");
+    } else if (!startupGate.isOpen()) {
+      Replies.text(response, done, 503, "text/plain", "waiting for configuration and endpoints\n");
     } else {
       Replies.text(response, done, 200, "text/plain", "ready\n");
     }
--- a/hickoryspar-standins/src/test/java/org/hickoryspar/standins/scenario/JobSteps.java
+++ b/hickoryspar-standins/src/test/java/org/hickoryspar/standins/scenario/JobSteps.java
@@ -170,11 +170,14 @@
 
   @Then("jobs start in {word} again")
   public void checkStartsAgain(String dataCentre) {
+    // The other two data centres have 16 workers, so some of these gangs need the third.
+    for (int i = 0; i < 20; i++) {
+      jobs.add(submit("plates", TestCluster.TEAM_TOKEN, 8, "worker", 20, true));
+    }
     await()
         .atMost(LIMIT)
         .until(
             () -> {
-              submitJobs(1, 1);
               for (JsonNode row : context.cluster().platformHistory()) {
                 if (row.path("dataCentre").asText().equals(dataCentre)
                     && row.path("startedMillis").asLong() > backMillis) {
--- a/hickoryspar-standins/src/test/java/org/hickoryspar/standins/scenario/TestCluster.java
+++ b/hickoryspar-standins/src/test/java/org/hickoryspar/standins/scenario/TestCluster.java
@@ -7,6 +7,7 @@
 import com.google.common.hash.Hashing;
 import java.io.File;
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -24,6 +25,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /** A cluster of real processes on loopback, with links that can be cut. */
 final class TestCluster implements AutoCloseable {
@@ -34,6 +36,9 @@
   private static final List<String> DATA_CENTRES = List.of("brest-a", "quimper-a", "rennes-a");
   private static final long STOP_LIMIT_SECONDS = 40;
 
+  private static final AtomicInteger NEXT_PORT =
+      new AtomicInteger(20_000 + (int) (ProcessHandle.current().pid() % 100) * 100);
+
   private final Path folder;
   private final Map<String, Process> processes = new LinkedHashMap<>();
   private final Map<String, List<String>> commands = new LinkedHashMap<>();
@@ -294,9 +299,15 @@
     return new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
   }
 
+  /** Takes ports below the range that the kernel uses for outgoing connections. */
   private static int freePort() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return socket.getLocalPort();
+    while (true) {
+      int port = NEXT_PORT.getAndIncrement();
+      try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+        return socket.getLocalPort();
+      } catch (BindException e) {
+        // In use by another process.
+      }
     }
   }
 
