--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/entry/Batches.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/entry/Batches.java
@@ -31,8 +31,8 @@
 
   private static final long RETRY_MILLIS = 200;
 
-  /** Bounds the memory of outcomes that cannot be recorded while control is unreachable. */
-  private static final int MAX_WAITING_OUTCOMES = 500;
+  /** Bounds the memory of claims and outcomes that wait while control is unreachable. */
+  private static final int MAX_WAITING = 1_000;
 
   private final String instanceId;
   private final long incarnation;
@@ -53,7 +53,7 @@
 
   /** Returns whether no further claim should be made until outcomes have been recorded. */
   boolean isFull() {
-    return outcomes.size() >= MAX_WAITING_OUTCOMES;
+    return outcomes.size() + claims.size() >= MAX_WAITING;
   }
 
   /** Returns whether no outcome waits to be recorded. */
@@ -70,10 +70,50 @@
             .setFingerprint(ByteString.copyFrom(fingerprint))
             .setClaimId(UUID.randomUUID().toString())
             .build();
+    send(
+        claim,
+        result -> {
+          if (!result.isSuccess() && !isUnavailable(result)) {
+            resolveLater(claim);
+          }
+          onResult.accept(result);
+        });
+  }
+
+  private void send(Claim claim, Consumer<Result<ClaimResult>> onResult) {
     claims.add(new PendingClaim(claim, onResult), claim.getSerializedSize());
     sendClaims();
   }
 
+  private static boolean isUnavailable(Result<ClaimResult> result) {
+    return result.problem().filter(p -> p.code().equals("unavailable")).isPresent();
+  }
+
+  /**
+   * Asks again for a claim whose answer was lost, and records that it was not run if it was made.
+   *
+   * <p>Without a record the key would stay in progress. A record without asking could replace the
+   * outcome of an earlier submission of the key, which may have run.
+   */
+  private void resolveLater(Claim claim) {
+    if (timer.isShutdown()) {
+      return;
+    }
+    var unused =
+        timer.schedule(
+            () -> send(claim, result -> resolve(claim, result)),
+            RETRY_MILLIS,
+            TimeUnit.MILLISECONDS);
+  }
+
+  private void resolve(Claim claim, Result<ClaimResult> result) {
+    if (!result.isSuccess()) {
+      resolveLater(claim);
+    } else if (result.map(r -> r.getStatus() == ClaimResult.Status.GRANTED).getOrElse(false)) {
+      var unused = record(claim.getTeam(), claim.getKey(), Outcomes.of(Outcome.Kind.NOT_RUN, 503));
+    }
+  }
+
   /** Records an outcome; repeated until it is durable, then the future completes. */
   CompletableFuture<Boolean> record(String team, String key, Outcome outcome) {
     OutcomeRecord made =
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/entry/CallEnds.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/entry/CallEnds.java
@@ -158,7 +158,7 @@
     }
   }
 
-  /** Records that a key whose claim may have been made was not run. */
+  /** Records that a claim that was granted too late was not run. */
   void abandonClaim(String team, String key) {
     var unused = batches.record(team, key, Outcomes.of(Outcome.Kind.NOT_RUN, 503));
   }
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/entry/ConfigLease.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/entry/ConfigLease.java
@@ -24,6 +24,7 @@
   private final ScheduledExecutorService timer;
   private final LongSupplier monotonicMillis;
   private final Runnable onChange;
+  private boolean reportedHeld;
   private volatile Held held = new Held(FleetView.NONE, Long.MIN_VALUE, false);
 
   ConfigLease(
@@ -47,6 +48,17 @@
         : Optional.empty();
   }
 
+  /** Logs when the lease is lost or held again. */
+  void report() {
+    boolean now = current().isPresent();
+    if (now && !reportedHeld) {
+      EventLogger.log(EntryEvent.LEASE_GAINED, held.view.version());
+    } else if (!now && reportedHeld) {
+      EventLogger.log(EntryEvent.LEASE_LOST);
+    }
+    reportedHeld = now;
+  }
+
   /** Sends the next watch; each answer leads to the one after it. */
   void watch() {
     long calledMillis = monotonicMillis.getAsLong();
@@ -94,7 +106,6 @@
         return true;
       }
       held = new Held(next.get(), Math.max(leaseUntil, old.leaseUntilMillis), false);
-      EventLogger.log(EntryEvent.LEASE_GAINED, update.getVersion());
       onChange.run();
       return true;
     } catch (IOException e) {
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/entry/EntryDaemon.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/entry/EntryDaemon.java
@@ -151,6 +151,7 @@
     every(SLOT_LEASE_MILLIS, leases::tick);
     every(1_000, () -> forwarder.tick(true));
     every(1_000, endpoints::tick);
+    every(1_000, config::report);
     EventLogger.log(EntryEvent.STARTED, settings.instanceId(), port());
   }
 
@@ -190,7 +191,9 @@
     EventLogger.log(EntryEvent.DRAINING, settings.instanceId());
     drainState.begin();
     every(DISPATCH_MILLIS, this::checkDrain);
-    return drainState.whenDrained();
+    return drainState
+        .whenDrained()
+        .thenRun(() -> EventLogger.log(EntryEvent.DRAINED, settings.instanceId()));
   }
 
   /** Stops at once; {@link #drain} first for a planned stop. */
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/entry/RequestForwarder.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/entry/RequestForwarder.java
@@ -9,6 +9,8 @@
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
@@ -139,25 +141,46 @@
             .putBytes(order.body())
             .hash()
             .asBytes();
+    AtomicBoolean decided = new AtomicBoolean();
+    var late =
+        timer.schedule(
+            () -> {
+              if (decided.compareAndSet(false, true)) {
+                dispatcher.releasePlace(order.team());
+                reject(call, "deadline");
+              }
+            },
+            Math.max(1, order.deadlineMillis() - now()),
+            TimeUnit.MILLISECONDS);
     batches.claim(
         order.team(),
         order.key(),
         fingerprint,
         result -> {
+          late.cancel(false);
           span.end();
-          result.fold(
-              problem -> claimFailed(call, dispatcher, problem),
-              claim -> claimed(call, dispatcher, claim));
+          if (decided.compareAndSet(false, true)) {
+            result.fold(
+                problem -> claimFailed(call, dispatcher, problem),
+                claim -> claimed(call, dispatcher, claim));
+          } else {
+            result.map(claim -> abandonUnusedClaim(order, claim));
+          }
         });
   }
 
+  /** A claim whose request has been answered not-run must not keep its key in progress. */
+  private boolean abandonUnusedClaim(ServiceCall.Order order, ClaimResult claim) {
+    boolean held = claim.getStatus() == ClaimResult.Status.GRANTED;
+    if (held) {
+      ends.abandonClaim(order.team(), order.key());
+    }
+    return held;
+  }
+
   private boolean claimFailed(ServiceCall call, ServiceDispatcher dispatcher, Problem problem) {
     ServiceCall.Order order = call.order();
     dispatcher.releasePlace(order.team());
-    if (!problem.code().equals("unavailable")) {
-      // The claim may have been made: without a record its key would stay in progress.
-      ends.abandonClaim(order.team(), order.key());
-    }
     ends.notRun(call, 503, "not-claimed", "the request could not be claimed: " + problem.message());
     return false;
   }
--- a/hickoryspar-standins/src/test/java/org/hickoryspar/node/entry/EntryRulesTest.java
+++ b/hickoryspar-standins/src/test/java/org/hickoryspar/node/entry/EntryRulesTest.java
@@ -16,6 +16,7 @@
 import org.hickoryspar.protocol.Endpoint;
 import org.hickoryspar.protocol.EndpointSpread;
 import org.hickoryspar.protocol.Envelope;
+import org.hickoryspar.protocol.Outcome;
 import org.hickoryspar.standins.minion.Faults;
 import org.hickoryspar.standins.minion.Minion;
 import org.testng.annotations.DataProvider;
@@ -65,7 +66,16 @@
       {"POST", announce, "minion-catalogue", "X-None", "1", "x".repeat(5_000), 413, "too-large"},
       {"POST", announce, "team-north", "X-None", "1", "{}", 401, "token"},
       {"POST", "/v1/jobs", "team-north", key, good, "[]", 400, "malformed"},
-      {"PUT", "/v1/fleet?baseVersion=x", "operator-olive", "X-None", "1", "{}", 400, "malformed"},
+      {
+        "PUT",
+        "/v1/fleet",
+        "operator-olive",
+        "X-None",
+        "1",
+        "{\"baseVersion\":\"x\"}",
+        400,
+        "malformed"
+      },
       {"PUT", "/v1/fleet", "team-north", "X-None", "1", "{}", 401, "token"},
     };
   }
@@ -174,6 +184,51 @@
     }
   }
 
+  /** Guards against a lost claim answer that blocks its key or hides an earlier run. */
+  @Test
+  public void shouldKeepTheOutcomeOfAnEarlierRunWhenAClaimAnswerIsLost() throws Exception {
+    try (Rig rig = new Rig()) {
+      EntryDaemon entry = rig.startEntry();
+      Minion minion =
+          rig.startMinion(new Faults(false, false, 0, false, false, true, false, false, 0, 0));
+      String ran = Rig.newKey();
+      String fresh = Rig.newKey();
+      rig.call(entry, "north", false).key(ran).deadline(300).send().join();
+      await().atMost(Rig.GENEROUS).until(() -> rig.control.outcome("north", ran) != null);
+      rig.control.beforeClaimAnswer = () -> CompletableFuture.completedFuture(false);
+      for (String key : List.of(ran, fresh)) {
+        HttpResponse<byte[]> lost = rig.call(entry, "north", false).key(key).send().join();
+        assertEquals(Rig.outcome(lost), "not-run");
+      }
+      rig.control.beforeClaimAnswer = () -> CompletableFuture.completedFuture(true);
+      int claims = rig.control.claims.get();
+      await().atMost(Rig.GENEROUS).until(() -> rig.control.outcome("north", fresh) != null);
+      await().atMost(Rig.GENEROUS).until(() -> rig.control.claims.get() >= claims + 2);
+      assertEquals(rig.control.outcome("north", fresh).getKind(), Outcome.Kind.NOT_RUN);
+      assertEquals(rig.control.outcome("north", ran).getKind(), Outcome.Kind.UNKNOWN);
+      assertEquals(minion.runs(), Map.of(ran, 1));
+    }
+  }
+
+  /** Guards against a caller that waits beyond its deadline, and a key that stays in progress. */
+  @Test
+  public void shouldAnswerNotRunAtTheDeadlineWhenTheClaimIsSlow() throws Exception {
+    try (Rig rig = new Rig()) {
+      EntryDaemon entry = rig.startEntry();
+      Minion minion = rig.startMinion(Faults.NONE);
+      CompletableFuture<Boolean> claimed = new CompletableFuture<>();
+      rig.control.beforeClaimAnswer = () -> claimed;
+      String key = Rig.newKey();
+      HttpResponse<byte[]> answer =
+          rig.call(entry, "north", false).key(key).deadline(300).send().join();
+      assertEquals(Rig.outcome(answer), "not-run");
+      claimed.complete(true);
+      await().atMost(Rig.GENEROUS).until(() -> rig.control.outcome("north", key) != null);
+      assertEquals(rig.control.outcome("north", key).getKind(), Outcome.Kind.NOT_RUN);
+      assertEquals(minion.runs(), Map.of());
+    }
+  }
+
   // -- configuration
 
   /** Guards against new work from an entry that control cannot reach, or with an old version. */
--- a/hickoryspar-standins/src/test/java/org/hickoryspar/node/entry/FakeControl.java
+++ b/hickoryspar-standins/src/test/java/org/hickoryspar/node/entry/FakeControl.java
@@ -50,7 +50,7 @@
       "{\"teams\":{\"north\":{},\"south\":{}},\"dataCentres\":{\"brest-a\":{\"out\":false}},"
           + "\"services\":{\"catalogue\":{}}}";
 
-  private record Held(ByteString fingerprint, String entry, long incarnation, Outcome outcome) {}
+  private record Held(ByteString fingerprint, String entry, String claimId, Outcome outcome) {}
 
   synchronized void configure(long newVersion, String newDocument) {
     version = newVersion;
@@ -62,7 +62,8 @@
     held.replaceAll(
         (key, claim) ->
             claim.outcome == null && claim.entry.equals(entry)
-                ? new Held(claim.fingerprint, entry, 0, Outcomes.of(Outcome.Kind.UNKNOWN, 504))
+                ? new Held(
+                    claim.fingerprint, entry, claim.claimId, Outcomes.of(Outcome.Kind.UNKNOWN, 504))
                 : claim);
   }
 
@@ -96,13 +97,15 @@
     if (old == null) {
       held.put(
           name,
-          new Held(
-              claim.getFingerprint(), batch.getEntryInstance(), batch.getEntryIncarnation(), null));
+          new Held(claim.getFingerprint(), batch.getEntryInstance(), claim.getClaimId(), null));
       return result.setStatus(ClaimResult.Status.GRANTED).build();
     }
     if (!old.fingerprint.equals(claim.getFingerprint())) {
       return result.setStatus(ClaimResult.Status.FINGERPRINT_MISMATCH).build();
     }
+    if (old.outcome == null && old.claimId.equals(claim.getClaimId())) {
+      return result.setStatus(ClaimResult.Status.GRANTED).build();
+    }
     return old.outcome == null
         ? result.setStatus(ClaimResult.Status.IN_PROGRESS).setHolderInstance(old.entry).build()
         : result.setStatus(ClaimResult.Status.COMPLETED).setOutcome(old.outcome).build();
@@ -122,8 +125,7 @@
               held.computeIfPresent(
                   each.getTeam() + '/' + each.getKey(),
                   (name, claim) ->
-                      new Held(
-                          claim.fingerprint, claim.entry, claim.incarnation, each.getOutcome()));
+                      new Held(claim.fingerprint, claim.entry, claim.claimId, each.getOutcome()));
             }
           }
           return Result.success(OutcomeBatchResult.getDefaultInstance());
--- a/hickoryspar-standins/src/test/java/org/hickoryspar/node/entry/Rig.java
+++ b/hickoryspar-standins/src/test/java/org/hickoryspar/node/entry/Rig.java
@@ -4,6 +4,7 @@
 
 import com.google.common.hash.Hashing;
 import io.opentelemetry.api.OpenTelemetry;
+import io.opentelemetry.api.trace.Tracer;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.io.IOException;
 import java.net.URI;
@@ -33,6 +34,7 @@
 
   final FakeControl control = new FakeControl();
   final HttpClient http = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+  Tracer tracer = OpenTelemetry.noop().getTracer("test");
   private final int entryCount;
   private final int queueLength;
   private final List<EntryDaemon> entries = new ArrayList<>();
@@ -57,7 +59,7 @@
             control,
             new Peers("e" + index),
             new PrometheusRegistry(),
-            OpenTelemetry.noop().getTracer("test"),
+            tracer,
             Clock.systemUTC(),
             () -> System.nanoTime() / 1_000_000);
     entries.add(made);
