--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/control/ConfigService.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/control/ConfigService.java
@@ -51,11 +51,9 @@
     Waiter waiter = new Waiter(new CompletableFuture<>());
     synchronized (this) {
       Watch before =
-          watches.put(
-              watch.getEntryInstance(), new Watch(watch.getVersionInForce(), nowMillis));
+          watches.put(watch.getEntryInstance(), new Watch(watch.getVersionInForce(), nowMillis));
       // After a change of the leader an entry has little of its lease left and must not wait.
-      boolean recent =
-          before != null && nowMillis - before.confirmedMillis() <= 2 * WAIT_MILLIS;
+      boolean recent = before != null && nowMillis - before.confirmedMillis() <= 2 * WAIT_MILLIS;
       if (!recent || watch.getVersionInForce() != state.fleetVersion()) {
         waiter.news.complete(true);
       } else {
