--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/replication/ReplicaDriver.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/replication/ReplicaDriver.java
@@ -71,8 +71,8 @@
    * @param clockNanos monotonic clock in nanoseconds
    * @param options limits and time-outs
    * @param random source of election timeouts
-   * @param onFailure told once when the replica has failed, for example because a sync failed; the
-   *     process must end
+   * @param onFailure told once, on a new thread, when the replica has failed, for example because a
+   *     sync failed; the process must end
    */
   public ReplicaDriver(
       String replicaId,
@@ -339,7 +339,10 @@
       storageThread.stop();
       applyThread.stop();
       pending.stopped();
-      onFailure.accept(cause);
+      // On a thread of its own, so that it may close this object or end the process.
+      Thread reporter = new Thread(() -> onFailure.accept(cause), "replica-failure-" + replicaId);
+      reporter.setDaemon(true);
+      reporter.start();
     }
   }
 
