--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/scheduling/SchedulerPropertyTest.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/scheduling/SchedulerPropertyTest.java
@@ -98,7 +98,8 @@
               .toList();
       List<GuaranteeReport> reports = new ArrayList<>(model.scheduler.guarantees());
       boolean formable = reports.stream().allMatch(GuaranteeReport::formable);
-      reports.removeIf(report -> report.formable() && !model.idleGuarantees().contains(report));
+      reports.removeIf(GuaranteeReport::formable);
+      reports.addAll(model.idleGuarantees());
       List<GangShape> shapes = reports.stream().map(GuaranteeReport::shape).toList();
       Map<String, ResourceShape> held = model.heldForGood();
       compare(seed, formable, exact(usable, held, shapes).isFormable());
