Add a benchmark of scheduling decisions

Claims about fragmentation, completion time and decision time need runs that can be repeated. The bench module generates seeded workloads in the shape of both deployments and of the two-year size, drives a real Scheduler under a virtual clock with a fake platform, checks every decision against its own account of the fleet, and writes JSON and an HTML page. Sub-commands: compare, slopes, resident and jmh.

--- /dev/null
+++ b/hickoryspar-bench/src/main/java/org/hickoryspar/bench/Command.java
@@ -0,0 +1,13 @@
+package org.hickoryspar.bench;
+
+/** A sub-command whose options args4j has set. */
+interface Command {
+
+  /**
+   * Runs the command.
+   *
+   * @return the exit status of the process
+   * @throws Exception if the command fails
+   */
+  int run() throws Exception;
+}
--- /dev/null
+++ b/hickoryspar-bench/src/main/java/org/hickoryspar/bench/Main.java
@@ -0,0 +1,50 @@
+package org.hickoryspar.bench;
+
+import org.jspecify.annotations.Nullable;
+import org.kohsuke.args4j.Argument;
+import org.kohsuke.args4j.CmdLineException;
+import org.kohsuke.args4j.CmdLineParser;
+import org.kohsuke.args4j.spi.SubCommand;
+import org.kohsuke.args4j.spi.SubCommandHandler;
+import org.kohsuke.args4j.spi.SubCommands;
+
+/** Entry point of the benchmark. */
+public final class Main {
+
+  @Argument(
+      required = true,
+      metaVar = "COMMAND",
+      usage = "compare | slopes | resident | jmh",
+      handler = SubCommandHandler.class)
+  @SubCommands({
+    @SubCommand(name = "compare", impl = CompareCommand.class),
+    @SubCommand(name = "slopes", impl = SlopesCommand.class),
+    @SubCommand(name = "resident", impl = ResidentCommand.class),
+    @SubCommand(name = "jmh", impl = JmhCommand.class)
+  })
+  private @Nullable Command command;
+
+  private Main() {}
+
+  /**
+   * Runs a sub-command.
+   *
+   * @param arguments the command line
+   * @throws Exception if the command fails
+   */
+  public static void main(String[] arguments) throws Exception {
+    Main main = new Main();
+    CmdLineParser parser = new CmdLineParser(main);
+    try {
+      parser.parseArgument(arguments);
+    } catch (CmdLineException e) {
+      System.err.println(e.getMessage());
+      CmdLineParser failed = e.getParser();
+      (failed == null ? parser : failed).printUsage(System.err);
+      System.exit(2);
+    }
+    if (main.command != null) {
+      System.exit(main.command.run());
+    }
+  }
+}
--- /dev/null
+++ b/hickoryspar-bench/src/main/java/org/hickoryspar/bench/ResourceTable.java
@@ -0,0 +1,77 @@
+package org.hickoryspar.bench;
+
+import org.hickoryspar.kernel.scheduling.ResourceShape;
+
+/** An amount of resources for each worker of a fleet, by the worker's index. */
+final class ResourceTable {
+
+  private final int[] cores;
+  private final int[] memoryMegabytes;
+  private final int[] accelerators;
+
+  ResourceTable(int workers) {
+    this(new int[workers], new int[workers], new int[workers]);
+  }
+
+  private ResourceTable(int[] cores, int[] memoryMegabytes, int[] accelerators) {
+    this.cores = cores;
+    this.memoryMegabytes = memoryMegabytes;
+    this.accelerators = accelerators;
+  }
+
+  ResourceTable copy() {
+    return new ResourceTable(cores.clone(), memoryMegabytes.clone(), accelerators.clone());
+  }
+
+  int size() {
+    return cores.length;
+  }
+
+  int accelerators(int worker) {
+    return Math.max(0, accelerators[worker]);
+  }
+
+  /** Adds a shape {@code times} times, or subtracts it when {@code times} is negative. */
+  void add(int worker, ResourceShape shape, int times) {
+    cores[worker] += shape.cores() * times;
+    memoryMegabytes[worker] += shape.memoryMegabytes() * times;
+    accelerators[worker] += shape.accelerators() * times;
+  }
+
+  void clear(int worker) {
+    cores[worker] = 0;
+    memoryMegabytes[worker] = 0;
+    accelerators[worker] = 0;
+  }
+
+  /** Reduces each amount to that of another table. */
+  void limitTo(ResourceTable other) {
+    for (int i = 0; i < cores.length; i++) {
+      cores[i] = Math.min(cores[i], other.cores[i]);
+      memoryMegabytes[i] = Math.min(memoryMegabytes[i], other.memoryMegabytes[i]);
+      accelerators[i] = Math.min(accelerators[i], other.accelerators[i]);
+    }
+  }
+
+  boolean isOverdrawn(int worker) {
+    return cores[worker] < 0 || memoryMegabytes[worker] < 0 || accelerators[worker] < 0;
+  }
+
+  /** Returns how many tasks of a shape fit on a worker, at most {@code limit}. */
+  int fitting(int worker, ResourceShape shape, int limit) {
+    if (isOverdrawn(worker)) {
+      return 0;
+    }
+    int count = limit;
+    if (shape.cores() > 0) {
+      count = Math.min(count, cores[worker] / shape.cores());
+    }
+    if (shape.memoryMegabytes() > 0) {
+      count = Math.min(count, memoryMegabytes[worker] / shape.memoryMegabytes());
+    }
+    if (shape.accelerators() > 0) {
+      count = Math.min(count, accelerators[worker] / shape.accelerators());
+    }
+    return count;
+  }
+}
--- /dev/null
+++ b/hickoryspar-bench/src/main/java/org/hickoryspar/bench/SlopesCommand.java
@@ -0,0 +1,126 @@
+package org.hickoryspar.bench;
+
+import com.google.common.base.Splitter;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.function.ToDoubleFunction;
+import org.hickoryspar.kernel.scheduling.Decision;
+import org.hickoryspar.kernel.scheduling.JobRequest;
+import org.kohsuke.args4j.Option;
+
+/** Measures how decision time and state of a scheduler grow, and fits lines. */
+public final class SlopesCommand implements Command {
+
+  private static final int WARM_UP_CALLS = 300;
+  private static final int MEASURED_CALLS = 1_000;
+  private static final int TWO_YEAR_TASKS = 9_900;
+  private static final double BYTES_PER_MEGABYTE = 1e6;
+
+  @Option(name = "--scheduler", usage = "SCHEDULER[:POLICY]")
+  private String scheduler = "first-fit";
+
+  @Option(name = "--calls", usage = "measured decisions per point")
+  private int calls = MEASURED_CALLS;
+
+  @Option(name = "--sizes", usage = "numbers of workers, the last one for the other two tables")
+  private String sizes = "120,480,960,1360,1700";
+
+  private record Point(double x, double medianMillis, double p99Millis, double megabytes) {}
+
+  /** Makes the command with its default options. */
+  public SlopesCommand() {}
+
+  @Override
+  public int run() {
+    Variant variant = Variant.parse(scheduler, "fragmentation");
+    List<Integer> workers = new ArrayList<>();
+    for (String size : Splitter.on(',').split(sizes)) {
+      workers.add(Integer.parseInt(size));
+    }
+    int largest = workers.get(workers.size() - 1);
+    int fullTasks = tasksFor(largest);
+    List<Point> byWorkers = new ArrayList<>();
+    for (int count : workers) {
+      byWorkers.add(measure(variant, count, tasksFor(count), 0, count));
+    }
+    print(variant + ", by workers with tasks in proportion", byWorkers, largest);
+    List<Point> byTasks = new ArrayList<>();
+    for (int quarter = 0; quarter <= 4; quarter++) {
+      int tasks = fullTasks * quarter / 4;
+      byTasks.add(measure(variant, largest, tasks, 0, -1));
+    }
+    print(variant + ", by running tasks on " + largest + " workers", byTasks, fullTasks);
+    List<Point> byQueue = new ArrayList<>();
+    for (int waiting : List.of(0, 100, 200, 400, 800)) {
+      byQueue.add(measure(variant, largest, fullTasks, waiting, waiting));
+    }
+    print(variant + ", by waiting large gangs on " + largest + " workers", byQueue, 800);
+    return 0;
+  }
+
+  private static int tasksFor(int workers) {
+    return (int) ((long) TWO_YEAR_TASKS * workers / Deployment.TWO_YEAR_WORKERS);
+  }
+
+  /** Measures one point; {@code x} is -1 when the number of running tasks is the size. */
+  private Point measure(Variant variant, int workers, int tasks, int waiting, int x) {
+    System.err.printf(Locale.ROOT, "%d workers, %d tasks, %d waiting%n", workers, tasks, waiting);
+    double before = usedBytesAfterCollection();
+    SteadyState state = new SteadyState(variant, workers, tasks, waiting);
+    double megabytes = (usedBytesAfterCollection() - before) / BYTES_PER_MEGABYTE;
+    int running = state.runningTasks();
+    List<Double> millis = new ArrayList<>();
+    for (int i = 0; i < WARM_UP_CALLS + calls; i++) {
+      JobRequest job = state.newJob("team-" + (1 + i % 4), i);
+      state.scheduler().jobQueued(job);
+      long begin = System.nanoTime();
+      List<Decision> decisions = state.scheduler().decide(state.nowMillis());
+      double elapsed = (System.nanoTime() - begin) / 1e6;
+      if (i >= WARM_UP_CALLS) {
+        millis.add(elapsed);
+      }
+      state.undo(job, decisions);
+    }
+    Distribution time = Distribution.of(millis);
+    return new Point(x < 0 ? running : x, time.median(), time.p99(), megabytes);
+  }
+
+  private static void print(String title, List<Point> points, double target) {
+    System.out.println(title);
+    System.out.println("         size  median ms     p99 ms   state MB");
+    for (Point point : points) {
+      System.out.printf(
+          Locale.ROOT,
+          "%13.0f %10.4f %10.4f %10.3f%n",
+          point.x(),
+          point.medianMillis(),
+          point.p99Millis(),
+          point.megabytes());
+    }
+    fit("median ms", points, Point::medianMillis, target);
+    fit("p99 ms", points, Point::p99Millis, target);
+    fit("state MB", points, Point::megabytes, target);
+    System.out.println();
+  }
+
+  private static void fit(
+      String name, List<Point> points, ToDoubleFunction<Point> value, double target) {
+    List<Double> xs = points.stream().map(Point::x).toList();
+    List<Double> ys = points.stream().map(point -> value.applyAsDouble(point)).toList();
+    LinearFit fit = LinearFit.of(xs, ys);
+    System.out.printf(
+        Locale.ROOT, "  %-10s %s; at %.0f: %.4g%n", name, fit, target, fit.at(target));
+  }
+
+  /** Collects garbage until the amount in use stops falling. */
+  private static double usedBytesAfterCollection() {
+    Runtime runtime = Runtime.getRuntime();
+    long lowest = Long.MAX_VALUE;
+    for (int i = 0; i < 5; i++) {
+      System.gc();
+      lowest = Math.min(lowest, runtime.totalMemory() - runtime.freeMemory());
+    }
+    return lowest;
+  }
+}
--- /dev/null
+++ b/hickoryspar-bench/src/main/java/org/hickoryspar/bench/SteadyState.java
@@ -0,0 +1,121 @@
+package org.hickoryspar.bench;
+
+import java.util.List;
+import java.util.Optional;
+import org.hickoryspar.kernel.scheduling.Adjacency;
+import org.hickoryspar.kernel.scheduling.Decision;
+import org.hickoryspar.kernel.scheduling.EndReason;
+import org.hickoryspar.kernel.scheduling.GangShape;
+import org.hickoryspar.kernel.scheduling.JobRequest;
+import org.hickoryspar.kernel.scheduling.ResourceShape;
+import org.hickoryspar.kernel.scheduling.Scheduler;
+
+/** A scheduler with the load of the two-year mix, for measurements of single decisions. */
+final class SteadyState {
+
+  private static final long SEED = 1;
+
+  private final Scheduler scheduler;
+  private long nowMillis = 1;
+  private int runningTasks;
+  private int waitingJobs;
+
+  /**
+   * Loads a scheduler.
+   *
+   * @param variant the scheduler
+   * @param workers number of workers
+   * @param tasks number of tasks to run at most; work beyond it is not submitted
+   * @param extraWaiting number of jobs that wait because each needs more than is free
+   */
+  SteadyState(Variant variant, int workers, int tasks, int extraWaiting) {
+    scheduler = variant.newScheduler();
+    Workload workload = WorkloadGenerator.generate(Deployment.twoYears(workers), SEED);
+    workload.workers().forEach(scheduler::workerChanged);
+    scheduler.configure(workload.config());
+    List<JobRequest> load =
+        workload.jobs().stream().filter(JobPlan::warmUp).map(JobPlan::request).toList();
+    for (JobRequest job : load) {
+      if (runningTasks + job.shape().tasks() <= tasks) {
+        scheduler.jobQueued(job);
+        decide();
+      }
+    }
+    queueWaiting(workload, extraWaiting);
+    decide();
+  }
+
+  Scheduler scheduler() {
+    return scheduler;
+  }
+
+  int runningTasks() {
+    return runningTasks;
+  }
+
+  int waitingJobs() {
+    return waitingJobs;
+  }
+
+  long nowMillis() {
+    return nowMillis;
+  }
+
+  /** Returns a small urgent job like those that are submitted at any time. */
+  JobRequest newJob(String team, long number) {
+    GangShape shape = new GangShape(1, new ResourceShape(4, 16_000, 1), Adjacency.NONE);
+    return new JobRequest("probe-" + number, team, "urgent", shape, true, 60_000, false, nowMillis);
+  }
+
+  /** Ends or removes the job of a measured decision, and finishes the preemptions it asked for. */
+  void undo(JobRequest job, List<Decision> decisions) {
+    nowMillis += 1_000;
+    boolean placed = false;
+    for (Decision decision : decisions) {
+      if (decision instanceof Decision.Preempt) {
+        scheduler.gangEnded(decision.jobId(), EndReason.PREEMPTED, List.of(), nowMillis);
+      }
+      placed |= decision instanceof Decision.Place && decision.jobId().equals(job.jobId());
+    }
+    if (placed) {
+      scheduler.gangEnded(job.jobId(), EndReason.CANCELLED, List.of(), nowMillis);
+    } else {
+      scheduler.jobRemoved(job.jobId());
+    }
+    decide();
+  }
+
+  /** Makes the pending decisions; each call of the benchmark then has the same work to do. */
+  void decide() {
+    for (Decision decision : scheduler.decide(nowMillis)) {
+      if (decision instanceof Decision.Place place) {
+        runningTasks += place.workers().size();
+      } else if (decision instanceof Decision.Preempt) {
+        scheduler.gangEnded(decision.jobId(), EndReason.PREEMPTED, List.of(), nowMillis);
+      }
+    }
+  }
+
+  private void queueWaiting(Workload workload, int count) {
+    Optional<JobRequest> large =
+        workload.jobs().stream()
+            .map(JobPlan::request)
+            .filter(job -> job.kind().equals("large-gang"))
+            .findFirst();
+    for (int i = 0; i < count && large.isPresent(); i++) {
+      JobRequest model = large.get();
+      int team = i % workload.config().teams().size();
+      scheduler.jobQueued(
+          new JobRequest(
+              "waiting-" + i,
+              workload.config().teams().get(team).team(),
+              model.kind(),
+              model.shape(),
+              false,
+              model.declaredRunMillis(),
+              true,
+              nowMillis));
+      waitingJobs++;
+    }
+  }
+}
