--- a/hickoryspar-bench/src/main/java/org/hickoryspar/bench/Deployment.java
+++ b/hickoryspar-bench/src/main/java/org/hickoryspar/bench/Deployment.java
@@ -138,9 +138,10 @@
     double scale = workers / (double) TWO_YEAR_WORKERS;
     List<GangShape> gangs = new ArrayList<>(shapes(RACK, 1, 8, 16, 16, 16));
     gangs.addAll(shapes(WORKER, 1, 8, 8));
-    gangs.addAll(shapes(RACK, 2, 8, 16));
-    List<GangShape> large = new ArrayList<>(shapes(RACK, 1, 32, 32, 64));
+    gangs.addAll(shapes(RACK, 2, 8, 16, 16));
+    List<GangShape> large = new ArrayList<>(shapes(RACK, 1, 32, 32, 64, 64));
     large.addAll(shapes(NONE, 1, 64));
+    large.addAll(shapes(RACK, 2, 32));
     List<JobClass> classes =
         List.of(
             new JobClass(
@@ -148,9 +149,9 @@
             new JobClass(
                 "urgent-burst", 200 * scale, true, 0, shapes(NONE, 1, 2, 4), 300, Arrival.BURSTS),
             new JobClass(
-                "small", 900 * scale, false, 0.6, shapes(NONE, 2, 1, 2, 4), 16_000, Arrival.BURSTS),
-            new JobClass("gang", 900 * scale, false, 0.6, gangs, 25_000, Arrival.DAYTIME),
-            new JobClass("large-gang", 200 * scale, false, 0.6, large, 36_000, Arrival.DAYTIME));
+                "small", 900 * scale, false, 0.6, shapes(NONE, 2, 1, 2, 4), 19_000, Arrival.BURSTS),
+            new JobClass("gang", 900 * scale, false, 0.6, gangs, 35_000, Arrival.DAYTIME),
+            new JobClass("large-gang", 200 * scale, false, 0.6, large, 48_000, Arrival.DAYTIME));
     int teamCount = Math.max(4, (int) Math.round(TWO_YEAR_TEAMS * scale));
     int accelerators = workers * 8;
     List<TeamPolicy> teams = new ArrayList<>();
--- a/hickoryspar-bench/src/main/java/org/hickoryspar/bench/Fragmentation.java
+++ b/hickoryspar-bench/src/main/java/org/hickoryspar/bench/Fragmentation.java
@@ -53,6 +53,16 @@
     return total == 0 ? 0 : 1 - usable / (double) total;
   }
 
+  /** Returns the number of free accelerators on workers on which tasks may start. */
+  int freeAccelerators() {
+    ResourceTable free = occupancy.usableFree();
+    int total = 0;
+    for (int i = 0; i < free.size(); i++) {
+      total += free.accelerators(i);
+    }
+    return total;
+  }
+
   private int usableInRack(ResourceTable free, int[] rack, GangShape shape) {
     int tasks = 0;
     for (int worker : rack) {
--- a/hickoryspar-bench/src/main/java/org/hickoryspar/bench/Measurements.java
+++ b/hickoryspar-bench/src/main/java/org/hickoryspar/bench/Measurements.java
@@ -32,6 +32,9 @@
   private final List<Double> fragmentationSamples = new ArrayList<>();
   private final List<Double> fragmentationWhileWaiting = new ArrayList<>();
   private final List<Double> runningSamples = new ArrayList<>();
+  private final List<Double> strandedSamples = new ArrayList<>();
+  private final List<Double> freeSamples = new ArrayList<>();
+  private final List<Double> runningTasks = new ArrayList<>();
   private final Map<String, Double> figures = new TreeMap<>();
   private int openJobs;
 
@@ -125,11 +128,19 @@
     if (!large.isEmpty()) {
       fragmentationWhileWaiting.add(share);
     }
+    double free = fragmentation.freeAccelerators();
+    freeSamples.add(free);
+    strandedSamples.add(free * share);
     double running = 0;
+    double tasks = 0;
     for (JobState job : occupancy.holders()) {
-      running += job.phase() == JobState.Phase.RUNNING ? job.accelerators() : 0;
+      if (job.phase() == JobState.Phase.RUNNING) {
+        running += job.accelerators();
+        tasks += job.workers().size();
+      }
     }
     runningSamples.add(running);
+    runningTasks.add(tasks);
     for (Incident incident : workload.incidents()) {
       if (incident instanceof Incident.DataCentreAway away
           && away.atMillis() <= nowMillis
@@ -168,6 +179,9 @@
     figures.put(
         "share-of-time-large-waits",
         fragmentationWhileWaiting.size() / (double) Math.max(1, fragmentationSamples.size()));
+    figures.put("mean-stranded-accelerators", mean(strandedSamples));
+    figures.put("mean-free-accelerators", mean(freeSamples));
+    figures.put("mean-running-tasks", mean(runningTasks));
     figures.put("mean-running-accelerators", mean(runningSamples));
     figures.put("virtual-hours", nowMicros / 1000.0 / MILLIS_PER_HOUR);
   }
--- /dev/null
+++ b/hickoryspar-bench/src/test/java/org/hickoryspar/bench/FakePlatformTest.java
@@ -0,0 +1,153 @@
+package org.hickoryspar.bench;
+
+import static org.hickoryspar.kernel.scheduling.Adjacency.NONE;
+import static org.hickoryspar.kernel.scheduling.Adjacency.RACK;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import org.hickoryspar.kernel.scheduling.Adjacency;
+import org.hickoryspar.kernel.scheduling.Decision;
+import org.hickoryspar.kernel.scheduling.Decision.Place;
+import org.hickoryspar.kernel.scheduling.Decision.Preempt;
+import org.hickoryspar.kernel.scheduling.GangShape;
+import org.hickoryspar.kernel.scheduling.JobRequest;
+import org.hickoryspar.kernel.scheduling.ResourceShape;
+import org.hickoryspar.kernel.scheduling.SchedulingConfig;
+import org.hickoryspar.kernel.scheduling.TeamPolicy;
+import org.hickoryspar.kernel.scheduling.WorkerState;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+public class FakePlatformTest {
+
+  private static final ResourceShape CAPACITY = new ResourceShape(32, 128_000, 8);
+  private static final long SECOND = 1_000;
+
+  @DataProvider
+  public static Object[][] brokenPromises() {
+    JobRequest whole = job("j0", 1, 8, NONE, false, 0);
+    JobRequest late = job("j1", 1, 8, NONE, false, 20 * SECOND);
+    JobRequest pair = job("j0", 2, 8, RACK, true, 0);
+    Place onA1 = place("j0", "a1");
+    return new Object[][] {
+      {BrokenPromise.OVERCOMMIT, List.of(whole, late), List.of(onA1, place("j1", "a1")), 99, 0},
+      {BrokenPromise.PARTIAL_GANG, List.of(pair), List.of(onA1), 99, 0},
+      {BrokenPromise.ADJACENCY, List.of(pair), List.of(place("j0", "a1", "b1")), 99, 0},
+      {BrokenPromise.OUT_OF_SERVICE, List.of(late), List.of(place("j1", "b1")), 99, 0},
+      {BrokenPromise.OUT_OF_SERVICE, List.of(whole), List.of(place("j0", "unknown")), 99, 0},
+      {BrokenPromise.QUOTA, List.of(whole, late), List.of(onA1, place("j1", "a2")), 8, 0},
+      {BrokenPromise.GUARANTEE, List.of(whole), List.of(onA1), 99, 3},
+      {BrokenPromise.WRONG_STATE, List.of(whole, late), List.of(onA1, onA1), 99, 0},
+      {BrokenPromise.WRONG_STATE, List.of(whole), List.of(new Preempt("j0", "j1", "")), 99, 0},
+      {
+        BrokenPromise.NON_PREEMPTIBLE_PREEMPTED,
+        List.of(whole, late),
+        List.of(onA1, new Preempt("j0", "j1", "")),
+        99,
+        0
+      },
+    };
+  }
+
+  /** Guards against a report that says "no broken promise" because nothing was looked at. */
+  @Test(dataProvider = "brokenPromises")
+  public void shouldDetectTheBrokenPromise(
+      BrokenPromise kind,
+      List<JobRequest> jobs,
+      List<Decision> script,
+      int quotaAccelerators,
+      int guaranteedWorkers) {
+    RunResult result =
+        run(jobs, new ScriptedScheduler(script), quotaAccelerators, guaranteedWorkers);
+    assertEquals(result.brokenPromises(), Map.of(kind, 1), result.examples().toString());
+  }
+
+  /** Guards against a checker that accuses a correct scheduler. */
+  @Test
+  public void shouldFindNothingWhenAllPromisesAreKept() {
+    List<JobRequest> jobs =
+        List.of(job("j0", 2, 8, RACK, true, 0), job("j1", 1, 8, NONE, false, 20 * SECOND));
+    ScriptedScheduler scheduler =
+        new ScriptedScheduler(
+            List.of(place("j0", "a1", "a2"), new Preempt("j0", "j1", "urgent work")));
+    RunResult result = run(jobs, scheduler, 99, 1);
+    assertEquals(result.brokenPromises(), Map.of());
+    assertEquals(scheduler.ended(), List.of("j0 PREEMPTED"));
+  }
+
+  /** Guards against a baseline that overcommits or starts work where it may not. */
+  @Test
+  public void shouldFindNoBrokenPromiseWhenTheBaselineRuns() {
+    Workload workload = WorkloadGenerator.generate(Deployment.twoYears(60), 1);
+    RunResult result = run(workload);
+    Map<BrokenPromise, Integer> broken = new TreeMap<>(result.brokenPromises());
+    broken.remove(BrokenPromise.GUARANTEE);
+    assertEquals(broken, Map.of(), result.examples().toString());
+    assertTrue(result.completion().get("all").count() > 50);
+  }
+
+  /** Guards against runs that cannot be repeated from their seed. */
+  @Test
+  public void shouldGiveTheSameResultWhenTheClockIsIdeal() {
+    Workload workload = WorkloadGenerator.generate(Deployment.twoYears(60), 2);
+    RunResult first = run(workload);
+    RunResult second = run(workload);
+    assertEquals(second.completion(), first.completion());
+    assertEquals(second.figures(), first.figures());
+  }
+
+  private static RunResult run(Workload workload) {
+    Variant variant = new Variant("first-fit", "none");
+    FakePlatform platform =
+        new FakePlatform(workload, "none", variant.newScheduler(), true, done -> {});
+    return platform.run().result(variant.toString());
+  }
+
+  private static RunResult run(
+      List<JobRequest> jobs, ScriptedScheduler scheduler, int quota, int guaranteedWorkers) {
+    ResourceShape quotaShape = new ResourceShape(1_000, 4_000_000, quota);
+    List<GangShape> guarantees = new ArrayList<>();
+    for (int i = 0; i < guaranteedWorkers; i++) {
+      guarantees.add(new GangShape(1, CAPACITY, Adjacency.WORKER));
+    }
+    List<TeamPolicy> teams =
+        List.of(
+            new TeamPolicy("team", quotaShape, 1, List.of()),
+            new TeamPolicy("holder", quotaShape, 1, guarantees));
+    List<WorkerState> workers = List.of(worker("a1", "a"), worker("a2", "a"), worker("b1", "b"));
+    List<JobPlan> plans =
+        jobs.stream().map(j -> new JobPlan(j, 3_600_000, 1, JobPlan.Fate.HEALTHY, false)).toList();
+    // Data centre b is out from 10 s, so that a job at 20 s must not start there.
+    Incident away = new Incident.DataCentreAway(10 * SECOND, "b", 10 * SECOND, 60 * SECOND);
+    Workload workload =
+        new Workload(
+            "test",
+            1,
+            workers,
+            new SchedulingConfig(1, "none", teams, Set.of(), Set.of()),
+            plans,
+            List.of(away),
+            40 * SECOND,
+            50 * SECOND);
+    return new FakePlatform(workload, "none", scheduler, true, done -> {}).run().result("scripted");
+  }
+
+  private static Place place(String jobId, String... workers) {
+    return new Place(jobId, List.of(workers));
+  }
+
+  private static WorkerState worker(String id, String dataCentre) {
+    return new WorkerState(id, "rack", dataCentre, CAPACITY, true);
+  }
+
+  private static JobRequest job(
+      String id, int tasks, int accelerators, Adjacency adjacency, boolean preemptible, long at) {
+    GangShape shape = new GangShape(tasks, new ResourceShape(1, 1_000, accelerators), adjacency);
+    return new JobRequest(id, "team", "kind", shape, false, SECOND, preemptible, at);
+  }
+}
--- /dev/null
+++ b/hickoryspar-bench/src/test/java/org/hickoryspar/bench/WorkloadGeneratorTest.java
@@ -0,0 +1,48 @@
+package org.hickoryspar.bench;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotEquals;
+
+import java.util.EnumSet;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+public class WorkloadGeneratorTest {
+
+  @DataProvider
+  public static Object[][] deployments() {
+    return new Object[][] {
+      {"archive", 30, 3, 4}, {"caroni", 30, 3, 4}, {"two-years", 1_700, 21, 65}
+    };
+  }
+
+  /** Guards against runs that cannot be repeated from their seed. */
+  @Test(dataProvider = "deployments")
+  public void shouldDependOnTheSeedAlone(String name, int workers, int centres, int teams) {
+    Workload workload = WorkloadGenerator.generate(Deployment.named(name), 5);
+    assertEquals(WorkloadGenerator.generate(Deployment.named(name), 5), workload);
+    assertNotEquals(WorkloadGenerator.generate(Deployment.named(name), 6), workload);
+  }
+
+  /** Guards against a fleet or a mix of work that leaves out what the design page names. */
+  @Test(dataProvider = "deployments")
+  public void shouldHaveTheSizeAndTheIncidentsOfTheDesignPage(
+      String name, int workers, int centres, int teams) {
+    Workload workload = WorkloadGenerator.generate(Deployment.named(name), 5);
+    assertEquals(workload.workers().size(), workers);
+    assertEquals(workload.workers().stream().map(w -> w.dataCentre()).distinct().count(), centres);
+    assertEquals(workload.config().teams().size(), teams);
+    assertEquals(
+        workload.jobs().stream().map(JobPlan::fate).collect(Collectors.toSet()),
+        EnumSet.allOf(JobPlan.Fate.class));
+    assertEquals(
+        workload.incidents().stream().map(Object::getClass).collect(Collectors.toSet()),
+        Set.of(
+            Incident.CancelWave.class,
+            Incident.DataCentreAway.class,
+            Incident.FaultyWorker.class,
+            Incident.LostWorker.class));
+  }
+}
