--- a/hickoryspar-bench/src/main/java/org/hickoryspar/bench/Deployment.java
+++ b/hickoryspar-bench/src/main/java/org/hickoryspar/bench/Deployment.java
@@ -4,10 +4,12 @@
 import static org.hickoryspar.kernel.scheduling.Adjacency.RACK;
 import static org.hickoryspar.kernel.scheduling.Adjacency.WORKER;
 
+import com.google.common.collect.ImmutableMap;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.IntStream;
 import org.hickoryspar.bench.JobClass.Arrival;
 import org.hickoryspar.kernel.scheduling.Adjacency;
 import org.hickoryspar.kernel.scheduling.GangShape;
@@ -42,9 +44,6 @@
   /** Workers of the two-year size. */
   public static final int TWO_YEAR_WORKERS = 1_700;
 
-  private static final int TWO_YEAR_TEAMS = 65;
-  private static final int TWO_YEAR_DATA_CENTRES = 21;
-
   /**
    * Finds a deployment by name.
    *
@@ -86,7 +85,7 @@
             team("outreach", 48, 0.5, gang(1, 4, WORKER)));
     return new Deployment(
         "archive",
-        sites("brest-a", 16, "quimper-a", 8, "rennes-a", 6),
+        ImmutableMap.of("brest-a", 16, "quimper-a", 8, "rennes-a", 6),
         new ResourceShape(32, 128_000, 8),
         classes,
         teams,
@@ -119,7 +118,7 @@
             team("modelling", 144, 1, gang(4, 4, RACK)));
     return new Deployment(
         "caroni",
-        sites("port-spain", 16, "arima", 8, "san-fernando", 6),
+        ImmutableMap.of("port-spain", 16, "arima", 8, "san-fernando", 6),
         new ResourceShape(64, 256_000, 8),
         classes,
         teams,
@@ -152,14 +151,11 @@
                 "small", 900 * scale, false, 0.6, shapes(NONE, 2, 1, 2, 4), 19_000, Arrival.BURSTS),
             new JobClass("gang", 900 * scale, false, 0.6, gangs, 35_000, Arrival.DAYTIME),
             new JobClass("large-gang", 200 * scale, false, 0.6, large, 48_000, Arrival.DAYTIME));
-    int teamCount = Math.max(4, (int) Math.round(TWO_YEAR_TEAMS * scale));
+    int teamCount = Math.max(4, (int) Math.round(65 * scale));
     int accelerators = workers * 8;
     List<TeamPolicy> teams = new ArrayList<>();
     List<Double> shares = new ArrayList<>();
-    double harmonicSum = 0;
-    for (int i = 1; i <= teamCount; i++) {
-      harmonicSum += 1.0 / (i + 4);
-    }
+    double harmonicSum = IntStream.rangeClosed(1, teamCount).mapToDouble(i -> 1.0 / (i + 4)).sum();
     for (int i = 1; i <= teamCount; i++) {
       double share = 1.0 / (i + 4) / harmonicSum;
       shares.add(share);
@@ -167,7 +163,7 @@
       int quota = Math.max(72, (int) (accelerators * Math.min(0.5, share * 2)));
       teams.add(team("team-" + i, quota, 1, guaranteed));
     }
-    int centres = Math.max(3, (int) Math.round(TWO_YEAR_DATA_CENTRES * Math.min(1, scale * 2)));
+    int centres = Math.max(3, (int) Math.round(21 * Math.min(1, scale * 2)));
     Map<String, Integer> sites = new LinkedHashMap<>();
     for (int i = 0; i < centres; i++) {
       sites.put("dc-" + (i + 1), workers / centres + (i < workers % centres ? 1 : 0));
@@ -203,13 +199,4 @@
         new ResourceShape(accelerators * 4, accelerators * 16_000, accelerators);
     return new GangShape(tasks, perTask, adjacency);
   }
-
-  private static Map<String, Integer> sites(
-      String first, int firstSize, String second, int secondSize, String third, int thirdSize) {
-    Map<String, Integer> sites = new LinkedHashMap<>();
-    sites.put(first, firstSize);
-    sites.put(second, secondSize);
-    sites.put(third, thirdSize);
-    return sites;
-  }
 }
--- a/hickoryspar-bench/src/main/java/org/hickoryspar/bench/FakePlatform.java
+++ b/hickoryspar-bench/src/main/java/org/hickoryspar/bench/FakePlatform.java
@@ -1,16 +1,18 @@
 package org.hickoryspar.bench;
 
-import static java.util.Objects.requireNonNull;
-
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.TreeSet;
 import java.util.function.DoubleConsumer;
+import java.util.stream.IntStream;
 import org.hickoryspar.bench.JobPlan.Fate;
 import org.hickoryspar.bench.JobState.Phase;
 import org.hickoryspar.kernel.scheduling.Decision;
@@ -19,6 +21,7 @@
 import org.hickoryspar.kernel.scheduling.Scheduler;
 import org.hickoryspar.kernel.scheduling.SchedulingConfig;
 import org.hickoryspar.kernel.scheduling.WorkerState;
+import org.hickoryspar.kernel.value.Problem;
 
 /**
  * Runs a workload against a scheduler under a virtual clock and measures the outcome.
@@ -52,22 +55,16 @@
   private final Map<String, JobState> waiting = new LinkedHashMap<>();
   private final Set<String> faultyWorkers = new HashSet<>();
   private final Set<String> dataCentresOut = new TreeSet<>();
-  private final PriorityQueue<Scheduled> events = new PriorityQueue<>();
+  private final PriorityQueue<Scheduled> events =
+      new PriorityQueue<>(
+          Comparator.comparingLong(Scheduled::atMicros).thenComparingLong(Scheduled::order));
   private SchedulingConfig config;
   private long nowMicros;
   private long order;
   private boolean decisionNeeded;
   private boolean submissionSeen;
 
-  private record Scheduled(long atMicros, long order, Runnable action)
-      implements Comparable<Scheduled> {
-
-    @Override
-    public int compareTo(Scheduled other) {
-      int byTime = Long.compare(atMicros, other.atMicros);
-      return byTime != 0 ? byTime : Long.compare(order, other.order);
-    }
-  }
+  private record Scheduled(long atMicros, long order, Runnable action) {}
 
   FakePlatform(
       Workload workload,
@@ -75,10 +72,10 @@
       Scheduler scheduler,
       boolean idealClock,
       DoubleConsumer progress) {
-    this.workload = requireNonNull(workload, "workload is null");
-    this.scheduler = requireNonNull(scheduler, "scheduler is null");
+    this.workload = workload;
+    this.scheduler = scheduler;
     this.idealClock = idealClock;
-    this.progress = requireNonNull(progress, "progress is null");
+    this.progress = progress;
     occupancy = new Occupancy(workload.workers());
     config =
         new SchedulingConfig(1, placementPolicy, workload.config().teams(), Set.of(), Set.of());
@@ -89,13 +86,10 @@
   /** Runs the whole workload. */
   Measurements run() {
     workload.workers().forEach(scheduler::workerChanged);
-    scheduler
-        .check(config)
-        .fold(
-            problem -> {
-              throw new IllegalStateException("the configuration was refused: " + problem);
-            },
-            version -> version);
+    Optional<Problem> problem = scheduler.check(config).problem();
+    if (problem.isPresent()) {
+      throw new IllegalStateException("the configuration was refused: " + problem.get());
+    }
     scheduler.configure(config);
     for (JobPlan plan : workload.jobs()) {
       at(plan.request().submittedMillis() * 1000, () -> submit(new JobState(plan)));
@@ -133,6 +127,7 @@
     long beginNanos = System.nanoTime();
     List<Decision> decisions = scheduler.decide(nowMicros / 1000);
     long nanos = System.nanoTime() - beginNanos;
+    long micros = idealClock ? 0 : nanos / 1000;
     measurements.decided(nowMicros, nanos, submissionSeen);
     submissionSeen = false;
     List<JobState> placed = new ArrayList<>();
@@ -142,9 +137,9 @@
         throw new IllegalStateException("decision about unknown job: " + decision);
       }
       if (decision instanceof Decision.Place place) {
-        place(job, place, nanos, placed);
+        place(job, place, micros, placed);
       } else if (decision instanceof Decision.Preempt) {
-        preempt(job, nanos);
+        preempt(job, micros);
       } else if (job.phase() == Phase.WAITING) {
         waiting.remove(job.id());
         job.released(false);
@@ -154,11 +149,7 @@
     if (!placed.isEmpty()) {
       checker.checkGuarantees(placed, nowMicros / 1000);
     }
-    nowMicros += idealClock ? 0 : nanos / 1000;
-  }
-
-  private long decisionMicros(long nanos) {
-    return idealClock ? 0 : nanos / 1000;
+    nowMicros += micros;
   }
 
   private void submit(JobState job) {
@@ -176,7 +167,7 @@
     submissionSeen = true;
   }
 
-  private void place(JobState job, Decision.Place place, long nanos, List<JobState> placed) {
+  private void place(JobState job, Decision.Place place, long micros, List<JobState> placed) {
     if (!checker.checkPlace(job, place, nowMicros / 1000)) {
       if (job.phase() == Phase.WAITING) {
         at(nowMicros + START_DELAY_MICROS, () -> refuse(job));
@@ -187,14 +178,7 @@
     job.placed(place.workers());
     occupancy.hold(job);
     placed.add(job);
-    int attempt = job.attempt();
-    at(
-        nowMicros + decisionMicros(nanos) + START_DELAY_MICROS,
-        () -> {
-          if (job.phase() == Phase.PREPARING && job.attempt() == attempt) {
-            start(job);
-          }
-        });
+    after(micros + START_DELAY_MICROS, job, () -> start(job));
   }
 
   private void refuse(JobState job) {
@@ -218,24 +202,26 @@
       List<String> failed = faulty.isEmpty() ? List.of(job.workers().get(0)) : faulty;
       after(failMicros, job, () -> end(job, EndReason.TASK_FAILED, failed));
     } else if (job.plan().usageRatio() > 1.5 && job.attempt() == 1) {
-      after(60 * SECOND_MICROS, job, () -> stopExcessiveUse(job));
+      // Use over 150% of the declaration: the platform saves the work and stops the gang.
+      after(
+          60 * SECOND_MICROS,
+          job,
+          () -> {
+            job.save(nowMicros);
+            end(job, EndReason.UNDONE, List.of());
+          });
     }
     after(job.remainingMicros(), job, () -> end(job, EndReason.COMPLETED, List.of()));
     after(CHECKPOINT_PERIOD_MICROS, job, () -> checkpoint(job));
   }
 
-  private void stopExcessiveUse(JobState job) {
-    job.save(nowMicros);
-    end(job, EndReason.UNDONE, List.of());
-  }
-
   private void checkpoint(JobState job) {
     job.save(nowMicros);
     scheduler.gangCheckpointed(job.id(), nowMicros / 1000);
     after(CHECKPOINT_PERIOD_MICROS, job, () -> checkpoint(job));
   }
 
-  private void preempt(JobState job, long nanos) {
+  private void preempt(JobState job, long micros) {
     if (!checker.checkPreempt(job, nowMicros / 1000) || job.isStopping()) {
       return;
     }
@@ -252,7 +238,7 @@
     }
     job.stopping();
     at(
-        nowMicros + decisionMicros(nanos) + checkpointMicros + STOP_DELAY_MICROS,
+        nowMicros + micros + checkpointMicros + STOP_DELAY_MICROS,
         () -> end(job, EndReason.PREEMPTED, List.of()));
   }
 
@@ -326,11 +312,9 @@
   }
 
   private void changeSilence(String dataCentre, int causes) {
-    for (int i = 0; i < occupancy.size(); i++) {
-      if (occupancy.worker(i).dataCentre().equals(dataCentre)) {
-        changeSilence(i, causes);
-      }
-    }
+    IntStream.range(0, occupancy.size())
+        .filter(i -> occupancy.worker(i).dataCentre().equals(dataCentre))
+        .forEach(i -> changeSilence(i, causes));
   }
 
   private void changeSilence(int index, int causes) {
@@ -382,10 +366,7 @@
 
   /** Returns a number in [0, 1) that depends on the workload's seed and not on the scheduler. */
   private double unit(JobState job, int purpose) {
-    long mixed = job.id().hashCode() * 0x9E3779B97F4A7C15L + job.attempt() * 31L + purpose;
-    mixed += workload.seed() * 0xD1B54A32D192ED03L;
-    mixed = (mixed ^ (mixed >>> 30)) * 0xBF58476D1CE4E5B9L;
-    mixed = (mixed ^ (mixed >>> 27)) * 0x94D049BB133111EBL;
-    return ((mixed ^ (mixed >>> 31)) >>> 11) * 0x1.0p-53;
+    long seed = workload.seed() * 31 + job.id().hashCode();
+    return new SplittableRandom((seed * 31 + job.attempt()) * 31 + purpose).nextDouble();
   }
 }
--- a/hickoryspar-bench/src/main/java/org/hickoryspar/bench/JobState.java
+++ b/hickoryspar-bench/src/main/java/org/hickoryspar/bench/JobState.java
@@ -73,10 +73,6 @@
     capacityAtSubmission = capacity;
   }
 
-  int accelerators() {
-    return workers.size() * plan.request().shape().perTask().accelerators();
-  }
-
   void placed(List<String> placement) {
     phase = Phase.PREPARING;
     workers = placement;
@@ -118,10 +114,6 @@
     return savedMillis;
   }
 
-  long restoreMillis() {
-    return restoreMillis;
-  }
-
   /** Returns the work done so far, in milliseconds of the job's true run time. */
   long progressMillis(long nowMicros) {
     if (startedMicros > nowMicros) {
--- a/hickoryspar-bench/src/main/java/org/hickoryspar/bench/Measurements.java
+++ b/hickoryspar-bench/src/main/java/org/hickoryspar/bench/Measurements.java
@@ -83,7 +83,8 @@
 
   void completed(long nowMicros, JobState job) {
     openJobs--;
-    double hours = job.accelerators() * job.plan().runMillis() / MILLIS_PER_HOUR;
+    double hours =
+        Packer.accelerators(job.request().shape()) * job.plan().runMillis() / MILLIS_PER_HOUR;
     add("completed-accelerator-hours", hours);
     if (!job.plan().warmUp()) {
       double seconds = sinceSubmissionSeconds(nowMicros, job);
@@ -113,7 +114,9 @@
 
   void preempted(JobState job, long lostMillis) {
     add("preemptions", 1);
-    add("lost-accelerator-hours", lostMillis * job.accelerators() / MILLIS_PER_HOUR);
+    add(
+        "lost-accelerator-hours",
+        lostMillis * Packer.accelerators(job.request().shape()) / MILLIS_PER_HOUR);
   }
 
   /** Takes one sample a minute during the submission period. */
@@ -135,7 +138,7 @@
     double tasks = 0;
     for (JobState job : occupancy.holders()) {
       if (job.phase() == JobState.Phase.RUNNING) {
-        running += job.accelerators();
+        running += Packer.accelerators(job.request().shape());
         tasks += job.workers().size();
       }
     }
--- a/hickoryspar-bench/src/main/java/org/hickoryspar/bench/WorkloadGenerator.java
+++ b/hickoryspar-bench/src/main/java/org/hickoryspar/bench/WorkloadGenerator.java
@@ -164,8 +164,7 @@
     boolean preemptible = random.nextDouble() < jobClass.preemptibleShare();
     double usageRatio = Math.exp(-0.3 + 0.3 * random.nextGaussian());
     Fate fate = random.nextInt(200) == 0 ? Fate.FAILS_EVERYWHERE : Fate.HEALTHY;
-    double remainder = warmUp ? random.nextDouble() : 1;
-    addPlan(
+    JobRequest request =
         new JobRequest(
             jobId(),
             team.team(),
@@ -174,11 +173,9 @@
             jobClass.urgent(),
             (long) declared,
             preemptible,
-            atMillis),
-        Math.max(2_000, (long) (trueMillis * remainder)),
-        usageRatio,
-        warmUp ? Fate.HEALTHY : fate,
-        warmUp);
+            atMillis);
+    long runLeft = Math.max(2_000, (long) (trueMillis * (warmUp ? random.nextDouble() : 1)));
+    jobs.add(new JobPlan(request, runLeft, usageRatio, warmUp ? Fate.HEALTHY : fate, warmUp));
   }
 
   private void neverFitting(long endMillis) {
@@ -191,17 +188,14 @@
             new GangShape(3, half, Adjacency.WORKER),
             new GangShape(2 * Deployment.WORKERS_PER_RACK + 1, half, Adjacency.RACK),
             new GangShape(200_000, half, Adjacency.NONE));
-    long count = 3 + Math.round(totalJobsPerDay() * endMillis / DAY_MILLIS / 200);
+    int count = 3 + jobs.size() / 200;
     for (int i = 0; i < count; i++) {
       GangShape shape = shapes.get(i % shapes.size());
       long at = (long) (random.nextDouble() * endMillis);
-      addPlan(
-          new JobRequest(
-              jobId(), drawTeam().team(), "never-fits", shape, i % 7 == 0, 60_000, true, at),
-          60_000,
-          1,
-          Fate.NEVER_FITS,
-          false);
+      String team = drawTeam().team();
+      JobRequest request =
+          new JobRequest(jobId(), team, "never-fits", shape, i % 7 == 0, 60_000, true, at);
+      jobs.add(new JobPlan(request, 60_000, 1, Fate.NEVER_FITS, false));
     }
   }
 
@@ -210,10 +204,9 @@
     List<String> centres = List.copyOf(deployment.workersByDataCentre().keySet());
     String centre = centres.get(random.nextInt(centres.size()));
     long out = (long) (endMillis * (0.3 + 0.2 * random.nextDouble()));
-    long silent = out + TimeUnit.MINUTES.toMillis(5);
-    incidents.add(new Incident.DataCentreAway(out, centre, silent, out + 4 * HOUR_MILLIS));
-    int days = deployment.days();
-    for (int i = 0; i < 2 * days; i++) {
+    incidents.add(
+        new Incident.DataCentreAway(out, centre, out + HOUR_MILLIS / 12, out + 4 * HOUR_MILLIS));
+    for (int i = 0; i < 2 * deployment.days(); i++) {
       long at = (long) (random.nextDouble() * endMillis);
       List<String> recent =
           jobs.stream()
@@ -225,8 +218,8 @@
       List<String> cancelled = recent.stream().filter(id -> random.nextInt(5) == 0).toList();
       incidents.add(new Incident.CancelWave(at, cancelled));
     }
-    int faulty = Math.max(1, workers.size() / 200) * days;
-    int lost = Math.max(1, workers.size() / 150) * days;
+    int faulty = Math.max(1, workers.size() / 200) * deployment.days();
+    int lost = Math.max(1, workers.size() / 150) * deployment.days();
     for (int i = 0; i < faulty + lost; i++) {
       String worker = workers.get(random.nextInt(workers.size())).workerId();
       long at = (long) (random.nextDouble() * endMillis);
@@ -239,11 +232,6 @@
     return incidents;
   }
 
-  private void addPlan(
-      JobRequest request, long runMillis, double usageRatio, Fate fate, boolean warmUp) {
-    jobs.add(new JobPlan(request, runMillis, usageRatio, fate, warmUp));
-  }
-
   private TeamPolicy drawTeam() {
     double draw = random.nextDouble();
     int index = 0;
@@ -256,10 +244,6 @@
     return deployment.teams().get(index);
   }
 
-  private double totalJobsPerDay() {
-    return deployment.classes().stream().mapToDouble(JobClass::jobsPerDay).sum();
-  }
-
   private String jobId() {
     return String.format("job-%06d", jobs.size());
   }
