--- a/hickoryspar-bench/src/main/java/org/hickoryspar/bench/FakePlatform.java
+++ b/hickoryspar-bench/src/main/java/org/hickoryspar/bench/FakePlatform.java
@@ -140,10 +140,10 @@
         place(job, place, micros, placed);
       } else if (decision instanceof Decision.Preempt) {
         preempt(job, micros);
-      } else if (job.phase() == Phase.WAITING) {
+      } else if (decision instanceof Decision.Reject reject && job.phase() == Phase.WAITING) {
         waiting.remove(job.id());
         job.released(false);
-        measurements.rejected(nowMicros, job);
+        measurements.rejected(nowMicros, job, reject.reason());
       }
     }
     if (!placed.isEmpty()) {
--- a/hickoryspar-bench/src/main/java/org/hickoryspar/bench/Measurements.java
+++ b/hickoryspar-bench/src/main/java/org/hickoryspar/bench/Measurements.java
@@ -98,7 +98,7 @@
     add("cancelled", 1);
   }
 
-  void rejected(long nowMicros, JobState job) {
+  void rejected(long nowMicros, JobState job, String reason) {
     String outcome =
         switch (job.plan().fate()) {
           case NEVER_FITS -> "rejected-never-fitting";
@@ -106,6 +106,9 @@
           case HEALTHY -> "rejected-healthy";
         };
     add(outcome, 1);
+    if (job.plan().fate() == Fate.HEALTHY) {
+      checker.addExample(nowMicros / 1000, "healthy " + job.id() + " was rejected: " + reason);
+    }
     openJobs -= job.plan().fate() == Fate.NEVER_FITS ? 0 : 1;
     if (job.plan().fate() == Fate.HEALTHY && job.request().urgent() && !job.wasStarted()) {
       urgentSample(job).add(sinceSubmissionSeconds(nowMicros, job));
--- a/hickoryspar-bench/src/main/java/org/hickoryspar/bench/PromiseChecker.java
+++ b/hickoryspar-bench/src/main/java/org/hickoryspar/bench/PromiseChecker.java
@@ -203,8 +203,13 @@
 
   private void record(BrokenPromise kind, long nowMillis, String detail) {
     counts.merge(kind, 1, Integer::sum);
+    addExample(nowMillis, kind + ": " + detail);
+  }
+
+  /** Keeps the first faults of a run, so that they can be found again from the seed. */
+  void addExample(long nowMillis, String detail) {
     if (examples.size() < EXAMPLES) {
-      examples.add("at " + nowMillis + " ms: " + kind + ": " + detail);
+      examples.add("at " + nowMillis + " ms: " + detail);
     }
   }
 }
