--- a/hickoryspar-bench/src/main/java/org/hickoryspar/bench/Main.java
+++ b/hickoryspar-bench/src/main/java/org/hickoryspar/bench/Main.java
@@ -14,11 +14,12 @@
   @Argument(
       required = true,
       metaVar = "COMMAND",
-      usage = "compare | slopes | resident | jmh",
+      usage = "compare | slopes | messages | resident | jmh",
       handler = SubCommandHandler.class)
   @SubCommands({
     @SubCommand(name = "compare", impl = CompareCommand.class),
     @SubCommand(name = "slopes", impl = SlopesCommand.class),
+    @SubCommand(name = "messages", impl = MessagesCommand.class),
     @SubCommand(name = "resident", impl = ResidentCommand.class),
     @SubCommand(name = "jmh", impl = JmhCommand.class)
   })
