Read refused bodies before the answer, and time decisions in the benchmark

Up to 64 MiB of a refused body are now read and discarded first.

Slot leases stood twice: the control daemon now uses SlotLeaseTable of the kernel, which shares equally, so that a slow entry is not starved.

--- a/hickoryspar-bench/src/main/java/org/hickoryspar/bench/Main.java
+++ b/hickoryspar-bench/src/main/java/org/hickoryspar/bench/Main.java
@@ -19,6 +19,7 @@
   @SubCommands({
     @SubCommand(name = "compare", impl = CompareCommand.class),
     @SubCommand(name = "slopes", impl = SlopesCommand.class),
+    @SubCommand(name = "decisions", impl = DecisionsCommand.class),
     @SubCommand(name = "messages", impl = MessagesCommand.class),
     @SubCommand(name = "resident", impl = ResidentCommand.class),
     @SubCommand(name = "jmh", impl = JmhCommand.class)
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/control/SlotService.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/control/SlotService.java
@@ -1,10 +1,9 @@
 package org.hickoryspar.node.control;
 
-import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.function.LongSupplier;
+import org.hickoryspar.kernel.requests.SlotLeaseTable;
 import org.hickoryspar.protocol.SlotDemand;
 import org.hickoryspar.protocol.SlotLeaseGrant;
 import org.hickoryspar.protocol.SlotLeaseRequest;
@@ -27,7 +26,7 @@
 
   private final int lentSlotsPerMinion;
   private final LongSupplier monotonicMillis;
-  private final Map<String, List<Lease>> leasesByMinion = new HashMap<>();
+  private final Map<String, SlotLeaseTable> leasesByMinion = new HashMap<>();
   private long term = -1;
   private long mayGrantFromMillis;
 
@@ -56,21 +55,9 @@
   }
 
   private int grant(String entry, SlotDemand demand, long nowMillis) {
-    List<Lease> leases = leasesByMinion.computeIfAbsent(demand.getMinion(), m -> new ArrayList<>());
-    leases.removeIf(lease -> lease.endMillis() <= nowMillis);
-    Map<String, Integer> reservedByEntry = new HashMap<>();
-    for (Lease lease : leases) {
-      // A smaller grant takes effect at the entry only when its earlier lease has ended.
-      reservedByEntry.merge(lease.entry(), lease.slots(), Math::max);
-    }
-    reservedByEntry.remove(entry);
-    int lentToOthers = reservedByEntry.values().stream().mapToInt(Integer::intValue).sum();
-    int slots = Math.min(demand.getSlots(), lentSlotsPerMinion - lentToOthers);
-    if (slots > 0) {
-      leases.add(new Lease(entry, slots, nowMillis + LEASE_MILLIS + DRIFT_MILLIS));
-    }
-    return Math.max(0, slots);
+    return leasesByMinion
+        .computeIfAbsent(demand.getMinion(), minion -> new SlotLeaseTable())
+        .grant(
+            entry, demand.getSlots(), lentSlotsPerMinion, nowMillis, LEASE_MILLIS + DRIFT_MILLIS);
   }
-
-  private record Lease(String entry, int slots, long endMillis) {}
 }
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/entry/BodyReader.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/entry/BodyReader.java
@@ -5,6 +5,7 @@
 import java.util.function.Consumer;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.server.Request;
+import org.jspecify.annotations.Nullable;
 
 /** Reads a request body into memory, up to a limit; the memory is given back with the answer. */
 final class BodyReader implements Runnable {
@@ -25,6 +26,15 @@
    */
   record Limits(int maxBytes, ByteBudget budget) {}
 
+  /**
+   * Most bytes of a refused body that are read and discarded before the answer. A connection that
+   * is closed with unread bytes is reset, and the caller may lose the answer that says why.
+   */
+  private static final long MAX_DISCARDED_BYTES = 64L << 20;
+
+  private @Nullable Runnable refusal;
+  private long discardedBytes;
+
   private BodyReader(
       Request request,
       Limits limits,
@@ -48,11 +58,15 @@
       Runnable onTooLarge,
       Runnable onNoMemory,
       Consumer<Throwable> onFailure) {
-    if (request.getLength() > limits.maxBytes) {
+    if (request.getLength() > limits.maxBytes + MAX_DISCARDED_BYTES) {
       onTooLarge.run();
-    } else {
-      new BodyReader(request, limits, onBody, onTooLarge, onNoMemory, onFailure).run();
+      return;
     }
+    BodyReader reader = new BodyReader(request, limits, onBody, onTooLarge, onNoMemory, onFailure);
+    if (request.getLength() > limits.maxBytes) {
+      reader.refusal = onTooLarge;
+    }
+    reader.run();
   }
 
   @Override
@@ -69,23 +83,27 @@
       }
       ByteBuffer buffer = chunk.getByteBuffer();
       int size = buffer.remaining();
-      boolean tooLarge = collected.size() + size > limits.maxBytes;
-      boolean noMemory = !tooLarge && !limits.budget.tryTake(size);
-      if (!tooLarge && !noMemory) {
+      if (refusal == null && collected.size() + size > limits.maxBytes) {
+        refusal = onTooLarge;
+      } else if (refusal == null && !limits.budget.tryTake(size)) {
+        refusal = onNoMemory;
+      }
+      if (refusal == null) {
         Request.addCompletionListener(request, ended -> limits.budget.giveBack(size));
         byte[] bytes = new byte[size];
         buffer.get(bytes);
         collected.writeBytes(bytes);
+      } else {
+        discardedBytes += size;
       }
       boolean last = chunk.isLast();
       chunk.release();
-      if (tooLarge) {
-        onTooLarge.run();
-        return;
-      }
-      if (noMemory) {
-        onNoMemory.run();
-        return;
+      if (refusal != null) {
+        if (last || discardedBytes > MAX_DISCARDED_BYTES) {
+          refusal.run();
+          return;
+        }
+        continue;
       }
       if (last) {
         onBody.accept(collected.toByteArray());
