--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/control/CommandResult.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/control/CommandResult.java
@@ -2,6 +2,8 @@
 
 import static java.util.Objects.requireNonNull;
 
+import java.util.List;
+import java.util.Optional;
 import org.hickoryspar.kernel.value.Problem;
 import org.hickoryspar.protocol.ClaimBatchResult;
 
@@ -71,4 +73,18 @@
       requireNonNull(jobId, "jobId is null");
     }
   }
+
+  /**
+   * Events of workflows were applied.
+   *
+   * @param batch number of the batch, counted by this replica
+   * @param problems for each event why it was refused and changed nothing, or empty
+   */
+  record WorkflowsApplied(long batch, List<Optional<Problem>> problems) implements CommandResult {
+
+    /** Copies the list. */
+    public WorkflowsApplied {
+      problems = List.copyOf(problems);
+    }
+  }
 }
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/control/ControlState.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/control/ControlState.java
@@ -7,7 +7,9 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.util.List;
 import java.util.Optional;
+import org.hickoryspar.kernel.catalog.CatalogState;
 import org.hickoryspar.kernel.value.Problem;
+import org.hickoryspar.kernel.workflow.WorkflowTable;
 import org.hickoryspar.protocol.Command;
 import org.hickoryspar.protocol.ControlSnapshot;
 import org.hickoryspar.protocol.EntryLost;
@@ -18,6 +20,8 @@
 import org.hickoryspar.protocol.JobRecord;
 import org.hickoryspar.protocol.TaskPlacement;
 import org.hickoryspar.protocol.WorkerInfo;
+import org.hickoryspar.protocol.WorkflowBatch;
+import org.hickoryspar.protocol.WorkflowRecord;
 
 /**
  * The durable control state: configuration, claims, jobs and workers.
@@ -36,6 +40,9 @@
   private final ClaimTable claims = new ClaimTable();
   private final JobTable jobs = new JobTable();
   private final WorkerTable workers = new WorkerTable();
+  private final CatalogState catalog = new CatalogState();
+  private final WorkflowTable workflows = new WorkflowTable();
+  private long workflowBatches;
   private volatile long timeMillis;
 
   /** Creates an empty state. */
@@ -82,6 +89,19 @@
         claims.entryLost(command.getEntryLost());
         return new CommandResult.Accepted();
       }
+      case CATALOG_CHANGE -> {
+        Optional<Problem> problem = catalog.apply(command.getCatalogChange());
+        return problem.isEmpty()
+            ? new CommandResult.Accepted()
+            : new CommandResult.Refused(problem.get());
+      }
+      case DATA_CENTRE_SWITCH -> {
+        catalog.apply(command.getDataCentreSwitch());
+        return new CommandResult.Accepted();
+      }
+      case WORKFLOWS -> {
+        return apply(command.getWorkflows(), nowMillis);
+      }
       default -> {
         return new CommandResult.Refused(
             Problem.of("unknown-command", "command of a newer version: " + command.getKindCase()));
@@ -89,6 +109,14 @@
     }
   }
 
+  private CommandResult apply(WorkflowBatch batch, long nowMillis) {
+    synchronized (workflows) {
+      List<Optional<Problem>> problems = workflows.apply(batch, nowMillis);
+      workflowBatches++;
+      return new CommandResult.WorkflowsApplied(workflowBatches, problems);
+    }
+  }
+
   private CommandResult place(GangPlacement placement, long nowMillis) {
     Optional<Problem> problem = refusalOf(placement.getPlacementsList());
     if (problem.isPresent()) {
@@ -240,6 +268,26 @@
         requireNonNull(entryInstance, "entryInstance is null"), currentIncarnation);
   }
 
+  /**
+   * Returns the catalog and the data centres that are out of service.
+   *
+   * @return the live state, which may be read from any thread
+   */
+  public CatalogState catalog() {
+    return catalog;
+  }
+
+  /**
+   * Copies all workflows.
+   *
+   * @return the workflows, and the number of the last batch that they include
+   */
+  public WorkflowCopy copyWorkflows() {
+    synchronized (workflows) {
+      return new WorkflowCopy(workflowBatches, workflows.snapshot());
+    }
+  }
+
   /**
    * Writes the whole state.
    *
@@ -256,6 +304,9 @@
         .addAllLostEntries(claims.snapshotLostEntries())
         .addAllJobs(jobs.list())
         .addAllWorkers(workers.snapshot())
+        .setCatalog(catalog.change())
+        .addAllDataCentresOut(catalog.dataCentresOut())
+        .addAllWorkflows(copyWorkflows().records())
         .build()
         .toByteString();
   }
@@ -283,6 +334,25 @@
     claims.restore(snapshot.getClaimsList(), snapshot.getLostEntriesList());
     jobs.restore(snapshot.getJobsList());
     workers.restore(snapshot.getWorkersList());
+    catalog.restore(snapshot.getCatalog(), snapshot.getDataCentresOutList());
+    synchronized (workflows) {
+      workflows.restore(snapshot.getWorkflowsList());
+      workflowBatches++;
+    }
+  }
+
+  /**
+   * All workflows at one time.
+   *
+   * @param batch number of the last batch that is included, counted by this replica
+   * @param records one record per workflow
+   */
+  public record WorkflowCopy(long batch, List<WorkflowRecord> records) {
+
+    /** Copies the list. */
+    public WorkflowCopy {
+      records = List.copyOf(records);
+    }
   }
 
   /**
--- /dev/null
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Dispatcher.java
@@ -0,0 +1,425 @@
+package org.hickoryspar.kernel.dispatch;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.List;
+import java.util.Optional;
+import org.hickoryspar.kernel.catalog.CatalogState;
+import org.hickoryspar.kernel.value.Problem;
+import org.hickoryspar.kernel.workflow.TaskGroup;
+import org.hickoryspar.kernel.workflow.Workflow;
+import org.hickoryspar.kernel.workflow.WorkflowTable;
+import org.hickoryspar.protocol.ForgetWorkflow;
+import org.hickoryspar.protocol.MinionLife;
+import org.hickoryspar.protocol.MinionReport;
+import org.hickoryspar.protocol.Queue;
+import org.hickoryspar.protocol.RunEnd;
+import org.hickoryspar.protocol.RunStart;
+import org.hickoryspar.protocol.WorkflowBatch;
+import org.hickoryspar.protocol.WorkflowEvent;
+import org.hickoryspar.protocol.WorkflowState;
+
+/**
+ * Decides for one term of leadership what is started, stopped and acknowledged on the minions. It
+ * reads no clock and does no I/O: events go in, orders and proposals come out. Used by one thread.
+ *
+ * <p>Starts and ends are proposed to the replicated log first. An order to start is sent only once
+ * its proposal is applied, and an end is acknowledged only once it is recorded.
+ *
+ * <pre>{@code
+ * dispatcher.reported(report, nowMillis);
+ * dispatcher.advance(nowMillis, wallMillis);
+ * propose(dispatcher.takeProposals());
+ * dispatcher.takeOrders().forEach(this::send);
+ * }</pre>
+ */
+public final class Dispatcher {
+
+  private static final long SWEEP_MILLIS = 1_000;
+  private static final long MAX_PAUSE_MILLIS = 100;
+
+  private final DispatchSettings settings;
+  private final WorkflowTable table;
+  private final DispatchListener listener;
+  private final RunTable runs = new RunTable();
+  private final Outbox outbox = new Outbox();
+  private final RunEnds ends;
+  private final MinionTable minions;
+  private final Leases leases;
+  private final TaskOrders orders;
+  private final WaitingWork waiting;
+  private final Planner planner;
+  private boolean planDue = true;
+  private long nextSweepMillis;
+
+  /**
+   * Creates the dispatcher of a leader that has just been elected.
+   *
+   * @param settings times and limits
+   * @param catalog the live catalog
+   * @param table the workflows as of the election; changed by this object only
+   * @param listener told about decisions
+   * @param nowMillis monotonic time
+   * @param wallMillis time of day in milliseconds since the epoch
+   */
+  public Dispatcher(
+      DispatchSettings settings,
+      CatalogState catalog,
+      WorkflowTable table,
+      DispatchListener listener,
+      long nowMillis,
+      long wallMillis) {
+    this.settings = requireNonNull(settings, "settings is null");
+    requireNonNull(catalog, "catalog is null");
+    this.table = requireNonNull(table, "table is null");
+    this.listener = requireNonNull(listener, "listener is null");
+    this.ends = new RunEnds(runs, outbox, listener);
+    this.minions = new MinionTable(listener, this::newLife);
+    this.leases = new Leases(settings, minions, runs, outbox, ends, listener, nowMillis);
+    this.orders = new TaskOrders(settings, runs, outbox, ends, listener);
+    this.waiting = new WaitingWork(catalog, runs, settings.earlyStartMillis());
+    this.planner = new Planner(catalog, minions, runs);
+    RunRecovery recovery = new RunRecovery(minions, runs, nowMillis);
+    for (Workflow workflow : table.all()) {
+      recovery.recover(workflow);
+      waiting.refresh(workflow, wallMillis);
+    }
+  }
+
+  // -- what minions say
+
+  /**
+   * Takes in what a minion reports of itself.
+   *
+   * @param report the report
+   * @param nowMillis monotonic time
+   */
+  public void reported(MinionReport report, long nowMillis) {
+    requireNonNull(report, "report is null");
+    minions.report(report, nowMillis);
+    planDue = true;
+  }
+
+  /**
+   * Takes note that a minion said it ends now.
+   *
+   * @param minionId the minion
+   * @param nowMillis monotonic time
+   */
+  public void left(String minionId, long nowMillis) {
+    requireNonNull(minionId, "minionId is null");
+    minions.all().stream()
+        .filter(minion -> minion.id().equals(minionId))
+        .forEach(minion -> minion.leave(nowMillis));
+  }
+
+  /**
+   * Takes in the answer to a renewal.
+   *
+   * @param life the life that the renewal was meant for
+   * @param answer the answer
+   * @param nowMillis monotonic time
+   */
+  public void renewed(MinionLife life, RenewAnswer answer, long nowMillis) {
+    requireNonNull(answer, "answer is null");
+    Minion minion = minions.find(requireNonNull(life, "life is null"));
+    if (minion != null) {
+      leases.answered(minion, answer, nowMillis);
+      planDue = true;
+    }
+  }
+
+  /**
+   * Takes note that a renewal failed.
+   *
+   * @param life the life that the renewal was meant for
+   * @param outcome why it failed
+   * @param nowMillis monotonic time
+   */
+  public void renewalFailed(MinionLife life, OrderOutcome outcome, long nowMillis) {
+    Minion minion = minions.find(requireNonNull(life, "life is null"));
+    if (minion != null) {
+      leases.failed(minion, outcome, nowMillis);
+    }
+  }
+
+  /**
+   * Takes in the answer to a start.
+   *
+   * @param taskRun what was started
+   * @param outcome the answer
+   * @param nowMillis monotonic time
+   */
+  public void startAnswered(TaskRun taskRun, OrderOutcome outcome, long nowMillis) {
+    Member member = runs.find(requireNonNull(taskRun, "taskRun is null"));
+    if (member != null && !member.isEnded()) {
+      orders.startAnswered(member, outcome, nowMillis);
+    }
+  }
+
+  /**
+   * Takes in the answer to a stop.
+   *
+   * @param taskRun what was stopped
+   * @param outcome the answer
+   * @param nowMillis monotonic time
+   */
+  public void stopAnswered(TaskRun taskRun, OrderOutcome outcome, long nowMillis) {
+    Member member = runs.find(requireNonNull(taskRun, "taskRun is null"));
+    if (member != null && !member.isEnded()) {
+      orders.stopAnswered(member, outcome, nowMillis);
+    }
+  }
+
+  private void newLife(Minion earlier, Minion newLife) {
+    leases.newLife(earlier, newLife);
+  }
+
+  // -- what is recorded
+
+  /**
+   * Takes in events that the replicated log has applied.
+   *
+   * @param batch the events
+   * @param problems for each event why it was refused, or empty
+   * @param timeMillis replicated time of the batch
+   * @param nowMillis monotonic time
+   * @param wallMillis time of day in milliseconds since the epoch
+   */
+  public void applied(
+      WorkflowBatch batch,
+      List<Optional<Problem>> problems,
+      long timeMillis,
+      long nowMillis,
+      long wallMillis) {
+    table.apply(requireNonNull(batch, "batch is null"), timeMillis);
+    for (int i = 0; i < batch.getEventsCount(); i++) {
+      applied(batch.getEvents(i), problems.get(i), wallMillis);
+    }
+    if (batch.getDispatchNumber() > 0) {
+      leases.recorded(batch.getDispatchNumber());
+    }
+    planDue = true;
+  }
+
+  private void applied(WorkflowEvent event, Optional<Problem> problem, long wallMillis) {
+    switch (event.getKindCase()) {
+      case SUBMIT -> refresh(event.getSubmit().getWorkflowId(), wallMillis);
+      case CANCEL -> {
+        stopIfEnded(event.getCancel().getWorkflowId());
+        refresh(event.getCancel().getWorkflowId(), wallMillis);
+      }
+      case RUN_START -> {
+        startApplied(event.getRunStart(), problem);
+        refresh(event.getRunStart().getWorkflowId(), wallMillis);
+      }
+      case RUN_END -> {
+        endApplied(event.getRunEnd());
+        stopIfEnded(event.getRunEnd().getWorkflowId());
+        refresh(event.getRunEnd().getWorkflowId(), wallMillis);
+      }
+      default -> {
+        // Nothing depends on workflows that are forgotten.
+      }
+    }
+  }
+
+  private void startApplied(RunStart start, Optional<Problem> problem) {
+    ActiveRun run = runs.find(start);
+    if (run == null) {
+      return;
+    }
+    if (problem.isPresent()) {
+      listener.happened(
+          DispatchEventKind.RUN_REFUSED,
+          run.taskRun(0).toString(),
+          "reason",
+          problem.get().message());
+      runs.remove(run);
+    } else {
+      run.members().forEach(Member::recorded);
+      if (run.workflow().isEnded()) {
+        run.wantStop();
+      }
+    }
+  }
+
+  private void endApplied(RunEnd end) {
+    table
+        .find(end.getWorkflowId())
+        .ifPresent(
+            workflow -> {
+              for (ActiveRun run : List.copyOf(runs.runs())) {
+                if (run.workflow() == workflow
+                    && run.members().stream().allMatch(Member::isEnded)
+                    && run.group().findRun(run.number()).isEmpty()) {
+                  runs.remove(run);
+                }
+              }
+            });
+  }
+
+  private void stopIfEnded(String workflowId) {
+    Workflow workflow = table.find(workflowId).orElse(null);
+    if (workflow == null) {
+      return;
+    }
+    for (ActiveRun run : runs.runs()) {
+      boolean needless = workflow.isEnded() || run.group().isDone();
+      if (run.workflow() == workflow && needless && !run.isStopWanted()) {
+        run.wantStop();
+        if (workflow.isEnded() && workflow.state() != WorkflowState.WORKFLOW_COMPLETED) {
+          listener.happened(
+              DispatchEventKind.RUN_STOPPING,
+              run.taskRun(0).toString(),
+              "because",
+              workflow.state());
+        }
+      }
+    }
+  }
+
+  private void refresh(String workflowId, long wallMillis) {
+    table.find(workflowId).ifPresent(workflow -> waiting.refresh(workflow, wallMillis));
+  }
+
+  // -- decisions
+
+  /**
+   * Makes the decisions that are possible now.
+   *
+   * @param nowMillis monotonic time
+   * @param wallMillis time of day in milliseconds since the epoch
+   */
+  public void advance(long nowMillis, long wallMillis) {
+    leases.advance(nowMillis);
+    if (wallMillis >= waiting.nextDueMillis()) {
+      waiting.advance(wallMillis);
+      planDue = true;
+    }
+    if (planDue) {
+      planDue = false;
+      planner.plan(waiting.steps(), placement -> start(placement, nowMillis, wallMillis));
+    }
+    orders.advance(nowMillis);
+    if (nowMillis >= nextSweepMillis) {
+      nextSweepMillis = nowMillis + SWEEP_MILLIS;
+      sweep(nowMillis, wallMillis);
+    }
+  }
+
+  private void start(Placement placement, long nowMillis, long wallMillis) {
+    WaitingStep step = placement.waiting();
+    TaskGroup group = placement.group();
+    ActiveRun run =
+        new ActiveRun(
+            step.workflow(),
+            step.occurrence(),
+            step.stepIndex(),
+            group,
+            group.lastRun() + 1,
+            group.checkpoint(),
+            nowMillis);
+    RunStart.Builder start =
+        RunStart.newBuilder()
+            .setWorkflowId(step.workflow().id())
+            .setOccurrence(step.occurrence())
+            .setStep(step.stepIndex())
+            .setFirstTask(group.firstTask())
+            .setRun(run.number());
+    for (Minion minion : placement.minions()) {
+      run.members().add(new Member(run, run.members().size(), minion, step.demand()));
+      start.addMinions(minion.life());
+    }
+    runs.add(run);
+    outbox.propose(WorkflowEvent.newBuilder().setRunStart(start).build());
+    listener.happened(
+        DispatchEventKind.RUN_PLACED,
+        run.taskRun(0).toString(),
+        "tasks",
+        group.size(),
+        "queue",
+        step.queue().getName(),
+        "priority",
+        step.queue().getPriority(),
+        "waitedMillis",
+        wallMillis - step.sinceMillis(),
+        "minions",
+        placement.minions().stream().map(Minion::id).distinct().toList());
+    waiting.refresh(step.workflow(), wallMillis);
+  }
+
+  private void sweep(long nowMillis, long wallMillis) {
+    minions.sweep(nowMillis);
+    leases.sweep(nowMillis);
+    for (Workflow workflow : table.all()) {
+      if (workflow.isEnded()
+          && wallMillis - workflow.endedMillis() > settings.retentionMillis()
+          && workflow.openGroups().stream().allMatch(group -> group.active().isEmpty())) {
+        outbox.propose(
+            WorkflowEvent.newBuilder()
+                .setForget(ForgetWorkflow.newBuilder().setWorkflowId(workflow.id()))
+                .build());
+      }
+    }
+  }
+
+  /**
+   * Returns how long the owner may wait before it calls {@link #advance} again without an event.
+   *
+   * @param nowMillis monotonic time
+   * @return a time in milliseconds
+   */
+  public long pauseMillis(long nowMillis) {
+    long next = nowMillis + MAX_PAUSE_MILLIS;
+    for (Minion minion : minions.all()) {
+      next = Math.min(next, minion.lease().nextDueMillis());
+    }
+    return Math.max(1, next - nowMillis);
+  }
+
+  /**
+   * Hands over the orders to send.
+   *
+   * @return the orders since the last call
+   */
+  public List<Order> takeOrders() {
+    return outbox.takeOrders();
+  }
+
+  /**
+   * Hands over the events to propose to the replicated log.
+   *
+   * @return the events since the last call; without events when there are none
+   */
+  public WorkflowBatch takeProposals() {
+    return outbox.takeProposals();
+  }
+
+  // -- questions
+
+  /**
+   * Finds a workflow.
+   *
+   * @param workflowId its identifier
+   * @return the workflow, or empty
+   */
+  public Optional<Workflow> find(String workflowId) {
+    return table.find(workflowId);
+  }
+
+  /**
+   * Counts the workflows of a queue of which nothing was started yet.
+   *
+   * @param queue the queue
+   * @return the number of workflows
+   */
+  public long pending(Queue queue) {
+    requireNonNull(queue, "queue is null");
+    return table.all().stream()
+        .filter(workflow -> workflow.queue().getHost().equals(queue.getHost()))
+        .filter(workflow -> workflow.queue().getPathPrefix().equals(queue.getPathPrefix()))
+        .filter(workflow -> workflow.state() == WorkflowState.WORKFLOW_QUEUED)
+        .count();
+  }
+}
--- /dev/null
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Leases.java
@@ -0,0 +1,229 @@
+package org.hickoryspar.kernel.dispatch;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Map;
+import org.hickoryspar.protocol.RunEnd;
+
+/**
+ * Renews the leases of minions and takes in what they answer: what runs, what has ended and what is
+ * gone. An end is acknowledged only after it is recorded durably.
+ */
+final class Leases {
+
+  /** A minion lists at most this many ends at a time. */
+  private static final int MAX_LISTED_ENDS = 500;
+
+  /** A minion that said it ends now has ended after this time. */
+  private static final long LEAVING_OVER_MILLIS = 500;
+
+  private final DispatchSettings settings;
+  private final MinionTable minions;
+  private final RunTable runs;
+  private final Outbox outbox;
+  private final RunEnds ends;
+  private final DispatchListener listener;
+  private final long leaderSinceMillis;
+  private final Map<TaskRun, Long> strayStops = new HashMap<>();
+  private final Map<Minion, Long> awaitedBatches = new HashMap<>();
+
+  Leases(
+      DispatchSettings settings,
+      MinionTable minions,
+      RunTable runs,
+      Outbox outbox,
+      RunEnds ends,
+      DispatchListener listener,
+      long leaderSinceMillis) {
+    this.settings = settings;
+    this.minions = minions;
+    this.runs = runs;
+    this.outbox = outbox;
+    this.ends = ends;
+    this.listener = listener;
+    this.leaderSinceMillis = leaderSinceMillis;
+  }
+
+  /** Sends the renewals that are due and gives up on members whose lease has surely ended. */
+  void advance(long nowMillis) {
+    for (Minion minion : new ArrayList<>(minions.all())) {
+      if (minion.lease().isDue(nowMillis) && !minion.report().getAddress().isEmpty()) {
+        renew(minion, nowMillis);
+      }
+      if (!minion.isIdle() && isOver(minion, nowMillis)) {
+        minion.members().forEach(member -> loseIfOver(member, nowMillis));
+      }
+    }
+  }
+
+  private void renew(Minion minion, long nowMillis) {
+    LeaseState lease = minion.lease();
+    // The clock is known from the first answer on; until then nothing is granted.
+    long deadline =
+        minion.clock().isKnown() && lease.isContacted()
+            ? minion.clock().estimate(nowMillis) + settings.leaseMillis()
+            : 0;
+    long wait = lease.isContacted() && !lease.isSuspect() ? settings.renewWaitMillis() : 0;
+    lease.sent(nowMillis, deadline);
+    outbox.order(new Order.Renew(minion.target(), deadline, lease.seenEnd(), wait));
+  }
+
+  private boolean isOver(Minion minion, long nowMillis) {
+    if (minion.isLeaving() && nowMillis - minion.leavingSinceMillis() > LEAVING_OVER_MILLIS) {
+      return true;
+    }
+    LeaseState lease = minion.lease();
+    if (!lease.isSuspect() && lease.isContacted()) {
+      return false;
+    }
+    if (!lease.isContacted()) {
+      return nowMillis - leaderSinceMillis > settings.leaseOverMillis();
+    }
+    return minion.clock().earliest(nowMillis) > lease.grantedUntilMillis();
+  }
+
+  private void loseIfOver(Member member, long nowMillis) {
+    boolean mayStillStart =
+        member.minion().clock().earliest(nowMillis) <= member.startDeadlineMillis()
+            && !member.minion().isLeaving();
+    if (member.isRecorded() && !mayStillStart) {
+      ends.lost(member, "lease over");
+    }
+  }
+
+  void answered(Minion minion, RenewAnswer answer, long nowMillis) {
+    LeaseState lease = minion.lease();
+    long sentMillis = lease.sentMillis();
+    if (lease.isSuspect()) {
+      listener.happened(
+          DispatchEventKind.MINION_RETURNED,
+          minion.id(),
+          "silentMillis",
+          nowMillis - lease.answeredMillis());
+    }
+    lease.answered(nowMillis);
+    if (answer.bornMillis() != 0 && answer.bornMillis() != minion.life().getBornMillis()) {
+      minions.answeredByLife(minion, answer.bornMillis(), nowMillis);
+      return;
+    }
+    minion.clock().read(answer.clockMillis(), nowMillis);
+    Map<TaskRun, Boolean> listed = new HashMap<>();
+    answer.running().forEach(row -> listed.put(row.taskRun(), true));
+    answer.ended().forEach(row -> listed.put(row.taskRun(), false));
+    noteEnds(minion, answer);
+    answer.running().forEach(row -> noteRunning(minion, row, nowMillis));
+    if (answer.ended().size() < MAX_LISTED_ENDS) {
+      for (Member member : minion.members()) {
+        if (!listed.containsKey(member.taskRun()) && isMissing(member, sentMillis)) {
+          ends.lost(member, "not listed by its minion");
+        }
+      }
+    }
+  }
+
+  // What is not listed although its start was confirmed, or its stop, before the question was sent
+  // does not run and will not. The same holds for starts of earlier leaders: the question carried
+  // the fencing token of this one.
+  private static boolean isMissing(Member member, long sentMillis) {
+    return member.isInherited()
+        || (member.isConfirmed() && member.confirmedMillis() < sentMillis)
+        || (member.stop().isDone() && member.stop().doneMillis() < sentMillis);
+  }
+
+  private void noteEnds(Minion minion, RenewAnswer answer) {
+    if (answer.ended().isEmpty()) {
+      return;
+    }
+    boolean proposed = false;
+    for (RenewAnswer.EndedTask row : answer.ended()) {
+      Member member = runs.find(row.taskRun());
+      if (member != null && member.minion() == minion && !member.isEnded()) {
+        ends.listed(member, row.cause(), row.checkpoint());
+        proposed = true;
+      }
+    }
+    minion.lease().endsProposed(answer.ended().get(answer.ended().size() - 1).number());
+    if (proposed) {
+      awaitedBatches.put(minion, outbox.batchNumber());
+    } else if (!awaitedBatches.containsKey(minion)) {
+      minion.lease().endsRecorded();
+    }
+  }
+
+  private void noteRunning(Minion minion, RenewAnswer.RunningTask row, long nowMillis) {
+    Member member = runs.find(row.taskRun());
+    if (member != null && member.minion() == minion) {
+      member.confirm(nowMillis);
+      member.progressed(row.percent(), row.checkpoint(), nowMillis);
+      return;
+    }
+    Long sentMillis = strayStops.get(row.taskRun());
+    if (sentMillis == null || nowMillis - sentMillis > settings.answerTimeoutMillis()) {
+      strayStops.put(row.taskRun(), nowMillis);
+      listener.happened(
+          DispatchEventKind.STRAY_TASK, row.taskRun().toString(), "minion", minion.id());
+      outbox.order(new Order.Stop(minion.target(), row.taskRun()));
+    }
+  }
+
+  void failed(Minion minion, OrderOutcome outcome, long nowMillis) {
+    LeaseState lease = minion.lease();
+    boolean first = !lease.isSuspect();
+    lease.failed(nowMillis);
+    if (first) {
+      listener.happened(
+          DispatchEventKind.MINION_SUSPECTED,
+          minion.id(),
+          "outcome",
+          outcome,
+          "silentMillis",
+          nowMillis - lease.answeredMillis(),
+          "members",
+          minion.members().size());
+    }
+  }
+
+  /** Lets the renewals go on that waited for a batch of ends to be recorded. */
+  void recorded(long batchNumber) {
+    awaitedBatches
+        .entrySet()
+        .removeIf(
+            entry -> {
+              boolean recorded = entry.getValue() <= batchNumber;
+              if (recorded) {
+                entry.getKey().lease().endsRecorded();
+              }
+              return recorded;
+            });
+  }
+
+  /** Forgets what concerns stray tasks that were stopped long ago. */
+  void sweep(long nowMillis) {
+    strayStops.values().removeIf(sentMillis -> nowMillis - sentMillis > settings.leaseOverMillis());
+  }
+
+  /** Takes over what the earlier life of a minion ran. */
+  void newLife(Minion earlier, Minion newLife) {
+    for (Member member : earlier.members()) {
+      boolean sameMinion = earlier.id().equals(newLife.id());
+      if (sameMinion && (member.isInherited() || (!member.isConfirmed() && mayArrive(member)))) {
+        // A start that is still under way could take effect in the new life.
+        member.moveTo(newLife);
+        if (!member.isInherited()) {
+          member.wantStop();
+        }
+      } else {
+        ends.lost(member, "its minion has started again");
+      }
+    }
+  }
+
+  private static boolean mayArrive(Member member) {
+    return !member.isRecorded() || member.start().wasSent();
+  }
+
+  /** Returns the cause that stands for a lost task. */
+  static RunEnd.Cause lostCause() {
+    return RunEnd.Cause.LOST;
+  }
+}
--- /dev/null
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Member.java
@@ -0,0 +1,159 @@
+package org.hickoryspar.kernel.dispatch;
+
+/** One task of an active run on its minion, and the orders that concern it. */
+final class Member {
+
+  static final long NEVER_MILLIS = Long.MIN_VALUE / 2;
+
+  private final ActiveRun run;
+  private final int index;
+  private final Room demand;
+  private Minion minion;
+
+  /** Whether the start of the run is recorded durably, so that it may be sent. */
+  private boolean recorded;
+
+  /** Whether an earlier leader recorded the start; whether it was sent is not known. */
+  private boolean inherited;
+
+  private final OrderState start = new OrderState();
+  private final OrderState stop = new OrderState();
+  private boolean stopWanted;
+  private long confirmedMillis = NEVER_MILLIS;
+  private long startDeadlineMillis;
+  private boolean ended;
+  private String checkpoint;
+  private int percent;
+  private long firstSeenMillis = NEVER_MILLIS;
+  private long rejections;
+
+  Member(ActiveRun run, int index, Minion minion, Room demand) {
+    this.run = run;
+    this.index = index;
+    this.minion = minion;
+    this.demand = demand;
+    this.checkpoint = run.checkpoint();
+  }
+
+  ActiveRun run() {
+    return run;
+  }
+
+  int index() {
+    return index;
+  }
+
+  Room demand() {
+    return demand;
+  }
+
+  Minion minion() {
+    return minion;
+  }
+
+  void moveTo(Minion newLife) {
+    minion.remove(this);
+    minion = newLife;
+    newLife.add(this);
+  }
+
+  TaskRun taskRun() {
+    return run.taskRun(index);
+  }
+
+  boolean isRecorded() {
+    return recorded;
+  }
+
+  void recorded() {
+    recorded = true;
+  }
+
+  boolean isInherited() {
+    return inherited;
+  }
+
+  void inherit() {
+    recorded = true;
+    inherited = true;
+  }
+
+  OrderState start() {
+    return start;
+  }
+
+  OrderState stop() {
+    return stop;
+  }
+
+  boolean isStopWanted() {
+    return stopWanted;
+  }
+
+  void wantStop() {
+    stopWanted = true;
+  }
+
+  boolean isConfirmed() {
+    return confirmedMillis != NEVER_MILLIS;
+  }
+
+  /** Returns when the minion first said that it runs the task. */
+  long confirmedMillis() {
+    return confirmedMillis;
+  }
+
+  void confirm(long nowMillis) {
+    if (!isConfirmed()) {
+      confirmedMillis = nowMillis;
+    }
+    inherited = false;
+  }
+
+  long startDeadlineMillis() {
+    return startDeadlineMillis;
+  }
+
+  void startDeadline(long deadlineMillis) {
+    startDeadlineMillis = Math.max(startDeadlineMillis, deadlineMillis);
+  }
+
+  /** Returns whether the end is known, recorded or not. */
+  boolean isEnded() {
+    return ended;
+  }
+
+  void end() {
+    ended = true;
+  }
+
+  String checkpoint() {
+    return checkpoint;
+  }
+
+  int percent() {
+    return percent;
+  }
+
+  void progressed(int newPercent, String newCheckpoint, long nowMillis) {
+    percent = newPercent;
+    if (!newCheckpoint.isEmpty()) {
+      checkpoint = newCheckpoint;
+    }
+    if (firstSeenMillis == NEVER_MILLIS) {
+      firstSeenMillis = nowMillis;
+    }
+  }
+
+  long firstSeenMillis() {
+    return firstSeenMillis;
+  }
+
+  long rejections() {
+    return rejections;
+  }
+
+  void rejected() {
+    rejections++;
+  }
+}
--- /dev/null
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Minion.java
@@ -0,0 +1,155 @@
+package org.hickoryspar.kernel.dispatch;
+
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import org.hickoryspar.protocol.MinionLife;
+import org.hickoryspar.protocol.MinionReport;
+
+/** One life of a minion as the leader knows it. */
+final class Minion {
+
+  private static final long NEVER_MILLIS = Long.MIN_VALUE / 2;
+
+  private MinionReport report;
+  private final MinionClock clock = new MinionClock();
+  private final Set<Member> members = new LinkedHashSet<>();
+  private final LeaseState lease;
+  private Room capacity;
+  private Room used = Room.NONE;
+  private boolean provisional;
+  private long leavingSinceMillis = NEVER_MILLIS;
+  private long reportedMillis;
+
+  Minion(MinionReport report, long nowMillis) {
+    this.report = report;
+    this.capacity = Room.of(report.getCapacity());
+    this.reportedMillis = nowMillis;
+    this.lease = new LeaseState(nowMillis);
+  }
+
+  /** Creates a life that is known from its predecessor only, until it reports itself. */
+  static Minion provisional(MinionReport earlier, MinionLife life, long nowMillis) {
+    Minion minion =
+        new Minion(
+            earlier.toBuilder()
+                .setLife(life)
+                .setSequence(0)
+                .setDraining(false)
+                .setLeaving(false)
+                .build(),
+            nowMillis);
+    minion.provisional = true;
+    return minion;
+  }
+
+  void update(MinionReport newer, long nowMillis) {
+    boolean leaves = newer.getLeaving();
+    if (leaves && !isLeaving()) {
+      leavingSinceMillis = nowMillis;
+    } else if (!leaves) {
+      leavingSinceMillis = NEVER_MILLIS;
+    }
+    report = newer;
+    capacity = Room.of(newer.getCapacity());
+    provisional = false;
+    reportedMillis = nowMillis;
+  }
+
+  /** Takes note that the minion said it ends now. */
+  void leave(long nowMillis) {
+    if (!isLeaving()) {
+      leavingSinceMillis = nowMillis;
+    }
+  }
+
+  MinionLife life() {
+    return report.getLife();
+  }
+
+  String id() {
+    return report.getLife().getMinionId();
+  }
+
+  MinionTarget target() {
+    return new MinionTarget(report.getLife(), report.getAddress());
+  }
+
+  MinionReport report() {
+    return report;
+  }
+
+  MinionClock clock() {
+    return clock;
+  }
+
+  LeaseState lease() {
+    return lease;
+  }
+
+  String service() {
+    return report.getService();
+  }
+
+  String rack() {
+    return report.getRack();
+  }
+
+  String dataCentre() {
+    return report.getDataCentre();
+  }
+
+  boolean hasLabel(String label) {
+    return label.isEmpty() || report.getLabelsList().contains(label);
+  }
+
+  boolean isLeaving() {
+    return leavingSinceMillis != NEVER_MILLIS;
+  }
+
+  long leavingSinceMillis() {
+    return leavingSinceMillis;
+  }
+
+  long reportedMillis() {
+    return reportedMillis;
+  }
+
+  /** Returns whether new work may be placed here as far as the minion itself is concerned. */
+  boolean acceptsWork() {
+    return !provisional
+        && !report.getDraining()
+        && !isLeaving()
+        && lease.isContacted()
+        && !lease.isSuspect();
+  }
+
+  Room free() {
+    return capacity.minus(used);
+  }
+
+  Room capacity() {
+    return capacity;
+  }
+
+  List<Member> members() {
+    return new ArrayList<>(members);
+  }
+
+  void add(Member member) {
+    if (members.add(member)) {
+      used = used.plus(member.demand());
+    }
+  }
+
+  void remove(Member member) {
+    if (members.remove(member)) {
+      used = used.minus(member.demand());
+    }
+  }
+
+  boolean isIdle() {
+    return members.isEmpty();
+  }
+}
--- /dev/null
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/MinionTable.java
@@ -0,0 +1,144 @@
+package org.hickoryspar.kernel.dispatch;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BiConsumer;
+import org.hickoryspar.protocol.MinionLife;
+import org.hickoryspar.protocol.MinionReport;
+import org.jspecify.annotations.Nullable;
+
+/** The minions that are known, each in its newest life. */
+final class MinionTable {
+
+  /** A minion that neither reports nor answers for this long, and runs nothing, is forgotten. */
+  private static final long FORGET_MILLIS = 15_000;
+
+  private final Map<String, Minion> byId = new LinkedHashMap<>();
+  private final DispatchListener listener;
+  private final BiConsumer<Minion, Minion> onNewLife;
+
+  /**
+   * Creates an empty table.
+   *
+   * @param listener told about minions that come, drain and go
+   * @param onNewLife told the earlier and the new life when a minion has started again
+   */
+  MinionTable(DispatchListener listener, BiConsumer<Minion, Minion> onNewLife) {
+    this.listener = listener;
+    this.onNewLife = onNewLife;
+  }
+
+  Collection<Minion> all() {
+    return Collections.unmodifiableCollection(byId.values());
+  }
+
+  @Nullable Minion find(MinionLife life) {
+    Minion minion = byId.get(life.getMinionId());
+    return minion != null && minion.life().equals(life) ? minion : null;
+  }
+
+  /** Returns the minion of a life that was recorded, known or not. */
+  Minion findOrAdd(MinionLife life, long nowMillis) {
+    Minion known = byId.get(life.getMinionId());
+    if (known != null) {
+      return known;
+    }
+    Minion added = Minion.provisional(MinionReport.getDefaultInstance(), life, nowMillis);
+    byId.put(life.getMinionId(), added);
+    return added;
+  }
+
+  void report(MinionReport report, long nowMillis) {
+    Minion known = byId.get(report.getLife().getMinionId());
+    long born = report.getLife().getBornMillis();
+    if (known == null) {
+      join(report, nowMillis);
+    } else if (born > known.life().getBornMillis()) {
+      Minion newLife = new Minion(report, nowMillis);
+      replace(known, newLife);
+      noteClock(newLife, nowMillis);
+    } else if (born == known.life().getBornMillis()
+        && report.getSequence() > known.report().getSequence()) {
+      boolean drained = report.getDraining() && !known.report().getDraining();
+      known.update(report, nowMillis);
+      noteClock(known, nowMillis);
+      if (drained) {
+        listener.happened(
+            DispatchEventKind.MINION_DRAINING,
+            known.id(),
+            "remainingMillis",
+            report.getDrainRemainingMillis());
+      }
+    }
+  }
+
+  private void join(MinionReport report, long nowMillis) {
+    Minion minion = new Minion(report, nowMillis);
+    for (Minion other : List.copyOf(byId.values())) {
+      boolean sameAddress = other.report().getAddress().equals(report.getAddress());
+      if (sameAddress && other.life().getBornMillis() < report.getLife().getBornMillis()) {
+        replace(other, minion);
+      }
+    }
+    byId.put(minion.id(), minion);
+    noteClock(minion, nowMillis);
+    listener.happened(
+        DispatchEventKind.MINION_JOINED,
+        minion.id(),
+        "bornMillis",
+        report.getLife().getBornMillis(),
+        "address",
+        report.getAddress(),
+        "dataCentre",
+        report.getDataCentre(),
+        "rack",
+        report.getRack());
+  }
+
+  /** A renewal was answered by another life of the minion than the one it was sent to. */
+  void answeredByLife(Minion known, long bornMillis, long nowMillis) {
+    if (bornMillis <= known.life().getBornMillis()) {
+      return;
+    }
+    MinionLife life = known.life().toBuilder().setBornMillis(bornMillis).build();
+    replace(known, Minion.provisional(known.report(), life, nowMillis));
+  }
+
+  private void replace(Minion earlier, Minion newLife) {
+    byId.remove(earlier.id());
+    byId.put(newLife.id(), newLife);
+    listener.happened(
+        DispatchEventKind.MINION_GONE,
+        earlier.id(),
+        "bornMillis",
+        earlier.life().getBornMillis(),
+        "successor",
+        newLife.id(),
+        "successorBornMillis",
+        newLife.life().getBornMillis());
+    onNewLife.accept(earlier, newLife);
+  }
+
+  /** Forgets the minions that are gone. */
+  void sweep(long nowMillis) {
+    for (Minion minion : new ArrayList<>(byId.values())) {
+      long heardMillis = Math.max(minion.reportedMillis(), minion.lease().answeredMillis());
+      if (minion.isIdle() && nowMillis - heardMillis > FORGET_MILLIS) {
+        byId.remove(minion.id());
+        listener.happened(
+            DispatchEventKind.MINION_GONE, minion.id(), "silentMillis", nowMillis - heardMillis);
+      }
+    }
+  }
+
+  private static void noteClock(Minion minion, long nowMillis) {
+    MinionReport report = minion.report();
+    if (report.getClockMillis() > 0) {
+      minion.clock().read(report.getClockMillis(), nowMillis - report.getAgeMillis());
+    }
+  }
+}
--- /dev/null
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Outbox.java
@@ -0,0 +1,44 @@
+package org.hickoryspar.kernel.dispatch;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.hickoryspar.protocol.WorkflowBatch;
+import org.hickoryspar.protocol.WorkflowEvent;
+
+/** Collects what a step of the dispatcher wants done. */
+final class Outbox {
+
+  private final List<Order> orders = new ArrayList<>();
+  private final List<WorkflowEvent> proposals = new ArrayList<>();
+  private long batchNumber = 1;
+
+  void order(Order order) {
+    orders.add(order);
+  }
+
+  void propose(WorkflowEvent event) {
+    proposals.add(event);
+  }
+
+  /** Returns the number of the batch that the next proposal is part of. */
+  long batchNumber() {
+    return batchNumber;
+  }
+
+  List<Order> takeOrders() {
+    List<Order> taken = List.copyOf(orders);
+    orders.clear();
+    return taken;
+  }
+
+  WorkflowBatch takeProposals() {
+    if (proposals.isEmpty()) {
+      return WorkflowBatch.getDefaultInstance();
+    }
+    WorkflowBatch batch =
+        WorkflowBatch.newBuilder().addAllEvents(proposals).setDispatchNumber(batchNumber).build();
+    batchNumber++;
+    proposals.clear();
+    return batch;
+  }
+}
--- /dev/null
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Room.java
@@ -0,0 +1,53 @@
+package org.hickoryspar.kernel.dispatch;
+
+import org.hickoryspar.protocol.TaskDemand;
+
+/**
+ * An amount of each resource of a minion.
+ *
+ * @param cpuMillicores processor time in thousandths of a core
+ * @param memoryMegabytes memory
+ * @param accelerators whole accelerators
+ */
+record Room(long cpuMillicores, long memoryMegabytes, long accelerators) {
+
+  static final Room NONE = new Room(0, 0, 0);
+
+  static Room of(TaskDemand demand) {
+    return new Room(
+        demand.getCpuMillicores(), demand.getMemoryMegabytes(), demand.getAccelerators());
+  }
+
+  Room plus(Room other) {
+    return new Room(
+        cpuMillicores + other.cpuMillicores,
+        memoryMegabytes + other.memoryMegabytes,
+        accelerators + other.accelerators);
+  }
+
+  Room minus(Room other) {
+    return new Room(
+        cpuMillicores - other.cpuMillicores,
+        memoryMegabytes - other.memoryMegabytes,
+        accelerators - other.accelerators);
+  }
+
+  boolean holds(Room demand) {
+    return demand.cpuMillicores <= Math.max(0, cpuMillicores)
+        && demand.memoryMegabytes <= Math.max(0, memoryMegabytes)
+        && demand.accelerators <= Math.max(0, accelerators);
+  }
+
+  /** Returns how many tasks with a demand fit, at most a limit. */
+  int count(Room demand, int limit) {
+    long fits = limit;
+    fits = Math.min(fits, fits(cpuMillicores, demand.cpuMillicores, limit));
+    fits = Math.min(fits, fits(memoryMegabytes, demand.memoryMegabytes, limit));
+    fits = Math.min(fits, fits(accelerators, demand.accelerators, limit));
+    return (int) Math.max(0, fits);
+  }
+
+  private static long fits(long available, long each, int limit) {
+    return each == 0 ? limit : Math.max(0, available) / each;
+  }
+}
--- /dev/null
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/RunEnds.java
@@ -0,0 +1,60 @@
+package org.hickoryspar.kernel.dispatch;
+
+import org.hickoryspar.protocol.RunEnd;
+
+/** Proposes the ends of tasks and frees their room. */
+final class RunEnds {
+
+  private final RunTable runs;
+  private final Outbox outbox;
+  private final DispatchListener listener;
+
+  RunEnds(RunTable runs, Outbox outbox, DispatchListener listener) {
+    this.runs = runs;
+    this.outbox = outbox;
+    this.listener = listener;
+  }
+
+  /** A minion listed an end. */
+  void listed(Member member, RunEnd.Cause cause, String checkpoint) {
+    listener.happened(
+        DispatchEventKind.TASK_ENDED,
+        member.taskRun().toString(),
+        "cause",
+        cause,
+        "minion",
+        member.minion().id(),
+        "percent",
+        member.percent());
+    end(member, cause, checkpoint);
+  }
+
+  /** A task can no longer run where it was started, and will not. */
+  void lost(Member member, String reason) {
+    if (member.isEnded()) {
+      return;
+    }
+    listener.happened(
+        DispatchEventKind.TASK_LOST,
+        member.taskRun().toString(),
+        "reason",
+        reason,
+        "minion",
+        member.minion().id(),
+        "confirmed",
+        member.isConfirmed(),
+        "percent",
+        member.percent());
+    end(member, RunEnd.Cause.LOST, member.checkpoint());
+  }
+
+  private void end(Member member, RunEnd.Cause cause, String checkpoint) {
+    member.end();
+    runs.release(member);
+    outbox.propose(member.run().endOf(member, cause, checkpoint));
+    // The other members cannot go on alone.
+    if (cause != RunEnd.Cause.DONE) {
+      member.run().wantStop();
+    }
+  }
+}
--- /dev/null
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/WaitingStep.java
@@ -0,0 +1,43 @@
+package org.hickoryspar.kernel.dispatch;
+
+import java.util.List;
+import org.hickoryspar.kernel.workflow.TaskGroup;
+import org.hickoryspar.kernel.workflow.Workflow;
+import org.hickoryspar.protocol.Queue;
+import org.hickoryspar.protocol.TaskDemand;
+import org.hickoryspar.protocol.WorkflowStep;
+
+/**
+ * A step whose turn has come and some of whose groups wait for room.
+ *
+ * @param workflow the workflow
+ * @param queue the queue that the workflow is scheduled under now
+ * @param occurrence number of the occurrence
+ * @param stepIndex index of the step
+ * @param sinceMillis when its turn came at the earliest, in milliseconds since the epoch
+ * @param groups the groups that wait
+ */
+record WaitingStep(
+    Workflow workflow,
+    Queue queue,
+    int occurrence,
+    int stepIndex,
+    long sinceMillis,
+    List<TaskGroup> groups) {
+
+  WorkflowStep step() {
+    return workflow.spec().getSteps(stepIndex);
+  }
+
+  /** Returns the room that one task takes on a minion. */
+  Room demand() {
+    return demandOf(step());
+  }
+
+  static Room demandOf(WorkflowStep step) {
+    TaskDemand demand = step.getDemand();
+    return step.getFills()
+        ? new Room(0, demand.getMemoryMegabytes(), demand.getAccelerators())
+        : Room.of(demand);
+  }
+}
--- /dev/null
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/workflow/Run.java
@@ -0,0 +1,83 @@
+package org.hickoryspar.kernel.workflow;
+
+import java.util.Arrays;
+import java.util.List;
+import org.hickoryspar.protocol.MinionLife;
+import org.hickoryspar.protocol.RunEnd;
+import org.hickoryspar.protocol.RunRecord;
+
+/** One start of a group of tasks, with the minion of each member. */
+public final class Run {
+
+  private final int number;
+  private final List<MinionLife> minions;
+  private final RunEnd.Cause[] ends;
+
+  Run(int number, List<MinionLife> minions) {
+    this.number = number;
+    this.minions = List.copyOf(minions);
+    this.ends = new RunEnd.Cause[minions.size()];
+    Arrays.fill(ends, RunEnd.Cause.CAUSE_UNSPECIFIED);
+  }
+
+  static Run restore(RunRecord record) {
+    Run run = new Run(record.getRun(), record.getMinionsList());
+    for (int member = 0; member < run.ends.length; member++) {
+      run.ends[member] = record.getEnds(member);
+    }
+    return run;
+  }
+
+  RunRecord toRecord() {
+    return RunRecord.newBuilder()
+        .setRun(number)
+        .addAllMinions(minions)
+        .addAllEnds(Arrays.asList(ends))
+        .build();
+  }
+
+  /**
+   * Returns the number of the run.
+   *
+   * @return 1 for the first run of the group, and rising
+   */
+  public int number() {
+    return number;
+  }
+
+  /**
+   * Returns the minion of each member.
+   *
+   * @return minions in the order of the members
+   */
+  public List<MinionLife> minions() {
+    return minions;
+  }
+
+  /**
+   * Returns whether a member has ended.
+   *
+   * @param member index within the group
+   * @return true once its end is recorded
+   */
+  public boolean hasEnded(int member) {
+    return ends[member] != RunEnd.Cause.CAUSE_UNSPECIFIED;
+  }
+
+  /**
+   * Returns whether all members have ended.
+   *
+   * @return true once nothing of the run is left
+   */
+  public boolean isOver() {
+    return !contains(RunEnd.Cause.CAUSE_UNSPECIFIED);
+  }
+
+  boolean contains(RunEnd.Cause cause) {
+    return Arrays.asList(ends).contains(cause);
+  }
+
+  void end(int member, RunEnd.Cause cause) {
+    ends[member] = cause;
+  }
+}
--- /dev/null
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/workflow/TaskGroup.java
@@ -0,0 +1,164 @@
+package org.hickoryspar.kernel.workflow;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Optional;
+import org.hickoryspar.kernel.value.Problem;
+import org.hickoryspar.protocol.GroupRecord;
+import org.hickoryspar.protocol.RunEnd;
+import org.hickoryspar.protocol.RunStart;
+import org.hickoryspar.protocol.WorkflowStep;
+
+/** Tasks of a step that start and end together: all tasks of a gang step, else a single task. */
+public final class TaskGroup {
+
+  private final int firstTask;
+  private final int size;
+  private int lastRun;
+  private int failures;
+  private boolean done;
+  private String checkpoint = "";
+  private final List<Run> active = new ArrayList<>(1);
+
+  TaskGroup(int firstTask, int size) {
+    this.firstTask = firstTask;
+    this.size = size;
+  }
+
+  void restore(GroupRecord record) {
+    lastRun = record.getLastRun();
+    failures = record.getFailures();
+    done = record.getDone();
+    checkpoint = record.getCheckpoint();
+    record.getActiveList().forEach(run -> active.add(Run.restore(run)));
+  }
+
+  GroupRecord toRecord() {
+    GroupRecord.Builder record =
+        GroupRecord.newBuilder()
+            .setLastRun(lastRun)
+            .setFailures(failures)
+            .setDone(done)
+            .setCheckpoint(checkpoint);
+    active.forEach(run -> record.addActive(run.toRecord()));
+    return record.build();
+  }
+
+  Optional<Problem> start(RunStart start, WorkflowStep step) {
+    if (done) {
+      return refused("the group is done");
+    }
+    if (start.getRun() != lastRun + 1) {
+      return refused("expected run " + (lastRun + 1) + ", found " + start.getRun());
+    }
+    if (start.getMinionsCount() != size) {
+      return refused("expected " + size + " minions, found " + start.getMinionsCount());
+    }
+    if (!active.isEmpty() && !step.getSpeculative()) {
+      return refused("run " + active.get(0).number() + " has not ended");
+    }
+    lastRun = start.getRun();
+    active.add(new Run(start.getRun(), start.getMinionsList()));
+    return Optional.empty();
+  }
+
+  void end(RunEnd end, WorkflowStep step) {
+    Run run = findRun(end.getRun()).orElse(null);
+    int member = end.getTask() - firstTask;
+    if (run == null || run.hasEnded(member)) {
+      return;
+    }
+    boolean counted = run.contains(RunEnd.Cause.TASK_FAILED);
+    run.end(member, end.getCause());
+    if (!end.getCheckpoint().isEmpty()) {
+      checkpoint = end.getCheckpoint();
+    }
+    if (!step.getLongRunning()) {
+      done |= end.getCause() == RunEnd.Cause.DONE;
+      failures += end.getCause() == RunEnd.Cause.TASK_FAILED && !counted ? 1 : 0;
+    }
+    if (run.isOver()) {
+      active.remove(run);
+    }
+  }
+
+  /**
+   * Returns the index of the first task within the step.
+   *
+   * @return the index, from 0
+   */
+  public int firstTask() {
+    return firstTask;
+  }
+
+  /**
+   * Returns the number of tasks.
+   *
+   * @return at least 1
+   */
+  public int size() {
+    return size;
+  }
+
+  /**
+   * Returns the number of the latest run.
+   *
+   * @return the number, 0 before the first run
+   */
+  public int lastRun() {
+    return lastRun;
+  }
+
+  /**
+   * Returns how many runs have failed through a fault of a task.
+   *
+   * @return the number of attempts used up
+   */
+  public int failures() {
+    return failures;
+  }
+
+  /**
+   * Returns whether the tasks are done.
+   *
+   * @return true once a run of the group has ended as done
+   */
+  public boolean isDone() {
+    return done;
+  }
+
+  /**
+   * Returns the newest checkpoint that is recorded.
+   *
+   * @return the checkpoint, empty for none
+   */
+  public String checkpoint() {
+    return checkpoint;
+  }
+
+  /**
+   * Returns the runs that have not ended on all their minions.
+   *
+   * @return the runs, oldest first
+   */
+  public List<Run> active() {
+    return Collections.unmodifiableList(active);
+  }
+
+  /**
+   * Finds a run that has not ended.
+   *
+   * @param number its number
+   * @return the run, or empty
+   */
+  public Optional<Run> findRun(int number) {
+    return active.stream().filter(run -> run.number() == number).findFirst();
+  }
+
+  private static Optional<Problem> refused(String message) {
+    return Optional.of(Problem.of("run-refused", requireNonNull(message, "message is null")));
+  }
+}
--- /dev/null
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/workflow/WorkflowTable.java
@@ -0,0 +1,138 @@
+package org.hickoryspar.kernel.workflow;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.hickoryspar.kernel.value.Problem;
+import org.hickoryspar.protocol.SubmitWorkflow;
+import org.hickoryspar.protocol.WorkflowBatch;
+import org.hickoryspar.protocol.WorkflowEvent;
+import org.hickoryspar.protocol.WorkflowRecord;
+
+/**
+ * All workflows that are kept. Events are applied in the order of the replicated log, so that each
+ * copy of the table holds the same. Used by one thread at a time.
+ *
+ * <pre>{@code
+ * List<Optional<Problem>> results = table.apply(batch, nowMillis);
+ * table.find(workflowId).map(Workflow::state);
+ * }</pre>
+ */
+public final class WorkflowTable {
+
+  private final Map<String, Workflow> workflows = new LinkedHashMap<>();
+
+  /** Creates an empty table. */
+  public WorkflowTable() {}
+
+  /**
+   * Applies events.
+   *
+   * @param batch the events
+   * @param nowMillis replicated time in milliseconds since the epoch
+   * @return for each event why it was refused and changed nothing, or empty
+   */
+  public List<Optional<Problem>> apply(WorkflowBatch batch, long nowMillis) {
+    requireNonNull(batch, "batch is null");
+    List<Optional<Problem>> results = new ArrayList<>(batch.getEventsCount());
+    for (WorkflowEvent event : batch.getEventsList()) {
+      results.add(apply(event, nowMillis));
+    }
+    return results;
+  }
+
+  private Optional<Problem> apply(WorkflowEvent event, long nowMillis) {
+    switch (event.getKindCase()) {
+      case SUBMIT -> {
+        return submit(event.getSubmit(), nowMillis);
+      }
+      case CANCEL -> {
+        return change(event.getCancel().getWorkflowId(), w -> w.cancel(nowMillis));
+      }
+      case RUN_START -> {
+        Workflow workflow = workflows.get(event.getRunStart().getWorkflowId());
+        return workflow == null ? unknownWorkflow() : workflow.start(event.getRunStart());
+      }
+      case RUN_END -> {
+        return change(event.getRunEnd().getWorkflowId(), w -> w.end(event.getRunEnd(), nowMillis));
+      }
+      case FORGET -> {
+        return workflows.remove(event.getForget().getWorkflowId()) == null
+            ? unknownWorkflow()
+            : Optional.empty();
+      }
+      default -> {
+        return Optional.of(
+            Problem.of("unknown-event", "event of a newer version: " + event.getKindCase()));
+      }
+    }
+  }
+
+  // A submission that is sent again finds the workflow as the first one left it.
+  private Optional<Problem> submit(SubmitWorkflow submission, long nowMillis) {
+    workflows.computeIfAbsent(
+        submission.getWorkflowId(), id -> new Workflow(submission, nowMillis));
+    return Optional.empty();
+  }
+
+  private Optional<Problem> change(
+      String workflowId, java.util.function.Consumer<Workflow> change) {
+    Workflow workflow = workflows.get(workflowId);
+    if (workflow == null) {
+      return unknownWorkflow();
+    }
+    change.accept(workflow);
+    return Optional.empty();
+  }
+
+  /**
+   * Finds a workflow.
+   *
+   * @param workflowId its identifier
+   * @return the workflow, or empty
+   */
+  public Optional<Workflow> find(String workflowId) {
+    return Optional.ofNullable(workflows.get(requireNonNull(workflowId, "workflowId is null")));
+  }
+
+  /**
+   * Returns all workflows.
+   *
+   * @return the workflows in the order of their acceptance
+   */
+  public Collection<Workflow> all() {
+    return Collections.unmodifiableCollection(workflows.values());
+  }
+
+  /**
+   * Writes the whole table.
+   *
+   * @return one record per workflow, in the order of their acceptance
+   */
+  public List<WorkflowRecord> snapshot() {
+    return workflows.values().stream().map(Workflow::toRecord).toList();
+  }
+
+  /**
+   * Replaces everything by what a snapshot holds.
+   *
+   * @param records what {@link #snapshot} wrote
+   */
+  public void restore(List<WorkflowRecord> records) {
+    workflows.clear();
+    for (WorkflowRecord record : records) {
+      Workflow workflow = Workflow.restore(record);
+      workflows.put(workflow.id(), workflow);
+    }
+  }
+
+  private static Optional<Problem> unknownWorkflow() {
+    return Optional.of(Problem.of("no-workflow", "no such workflow"));
+  }
+}
--- /dev/null
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/cluster/ControlPeers.java
@@ -0,0 +1,203 @@
+package org.hickoryspar.node.cluster;
+
+import static java.util.Objects.requireNonNull;
+
+import io.netty.channel.EventLoopGroup;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import org.hickoryspar.kernel.membership.ReachableReplica;
+import org.hickoryspar.node.control.ReplicationTransport;
+import org.hickoryspar.node.observability.EventLogger;
+import org.hickoryspar.node.transport.PeerConnection;
+import org.hickoryspar.node.transport.PeerHandler;
+import org.hickoryspar.node.transport.PeerIdentity;
+import org.hickoryspar.protocol.ControlDirectory;
+import org.hickoryspar.protocol.Envelope;
+import org.hickoryspar.protocol.Hello;
+import org.hickoryspar.protocol.ReplicationMessage;
+
+/**
+ * Connections to all control daemons that are known. They are found from seeds, from what other
+ * control daemons tell, and from the recorded voters. Thread-safe.
+ */
+public final class ControlPeers implements ReplicationTransport, AutoCloseable {
+
+  private final PeerIdentity identity;
+  private final EventLoopGroup eventLoops;
+  private final String ownAddress;
+  private final PeerHandler handler;
+  private final Map<String, PeerConnection> byAddress = new ConcurrentHashMap<>();
+  private volatile Leader leader = new Leader("", 0);
+
+  /**
+   * Creates an empty set of connections.
+   *
+   * @param identity who this process is
+   * @param eventLoops event loops, owned by the caller
+   * @param ownAddress address of this process for peers, to which it does not connect; empty for
+   *     none
+   */
+  public ControlPeers(PeerIdentity identity, EventLoopGroup eventLoops, String ownAddress) {
+    this.identity = requireNonNull(identity, "identity is null");
+    this.eventLoops = requireNonNull(eventLoops, "eventLoops is null");
+    this.ownAddress = requireNonNull(ownAddress, "ownAddress is null");
+    this.handler =
+        (from, message, reply) -> {
+          if (message.hasControlDirectory()) {
+            learn(message.getControlDirectory(), from.getInstanceId());
+          }
+        };
+  }
+
+  /**
+   * Connects to a control daemon unless it is connected already.
+   *
+   * @param address its address for peers
+   * @param source who told of it, for the log
+   */
+  public void know(String address, String source) {
+    if (address.isEmpty() || address.equals(ownAddress)) {
+      return;
+    }
+    byAddress.computeIfAbsent(
+        address,
+        unknown -> {
+          EventLogger.log(ClusterEvent.CONTROL_FOUND, address, source);
+          PeerConnection connection =
+              new PeerConnection(
+                  identity, eventLoops, address, InstanceIds.socketAddress(address), handler);
+          connection.connect();
+          return connection;
+        });
+  }
+
+  /**
+   * Takes in what another control daemon knows.
+   *
+   * @param directory addresses and the leader
+   * @param source who sent it
+   */
+  public void learn(ControlDirectory directory, String source) {
+    requireNonNull(directory, "directory is null");
+    directory.getControlAddressesList().forEach(address -> know(address, source));
+    noteLeader(directory.getLeaderInstance(), directory.getTerm());
+  }
+
+  /**
+   * Takes note of a leader; an older term changes nothing.
+   *
+   * @param instanceId the instance that leads, empty when none is known
+   * @param term its term
+   */
+  public synchronized void noteLeader(String instanceId, long term) {
+    Leader known = leader;
+    boolean newer = term > known.term || (term == known.term && known.instanceId.isEmpty());
+    if (newer && !instanceId.equals(known.instanceId)) {
+      EventLogger.log(
+          ClusterEvent.LEADER_KNOWN, instanceId.isEmpty() ? "nobody" : instanceId, term);
+    }
+    if (newer) {
+      leader = new Leader(instanceId, term);
+    }
+  }
+
+  /**
+   * Returns the leader of the newest term that is known.
+   *
+   * @return its instance id and term
+   */
+  public Leader leader() {
+    return leader;
+  }
+
+  /**
+   * Returns the connection to an instance.
+   *
+   * @param instanceId the instance
+   * @return the connection, or empty when it is not ready
+   */
+  public Optional<PeerConnection> connection(String instanceId) {
+    PeerConnection connection = byAddress.get(InstanceIds.addressOf(instanceId));
+    return Optional.ofNullable(connection).filter(PeerConnection::isReady);
+  }
+
+  /**
+   * Lists the connections that are ready.
+   *
+   * @return the connections
+   */
+  public Collection<PeerConnection> ready() {
+    return byAddress.values().stream().filter(PeerConnection::isReady).toList();
+  }
+
+  /**
+   * Lists the control replicas that are connected.
+   *
+   * @return the replicas
+   */
+  public List<ReachableReplica> reachable() {
+    List<ReachableReplica> replicas = new ArrayList<>();
+    for (PeerConnection connection : ready()) {
+      Hello peer = connection.peer();
+      if (!peer.getReplicaId().isEmpty()) {
+        replicas.add(new ReachableReplica(peer.getReplicaId(), peer.getDataCentre()));
+      }
+    }
+    return replicas;
+  }
+
+  /**
+   * Tells what this process knows of control daemons.
+   *
+   * @return the addresses of the connected ones and of this process, and the leader
+   */
+  public ControlDirectory directory() {
+    Leader known = leader;
+    ControlDirectory.Builder directory =
+        ControlDirectory.newBuilder().setLeaderInstance(known.instanceId).setTerm(known.term);
+    if (!ownAddress.isEmpty() && !identity.replicaId().isEmpty()) {
+      directory.addControlAddresses(ownAddress);
+    }
+    byAddress.forEach(
+        (address, connection) -> {
+          if (connection.isReady() && !connection.peer().getReplicaId().isEmpty()) {
+            directory.addControlAddresses(address);
+          }
+        });
+    return directory.build();
+  }
+
+  @Override
+  public void send(ReplicationMessage message) {
+    requireNonNull(message, "message is null");
+    String address = InstanceIds.addressOf(message.getToReplica());
+    know(address, "the recorded members");
+    PeerConnection connection = byAddress.get(address);
+    if (connection != null) {
+      connection.send(Envelope.newBuilder().setReplication(message).build());
+    }
+  }
+
+  @Override
+  public void close() {
+    byAddress.values().forEach(PeerConnection::close);
+  }
+
+  /**
+   * Who leads.
+   *
+   * @param instanceId the instance, empty when none is known
+   * @param term the term
+   */
+  public record Leader(String instanceId, long term) {
+
+    /** Checks the components. */
+    public Leader {
+      requireNonNull(instanceId, "instanceId is null");
+    }
+  }
+}
--- /dev/null
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/cluster/VoterKeeper.java
@@ -0,0 +1,78 @@
+package org.hickoryspar.node.cluster;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.hickoryspar.kernel.membership.ReachableReplica;
+import org.hickoryspar.kernel.membership.VoterChange;
+import org.hickoryspar.kernel.membership.VoterPlan;
+import org.hickoryspar.kernel.value.Problem;
+import org.hickoryspar.kernel.value.Result;
+import org.hickoryspar.node.control.ReplicatedLog;
+import org.hickoryspar.node.observability.EventLogger;
+import org.jspecify.annotations.Nullable;
+
+/** On the leader, changes the voters as the plan says, one step at a time; used by one thread. */
+final class VoterKeeper {
+
+  private final ReplicatedLog<?> log;
+  private final ControlPeers peers;
+  private final VoterPlan plan;
+  private final String dataCentre;
+  private @Nullable VoterChange current;
+  private CompletableFuture<Result<String>> underWay =
+      CompletableFuture.completedFuture(Result.success(""));
+
+  VoterKeeper(ReplicatedLog<?> log, ControlPeers peers, VoterPlan plan, String dataCentre) {
+    this.log = requireNonNull(log, "log is null");
+    this.peers = requireNonNull(peers, "peers is null");
+    this.plan = requireNonNull(plan, "plan is null");
+    this.dataCentre = requireNonNull(dataCentre, "dataCentre is null");
+  }
+
+  /** Takes the next step if this replica leads and none is under way. */
+  void advance(long nowMillis) {
+    ReplicatedLog.Status status = log.status();
+    if (!status.holdsLease()) {
+      return;
+    }
+    List<ReachableReplica> reachable = new ArrayList<>(peers.reachable());
+    reachable.add(new ReachableReplica(status.replicaId(), dataCentre));
+    if (!underWay.isDone()) {
+      cancelIfGone(reachable);
+      return;
+    }
+    Optional<VoterChange> next =
+        plan.next(status.replicaId(), status.voters(), status.learners(), reachable, nowMillis);
+    next.ifPresent(this::start);
+  }
+
+  private void start(VoterChange change) {
+    EventLogger.log(ClusterEvent.VOTER_CHANGE, change);
+    current = change;
+    underWay =
+        change instanceof VoterChange.Add add
+            ? log.addVoter(add.replicaId(), Optional.empty())
+            : log.removeReplica(((VoterChange.Remove) change).replicaId());
+    underWay.thenAccept(VoterKeeper::logResult);
+  }
+
+  private static void logResult(Result<String> result) {
+    String detail = result.fold(Problem::message, voters -> voters);
+    EventLogger.log(
+        result.isSuccess() ? ClusterEvent.VOTER_CHANGE_DONE : ClusterEvent.VOTER_CHANGE_FAILED,
+        detail);
+  }
+
+  // A replica that is gone would keep the next step waiting until the addition times out.
+  private void cancelIfGone(List<ReachableReplica> reachable) {
+    if (current instanceof VoterChange.Add add
+        && reachable.stream().noneMatch(r -> r.replicaId().equals(add.replicaId()))) {
+      current = null;
+      log.removeReplica(add.replicaId());
+    }
+  }
+}
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/control/ControlStateMachine.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/control/ControlStateMachine.java
@@ -6,7 +6,7 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
-import java.util.function.Consumer;
+import java.util.function.BiConsumer;
 import org.hickoryspar.kernel.control.CommandResult;
 import org.hickoryspar.kernel.control.ControlState;
 import org.hickoryspar.protocol.Command;
@@ -15,7 +15,7 @@
 public final class ControlStateMachine implements StateMachine<CommandResult> {
 
   private final ControlState state;
-  private final List<Consumer<Command>> listeners = new CopyOnWriteArrayList<>();
+  private final List<BiConsumer<Command, CommandResult>> listeners = new CopyOnWriteArrayList<>();
 
   /**
    * Creates a state machine.
@@ -27,11 +27,12 @@
   }
 
   /**
-   * Adds a listener that is told about each command after it was applied, on the applying thread.
+   * Adds a listener that is told about each command and its result after it was applied, on the
+   * applying thread.
    *
    * @param listener must not block
    */
-  public void addListener(Consumer<Command> listener) {
+  public void addListener(BiConsumer<Command, CommandResult> listener) {
     listeners.add(requireNonNull(listener, "listener is null"));
   }
 
@@ -44,8 +45,8 @@
       throw new IllegalStateException("log entry " + index + " is not a command", e);
     }
     CommandResult result = state.apply(command);
-    for (Consumer<Command> listener : listeners) {
-      listener.accept(command);
+    for (BiConsumer<Command, CommandResult> listener : listeners) {
+      listener.accept(command, result);
     }
     return result;
   }
--- /dev/null
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/daemon/ClusterControl.java
@@ -0,0 +1,264 @@
+package org.hickoryspar.node.daemon;
+
+import static java.util.Objects.requireNonNull;
+
+import com.google.common.io.Closer;
+import io.netty.channel.EventLoopGroup;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.security.SecureRandom;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.function.Consumer;
+import org.hickoryspar.kernel.control.CommandResult;
+import org.hickoryspar.kernel.control.ControlState;
+import org.hickoryspar.kernel.dispatch.DispatchSettings;
+import org.hickoryspar.kernel.membership.VoterPlan;
+import org.hickoryspar.kernel.replication.ReplicaOptions;
+import org.hickoryspar.kernel.value.Problem;
+import org.hickoryspar.kernel.value.Result;
+import org.hickoryspar.node.cluster.ClusterKeeper;
+import org.hickoryspar.node.cluster.ClusterSettings;
+import org.hickoryspar.node.cluster.ControlPeers;
+import org.hickoryspar.node.cluster.InstanceIds;
+import org.hickoryspar.node.control.ControlStateMachine;
+import org.hickoryspar.node.control.Proposer;
+import org.hickoryspar.node.control.ReplicatedLog;
+import org.hickoryspar.node.dispatch.DispatchLoop;
+import org.hickoryspar.node.dispatch.LeaderCalls;
+import org.hickoryspar.node.dispatch.LeaderServices;
+import org.hickoryspar.node.dispatch.MinionClient;
+import org.hickoryspar.node.dispatch.MinionRegistry;
+import org.hickoryspar.node.replication.ReplicaDriver;
+import org.hickoryspar.node.storage.FileLogStorage;
+import org.hickoryspar.node.storage.ReplicaFolder;
+import org.hickoryspar.node.storage.SystemFileOperations;
+import org.hickoryspar.node.transport.PeerIdentity;
+import org.hickoryspar.node.transport.PeerServer;
+import org.hickoryspar.protocol.Envelope;
+import org.hickoryspar.protocol.Failure;
+import org.hickoryspar.protocol.Hello;
+
+/** A control daemon of a cluster whose instances find each other from seeds. */
+public final class ClusterControl implements AutoCloseable {
+
+  private static final int EXIT_REPLICA_FAILED = 70;
+  private static final long TRANSFER_LIMIT_MILLIS = 2_000;
+
+  /** How long a voter must be out of reach before another replica takes its place. */
+  private static final long REPLACE_VOTER_MILLIS = 1_500;
+
+  /** After this time without enough replicas, changes are accepted all the same. */
+  private static final long ENOUGH_VOTERS_LIMIT_MILLIS = 8_000;
+
+  private final Closer closer = Closer.create();
+  private final ReplicatedLog<CommandResult> log;
+  private final ControlPeers peers;
+  private final LeaderServices services;
+  private final LeaderCalls leaderCalls;
+  private final MinionRegistry registry;
+  private final VoterPlan voterPlan;
+  private final long startedMillis = ProcessResources.monotonicMillis();
+
+  /**
+   * Starts a control daemon.
+   *
+   * @param settings where it runs
+   * @param dataFolder folder of its replica
+   * @param dispatchSettings times and limits of workflows
+   * @param minions carries orders to minions
+   * @throws IOException if the folder cannot be used or the address cannot be bound
+   */
+  public ClusterControl(
+      ClusterSettings settings,
+      Path dataFolder,
+      DispatchSettings dispatchSettings,
+      MinionClient minions)
+      throws IOException {
+    requireNonNull(settings, "settings is null");
+    SecureRandom random = new SecureRandom();
+    FileLogStorage storage = openStorage(settings, dataFolder, random);
+    PeerIdentity identity =
+        new PeerIdentity(
+            settings.cluster(),
+            settings.peerAddress(),
+            ProcessResources.processIncarnation(),
+            storage.identity().replicaId(),
+            settings.dataCentre());
+    EventLoopGroup eventLoops = ProcessResources.eventLoops(closer, 1);
+    ScheduledExecutorService timer =
+        Executors.newSingleThreadScheduledExecutor(task -> new Thread(task, "calls"));
+    closer.register(timer::shutdownNow);
+    ControlState state = new ControlState();
+    ControlStateMachine machine = new ControlStateMachine(state);
+    peers = new ControlPeers(identity, eventLoops, settings.peerAddress());
+    voterPlan = new VoterPlan(settings.lossesToBear(), REPLACE_VOTER_MILLIS);
+    ReplicaDriver<CommandResult> replica =
+        new ReplicaDriver<>(
+            identity.replicaId(),
+            machine,
+            peers,
+            storage,
+            System::nanoTime,
+            ReplicaOptions.defaults(),
+            random,
+            failure -> Runtime.getRuntime().halt(EXIT_REPLICA_FAILED));
+    log = replica;
+    Proposer proposer = new Proposer(log, System::currentTimeMillis);
+    DispatchLoop loop =
+        new DispatchLoop(
+            state, proposer, minions, dispatchSettings, ProcessResources::monotonicMillis);
+    closer.register(loop::close);
+    machine.addListener(loop::applied);
+    services =
+        new LeaderServices(
+            state, proposer, log, loop, this::hasEnoughVoters, ProcessResources::monotonicMillis);
+    leaderCalls =
+        new LeaderCalls(
+            peers,
+            settings.peerAddress(),
+            services::serve,
+            timer,
+            ProcessResources::monotonicMillis);
+    registry = new MinionRegistry(leaderCalls, ProcessResources::monotonicMillis);
+    loop.addListener(
+        dispatcher ->
+            registry
+                .known()
+                .forEach(r -> dispatcher.reported(r, ProcessResources.monotonicMillis())));
+    PeerServer server = new PeerServer(identity, eventLoops, this::handle);
+    replica.start();
+    listen(server, settings.peerAddress());
+    settings.seeds().forEach(seed -> peers.know(seed, "the seeds"));
+    ClusterKeeper keeper =
+        new ClusterKeeper(
+            log,
+            peers,
+            server,
+            voterPlan,
+            settings.dataCentre(),
+            registry::leaderChanged,
+            ProcessResources::monotonicMillis);
+    closer.register(keeper::close);
+    keeper.start();
+    loop.start();
+  }
+
+  private static FileLogStorage openStorage(
+      ClusterSettings settings, Path dataFolder, SecureRandom random) throws IOException {
+    ReplicaFolder folder =
+        new ReplicaFolder(
+            new SystemFileOperations(), dataFolder, settings.cluster(), settings.peerAddress());
+    if (settings.firstStart() && settings.seeds().contains(settings.peerAddress())) {
+      // Refused when an earlier process of this start has initialised the folder already.
+      folder.initialise(settings.seeds());
+    }
+    Result<FileLogStorage> opened = folder.open(random);
+    if (!opened.isSuccess()) {
+      throw new IOException(opened.problem().map(Problem::message).orElse(""));
+    }
+    return opened.fold(
+        problem -> {
+          throw new IllegalStateException(problem.toString());
+        },
+        storage -> storage);
+  }
+
+  private void listen(PeerServer server, String address) throws IOException {
+    Result<InetSocketAddress> bound = server.listen(InstanceIds.socketAddress(address));
+    if (!bound.isSuccess()) {
+      throw new IOException(bound.problem().map(Problem::message).orElse(""));
+    }
+    closer.register(server::close);
+  }
+
+  private boolean hasEnoughVoters() {
+    return log.status().voters().size() >= voterPlan.targetVoters()
+        || ProcessResources.monotonicMillis() - startedMillis > ENOUGH_VOTERS_LIMIT_MILLIS;
+  }
+
+  private void handle(Hello from, Envelope message, Consumer<Envelope.Builder> reply) {
+    switch (message.getPayloadCase()) {
+      case REPLICATION -> log.receive(message.getReplication());
+      case CONTROL_DIRECTORY -> {
+        peers.know(from.getInstanceId(), "its own call");
+        peers.learn(message.getControlDirectory(), from.getInstanceId());
+      }
+      default ->
+          services
+              .serve(message)
+              .thenAccept(result -> reply.accept(result.fold(this::failure, answer -> answer)));
+    }
+  }
+
+  private Envelope.Builder failure(Problem problem) {
+    return Envelope.newBuilder()
+        .setFailure(
+            Failure.newBuilder()
+                .setCode(problem.code())
+                .setMessage(problem.message())
+                .setLeaderHint(peers.leader().instanceId()));
+  }
+
+  /**
+   * Returns the sender of calls to the leader.
+   *
+   * @return the sender
+   */
+  public LeaderCalls leaderCalls() {
+    return leaderCalls;
+  }
+
+  /**
+   * Returns the registry that reports of minions go to.
+   *
+   * @return the registry
+   */
+  public MinionRegistry registry() {
+    return registry;
+  }
+
+  /**
+   * Returns the connections to control daemons.
+   *
+   * @return the connections, which further seeds may be added to
+   */
+  public ControlPeers peers() {
+    return peers;
+  }
+
+  /** Hands leadership over, then stops. */
+  @Override
+  public void close() throws IOException {
+    if (log.status().role().equals("leader")) {
+      CompletableFuture<Result<String>> transfer = log.transferLeadership();
+      try {
+        transfer.get(TRANSFER_LIMIT_MILLIS, TimeUnit.MILLISECONDS);
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      } catch (ExecutionException | TimeoutException e) {
+        // The others elect a leader after the election time-out.
+      }
+    }
+    log.close();
+    peers.close();
+    closer.close();
+  }
+
+  /**
+   * Lists the seeds as addresses for peers.
+   *
+   * @param hosts hosts of the seeds
+   * @param port port for peers, the same on all instances
+   * @return the addresses
+   */
+  public static List<String> seedAddresses(List<String> hosts, int port) {
+    return hosts.stream().map(host -> host + ':' + port).toList();
+  }
+}
--- /dev/null
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/daemon/ClusterEntry.java
@@ -0,0 +1,70 @@
+package org.hickoryspar.node.daemon;
+
+import static java.util.Objects.requireNonNull;
+
+import com.google.common.io.Closer;
+import io.netty.channel.EventLoopGroup;
+import java.io.IOException;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import org.hickoryspar.node.cluster.ClusterSettings;
+import org.hickoryspar.node.cluster.ControlPeers;
+import org.hickoryspar.node.dispatch.LeaderCalls;
+import org.hickoryspar.node.transport.PeerIdentity;
+
+/** An entry of a cluster whose instances find each other from seeds: it passes calls on. */
+public final class ClusterEntry implements AutoCloseable {
+
+  private final Closer closer = Closer.create();
+  private final ControlPeers peers;
+  private final LeaderCalls leaderCalls;
+
+  /**
+   * Starts an entry.
+   *
+   * @param settings where it runs
+   */
+  public ClusterEntry(ClusterSettings settings) {
+    requireNonNull(settings, "settings is null");
+    PeerIdentity identity =
+        new PeerIdentity(
+            settings.cluster(),
+            settings.instanceName(),
+            ProcessResources.processIncarnation(),
+            "",
+            settings.dataCentre());
+    EventLoopGroup eventLoops = ProcessResources.eventLoops(closer, 1);
+    ScheduledExecutorService timer =
+        Executors.newSingleThreadScheduledExecutor(task -> new Thread(task, "calls"));
+    closer.register(timer::shutdownNow);
+    peers = new ControlPeers(identity, eventLoops, "");
+    closer.register(peers::close);
+    leaderCalls =
+        new LeaderCalls(
+            peers, settings.instanceName(), null, timer, ProcessResources::monotonicMillis);
+    settings.seeds().forEach(seed -> peers.know(seed, "the seeds"));
+  }
+
+  /**
+   * Returns the sender of calls to the leader.
+   *
+   * @return the sender
+   */
+  public LeaderCalls leaderCalls() {
+    return leaderCalls;
+  }
+
+  /**
+   * Returns the connections to control daemons.
+   *
+   * @return the connections, which further seeds may be added to
+   */
+  public ControlPeers peers() {
+    return peers;
+  }
+
+  @Override
+  public void close() throws IOException {
+    closer.close();
+  }
+}
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/daemon/ProcessResources.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/daemon/ProcessResources.java
@@ -1,5 +1,6 @@
 package org.hickoryspar.node.daemon;
 
+import com.google.common.io.Closer;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -25,7 +26,7 @@
   }
 
   /** The start time comes first, so that a later process has a larger number. */
-  private static long processIncarnation() {
+  static long processIncarnation() {
     return System.currentTimeMillis() << RANDOM_BITS | new SecureRandom().nextInt(1 << RANDOM_BITS);
   }
 
@@ -33,6 +34,13 @@
     return eventLoops;
   }
 
+  /** Creates event loops that end with a closer. */
+  static EventLoopGroup eventLoops(Closer closer, int threads) {
+    EventLoopGroup group = new MultiThreadIoEventLoopGroup(threads, NioIoHandler.newFactory());
+    closer.register(() -> shutDown(group));
+    return group;
+  }
+
   PeerIdentity identity() {
     return identity;
   }
@@ -43,6 +51,10 @@
 
   @Override
   public void close() {
+    shutDown(eventLoops);
+  }
+
+  private static void shutDown(EventLoopGroup eventLoops) {
     eventLoops
         .shutdownGracefully(0, CLOSE_LIMIT_MILLIS, TimeUnit.MILLISECONDS)
         .awaitUninterruptibly(CLOSE_LIMIT_MILLIS);
--- /dev/null
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/CatalogService.java
@@ -0,0 +1,125 @@
+package org.hickoryspar.node.dispatch;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
+import org.hickoryspar.kernel.catalog.CatalogRules;
+import org.hickoryspar.kernel.control.CommandResult;
+import org.hickoryspar.kernel.control.ControlState;
+import org.hickoryspar.kernel.value.Problem;
+import org.hickoryspar.kernel.value.Result;
+import org.hickoryspar.node.control.Proposer;
+import org.hickoryspar.node.control.ReplicatedLog;
+import org.hickoryspar.node.observability.EventLogger;
+import org.hickoryspar.protocol.Catalog;
+import org.hickoryspar.protocol.CatalogCall;
+import org.hickoryspar.protocol.CatalogChange;
+import org.hickoryspar.protocol.CatalogReply;
+import org.hickoryspar.protocol.Command;
+import org.hickoryspar.protocol.DataCentreSwitch;
+
+/** Serves the calls of operators on the leader. */
+final class CatalogService {
+
+  private final ControlState state;
+  private final Proposer proposer;
+  private final ReplicatedLog<CommandResult> log;
+  private final BooleanSupplier enoughVoters;
+
+  /**
+   * Creates the service.
+   *
+   * @param enoughVoters whether an accepted change is on as many disks as may be lost, and one
+   */
+  CatalogService(
+      ControlState state,
+      Proposer proposer,
+      ReplicatedLog<CommandResult> log,
+      BooleanSupplier enoughVoters) {
+    this.state = requireNonNull(state, "state is null");
+    this.proposer = requireNonNull(proposer, "proposer is null");
+    this.log = requireNonNull(log, "log is null");
+    this.enoughVoters = requireNonNull(enoughVoters, "enoughVoters is null");
+  }
+
+  /**
+   * Serves a call. A failure {@code "invalid-catalog"} is final; any other means that the call may
+   * be repeated.
+   */
+  CompletableFuture<Result<CatalogReply>> serve(CatalogCall call) {
+    switch (call.getKindCase()) {
+      case PUT -> {
+        return put(call.getPut());
+      }
+      case GET -> {
+        return log.readBarrier().thenApply(barrier -> barrier.map(index -> current()));
+      }
+      case DATA_CENTRE -> {
+        return switchDataCentre(call.getDataCentre());
+      }
+      default -> {
+        return failed(Problem.of("malformed", "unknown kind of call"));
+      }
+    }
+  }
+
+  private CompletableFuture<Result<CatalogReply>> put(CatalogChange change) {
+    Catalog catalog = change.getCatalog();
+    Optional<Problem> problem = CatalogRules.problemOf(catalog);
+    if (problem.isPresent()) {
+      EventLogger.log(
+          DispatchLogEvent.CATALOG_REFUSED, catalog.getVersion(), problem.get().message());
+      return failed(problem.get());
+    }
+    if (!enoughVoters.getAsBoolean()) {
+      return failed(Problem.of("unavailable", "too few replicas vote yet"));
+    }
+    if (catalog.getVersion() <= state.catalog().view().version()) {
+      return CompletableFuture.completedFuture(
+          Result.success(
+              CatalogReply.newBuilder().setVersion(state.catalog().view().version()).build()));
+    }
+    return proposer
+        .propose(Command.newBuilder().setCatalogChange(change))
+        .thenApply(
+            result ->
+                result.map(
+                    applied -> {
+                      EventLogger.log(
+                          DispatchLogEvent.CATALOG_CHANGED,
+                          catalog.getVersion(),
+                          catalog.getQueuesCount(),
+                          catalog.getTeamsCount());
+                      return CatalogReply.newBuilder().setVersion(catalog.getVersion()).build();
+                    }));
+  }
+
+  private CompletableFuture<Result<CatalogReply>> switchDataCentre(DataCentreSwitch change) {
+    return proposer
+        .propose(Command.newBuilder().setDataCentreSwitch(change))
+        .thenApply(
+            result ->
+                result.map(
+                    applied -> {
+                      EventLogger.log(
+                          DispatchLogEvent.DATA_CENTRE_SWITCHED,
+                          change.getDataCentre(),
+                          change.getOut());
+                      return CatalogReply.getDefaultInstance();
+                    }));
+  }
+
+  private CatalogReply current() {
+    CatalogChange change = state.catalog().change();
+    return CatalogReply.newBuilder()
+        .setVersion(change.getCatalog().getVersion())
+        .setDocument(change.getDocument())
+        .build();
+  }
+
+  private static CompletableFuture<Result<CatalogReply>> failed(Problem problem) {
+    return CompletableFuture.completedFuture(Result.failure(problem));
+  }
+}
--- /dev/null
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/DispatchLogEvent.java
@@ -0,0 +1,45 @@
+package org.hickoryspar.node.dispatch;
+
+import java.util.logging.Level;
+import org.hickoryspar.node.observability.LogEvent;
+
+/** Log events of workflows and their minions, 5000 to 5199. */
+enum DispatchLogEvent implements LogEvent {
+  SESSION_STARTED(5001, Level.INFO, "this replica decides in term %d: %d workflows"),
+  SESSION_ENDED(5002, Level.INFO, "this replica does not decide any more, last term %d"),
+  SESSION_FAILED(5003, Level.SEVERE, "the dispatcher failed; its state is built again"),
+  PROPOSAL_FAILED(5004, Level.WARNING, "events of workflows were not recorded: %s"),
+  DECIDED(5010, Level.INFO, "%s %s %s"),
+  WORKFLOW_ACCEPTED(5020, Level.INFO, "workflow %s of team %s is accepted on queue %s"),
+  WORKFLOW_REFUSED(5021, Level.INFO, "workflow %s is refused: %s"),
+  WORKFLOW_CANCELLED(5022, Level.INFO, "workflow %s is cancelled"),
+  CALL_REFUSED(5023, Level.INFO, "a call to %s%s is refused: %s"),
+  CATALOG_CHANGED(5030, Level.INFO, "catalog version %d is in force: %d queues, %d teams"),
+  CATALOG_REFUSED(5031, Level.INFO, "catalog version %d is refused: %s"),
+  DATA_CENTRE_SWITCHED(5032, Level.INFO, "data centre %s is out of service: %s");
+
+  private final int number;
+  private final Level level;
+  private final String template;
+
+  DispatchLogEvent(int number, Level level, String template) {
+    this.number = number;
+    this.level = level;
+    this.template = template;
+  }
+
+  @Override
+  public int number() {
+    return number;
+  }
+
+  @Override
+  public Level level() {
+    return level;
+  }
+
+  @Override
+  public String template() {
+    return template;
+  }
+}
--- /dev/null
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/DispatchLoop.java
@@ -0,0 +1,197 @@
+package org.hickoryspar.node.dispatch;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import java.util.function.LongSupplier;
+import org.hickoryspar.kernel.control.CommandResult;
+import org.hickoryspar.kernel.control.ControlState;
+import org.hickoryspar.kernel.dispatch.DispatchSettings;
+import org.hickoryspar.kernel.dispatch.Dispatcher;
+import org.hickoryspar.kernel.value.Result;
+import org.hickoryspar.node.control.Proposer;
+import org.hickoryspar.node.observability.EventLogger;
+import org.hickoryspar.protocol.Command;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The thread on which the leader decides about workflows. While this replica leads, a session holds
+ * the dispatcher; it is built anew from the replicated state in each term.
+ */
+public final class DispatchLoop implements Executor, AutoCloseable {
+
+  private static final long IDLE_PAUSE_MILLIS = 50;
+  private static final int MAX_TASKS_PER_ROUND = 1_000;
+
+  private final ControlState state;
+  private final Proposer proposer;
+  private final MinionClient minions;
+  private final DispatchSettings settings;
+  private final LongSupplier monotonicMillis;
+  private final LinkedBlockingQueue<Runnable> tasks = new LinkedBlockingQueue<>();
+  private final List<SessionListener> listeners = new ArrayList<>();
+  private final Thread thread = new Thread(this::run, "dispatch");
+  private volatile boolean closed;
+  private volatile boolean leading;
+  private @Nullable DispatchSession session;
+
+  /**
+   * Creates a loop that does not run yet.
+   *
+   * @param state the replicated state
+   * @param proposer proposes events
+   * @param minions carries orders to minions
+   * @param settings times and limits
+   * @param monotonicMillis a clock that never goes back
+   */
+  public DispatchLoop(
+      ControlState state,
+      Proposer proposer,
+      MinionClient minions,
+      DispatchSettings settings,
+      LongSupplier monotonicMillis) {
+    this.state = requireNonNull(state, "state is null");
+    this.proposer = requireNonNull(proposer, "proposer is null");
+    this.minions = requireNonNull(minions, "minions is null");
+    this.settings = requireNonNull(settings, "settings is null");
+    this.monotonicMillis = requireNonNull(monotonicMillis, "monotonicMillis is null");
+    thread.setDaemon(true);
+  }
+
+  /**
+   * Adds a listener that is called on this thread when this replica begins to decide.
+   *
+   * @param listener the listener
+   */
+  public void addListener(SessionListener listener) {
+    listeners.add(requireNonNull(listener, "listener is null"));
+  }
+
+  /** Starts the loop. */
+  public void start() {
+    thread.start();
+  }
+
+  @Override
+  public void execute(Runnable task) {
+    tasks.add(requireNonNull(task, "task is null"));
+  }
+
+  /**
+   * Takes note of a command that was applied.
+   *
+   * @param command the command
+   * @param result its result
+   */
+  public void applied(Command command, CommandResult result) {
+    if (leading && result instanceof CommandResult.WorkflowsApplied applied) {
+      execute(
+          () -> {
+            DispatchSession current = session;
+            if (current != null) {
+              current.applied(command, applied);
+            }
+          });
+    }
+  }
+
+  /**
+   * Asks the dispatcher something, or gives it something to do.
+   *
+   * @param question runs on the thread of the loop
+   * @param <T> type of the answer
+   * @return the answer, or a failure {@code "not-leader"} when this replica does not decide
+   */
+  public <T> CompletableFuture<Result<T>> ask(Function<Dispatcher, Result<T>> question) {
+    requireNonNull(question, "question is null");
+    CompletableFuture<Result<T>> answer = new CompletableFuture<>();
+    execute(
+        () -> {
+          DispatchSession current = currentSession();
+          answer.complete(
+              current == null
+                  ? Result.failure("not-leader", "this replica does not decide")
+                  : question.apply(current.dispatcher()));
+        });
+    return answer;
+  }
+
+  private void run() {
+    List<Runnable> round = new ArrayList<>();
+    while (!closed) {
+      try {
+        Runnable first = tasks.poll(pauseMillis(), TimeUnit.MILLISECONDS);
+        if (first != null) {
+          round.add(first);
+          tasks.drainTo(round, MAX_TASKS_PER_ROUND);
+        }
+        round.forEach(Runnable::run);
+        DispatchSession current = currentSession();
+        if (current != null) {
+          current.advance();
+        }
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+        return;
+      } catch (RuntimeException e) {
+        EventLogger.log(DispatchLogEvent.SESSION_FAILED, e);
+        session = null;
+      } finally {
+        round.clear();
+      }
+    }
+  }
+
+  private long pauseMillis() {
+    DispatchSession current = session;
+    return current == null
+        ? IDLE_PAUSE_MILLIS
+        : current.dispatcher().pauseMillis(monotonicMillis.getAsLong());
+  }
+
+  private @Nullable DispatchSession currentSession() {
+    DispatchSession current = session;
+    boolean mayGrant = proposer.mayGrant();
+    if (current != null
+        && (!mayGrant || current.hasFailed() || current.term() != proposer.term())) {
+      EventLogger.log(DispatchLogEvent.SESSION_ENDED, current.term());
+      session = null;
+      leading = false;
+      current = null;
+    }
+    if (current == null && mayGrant) {
+      // Set before the state is copied: no batch may fall between the copy and the first event.
+      leading = true;
+      current = new DispatchSession(state, proposer, minions, settings, this, monotonicMillis);
+      session = current;
+      for (SessionListener listener : listeners) {
+        listener.started(current.dispatcher());
+      }
+    }
+    return current;
+  }
+
+  @Override
+  public void close() {
+    closed = true;
+    thread.interrupt();
+  }
+
+  /** Is told when this replica begins to decide. */
+  @FunctionalInterface
+  public interface SessionListener {
+
+    /**
+     * Takes note of a new dispatcher.
+     *
+     * @param dispatcher the dispatcher of the new term
+     */
+    void started(Dispatcher dispatcher);
+  }
+}
--- /dev/null
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/DispatchSession.java
@@ -0,0 +1,154 @@
+package org.hickoryspar.node.dispatch;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.Executor;
+import java.util.function.LongSupplier;
+import org.hickoryspar.kernel.control.CommandResult;
+import org.hickoryspar.kernel.control.ControlState;
+import org.hickoryspar.kernel.dispatch.DispatchSettings;
+import org.hickoryspar.kernel.dispatch.Dispatcher;
+import org.hickoryspar.kernel.dispatch.Order;
+import org.hickoryspar.kernel.dispatch.OrderOutcome;
+import org.hickoryspar.kernel.dispatch.RenewAnswer;
+import org.hickoryspar.kernel.value.Result;
+import org.hickoryspar.kernel.workflow.WorkflowTable;
+import org.hickoryspar.node.control.Proposer;
+import org.hickoryspar.node.observability.EventLogger;
+import org.hickoryspar.protocol.Command;
+import org.hickoryspar.protocol.WorkflowBatch;
+
+/** The dispatcher of one term and its connections to the log and the minions; one thread. */
+final class DispatchSession {
+
+  private final Proposer proposer;
+  private final MinionClient minions;
+  private final Executor loop;
+  private final LongSupplier monotonicMillis;
+  private final long term;
+  private final long includedBatch;
+  private final Dispatcher dispatcher;
+  private boolean failed;
+
+  DispatchSession(
+      ControlState state,
+      Proposer proposer,
+      MinionClient minions,
+      DispatchSettings settings,
+      Executor loop,
+      LongSupplier monotonicMillis) {
+    this.proposer = requireNonNull(proposer, "proposer is null");
+    this.minions = requireNonNull(minions, "minions is null");
+    this.loop = requireNonNull(loop, "loop is null");
+    this.monotonicMillis = requireNonNull(monotonicMillis, "monotonicMillis is null");
+    this.term = proposer.term();
+    ControlState.WorkflowCopy copy = state.copyWorkflows();
+    this.includedBatch = copy.batch();
+    WorkflowTable table = new WorkflowTable();
+    table.restore(copy.records());
+    this.dispatcher =
+        new Dispatcher(
+            settings,
+            state.catalog(),
+            table,
+            (kind, subject, details) ->
+                EventLogger.log(DispatchLogEvent.DECIDED, kind, subject, Arrays.toString(details)),
+            monotonicMillis.getAsLong(),
+            proposer.wallClockMillis());
+    EventLogger.log(DispatchLogEvent.SESSION_STARTED, term, copy.records().size());
+  }
+
+  long term() {
+    return term;
+  }
+
+  boolean hasFailed() {
+    return failed;
+  }
+
+  Dispatcher dispatcher() {
+    return dispatcher;
+  }
+
+  void applied(Command command, CommandResult.WorkflowsApplied result) {
+    if (result.batch() > includedBatch) {
+      dispatcher.applied(
+          command.getWorkflows(),
+          result.problems(),
+          command.getTimeMillis(),
+          monotonicMillis.getAsLong(),
+          proposer.wallClockMillis());
+    }
+  }
+
+  void advance() {
+    dispatcher.advance(monotonicMillis.getAsLong(), proposer.wallClockMillis());
+    WorkflowBatch batch = dispatcher.takeProposals();
+    if (batch.getEventsCount() > 0) {
+      propose(batch);
+    }
+    List<Order> orders = dispatcher.takeOrders();
+    for (Order order : orders) {
+      // Checked before each order: the process may have been paused since the last one.
+      if (!proposer.mayGrant() || proposer.term() != term) {
+        failed = true;
+        return;
+      }
+      send(order);
+    }
+  }
+
+  // What was proposed counts as decided in the dispatcher; if it does not get recorded, the
+  // dispatcher is wrong and has to be built again.
+  private void propose(WorkflowBatch batch) {
+    proposer
+        .propose(Command.newBuilder().setWorkflows(batch))
+        .thenAccept(
+            result ->
+                result
+                    .problem()
+                    .ifPresent(
+                        problem -> {
+                          EventLogger.log(DispatchLogEvent.PROPOSAL_FAILED, problem);
+                          loop.execute(() -> failed = true);
+                        }));
+  }
+
+  private void send(Order order) {
+    if (order instanceof Order.Renew renew) {
+      minions.renew(renew, term).thenAccept(answer -> loop.execute(() -> renewed(renew, answer)));
+    } else if (order instanceof Order.Start start) {
+      minions
+          .start(start, term)
+          .thenAccept(
+              outcome ->
+                  loop.execute(
+                      () ->
+                          dispatcher.startAnswered(
+                              start.taskRun(), outcome, monotonicMillis.getAsLong())));
+    } else if (order instanceof Order.Stop stop) {
+      minions
+          .stop(stop, term)
+          .thenAccept(
+              outcome ->
+                  loop.execute(
+                      () ->
+                          dispatcher.stopAnswered(
+                              stop.taskRun(), outcome, monotonicMillis.getAsLong())));
+    }
+  }
+
+  private void renewed(Order.Renew order, Result<RenewAnswer> result) {
+    long now = monotonicMillis.getAsLong();
+    Optional<RenewAnswer> answer = result.fold(problem -> Optional.empty(), Optional::of);
+    if (answer.isPresent()) {
+      dispatcher.renewed(order.target().life(), answer.get(), now);
+    } else {
+      String code = result.problem().orElseThrow().code();
+      dispatcher.renewalFailed(order.target().life(), OrderOutcome.valueOf(code), now);
+    }
+  }
+}
--- /dev/null
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/LeaderServices.java
@@ -0,0 +1,100 @@
+package org.hickoryspar.node.dispatch;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
+import java.util.function.LongSupplier;
+import org.hickoryspar.kernel.control.CommandResult;
+import org.hickoryspar.kernel.control.ControlState;
+import org.hickoryspar.kernel.value.Result;
+import org.hickoryspar.node.control.Proposer;
+import org.hickoryspar.node.control.ReplicatedLog;
+import org.hickoryspar.protocol.Acknowledgement;
+import org.hickoryspar.protocol.Envelope;
+import org.hickoryspar.protocol.MinionReport;
+import org.hickoryspar.protocol.MinionReports;
+
+/** What the leader serves to entries and to the other control daemons. */
+public final class LeaderServices {
+
+  private final Proposer proposer;
+  private final DispatchLoop loop;
+  private final WorkflowService workflows;
+  private final CatalogService catalog;
+  private final LongSupplier monotonicMillis;
+
+  /**
+   * Creates the services of a control daemon.
+   *
+   * @param state the replicated state
+   * @param proposer proposes commands
+   * @param log the replicated log
+   * @param loop the dispatch loop
+   * @param enoughVoters whether an accepted change is on as many disks as may be lost, and one
+   * @param monotonicMillis a clock that never goes back
+   */
+  public LeaderServices(
+      ControlState state,
+      Proposer proposer,
+      ReplicatedLog<CommandResult> log,
+      DispatchLoop loop,
+      BooleanSupplier enoughVoters,
+      LongSupplier monotonicMillis) {
+    this.proposer = requireNonNull(proposer, "proposer is null");
+    this.loop = requireNonNull(loop, "loop is null");
+    this.workflows = new WorkflowService(state, proposer, loop);
+    this.catalog = new CatalogService(state, proposer, log, enoughVoters);
+    this.monotonicMillis = requireNonNull(monotonicMillis, "monotonicMillis is null");
+  }
+
+  /**
+   * Serves a call.
+   *
+   * @param call the call
+   * @return the answer; a failure {@code "not-leader"}, {@code "unavailable"} or {@code "unknown"}
+   *     if the call may be sent again
+   */
+  public CompletableFuture<Result<Envelope.Builder>> serve(Envelope call) {
+    requireNonNull(call, "call is null");
+    if (!proposer.mayGrant()) {
+      return CompletableFuture.completedFuture(
+          Result.failure("not-leader", "this replica does not lead"));
+    }
+    switch (call.getPayloadCase()) {
+      case WORKFLOW_CALL -> {
+        return workflows
+            .serve(call.getWorkflowCall())
+            .thenApply(r -> r.map(reply -> Envelope.newBuilder().setWorkflowReply(reply)));
+      }
+      case CATALOG_CALL -> {
+        return catalog
+            .serve(call.getCatalogCall())
+            .thenApply(r -> r.map(reply -> Envelope.newBuilder().setCatalogReply(reply)));
+      }
+      case MINION_REPORTS -> {
+        return take(call.getMinionReports());
+      }
+      default -> {
+        return CompletableFuture.completedFuture(
+            Result.failure("malformed", "unexpected " + call.getPayloadCase()));
+      }
+    }
+  }
+
+  private CompletableFuture<Result<Envelope.Builder>> take(MinionReports reports) {
+    return loop.ask(
+        dispatcher -> {
+          long now = monotonicMillis.getAsLong();
+          for (MinionReport report : reports.getReportsList()) {
+            if (report.getLeaving()) {
+              dispatcher.left(report.getLife().getMinionId(), now);
+            } else {
+              dispatcher.reported(report, now);
+            }
+          }
+          return Result.success(
+              Envelope.newBuilder().setAcknowledgement(Acknowledgement.getDefaultInstance()));
+        });
+  }
+}
--- /dev/null
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/MinionClient.java
@@ -0,0 +1,39 @@
+package org.hickoryspar.node.dispatch;
+
+import java.util.concurrent.CompletableFuture;
+import org.hickoryspar.kernel.dispatch.Order;
+import org.hickoryspar.kernel.dispatch.OrderOutcome;
+import org.hickoryspar.kernel.dispatch.RenewAnswer;
+import org.hickoryspar.kernel.value.Result;
+
+/** Carries orders to minions. No method blocks, and no future completes exceptionally. */
+public interface MinionClient {
+
+  /**
+   * Renews the lease of a minion.
+   *
+   * @param order the renewal
+   * @param fencingToken term of the leader; a minion refuses lower ones than it has seen
+   * @return what the minion answered, or a failure whose code is the name of an {@link
+   *     OrderOutcome}
+   */
+  CompletableFuture<Result<RenewAnswer>> renew(Order.Renew order, long fencingToken);
+
+  /**
+   * Starts a task.
+   *
+   * @param order the start
+   * @param fencingToken term of the leader
+   * @return what became of the order
+   */
+  CompletableFuture<OrderOutcome> start(Order.Start order, long fencingToken);
+
+  /**
+   * Stops a run.
+   *
+   * @param order the stop
+   * @param fencingToken term of the leader
+   * @return what became of the order
+   */
+  CompletableFuture<OrderOutcome> stop(Order.Stop order, long fencingToken);
+}
--- /dev/null
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/WorkflowService.java
@@ -0,0 +1,169 @@
+package org.hickoryspar.node.dispatch;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.hickoryspar.kernel.catalog.CatalogView;
+import org.hickoryspar.kernel.control.CommandResult;
+import org.hickoryspar.kernel.control.ControlState;
+import org.hickoryspar.kernel.dispatch.Dispatcher;
+import org.hickoryspar.kernel.value.Result;
+import org.hickoryspar.kernel.workflow.Workflow;
+import org.hickoryspar.node.control.Proposer;
+import org.hickoryspar.node.observability.EventLogger;
+import org.hickoryspar.protocol.CancelWorkflow;
+import org.hickoryspar.protocol.Command;
+import org.hickoryspar.protocol.Queue;
+import org.hickoryspar.protocol.SubmitWorkflow;
+import org.hickoryspar.protocol.WorkflowBatch;
+import org.hickoryspar.protocol.WorkflowCall;
+import org.hickoryspar.protocol.WorkflowEvent;
+import org.hickoryspar.protocol.WorkflowReply;
+
+/** Serves the calls of callers on the leader. */
+final class WorkflowService {
+
+  private final ControlState state;
+  private final Proposer proposer;
+  private final DispatchLoop loop;
+
+  WorkflowService(ControlState state, Proposer proposer, DispatchLoop loop) {
+    this.state = requireNonNull(state, "state is null");
+    this.proposer = requireNonNull(proposer, "proposer is null");
+    this.loop = requireNonNull(loop, "loop is null");
+  }
+
+  /** Serves a call; a failure means that this replica does not decide, or lost its leadership. */
+  CompletableFuture<Result<WorkflowReply>> serve(WorkflowCall call) {
+    CatalogView catalog = state.catalog().view();
+    if (catalog.version() == 0) {
+      return answered(refused(WorkflowReply.Outcome.REFUSED, "there is no catalog yet"));
+    }
+    Optional<Queue> queue = catalog.findQueue(call.getHost(), call.getPath());
+    if (queue.isEmpty()) {
+      return answered(refused(WorkflowReply.Outcome.NO_QUEUE, "no such queue"));
+    }
+    Optional<String> team = catalog.teamOfKey(call.getTeamKey());
+    if (team.isEmpty() && !queue.get().getOpen()) {
+      EventLogger.log(
+          DispatchLogEvent.CALL_REFUSED, call.getHost(), call.getPath(), "the key is unknown");
+      return answered(refused(WorkflowReply.Outcome.UNAUTHORISED, "the key is unknown"));
+    }
+    String id = call.getPath().substring(queue.get().getPathPrefix().length());
+    switch (call.getKindCase()) {
+      case SUBMIT -> {
+        return submit(call, id, queue.get(), team.orElse(""));
+      }
+      case STATUS -> {
+        return loop.ask(
+            dispatcher ->
+                Result.success(
+                    id.isEmpty()
+                        ? pending(dispatcher, queue.get())
+                        : status(dispatcher, id, queue.get())));
+      }
+      case CANCEL -> {
+        return cancel(id, queue.get());
+      }
+      default -> {
+        return answered(refused(WorkflowReply.Outcome.INVALID, "unknown kind of call"));
+      }
+    }
+  }
+
+  private CompletableFuture<Result<WorkflowReply>> submit(
+      WorkflowCall call, String id, Queue queue, String team) {
+    return loop.<Boolean>ask(dispatcher -> Result.success(dispatcher.find(id).isPresent()))
+        .thenCompose(
+            known ->
+                known.fold(
+                    problem -> CompletableFuture.completedFuture(Result.failure(problem)),
+                    isKnown ->
+                        isKnown
+                            ? answered(ok().build())
+                            : record(
+                                SubmitWorkflow.newBuilder()
+                                    .setWorkflowId(id)
+                                    .setTeam(team)
+                                    .setQueue(queue)
+                                    .setSpec(call.getSubmit())
+                                    .build())));
+  }
+
+  private CompletableFuture<Result<WorkflowReply>> record(SubmitWorkflow submission) {
+    return propose(WorkflowEvent.newBuilder().setSubmit(submission).build())
+        .thenApply(
+            result ->
+                result.map(
+                    applied -> {
+                      EventLogger.log(
+                          DispatchLogEvent.WORKFLOW_ACCEPTED,
+                          submission.getWorkflowId(),
+                          submission.getTeam(),
+                          submission.getQueue().getName());
+                      return ok().build();
+                    }));
+  }
+
+  private CompletableFuture<Result<WorkflowReply>> cancel(String id, Queue queue) {
+    return loop.<Boolean>ask(
+            dispatcher ->
+                Result.success(dispatcher.find(id).filter(w -> isOn(w, queue)).isPresent()))
+        .thenCompose(
+            known ->
+                known.fold(
+                    problem -> CompletableFuture.completedFuture(Result.failure(problem)),
+                    isKnown -> isKnown ? recordCancel(id) : answered(noWorkflow())));
+  }
+
+  private CompletableFuture<Result<WorkflowReply>> recordCancel(String id) {
+    CancelWorkflow cancel = CancelWorkflow.newBuilder().setWorkflowId(id).build();
+    return propose(WorkflowEvent.newBuilder().setCancel(cancel).build())
+        .thenApply(
+            result ->
+                result.map(
+                    applied -> {
+                      EventLogger.log(DispatchLogEvent.WORKFLOW_CANCELLED, id);
+                      return ok().build();
+                    }));
+  }
+
+  private CompletableFuture<Result<CommandResult>> propose(WorkflowEvent event) {
+    return proposer.propose(
+        Command.newBuilder().setWorkflows(WorkflowBatch.newBuilder().addEvents(event)));
+  }
+
+  private static WorkflowReply pending(Dispatcher dispatcher, Queue queue) {
+    return ok().setCountsPending(true).setPending(dispatcher.pending(queue)).build();
+  }
+
+  private static WorkflowReply status(Dispatcher dispatcher, String id, Queue queue) {
+    return dispatcher
+        .find(id)
+        .filter(workflow -> isOn(workflow, queue))
+        .map(workflow -> ok().setState(workflow.state()).build())
+        .orElseGet(WorkflowService::noWorkflow);
+  }
+
+  private static boolean isOn(Workflow workflow, Queue queue) {
+    return workflow.queue().getHost().equals(queue.getHost())
+        && workflow.queue().getPathPrefix().equals(queue.getPathPrefix());
+  }
+
+  private static WorkflowReply.Builder ok() {
+    return WorkflowReply.newBuilder().setOutcome(WorkflowReply.Outcome.OK);
+  }
+
+  private static WorkflowReply noWorkflow() {
+    return refused(WorkflowReply.Outcome.NO_WORKFLOW, "no such workflow");
+  }
+
+  private static WorkflowReply refused(WorkflowReply.Outcome outcome, String reason) {
+    return WorkflowReply.newBuilder().setOutcome(outcome).setReason(reason).build();
+  }
+
+  private static CompletableFuture<Result<WorkflowReply>> answered(WorkflowReply reply) {
+    return CompletableFuture.completedFuture(Result.success(reply));
+  }
+}
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/transport/InboundConnection.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/transport/InboundConnection.java
@@ -21,23 +21,27 @@
 
   private final PeerIdentity identity;
   private final PeerHandler handler;
-  private final Set<Channel> connections;
+  private final Set<Channel> open;
+  private final Set<Channel> accepted;
   private @Nullable Hello peer;
 
-  InboundConnection(PeerIdentity identity, PeerHandler handler, Set<Channel> connections) {
+  InboundConnection(
+      PeerIdentity identity, PeerHandler handler, Set<Channel> open, Set<Channel> accepted) {
     this.identity = identity;
     this.handler = handler;
-    this.connections = connections;
+    this.open = open;
+    this.accepted = accepted;
   }
 
   @Override
   public void channelActive(ChannelHandlerContext context) {
-    connections.add(context.channel());
+    open.add(context.channel());
   }
 
   @Override
   public void channelInactive(ChannelHandlerContext context) {
-    connections.remove(context.channel());
+    open.remove(context.channel());
+    accepted.remove(context.channel());
   }
 
   @Override
@@ -80,6 +84,7 @@
     } else {
       peer = hello;
       context.writeAndFlush(Envelope.newBuilder().setHello(identity.toHello()).build());
+      accepted.add(context.channel());
     }
   }
 
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/transport/OutboundConnection.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/transport/OutboundConnection.java
@@ -40,7 +40,7 @@
     Hello known = peer;
     if (message.hasHello()) {
       peer = message.getHello();
-      owner.accepted(context.channel());
+      owner.accepted(context.channel(), message.getHello());
     } else if (message.hasHelloRefused()) {
       EventLogger.log(
           TransportEvent.HELLO_REFUSED, owner.peerId(), message.getHelloRefused().getReason());
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/transport/PeerConnection.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/transport/PeerConnection.java
@@ -16,6 +16,7 @@
 import org.hickoryspar.kernel.value.Result;
 import org.hickoryspar.node.observability.EventLogger;
 import org.hickoryspar.protocol.Envelope;
+import org.hickoryspar.protocol.Hello;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -37,6 +38,7 @@
   private final AtomicLong correlationIds = new AtomicLong();
   private final Map<Long, CompletableFuture<Result<Envelope>>> pending = new ConcurrentHashMap<>();
   private volatile @Nullable Channel ready;
+  private volatile Hello peer = Hello.getDefaultInstance();
   private volatile boolean closed;
 
   /**
@@ -99,6 +101,15 @@
     return peerId;
   }
 
+  /**
+   * Returns what the process at the other end said of itself.
+   *
+   * @return its latest hello; the default instance before the first one
+   */
+  public Hello peer() {
+    return peer;
+  }
+
   /**
    * Sends a one-way message; it is dropped when the connection is not ready.
    *
@@ -150,7 +161,8 @@
         TimeUnit.MILLISECONDS);
   }
 
-  void accepted(Channel channel) {
+  void accepted(Channel channel, Hello hello) {
+    peer = hello;
     ready = channel;
     if (closed) {
       channel.close();
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/transport/PeerServer.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/transport/PeerServer.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import org.hickoryspar.kernel.value.Result;
 import org.hickoryspar.node.observability.EventLogger;
+import org.hickoryspar.protocol.Envelope;
 import org.jspecify.annotations.Nullable;
 
 /** Accepts connections from other processes of the cluster. */
@@ -21,7 +22,8 @@
   private final PeerIdentity identity;
   private final EventLoopGroup eventLoops;
   private final PeerHandler handler;
-  private final Set<Channel> connections = ConcurrentHashMap.newKeySet();
+  private final Set<Channel> open = ConcurrentHashMap.newKeySet();
+  private final Set<Channel> accepted = ConcurrentHashMap.newKeySet();
   private @Nullable Channel listener;
 
   /**
@@ -52,7 +54,7 @@
             .option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childHandler(
-                new PeerPipeline(() -> new InboundConnection(identity, handler, connections)));
+                new PeerPipeline(() -> new InboundConnection(identity, handler, open, accepted)));
     ChannelFuture bound = bootstrap.bind(address).awaitUninterruptibly();
     Channel channel = bound.channel();
     if (!bound.isSuccess()) {
@@ -63,13 +65,27 @@
     return Result.success((InetSocketAddress) channel.localAddress());
   }
 
+  /**
+   * Sends a one-way message to all processes that are connected and were accepted.
+   *
+   * @param message the message
+   */
+  public void broadcast(Envelope message) {
+    requireNonNull(message, "message is null");
+    for (Channel connection : accepted) {
+      if (connection.isWritable()) {
+        connection.writeAndFlush(message);
+      }
+    }
+  }
+
   @Override
   public void close() {
     Channel channel = listener;
     if (channel != null) {
       channel.close().awaitUninterruptibly();
     }
-    for (Channel connection : connections) {
+    for (Channel connection : open) {
       connection.close();
     }
   }
--- a/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/Command.java
+++ b/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/Command.java
@@ -62,6 +62,9 @@
     GANG_STEP(16),
     INVENTORY(17),
     ENTRY_LOST(18),
+    CATALOG_CHANGE(19),
+    DATA_CENTRE_SWITCH(20),
+    WORKFLOWS(21),
     KIND_NOT_SET(0);
     private final int value;
     private KindCase(int value) {
@@ -88,6 +91,9 @@
         case 16: return GANG_STEP;
         case 17: return INVENTORY;
         case 18: return ENTRY_LOST;
+        case 19: return CATALOG_CHANGE;
+        case 20: return DATA_CENTRE_SWITCH;
+        case 21: return WORKFLOWS;
         case 0: return KIND_NOT_SET;
         default: return null;
       }
@@ -393,6 +399,99 @@
     return org.hickoryspar.protocol.EntryLost.getDefaultInstance();
   }
 
+  public static final int CATALOG_CHANGE_FIELD_NUMBER = 19;
+  /**
+   * <code>.hickoryspar.CatalogChange catalog_change = 19;</code>
+   * @return Whether the catalogChange field is set.
+   */
+  @java.lang.Override
+  public boolean hasCatalogChange() {
+    return kindCase_ == 19;
+  }
+  /**
+   * <code>.hickoryspar.CatalogChange catalog_change = 19;</code>
+   * @return The catalogChange.
+   */
+  @java.lang.Override
+  public org.hickoryspar.protocol.CatalogChange getCatalogChange() {
+    if (kindCase_ == 19) {
+       return (org.hickoryspar.protocol.CatalogChange) kind_;
+    }
+    return org.hickoryspar.protocol.CatalogChange.getDefaultInstance();
+  }
+  /**
+   * <code>.hickoryspar.CatalogChange catalog_change = 19;</code>
+   */
+  @java.lang.Override
+  public org.hickoryspar.protocol.CatalogChangeOrBuilder getCatalogChangeOrBuilder() {
+    if (kindCase_ == 19) {
+       return (org.hickoryspar.protocol.CatalogChange) kind_;
+    }
+    return org.hickoryspar.protocol.CatalogChange.getDefaultInstance();
+  }
+
+  public static final int DATA_CENTRE_SWITCH_FIELD_NUMBER = 20;
+  /**
+   * <code>.hickoryspar.DataCentreSwitch data_centre_switch = 20;</code>
+   * @return Whether the dataCentreSwitch field is set.
+   */
+  @java.lang.Override
+  public boolean hasDataCentreSwitch() {
+    return kindCase_ == 20;
+  }
+  /**
+   * <code>.hickoryspar.DataCentreSwitch data_centre_switch = 20;</code>
+   * @return The dataCentreSwitch.
+   */
+  @java.lang.Override
+  public org.hickoryspar.protocol.DataCentreSwitch getDataCentreSwitch() {
+    if (kindCase_ == 20) {
+       return (org.hickoryspar.protocol.DataCentreSwitch) kind_;
+    }
+    return org.hickoryspar.protocol.DataCentreSwitch.getDefaultInstance();
+  }
+  /**
+   * <code>.hickoryspar.DataCentreSwitch data_centre_switch = 20;</code>
+   */
+  @java.lang.Override
+  public org.hickoryspar.protocol.DataCentreSwitchOrBuilder getDataCentreSwitchOrBuilder() {
+    if (kindCase_ == 20) {
+       return (org.hickoryspar.protocol.DataCentreSwitch) kind_;
+    }
+    return org.hickoryspar.protocol.DataCentreSwitch.getDefaultInstance();
+  }
+
+  public static final int WORKFLOWS_FIELD_NUMBER = 21;
+  /**
+   * <code>.hickoryspar.WorkflowBatch workflows = 21;</code>
+   * @return Whether the workflows field is set.
+   */
+  @java.lang.Override
+  public boolean hasWorkflows() {
+    return kindCase_ == 21;
+  }
+  /**
+   * <code>.hickoryspar.WorkflowBatch workflows = 21;</code>
+   * @return The workflows.
+   */
+  @java.lang.Override
+  public org.hickoryspar.protocol.WorkflowBatch getWorkflows() {
+    if (kindCase_ == 21) {
+       return (org.hickoryspar.protocol.WorkflowBatch) kind_;
+    }
+    return org.hickoryspar.protocol.WorkflowBatch.getDefaultInstance();
+  }
+  /**
+   * <code>.hickoryspar.WorkflowBatch workflows = 21;</code>
+   */
+  @java.lang.Override
+  public org.hickoryspar.protocol.WorkflowBatchOrBuilder getWorkflowsOrBuilder() {
+    if (kindCase_ == 21) {
+       return (org.hickoryspar.protocol.WorkflowBatch) kind_;
+    }
+    return org.hickoryspar.protocol.WorkflowBatch.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -437,6 +536,15 @@
     if (kindCase_ == 18) {
       output.writeMessage(18, (org.hickoryspar.protocol.EntryLost) kind_);
     }
+    if (kindCase_ == 19) {
+      output.writeMessage(19, (org.hickoryspar.protocol.CatalogChange) kind_);
+    }
+    if (kindCase_ == 20) {
+      output.writeMessage(20, (org.hickoryspar.protocol.DataCentreSwitch) kind_);
+    }
+    if (kindCase_ == 21) {
+      output.writeMessage(21, (org.hickoryspar.protocol.WorkflowBatch) kind_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -486,6 +594,18 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(18, (org.hickoryspar.protocol.EntryLost) kind_);
     }
+    if (kindCase_ == 19) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(19, (org.hickoryspar.protocol.CatalogChange) kind_);
+    }
+    if (kindCase_ == 20) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(20, (org.hickoryspar.protocol.DataCentreSwitch) kind_);
+    }
+    if (kindCase_ == 21) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(21, (org.hickoryspar.protocol.WorkflowBatch) kind_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -541,6 +661,18 @@
         if (!getEntryLost()
             .equals(other.getEntryLost())) return false;
         break;
+      case 19:
+        if (!getCatalogChange()
+            .equals(other.getCatalogChange())) return false;
+        break;
+      case 20:
+        if (!getDataCentreSwitch()
+            .equals(other.getDataCentreSwitch())) return false;
+        break;
+      case 21:
+        if (!getWorkflows()
+            .equals(other.getWorkflows())) return false;
+        break;
       case 0:
       default:
     }
@@ -595,6 +727,18 @@
         hash = (37 * hash) + ENTRY_LOST_FIELD_NUMBER;
         hash = (53 * hash) + getEntryLost().hashCode();
         break;
+      case 19:
+        hash = (37 * hash) + CATALOG_CHANGE_FIELD_NUMBER;
+        hash = (53 * hash) + getCatalogChange().hashCode();
+        break;
+      case 20:
+        hash = (37 * hash) + DATA_CENTRE_SWITCH_FIELD_NUMBER;
+        hash = (53 * hash) + getDataCentreSwitch().hashCode();
+        break;
+      case 21:
+        hash = (37 * hash) + WORKFLOWS_FIELD_NUMBER;
+        hash = (53 * hash) + getWorkflows().hashCode();
+        break;
       case 0:
       default:
     }
@@ -761,6 +905,15 @@
       if (entryLostBuilder_ != null) {
         entryLostBuilder_.clear();
       }
+      if (catalogChangeBuilder_ != null) {
+        catalogChangeBuilder_.clear();
+      }
+      if (dataCentreSwitchBuilder_ != null) {
+        dataCentreSwitchBuilder_.clear();
+      }
+      if (workflowsBuilder_ != null) {
+        workflowsBuilder_.clear();
+      }
       kindCase_ = 0;
       kind_ = null;
       return this;
@@ -841,6 +994,18 @@
           entryLostBuilder_ != null) {
         result.kind_ = entryLostBuilder_.build();
       }
+      if (kindCase_ == 19 &&
+          catalogChangeBuilder_ != null) {
+        result.kind_ = catalogChangeBuilder_.build();
+      }
+      if (kindCase_ == 20 &&
+          dataCentreSwitchBuilder_ != null) {
+        result.kind_ = dataCentreSwitchBuilder_.build();
+      }
+      if (kindCase_ == 21 &&
+          workflowsBuilder_ != null) {
+        result.kind_ = workflowsBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -895,6 +1060,18 @@
           mergeEntryLost(other.getEntryLost());
           break;
         }
+        case CATALOG_CHANGE: {
+          mergeCatalogChange(other.getCatalogChange());
+          break;
+        }
+        case DATA_CENTRE_SWITCH: {
+          mergeDataCentreSwitch(other.getDataCentreSwitch());
+          break;
+        }
+        case WORKFLOWS: {
+          mergeWorkflows(other.getWorkflows());
+          break;
+        }
         case KIND_NOT_SET: {
           break;
         }
@@ -993,6 +1170,27 @@
               kindCase_ = 18;
               break;
             } // case 146
+            case 154: {
+              input.readMessage(
+                  internalGetCatalogChangeFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              kindCase_ = 19;
+              break;
+            } // case 154
+            case 162: {
+              input.readMessage(
+                  internalGetDataCentreSwitchFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              kindCase_ = 20;
+              break;
+            } // case 162
+            case 170: {
+              input.readMessage(
+                  internalGetWorkflowsFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              kindCase_ = 21;
+              break;
+            } // case 170
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2335,6 +2533,432 @@
       return entryLostBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        org.hickoryspar.protocol.CatalogChange, org.hickoryspar.protocol.CatalogChange.Builder, org.hickoryspar.protocol.CatalogChangeOrBuilder> catalogChangeBuilder_;
+    /**
+     * <code>.hickoryspar.CatalogChange catalog_change = 19;</code>
+     * @return Whether the catalogChange field is set.
+     */
+    @java.lang.Override
+    public boolean hasCatalogChange() {
+      return kindCase_ == 19;
+    }
+    /**
+     * <code>.hickoryspar.CatalogChange catalog_change = 19;</code>
+     * @return The catalogChange.
+     */
+    @java.lang.Override
+    public org.hickoryspar.protocol.CatalogChange getCatalogChange() {
+      if (catalogChangeBuilder_ == null) {
+        if (kindCase_ == 19) {
+          return (org.hickoryspar.protocol.CatalogChange) kind_;
+        }
+        return org.hickoryspar.protocol.CatalogChange.getDefaultInstance();
+      } else {
+        if (kindCase_ == 19) {
+          return catalogChangeBuilder_.getMessage();
+        }
+        return org.hickoryspar.protocol.CatalogChange.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.hickoryspar.CatalogChange catalog_change = 19;</code>
+     */
+    public Builder setCatalogChange(org.hickoryspar.protocol.CatalogChange value) {
+      if (catalogChangeBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        kind_ = value;
+        onChanged();
+      } else {
+        catalogChangeBuilder_.setMessage(value);
+      }
+      kindCase_ = 19;
+      return this;
+    }
+    /**
+     * <code>.hickoryspar.CatalogChange catalog_change = 19;</code>
+     */
+    public Builder setCatalogChange(
+        org.hickoryspar.protocol.CatalogChange.Builder builderForValue) {
+      if (catalogChangeBuilder_ == null) {
+        kind_ = builderForValue.build();
+        onChanged();
+      } else {
+        catalogChangeBuilder_.setMessage(builderForValue.build());
+      }
+      kindCase_ = 19;
+      return this;
+    }
+    /**
+     * <code>.hickoryspar.CatalogChange catalog_change = 19;</code>
+     */
+    public Builder mergeCatalogChange(org.hickoryspar.protocol.CatalogChange value) {
+      if (catalogChangeBuilder_ == null) {
+        if (kindCase_ == 19 &&
+            kind_ != org.hickoryspar.protocol.CatalogChange.getDefaultInstance()) {
+          kind_ = org.hickoryspar.protocol.CatalogChange.newBuilder((org.hickoryspar.protocol.CatalogChange) kind_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          kind_ = value;
+        }
+        onChanged();
+      } else {
+        if (kindCase_ == 19) {
+          catalogChangeBuilder_.mergeFrom(value);
+        } else {
+          catalogChangeBuilder_.setMessage(value);
+        }
+      }
+      kindCase_ = 19;
+      return this;
+    }
+    /**
+     * <code>.hickoryspar.CatalogChange catalog_change = 19;</code>
+     */
+    public Builder clearCatalogChange() {
+      if (catalogChangeBuilder_ == null) {
+        if (kindCase_ == 19) {
+          kindCase_ = 0;
+          kind_ = null;
+          onChanged();
+        }
+      } else {
+        if (kindCase_ == 19) {
+          kindCase_ = 0;
+          kind_ = null;
+        }
+        catalogChangeBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.hickoryspar.CatalogChange catalog_change = 19;</code>
+     */
+    public org.hickoryspar.protocol.CatalogChange.Builder getCatalogChangeBuilder() {
+      return internalGetCatalogChangeFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.hickoryspar.CatalogChange catalog_change = 19;</code>
+     */
+    @java.lang.Override
+    public org.hickoryspar.protocol.CatalogChangeOrBuilder getCatalogChangeOrBuilder() {
+      if ((kindCase_ == 19) && (catalogChangeBuilder_ != null)) {
+        return catalogChangeBuilder_.getMessageOrBuilder();
+      } else {
+        if (kindCase_ == 19) {
+          return (org.hickoryspar.protocol.CatalogChange) kind_;
+        }
+        return org.hickoryspar.protocol.CatalogChange.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.hickoryspar.CatalogChange catalog_change = 19;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.hickoryspar.protocol.CatalogChange, org.hickoryspar.protocol.CatalogChange.Builder, org.hickoryspar.protocol.CatalogChangeOrBuilder> 
+        internalGetCatalogChangeFieldBuilder() {
+      if (catalogChangeBuilder_ == null) {
+        if (!(kindCase_ == 19)) {
+          kind_ = org.hickoryspar.protocol.CatalogChange.getDefaultInstance();
+        }
+        catalogChangeBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.hickoryspar.protocol.CatalogChange, org.hickoryspar.protocol.CatalogChange.Builder, org.hickoryspar.protocol.CatalogChangeOrBuilder>(
+                (org.hickoryspar.protocol.CatalogChange) kind_,
+                getParentForChildren(),
+                isClean());
+        kind_ = null;
+      }
+      kindCase_ = 19;
+      onChanged();
+      return catalogChangeBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.hickoryspar.protocol.DataCentreSwitch, org.hickoryspar.protocol.DataCentreSwitch.Builder, org.hickoryspar.protocol.DataCentreSwitchOrBuilder> dataCentreSwitchBuilder_;
+    /**
+     * <code>.hickoryspar.DataCentreSwitch data_centre_switch = 20;</code>
+     * @return Whether the dataCentreSwitch field is set.
+     */
+    @java.lang.Override
+    public boolean hasDataCentreSwitch() {
+      return kindCase_ == 20;
+    }
+    /**
+     * <code>.hickoryspar.DataCentreSwitch data_centre_switch = 20;</code>
+     * @return The dataCentreSwitch.
+     */
+    @java.lang.Override
+    public org.hickoryspar.protocol.DataCentreSwitch getDataCentreSwitch() {
+      if (dataCentreSwitchBuilder_ == null) {
+        if (kindCase_ == 20) {
+          return (org.hickoryspar.protocol.DataCentreSwitch) kind_;
+        }
+        return org.hickoryspar.protocol.DataCentreSwitch.getDefaultInstance();
+      } else {
+        if (kindCase_ == 20) {
+          return dataCentreSwitchBuilder_.getMessage();
+        }
+        return org.hickoryspar.protocol.DataCentreSwitch.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.hickoryspar.DataCentreSwitch data_centre_switch = 20;</code>
+     */
+    public Builder setDataCentreSwitch(org.hickoryspar.protocol.DataCentreSwitch value) {
+      if (dataCentreSwitchBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        kind_ = value;
+        onChanged();
+      } else {
+        dataCentreSwitchBuilder_.setMessage(value);
+      }
+      kindCase_ = 20;
+      return this;
+    }
+    /**
+     * <code>.hickoryspar.DataCentreSwitch data_centre_switch = 20;</code>
+     */
+    public Builder setDataCentreSwitch(
+        org.hickoryspar.protocol.DataCentreSwitch.Builder builderForValue) {
+      if (dataCentreSwitchBuilder_ == null) {
+        kind_ = builderForValue.build();
+        onChanged();
+      } else {
+        dataCentreSwitchBuilder_.setMessage(builderForValue.build());
+      }
+      kindCase_ = 20;
+      return this;
+    }
+    /**
+     * <code>.hickoryspar.DataCentreSwitch data_centre_switch = 20;</code>
+     */
+    public Builder mergeDataCentreSwitch(org.hickoryspar.protocol.DataCentreSwitch value) {
+      if (dataCentreSwitchBuilder_ == null) {
+        if (kindCase_ == 20 &&
+            kind_ != org.hickoryspar.protocol.DataCentreSwitch.getDefaultInstance()) {
+          kind_ = org.hickoryspar.protocol.DataCentreSwitch.newBuilder((org.hickoryspar.protocol.DataCentreSwitch) kind_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          kind_ = value;
+        }
+        onChanged();
+      } else {
+        if (kindCase_ == 20) {
+          dataCentreSwitchBuilder_.mergeFrom(value);
+        } else {
+          dataCentreSwitchBuilder_.setMessage(value);
+        }
+      }
+      kindCase_ = 20;
+      return this;
+    }
+    /**
+     * <code>.hickoryspar.DataCentreSwitch data_centre_switch = 20;</code>
+     */
+    public Builder clearDataCentreSwitch() {
+      if (dataCentreSwitchBuilder_ == null) {
+        if (kindCase_ == 20) {
+          kindCase_ = 0;
+          kind_ = null;
+          onChanged();
+        }
+      } else {
+        if (kindCase_ == 20) {
+          kindCase_ = 0;
+          kind_ = null;
+        }
+        dataCentreSwitchBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.hickoryspar.DataCentreSwitch data_centre_switch = 20;</code>
+     */
+    public org.hickoryspar.protocol.DataCentreSwitch.Builder getDataCentreSwitchBuilder() {
+      return internalGetDataCentreSwitchFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.hickoryspar.DataCentreSwitch data_centre_switch = 20;</code>
+     */
+    @java.lang.Override
+    public org.hickoryspar.protocol.DataCentreSwitchOrBuilder getDataCentreSwitchOrBuilder() {
+      if ((kindCase_ == 20) && (dataCentreSwitchBuilder_ != null)) {
+        return dataCentreSwitchBuilder_.getMessageOrBuilder();
+      } else {
+        if (kindCase_ == 20) {
+          return (org.hickoryspar.protocol.DataCentreSwitch) kind_;
+        }
+        return org.hickoryspar.protocol.DataCentreSwitch.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.hickoryspar.DataCentreSwitch data_centre_switch = 20;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.hickoryspar.protocol.DataCentreSwitch, org.hickoryspar.protocol.DataCentreSwitch.Builder, org.hickoryspar.protocol.DataCentreSwitchOrBuilder> 
+        internalGetDataCentreSwitchFieldBuilder() {
+      if (dataCentreSwitchBuilder_ == null) {
+        if (!(kindCase_ == 20)) {
+          kind_ = org.hickoryspar.protocol.DataCentreSwitch.getDefaultInstance();
+        }
+        dataCentreSwitchBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.hickoryspar.protocol.DataCentreSwitch, org.hickoryspar.protocol.DataCentreSwitch.Builder, org.hickoryspar.protocol.DataCentreSwitchOrBuilder>(
+                (org.hickoryspar.protocol.DataCentreSwitch) kind_,
+                getParentForChildren(),
+                isClean());
+        kind_ = null;
+      }
+      kindCase_ = 20;
+      onChanged();
+      return dataCentreSwitchBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.hickoryspar.protocol.WorkflowBatch, org.hickoryspar.protocol.WorkflowBatch.Builder, org.hickoryspar.protocol.WorkflowBatchOrBuilder> workflowsBuilder_;
+    /**
+     * <code>.hickoryspar.WorkflowBatch workflows = 21;</code>
+     * @return Whether the workflows field is set.
+     */
+    @java.lang.Override
+    public boolean hasWorkflows() {
+      return kindCase_ == 21;
+    }
+    /**
+     * <code>.hickoryspar.WorkflowBatch workflows = 21;</code>
+     * @return The workflows.
+     */
+    @java.lang.Override
+    public org.hickoryspar.protocol.WorkflowBatch getWorkflows() {
+      if (workflowsBuilder_ == null) {
+        if (kindCase_ == 21) {
+          return (org.hickoryspar.protocol.WorkflowBatch) kind_;
+        }
+        return org.hickoryspar.protocol.WorkflowBatch.getDefaultInstance();
+      } else {
+        if (kindCase_ == 21) {
+          return workflowsBuilder_.getMessage();
+        }
+        return org.hickoryspar.protocol.WorkflowBatch.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.hickoryspar.WorkflowBatch workflows = 21;</code>
+     */
+    public Builder setWorkflows(org.hickoryspar.protocol.WorkflowBatch value) {
+      if (workflowsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        kind_ = value;
+        onChanged();
+      } else {
+        workflowsBuilder_.setMessage(value);
+      }
+      kindCase_ = 21;
+      return this;
+    }
+    /**
+     * <code>.hickoryspar.WorkflowBatch workflows = 21;</code>
+     */
+    public Builder setWorkflows(
+        org.hickoryspar.protocol.WorkflowBatch.Builder builderForValue) {
+      if (workflowsBuilder_ == null) {
+        kind_ = builderForValue.build();
+        onChanged();
+      } else {
+        workflowsBuilder_.setMessage(builderForValue.build());
+      }
+      kindCase_ = 21;
+      return this;
+    }
+    /**
+     * <code>.hickoryspar.WorkflowBatch workflows = 21;</code>
+     */
+    public Builder mergeWorkflows(org.hickoryspar.protocol.WorkflowBatch value) {
+      if (workflowsBuilder_ == null) {
+        if (kindCase_ == 21 &&
+            kind_ != org.hickoryspar.protocol.WorkflowBatch.getDefaultInstance()) {
+          kind_ = org.hickoryspar.protocol.WorkflowBatch.newBuilder((org.hickoryspar.protocol.WorkflowBatch) kind_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          kind_ = value;
+        }
+        onChanged();
+      } else {
+        if (kindCase_ == 21) {
+          workflowsBuilder_.mergeFrom(value);
+        } else {
+          workflowsBuilder_.setMessage(value);
+        }
+      }
+      kindCase_ = 21;
+      return this;
+    }
+    /**
+     * <code>.hickoryspar.WorkflowBatch workflows = 21;</code>
+     */
+    public Builder clearWorkflows() {
+      if (workflowsBuilder_ == null) {
+        if (kindCase_ == 21) {
+          kindCase_ = 0;
+          kind_ = null;
+          onChanged();
+        }
+      } else {
+        if (kindCase_ == 21) {
+          kindCase_ = 0;
+          kind_ = null;
+        }
+        workflowsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.hickoryspar.WorkflowBatch workflows = 21;</code>
+     */
+    public org.hickoryspar.protocol.WorkflowBatch.Builder getWorkflowsBuilder() {
+      return internalGetWorkflowsFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.hickoryspar.WorkflowBatch workflows = 21;</code>
+     */
+    @java.lang.Override
+    public org.hickoryspar.protocol.WorkflowBatchOrBuilder getWorkflowsOrBuilder() {
+      if ((kindCase_ == 21) && (workflowsBuilder_ != null)) {
+        return workflowsBuilder_.getMessageOrBuilder();
+      } else {
+        if (kindCase_ == 21) {
+          return (org.hickoryspar.protocol.WorkflowBatch) kind_;
+        }
+        return org.hickoryspar.protocol.WorkflowBatch.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.hickoryspar.WorkflowBatch workflows = 21;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.hickoryspar.protocol.WorkflowBatch, org.hickoryspar.protocol.WorkflowBatch.Builder, org.hickoryspar.protocol.WorkflowBatchOrBuilder> 
+        internalGetWorkflowsFieldBuilder() {
+      if (workflowsBuilder_ == null) {
+        if (!(kindCase_ == 21)) {
+          kind_ = org.hickoryspar.protocol.WorkflowBatch.getDefaultInstance();
+        }
+        workflowsBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.hickoryspar.protocol.WorkflowBatch, org.hickoryspar.protocol.WorkflowBatch.Builder, org.hickoryspar.protocol.WorkflowBatchOrBuilder>(
+                (org.hickoryspar.protocol.WorkflowBatch) kind_,
+                getParentForChildren(),
+                isClean());
+        kind_ = null;
+      }
+      kindCase_ = 21;
+      onChanged();
+      return workflowsBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:hickoryspar.Command)
   }
 
--- a/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/CommandOrBuilder.java
+++ b/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/CommandOrBuilder.java
@@ -151,5 +151,50 @@
    */
   org.hickoryspar.protocol.EntryLostOrBuilder getEntryLostOrBuilder();
 
+  /**
+   * <code>.hickoryspar.CatalogChange catalog_change = 19;</code>
+   * @return Whether the catalogChange field is set.
+   */
+  boolean hasCatalogChange();
+  /**
+   * <code>.hickoryspar.CatalogChange catalog_change = 19;</code>
+   * @return The catalogChange.
+   */
+  org.hickoryspar.protocol.CatalogChange getCatalogChange();
+  /**
+   * <code>.hickoryspar.CatalogChange catalog_change = 19;</code>
+   */
+  org.hickoryspar.protocol.CatalogChangeOrBuilder getCatalogChangeOrBuilder();
+
+  /**
+   * <code>.hickoryspar.DataCentreSwitch data_centre_switch = 20;</code>
+   * @return Whether the dataCentreSwitch field is set.
+   */
+  boolean hasDataCentreSwitch();
+  /**
+   * <code>.hickoryspar.DataCentreSwitch data_centre_switch = 20;</code>
+   * @return The dataCentreSwitch.
+   */
+  org.hickoryspar.protocol.DataCentreSwitch getDataCentreSwitch();
+  /**
+   * <code>.hickoryspar.DataCentreSwitch data_centre_switch = 20;</code>
+   */
+  org.hickoryspar.protocol.DataCentreSwitchOrBuilder getDataCentreSwitchOrBuilder();
+
+  /**
+   * <code>.hickoryspar.WorkflowBatch workflows = 21;</code>
+   * @return Whether the workflows field is set.
+   */
+  boolean hasWorkflows();
+  /**
+   * <code>.hickoryspar.WorkflowBatch workflows = 21;</code>
+   * @return The workflows.
+   */
+  org.hickoryspar.protocol.WorkflowBatch getWorkflows();
+  /**
+   * <code>.hickoryspar.WorkflowBatch workflows = 21;</code>
+   */
+  org.hickoryspar.protocol.WorkflowBatchOrBuilder getWorkflowsOrBuilder();
+
   org.hickoryspar.protocol.Command.KindCase getKindCase();
 }
--- a/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/ControlSnapshot.java
+++ b/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/ControlSnapshot.java
@@ -35,6 +35,9 @@
     workers_ = java.util.Collections.emptyList();
     changes_ = java.util.Collections.emptyList();
     lostEntries_ = java.util.Collections.emptyList();
+    dataCentresOut_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+    workflows_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -50,6 +53,7 @@
             org.hickoryspar.protocol.ControlSnapshot.class, org.hickoryspar.protocol.ControlSnapshot.Builder.class);
   }
 
+  private int bitField0_;
   public static final int TIME_MILLIS_FIELD_NUMBER = 1;
   private long timeMillis_ = 0L;
   /**
@@ -329,6 +333,110 @@
     return lostEntries_.get(index);
   }
 
+  public static final int CATALOG_FIELD_NUMBER = 10;
+  private org.hickoryspar.protocol.CatalogChange catalog_;
+  /**
+   * <code>.hickoryspar.CatalogChange catalog = 10;</code>
+   * @return Whether the catalog field is set.
+   */
+  @java.lang.Override
+  public boolean hasCatalog() {
+    return ((bitField0_ & 0x00000001) != 0);
+  }
+  /**
+   * <code>.hickoryspar.CatalogChange catalog = 10;</code>
+   * @return The catalog.
+   */
+  @java.lang.Override
+  public org.hickoryspar.protocol.CatalogChange getCatalog() {
+    return catalog_ == null ? org.hickoryspar.protocol.CatalogChange.getDefaultInstance() : catalog_;
+  }
+  /**
+   * <code>.hickoryspar.CatalogChange catalog = 10;</code>
+   */
+  @java.lang.Override
+  public org.hickoryspar.protocol.CatalogChangeOrBuilder getCatalogOrBuilder() {
+    return catalog_ == null ? org.hickoryspar.protocol.CatalogChange.getDefaultInstance() : catalog_;
+  }
+
+  public static final int DATA_CENTRES_OUT_FIELD_NUMBER = 11;
+  @SuppressWarnings("serial")
+  private com.google.protobuf.LazyStringArrayList dataCentresOut_ =
+      com.google.protobuf.LazyStringArrayList.emptyList();
+  /**
+   * <code>repeated string data_centres_out = 11;</code>
+   * @return A list containing the dataCentresOut.
+   */
+  public com.google.protobuf.ProtocolStringList
+      getDataCentresOutList() {
+    return dataCentresOut_;
+  }
+  /**
+   * <code>repeated string data_centres_out = 11;</code>
+   * @return The count of dataCentresOut.
+   */
+  public int getDataCentresOutCount() {
+    return dataCentresOut_.size();
+  }
+  /**
+   * <code>repeated string data_centres_out = 11;</code>
+   * @param index The index of the element to return.
+   * @return The dataCentresOut at the given index.
+   */
+  public java.lang.String getDataCentresOut(int index) {
+    return dataCentresOut_.get(index);
+  }
+  /**
+   * <code>repeated string data_centres_out = 11;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the dataCentresOut at the given index.
+   */
+  public com.google.protobuf.ByteString
+      getDataCentresOutBytes(int index) {
+    return dataCentresOut_.getByteString(index);
+  }
+
+  public static final int WORKFLOWS_FIELD_NUMBER = 12;
+  @SuppressWarnings("serial")
+  private java.util.List<org.hickoryspar.protocol.WorkflowRecord> workflows_;
+  /**
+   * <code>repeated .hickoryspar.WorkflowRecord workflows = 12;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.hickoryspar.protocol.WorkflowRecord> getWorkflowsList() {
+    return workflows_;
+  }
+  /**
+   * <code>repeated .hickoryspar.WorkflowRecord workflows = 12;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.hickoryspar.protocol.WorkflowRecordOrBuilder> 
+      getWorkflowsOrBuilderList() {
+    return workflows_;
+  }
+  /**
+   * <code>repeated .hickoryspar.WorkflowRecord workflows = 12;</code>
+   */
+  @java.lang.Override
+  public int getWorkflowsCount() {
+    return workflows_.size();
+  }
+  /**
+   * <code>repeated .hickoryspar.WorkflowRecord workflows = 12;</code>
+   */
+  @java.lang.Override
+  public org.hickoryspar.protocol.WorkflowRecord getWorkflows(int index) {
+    return workflows_.get(index);
+  }
+  /**
+   * <code>repeated .hickoryspar.WorkflowRecord workflows = 12;</code>
+   */
+  @java.lang.Override
+  public org.hickoryspar.protocol.WorkflowRecordOrBuilder getWorkflowsOrBuilder(
+      int index) {
+    return workflows_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -370,6 +478,15 @@
     for (int i = 0; i < lostEntries_.size(); i++) {
       output.writeMessage(9, lostEntries_.get(i));
     }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      output.writeMessage(10, getCatalog());
+    }
+    for (int i = 0; i < dataCentresOut_.size(); i++) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 11, dataCentresOut_.getRaw(i));
+    }
+    for (int i = 0; i < workflows_.size(); i++) {
+      output.writeMessage(12, workflows_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -415,6 +532,22 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(9, lostEntries_.get(i));
     }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(10, getCatalog());
+    }
+    {
+      int dataSize = 0;
+      for (int i = 0; i < dataCentresOut_.size(); i++) {
+        dataSize += computeStringSizeNoTag(dataCentresOut_.getRaw(i));
+      }
+      size += dataSize;
+      size += 1 * getDataCentresOutList().size();
+    }
+    for (int i = 0; i < workflows_.size(); i++) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(12, workflows_.get(i));
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -448,6 +581,15 @@
         .equals(other.getChangesList())) return false;
     if (!getLostEntriesList()
         .equals(other.getLostEntriesList())) return false;
+    if (hasCatalog() != other.hasCatalog()) return false;
+    if (hasCatalog()) {
+      if (!getCatalog()
+          .equals(other.getCatalog())) return false;
+    }
+    if (!getDataCentresOutList()
+        .equals(other.getDataCentresOutList())) return false;
+    if (!getWorkflowsList()
+        .equals(other.getWorkflowsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -491,6 +633,18 @@
       hash = (37 * hash) + LOST_ENTRIES_FIELD_NUMBER;
       hash = (53 * hash) + getLostEntriesList().hashCode();
     }
+    if (hasCatalog()) {
+      hash = (37 * hash) + CATALOG_FIELD_NUMBER;
+      hash = (53 * hash) + getCatalog().hashCode();
+    }
+    if (getDataCentresOutCount() > 0) {
+      hash = (37 * hash) + DATA_CENTRES_OUT_FIELD_NUMBER;
+      hash = (53 * hash) + getDataCentresOutList().hashCode();
+    }
+    if (getWorkflowsCount() > 0) {
+      hash = (37 * hash) + WORKFLOWS_FIELD_NUMBER;
+      hash = (53 * hash) + getWorkflowsList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -610,13 +764,26 @@
 
     // Construct using org.hickoryspar.protocol.ControlSnapshot.newBuilder()
     private Builder() {
-
+      maybeForceBuilderInitialization();
     }
 
     private Builder(
         com.google.protobuf.GeneratedMessage.BuilderParent parent) {
       super(parent);
-
+      maybeForceBuilderInitialization();
+    }
+    private void maybeForceBuilderInitialization() {
+      if (com.google.protobuf.GeneratedMessage
+              .alwaysUseFieldBuilders) {
+        internalGetHistoryFieldBuilder();
+        internalGetClaimsFieldBuilder();
+        internalGetJobsFieldBuilder();
+        internalGetWorkersFieldBuilder();
+        internalGetChangesFieldBuilder();
+        internalGetLostEntriesFieldBuilder();
+        internalGetCatalogFieldBuilder();
+        internalGetWorkflowsFieldBuilder();
+      }
     }
     @java.lang.Override
     public Builder clear() {
@@ -667,6 +834,20 @@
         lostEntriesBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000100);
+      catalog_ = null;
+      if (catalogBuilder_ != null) {
+        catalogBuilder_.dispose();
+        catalogBuilder_ = null;
+      }
+      dataCentresOut_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+      if (workflowsBuilder_ == null) {
+        workflows_ = java.util.Collections.emptyList();
+      } else {
+        workflows_ = null;
+        workflowsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000800);
       return this;
     }
 
@@ -754,6 +935,15 @@
       } else {
         result.lostEntries_ = lostEntriesBuilder_.build();
       }
+      if (workflowsBuilder_ == null) {
+        if (((bitField0_ & 0x00000800) != 0)) {
+          workflows_ = java.util.Collections.unmodifiableList(workflows_);
+          bitField0_ = (bitField0_ & ~0x00000800);
+        }
+        result.workflows_ = workflows_;
+      } else {
+        result.workflows_ = workflowsBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.hickoryspar.protocol.ControlSnapshot result) {
@@ -767,6 +957,18 @@
       if (((from_bitField0_ & 0x00000004) != 0)) {
         result.fleetDocumentJson_ = fleetDocumentJson_;
       }
+      int to_bitField0_ = 0;
+      if (((from_bitField0_ & 0x00000200) != 0)) {
+        result.catalog_ = catalogBuilder_ == null
+            ? catalog_
+            : catalogBuilder_.build();
+        to_bitField0_ |= 0x00000001;
+      }
+      if (((from_bitField0_ & 0x00000400) != 0)) {
+        dataCentresOut_.makeImmutable();
+        result.dataCentresOut_ = dataCentresOut_;
+      }
+      result.bitField0_ |= to_bitField0_;
     }
 
     @java.lang.Override
@@ -946,6 +1148,45 @@
           }
         }
       }
+      if (other.hasCatalog()) {
+        mergeCatalog(other.getCatalog());
+      }
+      if (!other.dataCentresOut_.isEmpty()) {
+        if (dataCentresOut_.isEmpty()) {
+          dataCentresOut_ = other.dataCentresOut_;
+          bitField0_ |= 0x00000400;
+        } else {
+          ensureDataCentresOutIsMutable();
+          dataCentresOut_.addAll(other.dataCentresOut_);
+        }
+        onChanged();
+      }
+      if (workflowsBuilder_ == null) {
+        if (!other.workflows_.isEmpty()) {
+          if (workflows_.isEmpty()) {
+            workflows_ = other.workflows_;
+            bitField0_ = (bitField0_ & ~0x00000800);
+          } else {
+            ensureWorkflowsIsMutable();
+            workflows_.addAll(other.workflows_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.workflows_.isEmpty()) {
+          if (workflowsBuilder_.isEmpty()) {
+            workflowsBuilder_.dispose();
+            workflowsBuilder_ = null;
+            workflows_ = other.workflows_;
+            bitField0_ = (bitField0_ & ~0x00000800);
+            workflowsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetWorkflowsFieldBuilder() : null;
+          } else {
+            workflowsBuilder_.addAllMessages(other.workflows_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1065,6 +1306,32 @@
               }
               break;
             } // case 74
+            case 82: {
+              input.readMessage(
+                  internalGetCatalogFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00000200;
+              break;
+            } // case 82
+            case 90: {
+              java.lang.String s = input.readStringRequireUtf8();
+              ensureDataCentresOutIsMutable();
+              dataCentresOut_.add(s);
+              break;
+            } // case 90
+            case 98: {
+              org.hickoryspar.protocol.WorkflowRecord m =
+                  input.readMessage(
+                      org.hickoryspar.protocol.WorkflowRecord.parser(),
+                      extensionRegistry);
+              if (workflowsBuilder_ == null) {
+                ensureWorkflowsIsMutable();
+                workflows_.add(m);
+              } else {
+                workflowsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 98
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2618,6 +2885,478 @@
       return lostEntriesBuilder_;
     }
 
+    private org.hickoryspar.protocol.CatalogChange catalog_;
+    private com.google.protobuf.SingleFieldBuilder<
+        org.hickoryspar.protocol.CatalogChange, org.hickoryspar.protocol.CatalogChange.Builder, org.hickoryspar.protocol.CatalogChangeOrBuilder> catalogBuilder_;
+    /**
+     * <code>.hickoryspar.CatalogChange catalog = 10;</code>
+     * @return Whether the catalog field is set.
+     */
+    public boolean hasCatalog() {
+      return ((bitField0_ & 0x00000200) != 0);
+    }
+    /**
+     * <code>.hickoryspar.CatalogChange catalog = 10;</code>
+     * @return The catalog.
+     */
+    public org.hickoryspar.protocol.CatalogChange getCatalog() {
+      if (catalogBuilder_ == null) {
+        return catalog_ == null ? org.hickoryspar.protocol.CatalogChange.getDefaultInstance() : catalog_;
+      } else {
+        return catalogBuilder_.getMessage();
+      }
+    }
+    /**
+     * <code>.hickoryspar.CatalogChange catalog = 10;</code>
+     */
+    public Builder setCatalog(org.hickoryspar.protocol.CatalogChange value) {
+      if (catalogBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        catalog_ = value;
+      } else {
+        catalogBuilder_.setMessage(value);
+      }
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.hickoryspar.CatalogChange catalog = 10;</code>
+     */
+    public Builder setCatalog(
+        org.hickoryspar.protocol.CatalogChange.Builder builderForValue) {
+      if (catalogBuilder_ == null) {
+        catalog_ = builderForValue.build();
+      } else {
+        catalogBuilder_.setMessage(builderForValue.build());
+      }
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.hickoryspar.CatalogChange catalog = 10;</code>
+     */
+    public Builder mergeCatalog(org.hickoryspar.protocol.CatalogChange value) {
+      if (catalogBuilder_ == null) {
+        if (((bitField0_ & 0x00000200) != 0) &&
+          catalog_ != null &&
+          catalog_ != org.hickoryspar.protocol.CatalogChange.getDefaultInstance()) {
+          getCatalogBuilder().mergeFrom(value);
+        } else {
+          catalog_ = value;
+        }
+      } else {
+        catalogBuilder_.mergeFrom(value);
+      }
+      if (catalog_ != null) {
+        bitField0_ |= 0x00000200;
+        onChanged();
+      }
+      return this;
+    }
+    /**
+     * <code>.hickoryspar.CatalogChange catalog = 10;</code>
+     */
+    public Builder clearCatalog() {
+      bitField0_ = (bitField0_ & ~0x00000200);
+      catalog_ = null;
+      if (catalogBuilder_ != null) {
+        catalogBuilder_.dispose();
+        catalogBuilder_ = null;
+      }
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.hickoryspar.CatalogChange catalog = 10;</code>
+     */
+    public org.hickoryspar.protocol.CatalogChange.Builder getCatalogBuilder() {
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return internalGetCatalogFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.hickoryspar.CatalogChange catalog = 10;</code>
+     */
+    public org.hickoryspar.protocol.CatalogChangeOrBuilder getCatalogOrBuilder() {
+      if (catalogBuilder_ != null) {
+        return catalogBuilder_.getMessageOrBuilder();
+      } else {
+        return catalog_ == null ?
+            org.hickoryspar.protocol.CatalogChange.getDefaultInstance() : catalog_;
+      }
+    }
+    /**
+     * <code>.hickoryspar.CatalogChange catalog = 10;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.hickoryspar.protocol.CatalogChange, org.hickoryspar.protocol.CatalogChange.Builder, org.hickoryspar.protocol.CatalogChangeOrBuilder> 
+        internalGetCatalogFieldBuilder() {
+      if (catalogBuilder_ == null) {
+        catalogBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.hickoryspar.protocol.CatalogChange, org.hickoryspar.protocol.CatalogChange.Builder, org.hickoryspar.protocol.CatalogChangeOrBuilder>(
+                getCatalog(),
+                getParentForChildren(),
+                isClean());
+        catalog_ = null;
+      }
+      return catalogBuilder_;
+    }
+
+    private com.google.protobuf.LazyStringArrayList dataCentresOut_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+    private void ensureDataCentresOutIsMutable() {
+      if (!dataCentresOut_.isModifiable()) {
+        dataCentresOut_ = new com.google.protobuf.LazyStringArrayList(dataCentresOut_);
+      }
+      bitField0_ |= 0x00000400;
+    }
+    /**
+     * <code>repeated string data_centres_out = 11;</code>
+     * @return A list containing the dataCentresOut.
+     */
+    public com.google.protobuf.ProtocolStringList
+        getDataCentresOutList() {
+      dataCentresOut_.makeImmutable();
+      return dataCentresOut_;
+    }
+    /**
+     * <code>repeated string data_centres_out = 11;</code>
+     * @return The count of dataCentresOut.
+     */
+    public int getDataCentresOutCount() {
+      return dataCentresOut_.size();
+    }
+    /**
+     * <code>repeated string data_centres_out = 11;</code>
+     * @param index The index of the element to return.
+     * @return The dataCentresOut at the given index.
+     */
+    public java.lang.String getDataCentresOut(int index) {
+      return dataCentresOut_.get(index);
+    }
+    /**
+     * <code>repeated string data_centres_out = 11;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the dataCentresOut at the given index.
+     */
+    public com.google.protobuf.ByteString
+        getDataCentresOutBytes(int index) {
+      return dataCentresOut_.getByteString(index);
+    }
+    /**
+     * <code>repeated string data_centres_out = 11;</code>
+     * @param index The index to set the value at.
+     * @param value The dataCentresOut to set.
+     * @return This builder for chaining.
+     */
+    public Builder setDataCentresOut(
+        int index, java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      ensureDataCentresOutIsMutable();
+      dataCentresOut_.set(index, value);
+      bitField0_ |= 0x00000400;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>repeated string data_centres_out = 11;</code>
+     * @param value The dataCentresOut to add.
+     * @return This builder for chaining.
+     */
+    public Builder addDataCentresOut(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      ensureDataCentresOutIsMutable();
+      dataCentresOut_.add(value);
+      bitField0_ |= 0x00000400;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>repeated string data_centres_out = 11;</code>
+     * @param values The dataCentresOut to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllDataCentresOut(
+        java.lang.Iterable<java.lang.String> values) {
+      ensureDataCentresOutIsMutable();
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(
+          values, dataCentresOut_);
+      bitField0_ |= 0x00000400;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>repeated string data_centres_out = 11;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearDataCentresOut() {
+      dataCentresOut_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+      bitField0_ = (bitField0_ & ~0x00000400);;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>repeated string data_centres_out = 11;</code>
+     * @param value The bytes of the dataCentresOut to add.
+     * @return This builder for chaining.
+     */
+    public Builder addDataCentresOutBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      ensureDataCentresOutIsMutable();
+      dataCentresOut_.add(value);
+      bitField0_ |= 0x00000400;
+      onChanged();
+      return this;
+    }
+
+    private java.util.List<org.hickoryspar.protocol.WorkflowRecord> workflows_ =
+      java.util.Collections.emptyList();
+    private void ensureWorkflowsIsMutable() {
+      if (!((bitField0_ & 0x00000800) != 0)) {
+        workflows_ = new java.util.ArrayList<org.hickoryspar.protocol.WorkflowRecord>(workflows_);
+        bitField0_ |= 0x00000800;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.hickoryspar.protocol.WorkflowRecord, org.hickoryspar.protocol.WorkflowRecord.Builder, org.hickoryspar.protocol.WorkflowRecordOrBuilder> workflowsBuilder_;
+
+    /**
+     * <code>repeated .hickoryspar.WorkflowRecord workflows = 12;</code>
+     */
+    public java.util.List<org.hickoryspar.protocol.WorkflowRecord> getWorkflowsList() {
+      if (workflowsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(workflows_);
+      } else {
+        return workflowsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <code>repeated .hickoryspar.WorkflowRecord workflows = 12;</code>
+     */
+    public int getWorkflowsCount() {
+      if (workflowsBuilder_ == null) {
+        return workflows_.size();
+      } else {
+        return workflowsBuilder_.getCount();
+      }
+    }
+    /**
+     * <code>repeated .hickoryspar.WorkflowRecord workflows = 12;</code>
+     */
+    public org.hickoryspar.protocol.WorkflowRecord getWorkflows(int index) {
+      if (workflowsBuilder_ == null) {
+        return workflows_.get(index);
+      } else {
+        return workflowsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <code>repeated .hickoryspar.WorkflowRecord workflows = 12;</code>
+     */
+    public Builder setWorkflows(
+        int index, org.hickoryspar.protocol.WorkflowRecord value) {
+      if (workflowsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureWorkflowsIsMutable();
+        workflows_.set(index, value);
+        onChanged();
+      } else {
+        workflowsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .hickoryspar.WorkflowRecord workflows = 12;</code>
+     */
+    public Builder setWorkflows(
+        int index, org.hickoryspar.protocol.WorkflowRecord.Builder builderForValue) {
+      if (workflowsBuilder_ == null) {
+        ensureWorkflowsIsMutable();
+        workflows_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        workflowsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .hickoryspar.WorkflowRecord workflows = 12;</code>
+     */
+    public Builder addWorkflows(org.hickoryspar.protocol.WorkflowRecord value) {
+      if (workflowsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureWorkflowsIsMutable();
+        workflows_.add(value);
+        onChanged();
+      } else {
+        workflowsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .hickoryspar.WorkflowRecord workflows = 12;</code>
+     */
+    public Builder addWorkflows(
+        int index, org.hickoryspar.protocol.WorkflowRecord value) {
+      if (workflowsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureWorkflowsIsMutable();
+        workflows_.add(index, value);
+        onChanged();
+      } else {
+        workflowsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .hickoryspar.WorkflowRecord workflows = 12;</code>
+     */
+    public Builder addWorkflows(
+        org.hickoryspar.protocol.WorkflowRecord.Builder builderForValue) {
+      if (workflowsBuilder_ == null) {
+        ensureWorkflowsIsMutable();
+        workflows_.add(builderForValue.build());
+        onChanged();
+      } else {
+        workflowsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .hickoryspar.WorkflowRecord workflows = 12;</code>
+     */
+    public Builder addWorkflows(
+        int index, org.hickoryspar.protocol.WorkflowRecord.Builder builderForValue) {
+      if (workflowsBuilder_ == null) {
+        ensureWorkflowsIsMutable();
+        workflows_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        workflowsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .hickoryspar.WorkflowRecord workflows = 12;</code>
+     */
+    public Builder addAllWorkflows(
+        java.lang.Iterable<? extends org.hickoryspar.protocol.WorkflowRecord> values) {
+      if (workflowsBuilder_ == null) {
+        ensureWorkflowsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, workflows_);
+        onChanged();
+      } else {
+        workflowsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .hickoryspar.WorkflowRecord workflows = 12;</code>
+     */
+    public Builder clearWorkflows() {
+      if (workflowsBuilder_ == null) {
+        workflows_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000800);
+        onChanged();
+      } else {
+        workflowsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .hickoryspar.WorkflowRecord workflows = 12;</code>
+     */
+    public Builder removeWorkflows(int index) {
+      if (workflowsBuilder_ == null) {
+        ensureWorkflowsIsMutable();
+        workflows_.remove(index);
+        onChanged();
+      } else {
+        workflowsBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .hickoryspar.WorkflowRecord workflows = 12;</code>
+     */
+    public org.hickoryspar.protocol.WorkflowRecord.Builder getWorkflowsBuilder(
+        int index) {
+      return internalGetWorkflowsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <code>repeated .hickoryspar.WorkflowRecord workflows = 12;</code>
+     */
+    public org.hickoryspar.protocol.WorkflowRecordOrBuilder getWorkflowsOrBuilder(
+        int index) {
+      if (workflowsBuilder_ == null) {
+        return workflows_.get(index);  } else {
+        return workflowsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <code>repeated .hickoryspar.WorkflowRecord workflows = 12;</code>
+     */
+    public java.util.List<? extends org.hickoryspar.protocol.WorkflowRecordOrBuilder> 
+         getWorkflowsOrBuilderList() {
+      if (workflowsBuilder_ != null) {
+        return workflowsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(workflows_);
+      }
+    }
+    /**
+     * <code>repeated .hickoryspar.WorkflowRecord workflows = 12;</code>
+     */
+    public org.hickoryspar.protocol.WorkflowRecord.Builder addWorkflowsBuilder() {
+      return internalGetWorkflowsFieldBuilder().addBuilder(
+          org.hickoryspar.protocol.WorkflowRecord.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .hickoryspar.WorkflowRecord workflows = 12;</code>
+     */
+    public org.hickoryspar.protocol.WorkflowRecord.Builder addWorkflowsBuilder(
+        int index) {
+      return internalGetWorkflowsFieldBuilder().addBuilder(
+          index, org.hickoryspar.protocol.WorkflowRecord.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .hickoryspar.WorkflowRecord workflows = 12;</code>
+     */
+    public java.util.List<org.hickoryspar.protocol.WorkflowRecord.Builder> 
+         getWorkflowsBuilderList() {
+      return internalGetWorkflowsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.hickoryspar.protocol.WorkflowRecord, org.hickoryspar.protocol.WorkflowRecord.Builder, org.hickoryspar.protocol.WorkflowRecordOrBuilder> 
+        internalGetWorkflowsFieldBuilder() {
+      if (workflowsBuilder_ == null) {
+        workflowsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.hickoryspar.protocol.WorkflowRecord, org.hickoryspar.protocol.WorkflowRecord.Builder, org.hickoryspar.protocol.WorkflowRecordOrBuilder>(
+                workflows_,
+                ((bitField0_ & 0x00000800) != 0),
+                getParentForChildren(),
+                isClean());
+        workflows_ = null;
+      }
+      return workflowsBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:hickoryspar.ControlSnapshot)
   }
 
--- a/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/ControlSnapshotOrBuilder.java
+++ b/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/ControlSnapshotOrBuilder.java
@@ -171,4 +171,68 @@
    */
   org.hickoryspar.protocol.EntryLostOrBuilder getLostEntriesOrBuilder(
       int index);
+
+  /**
+   * <code>.hickoryspar.CatalogChange catalog = 10;</code>
+   * @return Whether the catalog field is set.
+   */
+  boolean hasCatalog();
+  /**
+   * <code>.hickoryspar.CatalogChange catalog = 10;</code>
+   * @return The catalog.
+   */
+  org.hickoryspar.protocol.CatalogChange getCatalog();
+  /**
+   * <code>.hickoryspar.CatalogChange catalog = 10;</code>
+   */
+  org.hickoryspar.protocol.CatalogChangeOrBuilder getCatalogOrBuilder();
+
+  /**
+   * <code>repeated string data_centres_out = 11;</code>
+   * @return A list containing the dataCentresOut.
+   */
+  java.util.List<java.lang.String>
+      getDataCentresOutList();
+  /**
+   * <code>repeated string data_centres_out = 11;</code>
+   * @return The count of dataCentresOut.
+   */
+  int getDataCentresOutCount();
+  /**
+   * <code>repeated string data_centres_out = 11;</code>
+   * @param index The index of the element to return.
+   * @return The dataCentresOut at the given index.
+   */
+  java.lang.String getDataCentresOut(int index);
+  /**
+   * <code>repeated string data_centres_out = 11;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the dataCentresOut at the given index.
+   */
+  com.google.protobuf.ByteString
+      getDataCentresOutBytes(int index);
+
+  /**
+   * <code>repeated .hickoryspar.WorkflowRecord workflows = 12;</code>
+   */
+  java.util.List<org.hickoryspar.protocol.WorkflowRecord> 
+      getWorkflowsList();
+  /**
+   * <code>repeated .hickoryspar.WorkflowRecord workflows = 12;</code>
+   */
+  org.hickoryspar.protocol.WorkflowRecord getWorkflows(int index);
+  /**
+   * <code>repeated .hickoryspar.WorkflowRecord workflows = 12;</code>
+   */
+  int getWorkflowsCount();
+  /**
+   * <code>repeated .hickoryspar.WorkflowRecord workflows = 12;</code>
+   */
+  java.util.List<? extends org.hickoryspar.protocol.WorkflowRecordOrBuilder> 
+      getWorkflowsOrBuilderList();
+  /**
+   * <code>repeated .hickoryspar.WorkflowRecord workflows = 12;</code>
+   */
+  org.hickoryspar.protocol.WorkflowRecordOrBuilder getWorkflowsOrBuilder(
+      int index);
 }
