--- a/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/Envelope.java
+++ b/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/Envelope.java
@@ -73,6 +73,13 @@
     OPERATOR_RESULT(31),
     ENDPOINT_SPREAD(32),
     ENDPOINT_DIGEST(33),
+    CONTROL_DIRECTORY(40),
+    WORKFLOW_CALL(41),
+    WORKFLOW_REPLY(42),
+    CATALOG_CALL(43),
+    CATALOG_REPLY(44),
+    MINION_REPORTS(45),
+    ACKNOWLEDGEMENT(46),
     PAYLOAD_NOT_SET(0);
     private final int value;
     private PayloadCase(int value) {
@@ -109,6 +116,13 @@
         case 31: return OPERATOR_RESULT;
         case 32: return ENDPOINT_SPREAD;
         case 33: return ENDPOINT_DIGEST;
+        case 40: return CONTROL_DIRECTORY;
+        case 41: return WORKFLOW_CALL;
+        case 42: return WORKFLOW_REPLY;
+        case 43: return CATALOG_CALL;
+        case 44: return CATALOG_REPLY;
+        case 45: return MINION_REPORTS;
+        case 46: return ACKNOWLEDGEMENT;
         case 0: return PAYLOAD_NOT_SET;
         default: return null;
       }
@@ -786,6 +800,223 @@
     return org.hickoryspar.protocol.EndpointDigest.getDefaultInstance();
   }
 
+  public static final int CONTROL_DIRECTORY_FIELD_NUMBER = 40;
+  /**
+   * <code>.hickoryspar.ControlDirectory control_directory = 40;</code>
+   * @return Whether the controlDirectory field is set.
+   */
+  @java.lang.Override
+  public boolean hasControlDirectory() {
+    return payloadCase_ == 40;
+  }
+  /**
+   * <code>.hickoryspar.ControlDirectory control_directory = 40;</code>
+   * @return The controlDirectory.
+   */
+  @java.lang.Override
+  public org.hickoryspar.protocol.ControlDirectory getControlDirectory() {
+    if (payloadCase_ == 40) {
+       return (org.hickoryspar.protocol.ControlDirectory) payload_;
+    }
+    return org.hickoryspar.protocol.ControlDirectory.getDefaultInstance();
+  }
+  /**
+   * <code>.hickoryspar.ControlDirectory control_directory = 40;</code>
+   */
+  @java.lang.Override
+  public org.hickoryspar.protocol.ControlDirectoryOrBuilder getControlDirectoryOrBuilder() {
+    if (payloadCase_ == 40) {
+       return (org.hickoryspar.protocol.ControlDirectory) payload_;
+    }
+    return org.hickoryspar.protocol.ControlDirectory.getDefaultInstance();
+  }
+
+  public static final int WORKFLOW_CALL_FIELD_NUMBER = 41;
+  /**
+   * <code>.hickoryspar.WorkflowCall workflow_call = 41;</code>
+   * @return Whether the workflowCall field is set.
+   */
+  @java.lang.Override
+  public boolean hasWorkflowCall() {
+    return payloadCase_ == 41;
+  }
+  /**
+   * <code>.hickoryspar.WorkflowCall workflow_call = 41;</code>
+   * @return The workflowCall.
+   */
+  @java.lang.Override
+  public org.hickoryspar.protocol.WorkflowCall getWorkflowCall() {
+    if (payloadCase_ == 41) {
+       return (org.hickoryspar.protocol.WorkflowCall) payload_;
+    }
+    return org.hickoryspar.protocol.WorkflowCall.getDefaultInstance();
+  }
+  /**
+   * <code>.hickoryspar.WorkflowCall workflow_call = 41;</code>
+   */
+  @java.lang.Override
+  public org.hickoryspar.protocol.WorkflowCallOrBuilder getWorkflowCallOrBuilder() {
+    if (payloadCase_ == 41) {
+       return (org.hickoryspar.protocol.WorkflowCall) payload_;
+    }
+    return org.hickoryspar.protocol.WorkflowCall.getDefaultInstance();
+  }
+
+  public static final int WORKFLOW_REPLY_FIELD_NUMBER = 42;
+  /**
+   * <code>.hickoryspar.WorkflowReply workflow_reply = 42;</code>
+   * @return Whether the workflowReply field is set.
+   */
+  @java.lang.Override
+  public boolean hasWorkflowReply() {
+    return payloadCase_ == 42;
+  }
+  /**
+   * <code>.hickoryspar.WorkflowReply workflow_reply = 42;</code>
+   * @return The workflowReply.
+   */
+  @java.lang.Override
+  public org.hickoryspar.protocol.WorkflowReply getWorkflowReply() {
+    if (payloadCase_ == 42) {
+       return (org.hickoryspar.protocol.WorkflowReply) payload_;
+    }
+    return org.hickoryspar.protocol.WorkflowReply.getDefaultInstance();
+  }
+  /**
+   * <code>.hickoryspar.WorkflowReply workflow_reply = 42;</code>
+   */
+  @java.lang.Override
+  public org.hickoryspar.protocol.WorkflowReplyOrBuilder getWorkflowReplyOrBuilder() {
+    if (payloadCase_ == 42) {
+       return (org.hickoryspar.protocol.WorkflowReply) payload_;
+    }
+    return org.hickoryspar.protocol.WorkflowReply.getDefaultInstance();
+  }
+
+  public static final int CATALOG_CALL_FIELD_NUMBER = 43;
+  /**
+   * <code>.hickoryspar.CatalogCall catalog_call = 43;</code>
+   * @return Whether the catalogCall field is set.
+   */
+  @java.lang.Override
+  public boolean hasCatalogCall() {
+    return payloadCase_ == 43;
+  }
+  /**
+   * <code>.hickoryspar.CatalogCall catalog_call = 43;</code>
+   * @return The catalogCall.
+   */
+  @java.lang.Override
+  public org.hickoryspar.protocol.CatalogCall getCatalogCall() {
+    if (payloadCase_ == 43) {
+       return (org.hickoryspar.protocol.CatalogCall) payload_;
+    }
+    return org.hickoryspar.protocol.CatalogCall.getDefaultInstance();
+  }
+  /**
+   * <code>.hickoryspar.CatalogCall catalog_call = 43;</code>
+   */
+  @java.lang.Override
+  public org.hickoryspar.protocol.CatalogCallOrBuilder getCatalogCallOrBuilder() {
+    if (payloadCase_ == 43) {
+       return (org.hickoryspar.protocol.CatalogCall) payload_;
+    }
+    return org.hickoryspar.protocol.CatalogCall.getDefaultInstance();
+  }
+
+  public static final int CATALOG_REPLY_FIELD_NUMBER = 44;
+  /**
+   * <code>.hickoryspar.CatalogReply catalog_reply = 44;</code>
+   * @return Whether the catalogReply field is set.
+   */
+  @java.lang.Override
+  public boolean hasCatalogReply() {
+    return payloadCase_ == 44;
+  }
+  /**
+   * <code>.hickoryspar.CatalogReply catalog_reply = 44;</code>
+   * @return The catalogReply.
+   */
+  @java.lang.Override
+  public org.hickoryspar.protocol.CatalogReply getCatalogReply() {
+    if (payloadCase_ == 44) {
+       return (org.hickoryspar.protocol.CatalogReply) payload_;
+    }
+    return org.hickoryspar.protocol.CatalogReply.getDefaultInstance();
+  }
+  /**
+   * <code>.hickoryspar.CatalogReply catalog_reply = 44;</code>
+   */
+  @java.lang.Override
+  public org.hickoryspar.protocol.CatalogReplyOrBuilder getCatalogReplyOrBuilder() {
+    if (payloadCase_ == 44) {
+       return (org.hickoryspar.protocol.CatalogReply) payload_;
+    }
+    return org.hickoryspar.protocol.CatalogReply.getDefaultInstance();
+  }
+
+  public static final int MINION_REPORTS_FIELD_NUMBER = 45;
+  /**
+   * <code>.hickoryspar.MinionReports minion_reports = 45;</code>
+   * @return Whether the minionReports field is set.
+   */
+  @java.lang.Override
+  public boolean hasMinionReports() {
+    return payloadCase_ == 45;
+  }
+  /**
+   * <code>.hickoryspar.MinionReports minion_reports = 45;</code>
+   * @return The minionReports.
+   */
+  @java.lang.Override
+  public org.hickoryspar.protocol.MinionReports getMinionReports() {
+    if (payloadCase_ == 45) {
+       return (org.hickoryspar.protocol.MinionReports) payload_;
+    }
+    return org.hickoryspar.protocol.MinionReports.getDefaultInstance();
+  }
+  /**
+   * <code>.hickoryspar.MinionReports minion_reports = 45;</code>
+   */
+  @java.lang.Override
+  public org.hickoryspar.protocol.MinionReportsOrBuilder getMinionReportsOrBuilder() {
+    if (payloadCase_ == 45) {
+       return (org.hickoryspar.protocol.MinionReports) payload_;
+    }
+    return org.hickoryspar.protocol.MinionReports.getDefaultInstance();
+  }
+
+  public static final int ACKNOWLEDGEMENT_FIELD_NUMBER = 46;
+  /**
+   * <code>.hickoryspar.Acknowledgement acknowledgement = 46;</code>
+   * @return Whether the acknowledgement field is set.
+   */
+  @java.lang.Override
+  public boolean hasAcknowledgement() {
+    return payloadCase_ == 46;
+  }
+  /**
+   * <code>.hickoryspar.Acknowledgement acknowledgement = 46;</code>
+   * @return The acknowledgement.
+   */
+  @java.lang.Override
+  public org.hickoryspar.protocol.Acknowledgement getAcknowledgement() {
+    if (payloadCase_ == 46) {
+       return (org.hickoryspar.protocol.Acknowledgement) payload_;
+    }
+    return org.hickoryspar.protocol.Acknowledgement.getDefaultInstance();
+  }
+  /**
+   * <code>.hickoryspar.Acknowledgement acknowledgement = 46;</code>
+   */
+  @java.lang.Override
+  public org.hickoryspar.protocol.AcknowledgementOrBuilder getAcknowledgementOrBuilder() {
+    if (payloadCase_ == 46) {
+       return (org.hickoryspar.protocol.Acknowledgement) payload_;
+    }
+    return org.hickoryspar.protocol.Acknowledgement.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -866,6 +1097,27 @@
     if (payloadCase_ == 33) {
       output.writeMessage(33, (org.hickoryspar.protocol.EndpointDigest) payload_);
     }
+    if (payloadCase_ == 40) {
+      output.writeMessage(40, (org.hickoryspar.protocol.ControlDirectory) payload_);
+    }
+    if (payloadCase_ == 41) {
+      output.writeMessage(41, (org.hickoryspar.protocol.WorkflowCall) payload_);
+    }
+    if (payloadCase_ == 42) {
+      output.writeMessage(42, (org.hickoryspar.protocol.WorkflowReply) payload_);
+    }
+    if (payloadCase_ == 43) {
+      output.writeMessage(43, (org.hickoryspar.protocol.CatalogCall) payload_);
+    }
+    if (payloadCase_ == 44) {
+      output.writeMessage(44, (org.hickoryspar.protocol.CatalogReply) payload_);
+    }
+    if (payloadCase_ == 45) {
+      output.writeMessage(45, (org.hickoryspar.protocol.MinionReports) payload_);
+    }
+    if (payloadCase_ == 46) {
+      output.writeMessage(46, (org.hickoryspar.protocol.Acknowledgement) payload_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -962,6 +1214,34 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(33, (org.hickoryspar.protocol.EndpointDigest) payload_);
     }
+    if (payloadCase_ == 40) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(40, (org.hickoryspar.protocol.ControlDirectory) payload_);
+    }
+    if (payloadCase_ == 41) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(41, (org.hickoryspar.protocol.WorkflowCall) payload_);
+    }
+    if (payloadCase_ == 42) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(42, (org.hickoryspar.protocol.WorkflowReply) payload_);
+    }
+    if (payloadCase_ == 43) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(43, (org.hickoryspar.protocol.CatalogCall) payload_);
+    }
+    if (payloadCase_ == 44) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(44, (org.hickoryspar.protocol.CatalogReply) payload_);
+    }
+    if (payloadCase_ == 45) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(45, (org.hickoryspar.protocol.MinionReports) payload_);
+    }
+    if (payloadCase_ == 46) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(46, (org.hickoryspar.protocol.Acknowledgement) payload_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -1061,6 +1341,34 @@
         if (!getEndpointDigest()
             .equals(other.getEndpointDigest())) return false;
         break;
+      case 40:
+        if (!getControlDirectory()
+            .equals(other.getControlDirectory())) return false;
+        break;
+      case 41:
+        if (!getWorkflowCall()
+            .equals(other.getWorkflowCall())) return false;
+        break;
+      case 42:
+        if (!getWorkflowReply()
+            .equals(other.getWorkflowReply())) return false;
+        break;
+      case 43:
+        if (!getCatalogCall()
+            .equals(other.getCatalogCall())) return false;
+        break;
+      case 44:
+        if (!getCatalogReply()
+            .equals(other.getCatalogReply())) return false;
+        break;
+      case 45:
+        if (!getMinionReports()
+            .equals(other.getMinionReports())) return false;
+        break;
+      case 46:
+        if (!getAcknowledgement()
+            .equals(other.getAcknowledgement())) return false;
+        break;
       case 0:
       default:
     }
@@ -1160,6 +1468,34 @@
         hash = (37 * hash) + ENDPOINT_DIGEST_FIELD_NUMBER;
         hash = (53 * hash) + getEndpointDigest().hashCode();
         break;
+      case 40:
+        hash = (37 * hash) + CONTROL_DIRECTORY_FIELD_NUMBER;
+        hash = (53 * hash) + getControlDirectory().hashCode();
+        break;
+      case 41:
+        hash = (37 * hash) + WORKFLOW_CALL_FIELD_NUMBER;
+        hash = (53 * hash) + getWorkflowCall().hashCode();
+        break;
+      case 42:
+        hash = (37 * hash) + WORKFLOW_REPLY_FIELD_NUMBER;
+        hash = (53 * hash) + getWorkflowReply().hashCode();
+        break;
+      case 43:
+        hash = (37 * hash) + CATALOG_CALL_FIELD_NUMBER;
+        hash = (53 * hash) + getCatalogCall().hashCode();
+        break;
+      case 44:
+        hash = (37 * hash) + CATALOG_REPLY_FIELD_NUMBER;
+        hash = (53 * hash) + getCatalogReply().hashCode();
+        break;
+      case 45:
+        hash = (37 * hash) + MINION_REPORTS_FIELD_NUMBER;
+        hash = (53 * hash) + getMinionReports().hashCode();
+        break;
+      case 46:
+        hash = (37 * hash) + ACKNOWLEDGEMENT_FIELD_NUMBER;
+        hash = (53 * hash) + getAcknowledgement().hashCode();
+        break;
       case 0:
       default:
     }
@@ -1358,6 +1694,27 @@
       if (endpointDigestBuilder_ != null) {
         endpointDigestBuilder_.clear();
       }
+      if (controlDirectoryBuilder_ != null) {
+        controlDirectoryBuilder_.clear();
+      }
+      if (workflowCallBuilder_ != null) {
+        workflowCallBuilder_.clear();
+      }
+      if (workflowReplyBuilder_ != null) {
+        workflowReplyBuilder_.clear();
+      }
+      if (catalogCallBuilder_ != null) {
+        catalogCallBuilder_.clear();
+      }
+      if (catalogReplyBuilder_ != null) {
+        catalogReplyBuilder_.clear();
+      }
+      if (minionReportsBuilder_ != null) {
+        minionReportsBuilder_.clear();
+      }
+      if (acknowledgementBuilder_ != null) {
+        acknowledgementBuilder_.clear();
+      }
       payloadCase_ = 0;
       payload_ = null;
       return this;
@@ -1484,6 +1841,34 @@
           endpointDigestBuilder_ != null) {
         result.payload_ = endpointDigestBuilder_.build();
       }
+      if (payloadCase_ == 40 &&
+          controlDirectoryBuilder_ != null) {
+        result.payload_ = controlDirectoryBuilder_.build();
+      }
+      if (payloadCase_ == 41 &&
+          workflowCallBuilder_ != null) {
+        result.payload_ = workflowCallBuilder_.build();
+      }
+      if (payloadCase_ == 42 &&
+          workflowReplyBuilder_ != null) {
+        result.payload_ = workflowReplyBuilder_.build();
+      }
+      if (payloadCase_ == 43 &&
+          catalogCallBuilder_ != null) {
+        result.payload_ = catalogCallBuilder_.build();
+      }
+      if (payloadCase_ == 44 &&
+          catalogReplyBuilder_ != null) {
+        result.payload_ = catalogReplyBuilder_.build();
+      }
+      if (payloadCase_ == 45 &&
+          minionReportsBuilder_ != null) {
+        result.payload_ = minionReportsBuilder_.build();
+      }
+      if (payloadCase_ == 46 &&
+          acknowledgementBuilder_ != null) {
+        result.payload_ = acknowledgementBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -1586,6 +1971,34 @@
           mergeEndpointDigest(other.getEndpointDigest());
           break;
         }
+        case CONTROL_DIRECTORY: {
+          mergeControlDirectory(other.getControlDirectory());
+          break;
+        }
+        case WORKFLOW_CALL: {
+          mergeWorkflowCall(other.getWorkflowCall());
+          break;
+        }
+        case WORKFLOW_REPLY: {
+          mergeWorkflowReply(other.getWorkflowReply());
+          break;
+        }
+        case CATALOG_CALL: {
+          mergeCatalogCall(other.getCatalogCall());
+          break;
+        }
+        case CATALOG_REPLY: {
+          mergeCatalogReply(other.getCatalogReply());
+          break;
+        }
+        case MINION_REPORTS: {
+          mergeMinionReports(other.getMinionReports());
+          break;
+        }
+        case ACKNOWLEDGEMENT: {
+          mergeAcknowledgement(other.getAcknowledgement());
+          break;
+        }
         case PAYLOAD_NOT_SET: {
           break;
         }
@@ -1764,6 +2177,55 @@
               payloadCase_ = 33;
               break;
             } // case 266
+            case 322: {
+              input.readMessage(
+                  internalGetControlDirectoryFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              payloadCase_ = 40;
+              break;
+            } // case 322
+            case 330: {
+              input.readMessage(
+                  internalGetWorkflowCallFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              payloadCase_ = 41;
+              break;
+            } // case 330
+            case 338: {
+              input.readMessage(
+                  internalGetWorkflowReplyFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              payloadCase_ = 42;
+              break;
+            } // case 338
+            case 346: {
+              input.readMessage(
+                  internalGetCatalogCallFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              payloadCase_ = 43;
+              break;
+            } // case 346
+            case 354: {
+              input.readMessage(
+                  internalGetCatalogReplyFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              payloadCase_ = 44;
+              break;
+            } // case 354
+            case 362: {
+              input.readMessage(
+                  internalGetMinionReportsFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              payloadCase_ = 45;
+              break;
+            } // case 362
+            case 370: {
+              input.readMessage(
+                  internalGetAcknowledgementFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              payloadCase_ = 46;
+              break;
+            } // case 370
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -4662,6 +5124,1000 @@
       return endpointDigestBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        org.hickoryspar.protocol.ControlDirectory, org.hickoryspar.protocol.ControlDirectory.Builder, org.hickoryspar.protocol.ControlDirectoryOrBuilder> controlDirectoryBuilder_;
+    /**
+     * <code>.hickoryspar.ControlDirectory control_directory = 40;</code>
+     * @return Whether the controlDirectory field is set.
+     */
+    @java.lang.Override
+    public boolean hasControlDirectory() {
+      return payloadCase_ == 40;
+    }
+    /**
+     * <code>.hickoryspar.ControlDirectory control_directory = 40;</code>
+     * @return The controlDirectory.
+     */
+    @java.lang.Override
+    public org.hickoryspar.protocol.ControlDirectory getControlDirectory() {
+      if (controlDirectoryBuilder_ == null) {
+        if (payloadCase_ == 40) {
+          return (org.hickoryspar.protocol.ControlDirectory) payload_;
+        }
+        return org.hickoryspar.protocol.ControlDirectory.getDefaultInstance();
+      } else {
+        if (payloadCase_ == 40) {
+          return controlDirectoryBuilder_.getMessage();
+        }
+        return org.hickoryspar.protocol.ControlDirectory.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.hickoryspar.ControlDirectory control_directory = 40;</code>
+     */
+    public Builder setControlDirectory(org.hickoryspar.protocol.ControlDirectory value) {
+      if (controlDirectoryBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        payload_ = value;
+        onChanged();
+      } else {
+        controlDirectoryBuilder_.setMessage(value);
+      }
+      payloadCase_ = 40;
+      return this;
+    }
+    /**
+     * <code>.hickoryspar.ControlDirectory control_directory = 40;</code>
+     */
+    public Builder setControlDirectory(
+        org.hickoryspar.protocol.ControlDirectory.Builder builderForValue) {
+      if (controlDirectoryBuilder_ == null) {
+        payload_ = builderForValue.build();
+        onChanged();
+      } else {
+        controlDirectoryBuilder_.setMessage(builderForValue.build());
+      }
+      payloadCase_ = 40;
+      return this;
+    }
+    /**
+     * <code>.hickoryspar.ControlDirectory control_directory = 40;</code>
+     */
+    public Builder mergeControlDirectory(org.hickoryspar.protocol.ControlDirectory value) {
+      if (controlDirectoryBuilder_ == null) {
+        if (payloadCase_ == 40 &&
+            payload_ != org.hickoryspar.protocol.ControlDirectory.getDefaultInstance()) {
+          payload_ = org.hickoryspar.protocol.ControlDirectory.newBuilder((org.hickoryspar.protocol.ControlDirectory) payload_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          payload_ = value;
+        }
+        onChanged();
+      } else {
+        if (payloadCase_ == 40) {
+          controlDirectoryBuilder_.mergeFrom(value);
+        } else {
+          controlDirectoryBuilder_.setMessage(value);
+        }
+      }
+      payloadCase_ = 40;
+      return this;
+    }
+    /**
+     * <code>.hickoryspar.ControlDirectory control_directory = 40;</code>
+     */
+    public Builder clearControlDirectory() {
+      if (controlDirectoryBuilder_ == null) {
+        if (payloadCase_ == 40) {
+          payloadCase_ = 0;
+          payload_ = null;
+          onChanged();
+        }
+      } else {
+        if (payloadCase_ == 40) {
+          payloadCase_ = 0;
+          payload_ = null;
+        }
+        controlDirectoryBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.hickoryspar.ControlDirectory control_directory = 40;</code>
+     */
+    public org.hickoryspar.protocol.ControlDirectory.Builder getControlDirectoryBuilder() {
+      return internalGetControlDirectoryFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.hickoryspar.ControlDirectory control_directory = 40;</code>
+     */
+    @java.lang.Override
+    public org.hickoryspar.protocol.ControlDirectoryOrBuilder getControlDirectoryOrBuilder() {
+      if ((payloadCase_ == 40) && (controlDirectoryBuilder_ != null)) {
+        return controlDirectoryBuilder_.getMessageOrBuilder();
+      } else {
+        if (payloadCase_ == 40) {
+          return (org.hickoryspar.protocol.ControlDirectory) payload_;
+        }
+        return org.hickoryspar.protocol.ControlDirectory.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.hickoryspar.ControlDirectory control_directory = 40;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.hickoryspar.protocol.ControlDirectory, org.hickoryspar.protocol.ControlDirectory.Builder, org.hickoryspar.protocol.ControlDirectoryOrBuilder> 
+        internalGetControlDirectoryFieldBuilder() {
+      if (controlDirectoryBuilder_ == null) {
+        if (!(payloadCase_ == 40)) {
+          payload_ = org.hickoryspar.protocol.ControlDirectory.getDefaultInstance();
+        }
+        controlDirectoryBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.hickoryspar.protocol.ControlDirectory, org.hickoryspar.protocol.ControlDirectory.Builder, org.hickoryspar.protocol.ControlDirectoryOrBuilder>(
+                (org.hickoryspar.protocol.ControlDirectory) payload_,
+                getParentForChildren(),
+                isClean());
+        payload_ = null;
+      }
+      payloadCase_ = 40;
+      onChanged();
+      return controlDirectoryBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.hickoryspar.protocol.WorkflowCall, org.hickoryspar.protocol.WorkflowCall.Builder, org.hickoryspar.protocol.WorkflowCallOrBuilder> workflowCallBuilder_;
+    /**
+     * <code>.hickoryspar.WorkflowCall workflow_call = 41;</code>
+     * @return Whether the workflowCall field is set.
+     */
+    @java.lang.Override
+    public boolean hasWorkflowCall() {
+      return payloadCase_ == 41;
+    }
+    /**
+     * <code>.hickoryspar.WorkflowCall workflow_call = 41;</code>
+     * @return The workflowCall.
+     */
+    @java.lang.Override
+    public org.hickoryspar.protocol.WorkflowCall getWorkflowCall() {
+      if (workflowCallBuilder_ == null) {
+        if (payloadCase_ == 41) {
+          return (org.hickoryspar.protocol.WorkflowCall) payload_;
+        }
+        return org.hickoryspar.protocol.WorkflowCall.getDefaultInstance();
+      } else {
+        if (payloadCase_ == 41) {
+          return workflowCallBuilder_.getMessage();
+        }
+        return org.hickoryspar.protocol.WorkflowCall.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.hickoryspar.WorkflowCall workflow_call = 41;</code>
+     */
+    public Builder setWorkflowCall(org.hickoryspar.protocol.WorkflowCall value) {
+      if (workflowCallBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        payload_ = value;
+        onChanged();
+      } else {
+        workflowCallBuilder_.setMessage(value);
+      }
+      payloadCase_ = 41;
+      return this;
+    }
+    /**
+     * <code>.hickoryspar.WorkflowCall workflow_call = 41;</code>
+     */
+    public Builder setWorkflowCall(
+        org.hickoryspar.protocol.WorkflowCall.Builder builderForValue) {
+      if (workflowCallBuilder_ == null) {
+        payload_ = builderForValue.build();
+        onChanged();
+      } else {
+        workflowCallBuilder_.setMessage(builderForValue.build());
+      }
+      payloadCase_ = 41;
+      return this;
+    }
+    /**
+     * <code>.hickoryspar.WorkflowCall workflow_call = 41;</code>
+     */
+    public Builder mergeWorkflowCall(org.hickoryspar.protocol.WorkflowCall value) {
+      if (workflowCallBuilder_ == null) {
+        if (payloadCase_ == 41 &&
+            payload_ != org.hickoryspar.protocol.WorkflowCall.getDefaultInstance()) {
+          payload_ = org.hickoryspar.protocol.WorkflowCall.newBuilder((org.hickoryspar.protocol.WorkflowCall) payload_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          payload_ = value;
+        }
+        onChanged();
+      } else {
+        if (payloadCase_ == 41) {
+          workflowCallBuilder_.mergeFrom(value);
+        } else {
+          workflowCallBuilder_.setMessage(value);
+        }
+      }
+      payloadCase_ = 41;
+      return this;
+    }
+    /**
+     * <code>.hickoryspar.WorkflowCall workflow_call = 41;</code>
+     */
+    public Builder clearWorkflowCall() {
+      if (workflowCallBuilder_ == null) {
+        if (payloadCase_ == 41) {
+          payloadCase_ = 0;
+          payload_ = null;
+          onChanged();
+        }
+      } else {
+        if (payloadCase_ == 41) {
+          payloadCase_ = 0;
+          payload_ = null;
+        }
+        workflowCallBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.hickoryspar.WorkflowCall workflow_call = 41;</code>
+     */
+    public org.hickoryspar.protocol.WorkflowCall.Builder getWorkflowCallBuilder() {
+      return internalGetWorkflowCallFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.hickoryspar.WorkflowCall workflow_call = 41;</code>
+     */
+    @java.lang.Override
+    public org.hickoryspar.protocol.WorkflowCallOrBuilder getWorkflowCallOrBuilder() {
+      if ((payloadCase_ == 41) && (workflowCallBuilder_ != null)) {
+        return workflowCallBuilder_.getMessageOrBuilder();
+      } else {
+        if (payloadCase_ == 41) {
+          return (org.hickoryspar.protocol.WorkflowCall) payload_;
+        }
+        return org.hickoryspar.protocol.WorkflowCall.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.hickoryspar.WorkflowCall workflow_call = 41;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.hickoryspar.protocol.WorkflowCall, org.hickoryspar.protocol.WorkflowCall.Builder, org.hickoryspar.protocol.WorkflowCallOrBuilder> 
+        internalGetWorkflowCallFieldBuilder() {
+      if (workflowCallBuilder_ == null) {
+        if (!(payloadCase_ == 41)) {
+          payload_ = org.hickoryspar.protocol.WorkflowCall.getDefaultInstance();
+        }
+        workflowCallBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.hickoryspar.protocol.WorkflowCall, org.hickoryspar.protocol.WorkflowCall.Builder, org.hickoryspar.protocol.WorkflowCallOrBuilder>(
+                (org.hickoryspar.protocol.WorkflowCall) payload_,
+                getParentForChildren(),
+                isClean());
+        payload_ = null;
+      }
+      payloadCase_ = 41;
+      onChanged();
+      return workflowCallBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.hickoryspar.protocol.WorkflowReply, org.hickoryspar.protocol.WorkflowReply.Builder, org.hickoryspar.protocol.WorkflowReplyOrBuilder> workflowReplyBuilder_;
+    /**
+     * <code>.hickoryspar.WorkflowReply workflow_reply = 42;</code>
+     * @return Whether the workflowReply field is set.
+     */
+    @java.lang.Override
+    public boolean hasWorkflowReply() {
+      return payloadCase_ == 42;
+    }
+    /**
+     * <code>.hickoryspar.WorkflowReply workflow_reply = 42;</code>
+     * @return The workflowReply.
+     */
+    @java.lang.Override
+    public org.hickoryspar.protocol.WorkflowReply getWorkflowReply() {
+      if (workflowReplyBuilder_ == null) {
+        if (payloadCase_ == 42) {
+          return (org.hickoryspar.protocol.WorkflowReply) payload_;
+        }
+        return org.hickoryspar.protocol.WorkflowReply.getDefaultInstance();
+      } else {
+        if (payloadCase_ == 42) {
+          return workflowReplyBuilder_.getMessage();
+        }
+        return org.hickoryspar.protocol.WorkflowReply.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.hickoryspar.WorkflowReply workflow_reply = 42;</code>
+     */
+    public Builder setWorkflowReply(org.hickoryspar.protocol.WorkflowReply value) {
+      if (workflowReplyBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        payload_ = value;
+        onChanged();
+      } else {
+        workflowReplyBuilder_.setMessage(value);
+      }
+      payloadCase_ = 42;
+      return this;
+    }
+    /**
+     * <code>.hickoryspar.WorkflowReply workflow_reply = 42;</code>
+     */
+    public Builder setWorkflowReply(
+        org.hickoryspar.protocol.WorkflowReply.Builder builderForValue) {
+      if (workflowReplyBuilder_ == null) {
+        payload_ = builderForValue.build();
+        onChanged();
+      } else {
+        workflowReplyBuilder_.setMessage(builderForValue.build());
+      }
+      payloadCase_ = 42;
+      return this;
+    }
+    /**
+     * <code>.hickoryspar.WorkflowReply workflow_reply = 42;</code>
+     */
+    public Builder mergeWorkflowReply(org.hickoryspar.protocol.WorkflowReply value) {
+      if (workflowReplyBuilder_ == null) {
+        if (payloadCase_ == 42 &&
+            payload_ != org.hickoryspar.protocol.WorkflowReply.getDefaultInstance()) {
+          payload_ = org.hickoryspar.protocol.WorkflowReply.newBuilder((org.hickoryspar.protocol.WorkflowReply) payload_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          payload_ = value;
+        }
+        onChanged();
+      } else {
+        if (payloadCase_ == 42) {
+          workflowReplyBuilder_.mergeFrom(value);
+        } else {
+          workflowReplyBuilder_.setMessage(value);
+        }
+      }
+      payloadCase_ = 42;
+      return this;
+    }
+    /**
+     * <code>.hickoryspar.WorkflowReply workflow_reply = 42;</code>
+     */
+    public Builder clearWorkflowReply() {
+      if (workflowReplyBuilder_ == null) {
+        if (payloadCase_ == 42) {
+          payloadCase_ = 0;
+          payload_ = null;
+          onChanged();
+        }
+      } else {
+        if (payloadCase_ == 42) {
+          payloadCase_ = 0;
+          payload_ = null;
+        }
+        workflowReplyBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.hickoryspar.WorkflowReply workflow_reply = 42;</code>
+     */
+    public org.hickoryspar.protocol.WorkflowReply.Builder getWorkflowReplyBuilder() {
+      return internalGetWorkflowReplyFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.hickoryspar.WorkflowReply workflow_reply = 42;</code>
+     */
+    @java.lang.Override
+    public org.hickoryspar.protocol.WorkflowReplyOrBuilder getWorkflowReplyOrBuilder() {
+      if ((payloadCase_ == 42) && (workflowReplyBuilder_ != null)) {
+        return workflowReplyBuilder_.getMessageOrBuilder();
+      } else {
+        if (payloadCase_ == 42) {
+          return (org.hickoryspar.protocol.WorkflowReply) payload_;
+        }
+        return org.hickoryspar.protocol.WorkflowReply.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.hickoryspar.WorkflowReply workflow_reply = 42;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.hickoryspar.protocol.WorkflowReply, org.hickoryspar.protocol.WorkflowReply.Builder, org.hickoryspar.protocol.WorkflowReplyOrBuilder> 
+        internalGetWorkflowReplyFieldBuilder() {
+      if (workflowReplyBuilder_ == null) {
+        if (!(payloadCase_ == 42)) {
+          payload_ = org.hickoryspar.protocol.WorkflowReply.getDefaultInstance();
+        }
+        workflowReplyBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.hickoryspar.protocol.WorkflowReply, org.hickoryspar.protocol.WorkflowReply.Builder, org.hickoryspar.protocol.WorkflowReplyOrBuilder>(
+                (org.hickoryspar.protocol.WorkflowReply) payload_,
+                getParentForChildren(),
+                isClean());
+        payload_ = null;
+      }
+      payloadCase_ = 42;
+      onChanged();
+      return workflowReplyBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.hickoryspar.protocol.CatalogCall, org.hickoryspar.protocol.CatalogCall.Builder, org.hickoryspar.protocol.CatalogCallOrBuilder> catalogCallBuilder_;
+    /**
+     * <code>.hickoryspar.CatalogCall catalog_call = 43;</code>
+     * @return Whether the catalogCall field is set.
+     */
+    @java.lang.Override
+    public boolean hasCatalogCall() {
+      return payloadCase_ == 43;
+    }
+    /**
+     * <code>.hickoryspar.CatalogCall catalog_call = 43;</code>
+     * @return The catalogCall.
+     */
+    @java.lang.Override
+    public org.hickoryspar.protocol.CatalogCall getCatalogCall() {
+      if (catalogCallBuilder_ == null) {
+        if (payloadCase_ == 43) {
+          return (org.hickoryspar.protocol.CatalogCall) payload_;
+        }
+        return org.hickoryspar.protocol.CatalogCall.getDefaultInstance();
+      } else {
+        if (payloadCase_ == 43) {
+          return catalogCallBuilder_.getMessage();
+        }
+        return org.hickoryspar.protocol.CatalogCall.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.hickoryspar.CatalogCall catalog_call = 43;</code>
+     */
+    public Builder setCatalogCall(org.hickoryspar.protocol.CatalogCall value) {
+      if (catalogCallBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        payload_ = value;
+        onChanged();
+      } else {
+        catalogCallBuilder_.setMessage(value);
+      }
+      payloadCase_ = 43;
+      return this;
+    }
+    /**
+     * <code>.hickoryspar.CatalogCall catalog_call = 43;</code>
+     */
+    public Builder setCatalogCall(
+        org.hickoryspar.protocol.CatalogCall.Builder builderForValue) {
+      if (catalogCallBuilder_ == null) {
+        payload_ = builderForValue.build();
+        onChanged();
+      } else {
+        catalogCallBuilder_.setMessage(builderForValue.build());
+      }
+      payloadCase_ = 43;
+      return this;
+    }
+    /**
+     * <code>.hickoryspar.CatalogCall catalog_call = 43;</code>
+     */
+    public Builder mergeCatalogCall(org.hickoryspar.protocol.CatalogCall value) {
+      if (catalogCallBuilder_ == null) {
+        if (payloadCase_ == 43 &&
+            payload_ != org.hickoryspar.protocol.CatalogCall.getDefaultInstance()) {
+          payload_ = org.hickoryspar.protocol.CatalogCall.newBuilder((org.hickoryspar.protocol.CatalogCall) payload_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          payload_ = value;
+        }
+        onChanged();
+      } else {
+        if (payloadCase_ == 43) {
+          catalogCallBuilder_.mergeFrom(value);
+        } else {
+          catalogCallBuilder_.setMessage(value);
+        }
+      }
+      payloadCase_ = 43;
+      return this;
+    }
+    /**
+     * <code>.hickoryspar.CatalogCall catalog_call = 43;</code>
+     */
+    public Builder clearCatalogCall() {
+      if (catalogCallBuilder_ == null) {
+        if (payloadCase_ == 43) {
+          payloadCase_ = 0;
+          payload_ = null;
+          onChanged();
+        }
+      } else {
+        if (payloadCase_ == 43) {
+          payloadCase_ = 0;
+          payload_ = null;
+        }
+        catalogCallBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.hickoryspar.CatalogCall catalog_call = 43;</code>
+     */
+    public org.hickoryspar.protocol.CatalogCall.Builder getCatalogCallBuilder() {
+      return internalGetCatalogCallFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.hickoryspar.CatalogCall catalog_call = 43;</code>
+     */
+    @java.lang.Override
+    public org.hickoryspar.protocol.CatalogCallOrBuilder getCatalogCallOrBuilder() {
+      if ((payloadCase_ == 43) && (catalogCallBuilder_ != null)) {
+        return catalogCallBuilder_.getMessageOrBuilder();
+      } else {
+        if (payloadCase_ == 43) {
+          return (org.hickoryspar.protocol.CatalogCall) payload_;
+        }
+        return org.hickoryspar.protocol.CatalogCall.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.hickoryspar.CatalogCall catalog_call = 43;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.hickoryspar.protocol.CatalogCall, org.hickoryspar.protocol.CatalogCall.Builder, org.hickoryspar.protocol.CatalogCallOrBuilder> 
+        internalGetCatalogCallFieldBuilder() {
+      if (catalogCallBuilder_ == null) {
+        if (!(payloadCase_ == 43)) {
+          payload_ = org.hickoryspar.protocol.CatalogCall.getDefaultInstance();
+        }
+        catalogCallBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.hickoryspar.protocol.CatalogCall, org.hickoryspar.protocol.CatalogCall.Builder, org.hickoryspar.protocol.CatalogCallOrBuilder>(
+                (org.hickoryspar.protocol.CatalogCall) payload_,
+                getParentForChildren(),
+                isClean());
+        payload_ = null;
+      }
+      payloadCase_ = 43;
+      onChanged();
+      return catalogCallBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.hickoryspar.protocol.CatalogReply, org.hickoryspar.protocol.CatalogReply.Builder, org.hickoryspar.protocol.CatalogReplyOrBuilder> catalogReplyBuilder_;
+    /**
+     * <code>.hickoryspar.CatalogReply catalog_reply = 44;</code>
+     * @return Whether the catalogReply field is set.
+     */
+    @java.lang.Override
+    public boolean hasCatalogReply() {
+      return payloadCase_ == 44;
+    }
+    /**
+     * <code>.hickoryspar.CatalogReply catalog_reply = 44;</code>
+     * @return The catalogReply.
+     */
+    @java.lang.Override
+    public org.hickoryspar.protocol.CatalogReply getCatalogReply() {
+      if (catalogReplyBuilder_ == null) {
+        if (payloadCase_ == 44) {
+          return (org.hickoryspar.protocol.CatalogReply) payload_;
+        }
+        return org.hickoryspar.protocol.CatalogReply.getDefaultInstance();
+      } else {
+        if (payloadCase_ == 44) {
+          return catalogReplyBuilder_.getMessage();
+        }
+        return org.hickoryspar.protocol.CatalogReply.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.hickoryspar.CatalogReply catalog_reply = 44;</code>
+     */
+    public Builder setCatalogReply(org.hickoryspar.protocol.CatalogReply value) {
+      if (catalogReplyBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        payload_ = value;
+        onChanged();
+      } else {
+        catalogReplyBuilder_.setMessage(value);
+      }
+      payloadCase_ = 44;
+      return this;
+    }
+    /**
+     * <code>.hickoryspar.CatalogReply catalog_reply = 44;</code>
+     */
+    public Builder setCatalogReply(
+        org.hickoryspar.protocol.CatalogReply.Builder builderForValue) {
+      if (catalogReplyBuilder_ == null) {
+        payload_ = builderForValue.build();
+        onChanged();
+      } else {
+        catalogReplyBuilder_.setMessage(builderForValue.build());
+      }
+      payloadCase_ = 44;
+      return this;
+    }
+    /**
+     * <code>.hickoryspar.CatalogReply catalog_reply = 44;</code>
+     */
+    public Builder mergeCatalogReply(org.hickoryspar.protocol.CatalogReply value) {
+      if (catalogReplyBuilder_ == null) {
+        if (payloadCase_ == 44 &&
+            payload_ != org.hickoryspar.protocol.CatalogReply.getDefaultInstance()) {
+          payload_ = org.hickoryspar.protocol.CatalogReply.newBuilder((org.hickoryspar.protocol.CatalogReply) payload_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          payload_ = value;
+        }
+        onChanged();
+      } else {
+        if (payloadCase_ == 44) {
+          catalogReplyBuilder_.mergeFrom(value);
+        } else {
+          catalogReplyBuilder_.setMessage(value);
+        }
+      }
+      payloadCase_ = 44;
+      return this;
+    }
+    /**
+     * <code>.hickoryspar.CatalogReply catalog_reply = 44;</code>
+     */
+    public Builder clearCatalogReply() {
+      if (catalogReplyBuilder_ == null) {
+        if (payloadCase_ == 44) {
+          payloadCase_ = 0;
+          payload_ = null;
+          onChanged();
+        }
+      } else {
+        if (payloadCase_ == 44) {
+          payloadCase_ = 0;
+          payload_ = null;
+        }
+        catalogReplyBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.hickoryspar.CatalogReply catalog_reply = 44;</code>
+     */
+    public org.hickoryspar.protocol.CatalogReply.Builder getCatalogReplyBuilder() {
+      return internalGetCatalogReplyFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.hickoryspar.CatalogReply catalog_reply = 44;</code>
+     */
+    @java.lang.Override
+    public org.hickoryspar.protocol.CatalogReplyOrBuilder getCatalogReplyOrBuilder() {
+      if ((payloadCase_ == 44) && (catalogReplyBuilder_ != null)) {
+        return catalogReplyBuilder_.getMessageOrBuilder();
+      } else {
+        if (payloadCase_ == 44) {
+          return (org.hickoryspar.protocol.CatalogReply) payload_;
+        }
+        return org.hickoryspar.protocol.CatalogReply.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.hickoryspar.CatalogReply catalog_reply = 44;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.hickoryspar.protocol.CatalogReply, org.hickoryspar.protocol.CatalogReply.Builder, org.hickoryspar.protocol.CatalogReplyOrBuilder> 
+        internalGetCatalogReplyFieldBuilder() {
+      if (catalogReplyBuilder_ == null) {
+        if (!(payloadCase_ == 44)) {
+          payload_ = org.hickoryspar.protocol.CatalogReply.getDefaultInstance();
+        }
+        catalogReplyBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.hickoryspar.protocol.CatalogReply, org.hickoryspar.protocol.CatalogReply.Builder, org.hickoryspar.protocol.CatalogReplyOrBuilder>(
+                (org.hickoryspar.protocol.CatalogReply) payload_,
+                getParentForChildren(),
+                isClean());
+        payload_ = null;
+      }
+      payloadCase_ = 44;
+      onChanged();
+      return catalogReplyBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.hickoryspar.protocol.MinionReports, org.hickoryspar.protocol.MinionReports.Builder, org.hickoryspar.protocol.MinionReportsOrBuilder> minionReportsBuilder_;
+    /**
+     * <code>.hickoryspar.MinionReports minion_reports = 45;</code>
+     * @return Whether the minionReports field is set.
+     */
+    @java.lang.Override
+    public boolean hasMinionReports() {
+      return payloadCase_ == 45;
+    }
+    /**
+     * <code>.hickoryspar.MinionReports minion_reports = 45;</code>
+     * @return The minionReports.
+     */
+    @java.lang.Override
+    public org.hickoryspar.protocol.MinionReports getMinionReports() {
+      if (minionReportsBuilder_ == null) {
+        if (payloadCase_ == 45) {
+          return (org.hickoryspar.protocol.MinionReports) payload_;
+        }
+        return org.hickoryspar.protocol.MinionReports.getDefaultInstance();
+      } else {
+        if (payloadCase_ == 45) {
+          return minionReportsBuilder_.getMessage();
+        }
+        return org.hickoryspar.protocol.MinionReports.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.hickoryspar.MinionReports minion_reports = 45;</code>
+     */
+    public Builder setMinionReports(org.hickoryspar.protocol.MinionReports value) {
+      if (minionReportsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        payload_ = value;
+        onChanged();
+      } else {
+        minionReportsBuilder_.setMessage(value);
+      }
+      payloadCase_ = 45;
+      return this;
+    }
+    /**
+     * <code>.hickoryspar.MinionReports minion_reports = 45;</code>
+     */
+    public Builder setMinionReports(
+        org.hickoryspar.protocol.MinionReports.Builder builderForValue) {
+      if (minionReportsBuilder_ == null) {
+        payload_ = builderForValue.build();
+        onChanged();
+      } else {
+        minionReportsBuilder_.setMessage(builderForValue.build());
+      }
+      payloadCase_ = 45;
+      return this;
+    }
+    /**
+     * <code>.hickoryspar.MinionReports minion_reports = 45;</code>
+     */
+    public Builder mergeMinionReports(org.hickoryspar.protocol.MinionReports value) {
+      if (minionReportsBuilder_ == null) {
+        if (payloadCase_ == 45 &&
+            payload_ != org.hickoryspar.protocol.MinionReports.getDefaultInstance()) {
+          payload_ = org.hickoryspar.protocol.MinionReports.newBuilder((org.hickoryspar.protocol.MinionReports) payload_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          payload_ = value;
+        }
+        onChanged();
+      } else {
+        if (payloadCase_ == 45) {
+          minionReportsBuilder_.mergeFrom(value);
+        } else {
+          minionReportsBuilder_.setMessage(value);
+        }
+      }
+      payloadCase_ = 45;
+      return this;
+    }
+    /**
+     * <code>.hickoryspar.MinionReports minion_reports = 45;</code>
+     */
+    public Builder clearMinionReports() {
+      if (minionReportsBuilder_ == null) {
+        if (payloadCase_ == 45) {
+          payloadCase_ = 0;
+          payload_ = null;
+          onChanged();
+        }
+      } else {
+        if (payloadCase_ == 45) {
+          payloadCase_ = 0;
+          payload_ = null;
+        }
+        minionReportsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.hickoryspar.MinionReports minion_reports = 45;</code>
+     */
+    public org.hickoryspar.protocol.MinionReports.Builder getMinionReportsBuilder() {
+      return internalGetMinionReportsFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.hickoryspar.MinionReports minion_reports = 45;</code>
+     */
+    @java.lang.Override
+    public org.hickoryspar.protocol.MinionReportsOrBuilder getMinionReportsOrBuilder() {
+      if ((payloadCase_ == 45) && (minionReportsBuilder_ != null)) {
+        return minionReportsBuilder_.getMessageOrBuilder();
+      } else {
+        if (payloadCase_ == 45) {
+          return (org.hickoryspar.protocol.MinionReports) payload_;
+        }
+        return org.hickoryspar.protocol.MinionReports.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.hickoryspar.MinionReports minion_reports = 45;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.hickoryspar.protocol.MinionReports, org.hickoryspar.protocol.MinionReports.Builder, org.hickoryspar.protocol.MinionReportsOrBuilder> 
+        internalGetMinionReportsFieldBuilder() {
+      if (minionReportsBuilder_ == null) {
+        if (!(payloadCase_ == 45)) {
+          payload_ = org.hickoryspar.protocol.MinionReports.getDefaultInstance();
+        }
+        minionReportsBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.hickoryspar.protocol.MinionReports, org.hickoryspar.protocol.MinionReports.Builder, org.hickoryspar.protocol.MinionReportsOrBuilder>(
+                (org.hickoryspar.protocol.MinionReports) payload_,
+                getParentForChildren(),
+                isClean());
+        payload_ = null;
+      }
+      payloadCase_ = 45;
+      onChanged();
+      return minionReportsBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.hickoryspar.protocol.Acknowledgement, org.hickoryspar.protocol.Acknowledgement.Builder, org.hickoryspar.protocol.AcknowledgementOrBuilder> acknowledgementBuilder_;
+    /**
+     * <code>.hickoryspar.Acknowledgement acknowledgement = 46;</code>
+     * @return Whether the acknowledgement field is set.
+     */
+    @java.lang.Override
+    public boolean hasAcknowledgement() {
+      return payloadCase_ == 46;
+    }
+    /**
+     * <code>.hickoryspar.Acknowledgement acknowledgement = 46;</code>
+     * @return The acknowledgement.
+     */
+    @java.lang.Override
+    public org.hickoryspar.protocol.Acknowledgement getAcknowledgement() {
+      if (acknowledgementBuilder_ == null) {
+        if (payloadCase_ == 46) {
+          return (org.hickoryspar.protocol.Acknowledgement) payload_;
+        }
+        return org.hickoryspar.protocol.Acknowledgement.getDefaultInstance();
+      } else {
+        if (payloadCase_ == 46) {
+          return acknowledgementBuilder_.getMessage();
+        }
+        return org.hickoryspar.protocol.Acknowledgement.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.hickoryspar.Acknowledgement acknowledgement = 46;</code>
+     */
+    public Builder setAcknowledgement(org.hickoryspar.protocol.Acknowledgement value) {
+      if (acknowledgementBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        payload_ = value;
+        onChanged();
+      } else {
+        acknowledgementBuilder_.setMessage(value);
+      }
+      payloadCase_ = 46;
+      return this;
+    }
+    /**
+     * <code>.hickoryspar.Acknowledgement acknowledgement = 46;</code>
+     */
+    public Builder setAcknowledgement(
+        org.hickoryspar.protocol.Acknowledgement.Builder builderForValue) {
+      if (acknowledgementBuilder_ == null) {
+        payload_ = builderForValue.build();
+        onChanged();
+      } else {
+        acknowledgementBuilder_.setMessage(builderForValue.build());
+      }
+      payloadCase_ = 46;
+      return this;
+    }
+    /**
+     * <code>.hickoryspar.Acknowledgement acknowledgement = 46;</code>
+     */
+    public Builder mergeAcknowledgement(org.hickoryspar.protocol.Acknowledgement value) {
+      if (acknowledgementBuilder_ == null) {
+        if (payloadCase_ == 46 &&
+            payload_ != org.hickoryspar.protocol.Acknowledgement.getDefaultInstance()) {
+          payload_ = org.hickoryspar.protocol.Acknowledgement.newBuilder((org.hickoryspar.protocol.Acknowledgement) payload_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          payload_ = value;
+        }
+        onChanged();
+      } else {
+        if (payloadCase_ == 46) {
+          acknowledgementBuilder_.mergeFrom(value);
+        } else {
+          acknowledgementBuilder_.setMessage(value);
+        }
+      }
+      payloadCase_ = 46;
+      return this;
+    }
+    /**
+     * <code>.hickoryspar.Acknowledgement acknowledgement = 46;</code>
+     */
+    public Builder clearAcknowledgement() {
+      if (acknowledgementBuilder_ == null) {
+        if (payloadCase_ == 46) {
+          payloadCase_ = 0;
+          payload_ = null;
+          onChanged();
+        }
+      } else {
+        if (payloadCase_ == 46) {
+          payloadCase_ = 0;
+          payload_ = null;
+        }
+        acknowledgementBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.hickoryspar.Acknowledgement acknowledgement = 46;</code>
+     */
+    public org.hickoryspar.protocol.Acknowledgement.Builder getAcknowledgementBuilder() {
+      return internalGetAcknowledgementFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.hickoryspar.Acknowledgement acknowledgement = 46;</code>
+     */
+    @java.lang.Override
+    public org.hickoryspar.protocol.AcknowledgementOrBuilder getAcknowledgementOrBuilder() {
+      if ((payloadCase_ == 46) && (acknowledgementBuilder_ != null)) {
+        return acknowledgementBuilder_.getMessageOrBuilder();
+      } else {
+        if (payloadCase_ == 46) {
+          return (org.hickoryspar.protocol.Acknowledgement) payload_;
+        }
+        return org.hickoryspar.protocol.Acknowledgement.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.hickoryspar.Acknowledgement acknowledgement = 46;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.hickoryspar.protocol.Acknowledgement, org.hickoryspar.protocol.Acknowledgement.Builder, org.hickoryspar.protocol.AcknowledgementOrBuilder> 
+        internalGetAcknowledgementFieldBuilder() {
+      if (acknowledgementBuilder_ == null) {
+        if (!(payloadCase_ == 46)) {
+          payload_ = org.hickoryspar.protocol.Acknowledgement.getDefaultInstance();
+        }
+        acknowledgementBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.hickoryspar.protocol.Acknowledgement, org.hickoryspar.protocol.Acknowledgement.Builder, org.hickoryspar.protocol.AcknowledgementOrBuilder>(
+                (org.hickoryspar.protocol.Acknowledgement) payload_,
+                getParentForChildren(),
+                isClean());
+        payload_ = null;
+      }
+      payloadCase_ = 46;
+      onChanged();
+      return acknowledgementBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:hickoryspar.Envelope)
   }
 
--- a/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/EnvelopeOrBuilder.java
+++ b/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/EnvelopeOrBuilder.java
@@ -331,5 +331,110 @@
    */
   org.hickoryspar.protocol.EndpointDigestOrBuilder getEndpointDigestOrBuilder();
 
+  /**
+   * <code>.hickoryspar.ControlDirectory control_directory = 40;</code>
+   * @return Whether the controlDirectory field is set.
+   */
+  boolean hasControlDirectory();
+  /**
+   * <code>.hickoryspar.ControlDirectory control_directory = 40;</code>
+   * @return The controlDirectory.
+   */
+  org.hickoryspar.protocol.ControlDirectory getControlDirectory();
+  /**
+   * <code>.hickoryspar.ControlDirectory control_directory = 40;</code>
+   */
+  org.hickoryspar.protocol.ControlDirectoryOrBuilder getControlDirectoryOrBuilder();
+
+  /**
+   * <code>.hickoryspar.WorkflowCall workflow_call = 41;</code>
+   * @return Whether the workflowCall field is set.
+   */
+  boolean hasWorkflowCall();
+  /**
+   * <code>.hickoryspar.WorkflowCall workflow_call = 41;</code>
+   * @return The workflowCall.
+   */
+  org.hickoryspar.protocol.WorkflowCall getWorkflowCall();
+  /**
+   * <code>.hickoryspar.WorkflowCall workflow_call = 41;</code>
+   */
+  org.hickoryspar.protocol.WorkflowCallOrBuilder getWorkflowCallOrBuilder();
+
+  /**
+   * <code>.hickoryspar.WorkflowReply workflow_reply = 42;</code>
+   * @return Whether the workflowReply field is set.
+   */
+  boolean hasWorkflowReply();
+  /**
+   * <code>.hickoryspar.WorkflowReply workflow_reply = 42;</code>
+   * @return The workflowReply.
+   */
+  org.hickoryspar.protocol.WorkflowReply getWorkflowReply();
+  /**
+   * <code>.hickoryspar.WorkflowReply workflow_reply = 42;</code>
+   */
+  org.hickoryspar.protocol.WorkflowReplyOrBuilder getWorkflowReplyOrBuilder();
+
+  /**
+   * <code>.hickoryspar.CatalogCall catalog_call = 43;</code>
+   * @return Whether the catalogCall field is set.
+   */
+  boolean hasCatalogCall();
+  /**
+   * <code>.hickoryspar.CatalogCall catalog_call = 43;</code>
+   * @return The catalogCall.
+   */
+  org.hickoryspar.protocol.CatalogCall getCatalogCall();
+  /**
+   * <code>.hickoryspar.CatalogCall catalog_call = 43;</code>
+   */
+  org.hickoryspar.protocol.CatalogCallOrBuilder getCatalogCallOrBuilder();
+
+  /**
+   * <code>.hickoryspar.CatalogReply catalog_reply = 44;</code>
+   * @return Whether the catalogReply field is set.
+   */
+  boolean hasCatalogReply();
+  /**
+   * <code>.hickoryspar.CatalogReply catalog_reply = 44;</code>
+   * @return The catalogReply.
+   */
+  org.hickoryspar.protocol.CatalogReply getCatalogReply();
+  /**
+   * <code>.hickoryspar.CatalogReply catalog_reply = 44;</code>
+   */
+  org.hickoryspar.protocol.CatalogReplyOrBuilder getCatalogReplyOrBuilder();
+
+  /**
+   * <code>.hickoryspar.MinionReports minion_reports = 45;</code>
+   * @return Whether the minionReports field is set.
+   */
+  boolean hasMinionReports();
+  /**
+   * <code>.hickoryspar.MinionReports minion_reports = 45;</code>
+   * @return The minionReports.
+   */
+  org.hickoryspar.protocol.MinionReports getMinionReports();
+  /**
+   * <code>.hickoryspar.MinionReports minion_reports = 45;</code>
+   */
+  org.hickoryspar.protocol.MinionReportsOrBuilder getMinionReportsOrBuilder();
+
+  /**
+   * <code>.hickoryspar.Acknowledgement acknowledgement = 46;</code>
+   * @return Whether the acknowledgement field is set.
+   */
+  boolean hasAcknowledgement();
+  /**
+   * <code>.hickoryspar.Acknowledgement acknowledgement = 46;</code>
+   * @return The acknowledgement.
+   */
+  org.hickoryspar.protocol.Acknowledgement getAcknowledgement();
+  /**
+   * <code>.hickoryspar.Acknowledgement acknowledgement = 46;</code>
+   */
+  org.hickoryspar.protocol.AcknowledgementOrBuilder getAcknowledgementOrBuilder();
+
   org.hickoryspar.protocol.Envelope.PayloadCase getPayloadCase();
 }
--- a/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/Hello.java
+++ b/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/Hello.java
@@ -30,6 +30,8 @@
   private Hello() {
     cluster_ = "";
     instanceId_ = "";
+    replicaId_ = "";
+    dataCentre_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -149,6 +151,92 @@
     return processIncarnation_;
   }
 
+  public static final int REPLICA_ID_FIELD_NUMBER = 5;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object replicaId_ = "";
+  /**
+   * <pre>
+   * Set by a process that runs a control replica.
+   * </pre>
+   *
+   * <code>string replica_id = 5;</code>
+   * @return The replicaId.
+   */
+  @java.lang.Override
+  public java.lang.String getReplicaId() {
+    java.lang.Object ref = replicaId_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      replicaId_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * Set by a process that runs a control replica.
+   * </pre>
+   *
+   * <code>string replica_id = 5;</code>
+   * @return The bytes for replicaId.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getReplicaIdBytes() {
+    java.lang.Object ref = replicaId_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      replicaId_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int DATA_CENTRE_FIELD_NUMBER = 6;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object dataCentre_ = "";
+  /**
+   * <code>string data_centre = 6;</code>
+   * @return The dataCentre.
+   */
+  @java.lang.Override
+  public java.lang.String getDataCentre() {
+    java.lang.Object ref = dataCentre_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      dataCentre_ = s;
+      return s;
+    }
+  }
+  /**
+   * <code>string data_centre = 6;</code>
+   * @return The bytes for dataCentre.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getDataCentreBytes() {
+    java.lang.Object ref = dataCentre_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      dataCentre_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -175,6 +263,12 @@
     if (processIncarnation_ != 0L) {
       output.writeUInt64(4, processIncarnation_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(replicaId_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 5, replicaId_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(dataCentre_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 6, dataCentre_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -198,6 +292,12 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(4, processIncarnation_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(replicaId_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(5, replicaId_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(dataCentre_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(6, dataCentre_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -221,6 +321,10 @@
         .equals(other.getInstanceId())) return false;
     if (getProcessIncarnation()
         != other.getProcessIncarnation()) return false;
+    if (!getReplicaId()
+        .equals(other.getReplicaId())) return false;
+    if (!getDataCentre()
+        .equals(other.getDataCentre())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -241,6 +345,10 @@
     hash = (37 * hash) + PROCESS_INCARNATION_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getProcessIncarnation());
+    hash = (37 * hash) + REPLICA_ID_FIELD_NUMBER;
+    hash = (53 * hash) + getReplicaId().hashCode();
+    hash = (37 * hash) + DATA_CENTRE_FIELD_NUMBER;
+    hash = (53 * hash) + getDataCentre().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -376,6 +484,8 @@
       cluster_ = "";
       instanceId_ = "";
       processIncarnation_ = 0L;
+      replicaId_ = "";
+      dataCentre_ = "";
       return this;
     }
 
@@ -421,6 +531,12 @@
       if (((from_bitField0_ & 0x00000008) != 0)) {
         result.processIncarnation_ = processIncarnation_;
       }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.replicaId_ = replicaId_;
+      }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.dataCentre_ = dataCentre_;
+      }
     }
 
     @java.lang.Override
@@ -451,6 +567,16 @@
       if (other.getProcessIncarnation() != 0L) {
         setProcessIncarnation(other.getProcessIncarnation());
       }
+      if (!other.getReplicaId().isEmpty()) {
+        replicaId_ = other.replicaId_;
+        bitField0_ |= 0x00000010;
+        onChanged();
+      }
+      if (!other.getDataCentre().isEmpty()) {
+        dataCentre_ = other.dataCentre_;
+        bitField0_ |= 0x00000020;
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -497,6 +623,16 @@
               bitField0_ |= 0x00000008;
               break;
             } // case 32
+            case 42: {
+              replicaId_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 42
+            case 50: {
+              dataCentre_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 50
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -734,6 +870,170 @@
       return this;
     }
 
+    private java.lang.Object replicaId_ = "";
+    /**
+     * <pre>
+     * Set by a process that runs a control replica.
+     * </pre>
+     *
+     * <code>string replica_id = 5;</code>
+     * @return The replicaId.
+     */
+    public java.lang.String getReplicaId() {
+      java.lang.Object ref = replicaId_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        replicaId_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Set by a process that runs a control replica.
+     * </pre>
+     *
+     * <code>string replica_id = 5;</code>
+     * @return The bytes for replicaId.
+     */
+    public com.google.protobuf.ByteString
+        getReplicaIdBytes() {
+      java.lang.Object ref = replicaId_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        replicaId_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Set by a process that runs a control replica.
+     * </pre>
+     *
+     * <code>string replica_id = 5;</code>
+     * @param value The replicaId to set.
+     * @return This builder for chaining.
+     */
+    public Builder setReplicaId(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      replicaId_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Set by a process that runs a control replica.
+     * </pre>
+     *
+     * <code>string replica_id = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearReplicaId() {
+      replicaId_ = getDefaultInstance().getReplicaId();
+      bitField0_ = (bitField0_ & ~0x00000010);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Set by a process that runs a control replica.
+     * </pre>
+     *
+     * <code>string replica_id = 5;</code>
+     * @param value The bytes for replicaId to set.
+     * @return This builder for chaining.
+     */
+    public Builder setReplicaIdBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      replicaId_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+
+    private java.lang.Object dataCentre_ = "";
+    /**
+     * <code>string data_centre = 6;</code>
+     * @return The dataCentre.
+     */
+    public java.lang.String getDataCentre() {
+      java.lang.Object ref = dataCentre_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        dataCentre_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <code>string data_centre = 6;</code>
+     * @return The bytes for dataCentre.
+     */
+    public com.google.protobuf.ByteString
+        getDataCentreBytes() {
+      java.lang.Object ref = dataCentre_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        dataCentre_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <code>string data_centre = 6;</code>
+     * @param value The dataCentre to set.
+     * @return This builder for chaining.
+     */
+    public Builder setDataCentre(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      dataCentre_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string data_centre = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearDataCentre() {
+      dataCentre_ = getDefaultInstance().getDataCentre();
+      bitField0_ = (bitField0_ & ~0x00000020);
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string data_centre = 6;</code>
+     * @param value The bytes for dataCentre to set.
+     * @return This builder for chaining.
+     */
+    public Builder setDataCentreBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      dataCentre_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:hickoryspar.Hello)
   }
 
--- a/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/HelloOrBuilder.java
+++ b/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/HelloOrBuilder.java
@@ -49,4 +49,36 @@
    * @return The processIncarnation.
    */
   long getProcessIncarnation();
+
+  /**
+   * <pre>
+   * Set by a process that runs a control replica.
+   * </pre>
+   *
+   * <code>string replica_id = 5;</code>
+   * @return The replicaId.
+   */
+  java.lang.String getReplicaId();
+  /**
+   * <pre>
+   * Set by a process that runs a control replica.
+   * </pre>
+   *
+   * <code>string replica_id = 5;</code>
+   * @return The bytes for replicaId.
+   */
+  com.google.protobuf.ByteString
+      getReplicaIdBytes();
+
+  /**
+   * <code>string data_centre = 6;</code>
+   * @return The dataCentre.
+   */
+  java.lang.String getDataCentre();
+  /**
+   * <code>string data_centre = 6;</code>
+   * @return The bytes for dataCentre.
+   */
+  com.google.protobuf.ByteString
+      getDataCentreBytes();
 }
--- a/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/Hickoryspar.java
+++ b/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/Hickoryspar.java
@@ -31,6 +31,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_hickoryspar_Envelope_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_hickoryspar_Acknowledgement_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_hickoryspar_Acknowledgement_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_hickoryspar_Hello_descriptor;
   static final 
@@ -296,6 +301,156 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_hickoryspar_JobRecord_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_hickoryspar_ControlDirectory_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_hickoryspar_ControlDirectory_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_hickoryspar_Catalog_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_hickoryspar_Catalog_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_hickoryspar_Queue_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_hickoryspar_Queue_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_hickoryspar_AdvicePolicy_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_hickoryspar_AdvicePolicy_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_hickoryspar_ServicePolicy_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_hickoryspar_ServicePolicy_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_hickoryspar_TeamEntitlement_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_hickoryspar_TeamEntitlement_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_hickoryspar_CatalogChange_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_hickoryspar_CatalogChange_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_hickoryspar_DataCentreSwitch_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_hickoryspar_DataCentreSwitch_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_hickoryspar_CatalogCall_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_hickoryspar_CatalogCall_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_hickoryspar_CatalogReply_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_hickoryspar_CatalogReply_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_hickoryspar_TaskDemand_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_hickoryspar_TaskDemand_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_hickoryspar_WorkflowStep_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_hickoryspar_WorkflowStep_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_hickoryspar_WorkflowSpec_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_hickoryspar_WorkflowSpec_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_hickoryspar_WorkflowCall_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_hickoryspar_WorkflowCall_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_hickoryspar_WorkflowReply_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_hickoryspar_WorkflowReply_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_hickoryspar_WorkflowBatch_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_hickoryspar_WorkflowBatch_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_hickoryspar_WorkflowEvent_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_hickoryspar_WorkflowEvent_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_hickoryspar_SubmitWorkflow_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_hickoryspar_SubmitWorkflow_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_hickoryspar_CancelWorkflow_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_hickoryspar_CancelWorkflow_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_hickoryspar_ForgetWorkflow_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_hickoryspar_ForgetWorkflow_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_hickoryspar_MinionLife_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_hickoryspar_MinionLife_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_hickoryspar_RunStart_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_hickoryspar_RunStart_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_hickoryspar_RunEnd_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_hickoryspar_RunEnd_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_hickoryspar_WorkflowRecord_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_hickoryspar_WorkflowRecord_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_hickoryspar_OccurrenceRecord_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_hickoryspar_OccurrenceRecord_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_hickoryspar_StepRecord_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_hickoryspar_StepRecord_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_hickoryspar_GroupRecord_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_hickoryspar_GroupRecord_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_hickoryspar_RunRecord_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_hickoryspar_RunRecord_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_hickoryspar_MinionReport_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_hickoryspar_MinionReport_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_hickoryspar_MinionReports_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_hickoryspar_MinionReports_fieldAccessorTable;
 
   public static com.google.protobuf.Descriptors.FileDescriptor
       getDescriptor() {
@@ -305,7 +460,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\021hickoryspar.proto\022\013hickoryspar\"\256\010\n\010Env" +
+      "\n\021hickoryspar.proto\022\013hickoryspar\"\251\013\n\010Env" +
       "elope\022\026\n\016correlation_id\030\001 \001(\004\022\020\n\010respons" +
       "e\030\002 \001(\010\022\024\n\014trace_parent\030\003 \001(\t\022#\n\005hello\030\n" +
       " \001(\0132\022.hickoryspar.HelloH\000\0222\n\rhello_refu" +
@@ -332,10 +487,21 @@
       "yspar.OperatorResultH\000\0226\n\017endpoint_sprea" +
       "d\030  \001(\0132\033.hickoryspar.EndpointSpreadH\000\0226" +
       "\n\017endpoint_digest\030! \001(\0132\033.hickoryspar.En" +
-      "dpointDigestH\000B\t\n\007payload\"d\n\005Hello\022\030\n\020pr" +
-      "otocol_version\030\001 \001(\r\022\017\n\007cluster\030\002 \001(\t\022\023\n" +
-      "\013instance_id\030\003 \001(\t\022\033\n\023process_incarnatio" +
-      "n\030\004 \001(\004\"9\n\014HelloRefused\022\031\n\021supported_ver" +
+      "dpointDigestH\000\022:\n\021control_directory\030( \001(" +
+      "\0132\035.hickoryspar.ControlDirectoryH\000\0222\n\rwo" +
+      "rkflow_call\030) \001(\0132\031.hickoryspar.Workflow" +
+      "CallH\000\0224\n\016workflow_reply\030* \001(\0132\032.hickory" +
+      "spar.WorkflowReplyH\000\0220\n\014catalog_call\030+ \001" +
+      "(\0132\030.hickoryspar.CatalogCallH\000\0222\n\rcatalo" +
+      "g_reply\030, \001(\0132\031.hickoryspar.CatalogReply" +
+      "H\000\0224\n\016minion_reports\030- \001(\0132\032.hickoryspar" +
+      ".MinionReportsH\000\0227\n\017acknowledgement\030. \001(" +
+      "\0132\034.hickoryspar.AcknowledgementH\000B\t\n\007pay" +
+      "load\"\021\n\017Acknowledgement\"\215\001\n\005Hello\022\030\n\020pro" +
+      "tocol_version\030\001 \001(\r\022\017\n\007cluster\030\002 \001(\t\022\023\n\013" +
+      "instance_id\030\003 \001(\t\022\033\n\023process_incarnation" +
+      "\030\004 \001(\004\022\022\n\nreplica_id\030\005 \001(\t\022\023\n\013data_centr" +
+      "e\030\006 \001(\t\"9\n\014HelloRefused\022\031\n\021supported_ver" +
       "sion\030\001 \001(\r\022\016\n\006reason\030\002 \001(\t\"\013\n\tHeartbeat\"" +
       "=\n\007Failure\022\014\n\004code\030\001 \001(\t\022\017\n\007message\030\002 \001(" +
       "\t\022\023\n\013leader_hint\030\003 \001(\t\"\325\003\n\022ReplicationMe" +
@@ -434,7 +600,7 @@
       "(\t\022\021\n\tbody_json\030\005 \001(\014\"J\n\004Kind\022\024\n\020KIND_UN" +
       "SPECIFIED\020\000\022\n\n\006SUBMIT\020\001\022\n\n\006STATUS\020\002\022\n\n\006C" +
       "ANCEL\020\003\022\010\n\004LIST\020\004\"3\n\tJobResult\022\023\n\013http_s" +
-      "tatus\030\001 \001(\005\022\021\n\tbody_json\030\002 \001(\014\"\321\003\n\007Comma" +
+      "tatus\030\001 \001(\005\022\021\n\tbody_json\030\002 \001(\014\"\365\004\n\007Comma" +
       "nd\022\023\n\013time_millis\030\001 \001(\004\0220\n\014fleet_change\030" +
       "\n \001(\0132\030.hickoryspar.FleetChangeH\000\022)\n\006cla" +
       "ims\030\013 \001(\0132\027.hickoryspar.ClaimBatchH\000\022-\n\010" +
@@ -446,67 +612,186 @@
       "ep\030\020 \001(\0132\025.hickoryspar.GangStepH\000\0221\n\tinv" +
       "entory\030\021 \001(\0132\034.hickoryspar.InventoryUpda" +
       "teH\000\022,\n\nentry_lost\030\022 \001(\0132\026.hickoryspar.E" +
-      "ntryLostH\000B\006\n\004kind\"\200\001\n\013FleetChange\022\021\n\tch" +
-      "ange_id\030\001 \001(\t\022\r\n\005owner\030\002 \001(\t\022\016\n\006reason\030\003" +
-      " \001(\t\022\024\n\014base_version\030\004 \001(\004\022\030\n\020merge_patc" +
-      "h_json\030\005 \001(\014\022\017\n\007summary\030\006 \001(\t\"\275\001\n\007JobSpe" +
-      "c\022\014\n\004name\030\001 \001(\t\022\014\n\004team\030\002 \001(\t\022\014\n\004kind\030\003 " +
-      "\001(\t\022\r\n\005tasks\030\004 \001(\r\022$\n\010per_task\030\005 \001(\0132\022.h" +
-      "ickoryspar.Shape\022\021\n\tadjacency\030\006 \001(\t\022\016\n\006u" +
-      "rgent\030\007 \001(\010\022\033\n\023declared_run_millis\030\010 \001(\004" +
-      "\022\023\n\013preemptible\030\t \001(\010\"F\n\005Shape\022\r\n\005cores\030" +
-      "\001 \001(\r\022\030\n\020memory_megabytes\030\002 \001(\r\022\024\n\014accel" +
-      "erators\030\003 \001(\r\"X\n\tSubmitJob\022\016\n\006job_id\030\001 \001" +
-      "(\t\022\027\n\017idempotency_key\030\002 \001(\t\022\"\n\004spec\030\003 \001(" +
-      "\0132\024.hickoryspar.JobSpec\")\n\tCancelJob\022\016\n\006" +
-      "job_id\030\001 \001(\t\022\014\n\004team\030\002 \001(\t\"?\n\rTaskPlacem" +
-      "ent\022\014\n\004task\030\001 \001(\r\022\016\n\006worker\030\002 \001(\t\022\020\n\010lea" +
-      "se_id\030\003 \001(\t\"x\n\rGangPlacement\022\016\n\006job_id\030\001" +
-      " \001(\t\022\017\n\007attempt\030\002 \001(\r\022.\n\nplacements\030\003 \003(" +
-      "\0132\032.hickoryspar.TaskPlacement\022\026\n\016preempt" +
-      "ed_jobs\030\004 \003(\t\"\250\002\n\010GangStep\022\016\n\006job_id\030\001 \001" +
-      "(\t\022\017\n\007attempt\030\002 \001(\r\022*\n\005phase\030\003 \001(\0162\033.hic" +
-      "koryspar.GangStep.Phase\022\016\n\006result\030\004 \001(\t\022" +
-      "\016\n\006detail\030\005 \001(\t\022)\n\004then\030\006 \001(\0162\033.hickorys" +
-      "par.GangStep.Phase\022\026\n\016faulty_workers\030\007 \003" +
-      "(\t\"l\n\005Phase\022\025\n\021PHASE_UNSPECIFIED\020\000\022\n\n\006QU" +
-      "EUED\020\001\022\r\n\tPREPARING\020\002\022\014\n\010STARTING\020\003\022\013\n\007R" +
-      "UNNING\020\004\022\013\n\007UNDOING\020\005\022\t\n\005ENDED\020\006\"q\n\nWork" +
-      "erInfo\022\n\n\002id\030\001 \001(\t\022\014\n\004rack\030\002 \001(\t\022\023\n\013data" +
-      "_centre\030\003 \001(\t\022$\n\010capacity\030\004 \001(\0132\022.hickor" +
-      "yspar.Shape\022\016\n\006silent\030\005 \001(\010\"L\n\017Inventory" +
-      "Update\022(\n\007upserts\030\001 \003(\0132\027.hickoryspar.Wo" +
-      "rkerInfo\022\017\n\007removed\030\002 \003(\t\">\n\tEntryLost\022\026" +
-      "\n\016entry_instance\030\001 \001(\t\022\031\n\021entry_incarnat" +
-      "ion\030\002 \001(\004\"\337\002\n\017ControlSnapshot\022\023\n\013time_mi" +
-      "llis\030\001 \001(\004\022\025\n\rfleet_version\030\002 \001(\004\022\033\n\023fle" +
-      "et_document_json\030\003 \001(\014\022/\n\007history\030\004 \003(\0132" +
-      "\036.hickoryspar.FleetHistoryEntry\022(\n\006claim" +
-      "s\030\005 \003(\0132\030.hickoryspar.ClaimRecord\022$\n\004job" +
-      "s\030\006 \003(\0132\026.hickoryspar.JobRecord\022(\n\007worke" +
-      "rs\030\007 \003(\0132\027.hickoryspar.WorkerInfo\022*\n\007cha" +
-      "nges\030\010 \003(\0132\031.hickoryspar.ChangeRecord\022,\n" +
-      "\014lost_entries\030\t \003(\0132\026.hickoryspar.EntryL" +
-      "ost\"c\n\021FleetHistoryEntry\022\017\n\007version\030\001 \001(" +
-      "\004\022(\n\006change\030\002 \001(\0132\030.hickoryspar.FleetCha" +
-      "nge\022\023\n\013time_millis\030\003 \001(\004\"\276\001\n\013ClaimRecord" +
-      "\022\014\n\004team\030\001 \001(\t\022\013\n\003key\030\002 \001(\t\022\023\n\013fingerpri" +
-      "nt\030\003 \001(\014\022\026\n\016entry_instance\030\004 \001(\t\022\031\n\021entr" +
-      "y_incarnation\030\005 \001(\004\022\023\n\013time_millis\030\006 \001(\004" +
-      "\022%\n\007outcome\030\007 \001(\0132\024.hickoryspar.Outcome\022" +
-      "\020\n\010claim_id\030\010 \001(\t\"2\n\014ChangeRecord\022\021\n\tcha" +
-      "nge_id\030\001 \001(\t\022\017\n\007version\030\002 \001(\004\"\370\002\n\tJobRec" +
-      "ord\022\016\n\006job_id\030\001 \001(\t\022\027\n\017idempotency_key\030\002" +
-      " \001(\t\022\"\n\004spec\030\003 \001(\0132\024.hickoryspar.JobSpec" +
-      "\022\030\n\020submitted_millis\030\004 \001(\004\022*\n\005phase\030\005 \001(" +
-      "\0162\033.hickoryspar.GangStep.Phase\022\017\n\007attemp" +
-      "t\030\006 \001(\r\022.\n\nplacements\030\007 \003(\0132\032.hickoryspa" +
-      "r.TaskPlacement\022\016\n\006result\030\010 \001(\t\022\016\n\006detai" +
-      "l\030\t \001(\t\022\032\n\022phase_since_millis\030\n \001(\004\022)\n\004t" +
-      "hen\030\013 \001(\0162\033.hickoryspar.GangStep.Phase\022\030" +
-      "\n\020cancel_requested\030\014 \001(\010\022\026\n\016faulty_worke" +
-      "rs\030\r \003(\tB\034\n\030org.hickoryspar.protocolP\001b\006" +
-      "proto3"
+      "ntryLostH\000\0224\n\016catalog_change\030\023 \001(\0132\032.hic" +
+      "koryspar.CatalogChangeH\000\022;\n\022data_centre_" +
+      "switch\030\024 \001(\0132\035.hickoryspar.DataCentreSwi" +
+      "tchH\000\022/\n\tworkflows\030\025 \001(\0132\032.hickoryspar.W" +
+      "orkflowBatchH\000B\006\n\004kind\"\200\001\n\013FleetChange\022\021" +
+      "\n\tchange_id\030\001 \001(\t\022\r\n\005owner\030\002 \001(\t\022\016\n\006reas" +
+      "on\030\003 \001(\t\022\024\n\014base_version\030\004 \001(\004\022\030\n\020merge_" +
+      "patch_json\030\005 \001(\014\022\017\n\007summary\030\006 \001(\t\"\275\001\n\007Jo" +
+      "bSpec\022\014\n\004name\030\001 \001(\t\022\014\n\004team\030\002 \001(\t\022\014\n\004kin" +
+      "d\030\003 \001(\t\022\r\n\005tasks\030\004 \001(\r\022$\n\010per_task\030\005 \001(\013" +
+      "2\022.hickoryspar.Shape\022\021\n\tadjacency\030\006 \001(\t\022" +
+      "\016\n\006urgent\030\007 \001(\010\022\033\n\023declared_run_millis\030\010" +
+      " \001(\004\022\023\n\013preemptible\030\t \001(\010\"F\n\005Shape\022\r\n\005co" +
+      "res\030\001 \001(\r\022\030\n\020memory_megabytes\030\002 \001(\r\022\024\n\014a" +
+      "ccelerators\030\003 \001(\r\"X\n\tSubmitJob\022\016\n\006job_id" +
+      "\030\001 \001(\t\022\027\n\017idempotency_key\030\002 \001(\t\022\"\n\004spec\030" +
+      "\003 \001(\0132\024.hickoryspar.JobSpec\")\n\tCancelJob" +
+      "\022\016\n\006job_id\030\001 \001(\t\022\014\n\004team\030\002 \001(\t\"?\n\rTaskPl" +
+      "acement\022\014\n\004task\030\001 \001(\r\022\016\n\006worker\030\002 \001(\t\022\020\n" +
+      "\010lease_id\030\003 \001(\t\"x\n\rGangPlacement\022\016\n\006job_" +
+      "id\030\001 \001(\t\022\017\n\007attempt\030\002 \001(\r\022.\n\nplacements\030" +
+      "\003 \003(\0132\032.hickoryspar.TaskPlacement\022\026\n\016pre" +
+      "empted_jobs\030\004 \003(\t\"\250\002\n\010GangStep\022\016\n\006job_id" +
+      "\030\001 \001(\t\022\017\n\007attempt\030\002 \001(\r\022*\n\005phase\030\003 \001(\0162\033" +
+      ".hickoryspar.GangStep.Phase\022\016\n\006result\030\004 " +
+      "\001(\t\022\016\n\006detail\030\005 \001(\t\022)\n\004then\030\006 \001(\0162\033.hick" +
+      "oryspar.GangStep.Phase\022\026\n\016faulty_workers" +
+      "\030\007 \003(\t\"l\n\005Phase\022\025\n\021PHASE_UNSPECIFIED\020\000\022\n" +
+      "\n\006QUEUED\020\001\022\r\n\tPREPARING\020\002\022\014\n\010STARTING\020\003\022" +
+      "\013\n\007RUNNING\020\004\022\013\n\007UNDOING\020\005\022\t\n\005ENDED\020\006\"q\n\n" +
+      "WorkerInfo\022\n\n\002id\030\001 \001(\t\022\014\n\004rack\030\002 \001(\t\022\023\n\013" +
+      "data_centre\030\003 \001(\t\022$\n\010capacity\030\004 \001(\0132\022.hi" +
+      "ckoryspar.Shape\022\016\n\006silent\030\005 \001(\010\"L\n\017Inven" +
+      "toryUpdate\022(\n\007upserts\030\001 \003(\0132\027.hickoryspa" +
+      "r.WorkerInfo\022\017\n\007removed\030\002 \003(\t\">\n\tEntryLo" +
+      "st\022\026\n\016entry_instance\030\001 \001(\t\022\031\n\021entry_inca" +
+      "rnation\030\002 \001(\004\"\326\003\n\017ControlSnapshot\022\023\n\013tim" +
+      "e_millis\030\001 \001(\004\022\025\n\rfleet_version\030\002 \001(\004\022\033\n" +
+      "\023fleet_document_json\030\003 \001(\014\022/\n\007history\030\004 " +
+      "\003(\0132\036.hickoryspar.FleetHistoryEntry\022(\n\006c" +
+      "laims\030\005 \003(\0132\030.hickoryspar.ClaimRecord\022$\n" +
+      "\004jobs\030\006 \003(\0132\026.hickoryspar.JobRecord\022(\n\007w" +
+      "orkers\030\007 \003(\0132\027.hickoryspar.WorkerInfo\022*\n" +
+      "\007changes\030\010 \003(\0132\031.hickoryspar.ChangeRecor" +
+      "d\022,\n\014lost_entries\030\t \003(\0132\026.hickoryspar.En" +
+      "tryLost\022+\n\007catalog\030\n \001(\0132\032.hickoryspar.C" +
+      "atalogChange\022\030\n\020data_centres_out\030\013 \003(\t\022." +
+      "\n\tworkflows\030\014 \003(\0132\033.hickoryspar.Workflow" +
+      "Record\"c\n\021FleetHistoryEntry\022\017\n\007version\030\001" +
+      " \001(\004\022(\n\006change\030\002 \001(\0132\030.hickoryspar.Fleet" +
+      "Change\022\023\n\013time_millis\030\003 \001(\004\"\276\001\n\013ClaimRec" +
+      "ord\022\014\n\004team\030\001 \001(\t\022\013\n\003key\030\002 \001(\t\022\023\n\013finger" +
+      "print\030\003 \001(\014\022\026\n\016entry_instance\030\004 \001(\t\022\031\n\021e" +
+      "ntry_incarnation\030\005 \001(\004\022\023\n\013time_millis\030\006 " +
+      "\001(\004\022%\n\007outcome\030\007 \001(\0132\024.hickoryspar.Outco" +
+      "me\022\020\n\010claim_id\030\010 \001(\t\"2\n\014ChangeRecord\022\021\n\t" +
+      "change_id\030\001 \001(\t\022\017\n\007version\030\002 \001(\004\"\370\002\n\tJob" +
+      "Record\022\016\n\006job_id\030\001 \001(\t\022\027\n\017idempotency_ke" +
+      "y\030\002 \001(\t\022\"\n\004spec\030\003 \001(\0132\024.hickoryspar.JobS" +
+      "pec\022\030\n\020submitted_millis\030\004 \001(\004\022*\n\005phase\030\005" +
+      " \001(\0162\033.hickoryspar.GangStep.Phase\022\017\n\007att" +
+      "empt\030\006 \001(\r\022.\n\nplacements\030\007 \003(\0132\032.hickory" +
+      "spar.TaskPlacement\022\016\n\006result\030\010 \001(\t\022\016\n\006de" +
+      "tail\030\t \001(\t\022\032\n\022phase_since_millis\030\n \001(\004\022)" +
+      "\n\004then\030\013 \001(\0162\033.hickoryspar.GangStep.Phas" +
+      "e\022\030\n\020cancel_requested\030\014 \001(\010\022\026\n\016faulty_wo" +
+      "rkers\030\r \003(\t\"T\n\020ControlDirectory\022\031\n\021contr" +
+      "ol_addresses\030\001 \003(\t\022\027\n\017leader_instance\030\002 " +
+      "\001(\t\022\014\n\004term\030\003 \001(\004\"\231\001\n\007Catalog\022\017\n\007version" +
+      "\030\001 \001(\004\022\"\n\006queues\030\002 \003(\0132\022.hickoryspar.Que" +
+      "ue\022,\n\010services\030\003 \003(\0132\032.hickoryspar.Servi" +
+      "cePolicy\022+\n\005teams\030\004 \003(\0132\034.hickoryspar.Te" +
+      "amEntitlement\"\365\001\n\005Queue\022\014\n\004name\030\001 \001(\t\022\014\n" +
+      "\004host\030\002 \001(\t\022\023\n\013path_prefix\030\003 \001(\t\022\017\n\007serv" +
+      "ice\030\004 \001(\t\022\020\n\010priority\030\005 \001(\r\022\024\n\014max_attem" +
+      "pts\030\006 \001(\r\022\017\n\007stretch\030\007 \001(\001\022 \n\030target_com" +
+      "pletion_millis\030\010 \001(\004\022\014\n\004open\030\t \001(\010\022\026\n\016ti" +
+      "meout_millis\030\n \001(\004\022)\n\006advice\030\013 \001(\0132\031.hic" +
+      "koryspar.AdvicePolicy\"[\n\014AdvicePolicy\022\027\n" +
+      "\017decision_millis\030\001 \001(\004\022\031\n\021per_minion_mil" +
+      "lis\030\002 \001(\004\022\027\n\017validity_millis\030\003 \001(\004\"\\\n\rSe" +
+      "rvicePolicy\022\014\n\004name\030\001 \001(\t\022\027\n\017admission_c" +
+      "heck\030\002 \001(\010\022\017\n\007standby\030\003 \001(\010\022\023\n\013health_pa" +
+      "th\030\004 \001(\t\"N\n\017TeamEntitlement\022\014\n\004name\030\001 \001(" +
+      "\t\022\014\n\004keys\030\002 \003(\t\022\037\n\027guaranteed_accelerato" +
+      "rs\030\003 \001(\r\"H\n\rCatalogChange\022%\n\007catalog\030\001 \001" +
+      "(\0132\024.hickoryspar.Catalog\022\020\n\010document\030\002 \001" +
+      "(\014\"4\n\020DataCentreSwitch\022\023\n\013data_centre\030\001 " +
+      "\001(\t\022\013\n\003out\030\002 \001(\010\"\243\001\n\013CatalogCall\022)\n\003put\030" +
+      "\001 \001(\0132\032.hickoryspar.CatalogChangeH\000\022+\n\003g" +
+      "et\030\002 \001(\0132\034.hickoryspar.AcknowledgementH\000" +
+      "\0224\n\013data_centre\030\003 \001(\0132\035.hickoryspar.Data" +
+      "CentreSwitchH\000B\006\n\004kind\"1\n\014CatalogReply\022\017" +
+      "\n\007version\030\001 \001(\004\022\020\n\010document\030\002 \001(\014\"T\n\nTas" +
+      "kDemand\022\026\n\016cpu_millicores\030\001 \001(\004\022\030\n\020memor" +
+      "y_megabytes\030\002 \001(\004\022\024\n\014accelerators\030\003 \001(\r\"" +
+      "\367\002\n\014WorkflowStep\022\r\n\005tasks\030\001 \001(\r\022\'\n\006deman" +
+      "d\030\002 \001(\0132\027.hickoryspar.TaskDemand\022\030\n\020esti" +
+      "mated_millis\030\003 \001(\004\022\022\n\ndepends_on\030\004 \003(\r\022\025" +
+      "\n\rcheckpointing\030\005 \001(\010\022\014\n\004gang\030\006 \001(\010\022\021\n\ts" +
+      "ame_rack\030\007 \001(\010\022\026\n\016required_label\030\010 \001(\t\022\021" +
+      "\n\tdata_rack\030\t \001(\t\022\034\n\024max_tasks_per_minio" +
+      "n\030\n \001(\r\022\023\n\013speculative\030\013 \001(\010\022\024\n\014long_run" +
+      "ning\030\014 \001(\010\022\r\n\005image\030\r \001(\t\022\036\n\026response_ta" +
+      "rget_millis\030\016 \001(\004\022\r\n\005fills\030\017 \001(\010\022\027\n\017max_" +
+      "unavailable\030\020 \001(\r\"\221\001\n\014WorkflowSpec\022\017\n\007pa" +
+      "yload\030\001 \001(\t\022(\n\005steps\030\002 \003(\0132\031.hickoryspar" +
+      ".WorkflowStep\022\023\n\013occurrences\030\003 \001(\r\022\030\n\020fi" +
+      "rst_due_millis\030\004 \001(\022\022\027\n\017interval_millis\030" +
+      "\005 \001(\004\"\321\001\n\014WorkflowCall\022\014\n\004host\030\001 \001(\t\022\014\n\004" +
+      "path\030\002 \001(\t\022\020\n\010team_key\030\003 \001(\t\022+\n\006submit\030\n" +
+      " \001(\0132\031.hickoryspar.WorkflowSpecH\000\022.\n\006sta" +
+      "tus\030\013 \001(\0132\034.hickoryspar.AcknowledgementH" +
+      "\000\022.\n\006cancel\030\014 \001(\0132\034.hickoryspar.Acknowle" +
+      "dgementH\000B\006\n\004kind\"\311\002\n\rWorkflowReply\0223\n\007o" +
+      "utcome\030\001 \001(\0162\".hickoryspar.WorkflowReply" +
+      ".Outcome\022)\n\005state\030\002 \001(\0162\032.hickoryspar.Wo" +
+      "rkflowState\022\017\n\007pending\030\003 \001(\004\022\032\n\022retry_af" +
+      "ter_millis\030\004 \001(\004\022\016\n\006reason\030\005 \001(\t\022\026\n\016coun" +
+      "ts_pending\030\006 \001(\010\"\202\001\n\007Outcome\022\027\n\023OUTCOME_" +
+      "UNSPECIFIED\020\000\022\006\n\002OK\020\001\022\013\n\007REFUSED\020\002\022\014\n\010NO" +
+      "_QUEUE\020\003\022\020\n\014UNAUTHORISED\020\004\022\017\n\013NO_WORKFLO" +
+      "W\020\005\022\013\n\007INVALID\020\006\022\013\n\007UNKNOWN\020\007\"T\n\rWorkflo" +
+      "wBatch\022*\n\006events\030\001 \003(\0132\032.hickoryspar.Wor" +
+      "kflowEvent\022\027\n\017dispatch_number\030\002 \001(\004\"\370\001\n\r" +
+      "WorkflowEvent\022-\n\006submit\030\001 \001(\0132\033.hickorys" +
+      "par.SubmitWorkflowH\000\022-\n\006cancel\030\002 \001(\0132\033.h" +
+      "ickoryspar.CancelWorkflowH\000\022*\n\trun_start" +
+      "\030\003 \001(\0132\025.hickoryspar.RunStartH\000\022&\n\007run_e" +
+      "nd\030\004 \001(\0132\023.hickoryspar.RunEndH\000\022-\n\006forge" +
+      "t\030\005 \001(\0132\033.hickoryspar.ForgetWorkflowH\000B\006" +
+      "\n\004kind\"\177\n\016SubmitWorkflow\022\023\n\013workflow_id\030" +
+      "\001 \001(\t\022\014\n\004team\030\002 \001(\t\022!\n\005queue\030\003 \001(\0132\022.hic" +
+      "koryspar.Queue\022\'\n\004spec\030\004 \001(\0132\031.hickorysp" +
+      "ar.WorkflowSpec\"%\n\016CancelWorkflow\022\023\n\013wor" +
+      "kflow_id\030\001 \001(\t\"%\n\016ForgetWorkflow\022\023\n\013work" +
+      "flow_id\030\001 \001(\t\"4\n\nMinionLife\022\021\n\tminion_id" +
+      "\030\001 \001(\t\022\023\n\013born_millis\030\002 \001(\004\"\214\001\n\010RunStart" +
+      "\022\023\n\013workflow_id\030\001 \001(\t\022\022\n\noccurrence\030\002 \001(" +
+      "\r\022\014\n\004step\030\003 \001(\r\022\022\n\nfirst_task\030\004 \001(\r\022\013\n\003r" +
+      "un\030\005 \001(\r\022(\n\007minions\030\006 \003(\0132\027.hickoryspar." +
+      "MinionLife\"\245\002\n\006RunEnd\022\023\n\013workflow_id\030\001 \001" +
+      "(\t\022\022\n\noccurrence\030\002 \001(\r\022\014\n\004step\030\003 \001(\r\022\014\n\004" +
+      "task\030\004 \001(\r\022\013\n\003run\030\005 \001(\r\022(\n\005cause\030\006 \001(\0162\031" +
+      ".hickoryspar.RunEnd.Cause\022\022\n\ncheckpoint\030" +
+      "\007 \001(\t\"\212\001\n\005Cause\022\025\n\021CAUSE_UNSPECIFIED\020\000\022\010" +
+      "\n\004DONE\020\001\022\017\n\013TASK_FAILED\020\002\022\013\n\007STOPPED\020\003\022\020" +
+      "\n\014LEASE_LAPSED\020\004\022\020\n\014GROUP_BROKEN\020\005\022\024\n\020GR" +
+      "OUP_INCOMPLETE\020\006\022\010\n\004LOST\020\007\"\347\001\n\016WorkflowR" +
+      "ecord\022/\n\nsubmission\030\001 \001(\0132\033.hickoryspar." +
+      "SubmitWorkflow\022\027\n\017accepted_millis\030\002 \001(\004\022" +
+      "\024\n\014ended_millis\030\003 \001(\004\022\021\n\tcancelled\030\004 \001(\010" +
+      "\022\017\n\007started\030\005 \001(\010\0222\n\013occurrences\030\006 \003(\0132\035" +
+      ".hickoryspar.OccurrenceRecord\022\035\n\025complet" +
+      "ed_occurrences\030\007 \003(\r\"N\n\020OccurrenceRecord" +
+      "\022\022\n\noccurrence\030\001 \001(\r\022&\n\005steps\030\002 \003(\0132\027.hi" +
+      "ckoryspar.StepRecord\"6\n\nStepRecord\022(\n\006gr" +
+      "oups\030\001 \003(\0132\030.hickoryspar.GroupRecord\"{\n\013" +
+      "GroupRecord\022\020\n\010last_run\030\001 \001(\r\022\020\n\010failure" +
+      "s\030\002 \001(\r\022\014\n\004done\030\003 \001(\010\022\022\n\ncheckpoint\030\004 \001(" +
+      "\t\022&\n\006active\030\005 \003(\0132\026.hickoryspar.RunRecor" +
+      "d\"k\n\tRunRecord\022\013\n\003run\030\001 \001(\r\022(\n\007minions\030\002" +
+      " \003(\0132\027.hickoryspar.MinionLife\022\'\n\004ends\030\003 " +
+      "\003(\0162\031.hickoryspar.RunEnd.Cause\"\365\002\n\014Minio" +
+      "nReport\022%\n\004life\030\001 \001(\0132\027.hickoryspar.Mini" +
+      "onLife\022\020\n\010sequence\030\002 \001(\004\022\017\n\007service\030\003 \001(" +
+      "\t\022\017\n\007address\030\004 \001(\t\022\023\n\013data_centre\030\005 \001(\t\022" +
+      "\020\n\010draining\030\006 \001(\010\022\017\n\007leaving\030\007 \001(\010\022)\n\010ca" +
+      "pacity\030\010 \001(\0132\027.hickoryspar.TaskDemand\022\016\n" +
+      "\006labels\030\t \003(\t\022\035\n\025cold_remaining_millis\030\n" +
+      " \001(\004\022\036\n\026drain_remaining_millis\030\013 \001(\004\022\024\n\014" +
+      "clock_millis\030\014 \001(\004\022\022\n\nage_millis\030\r \001(\004\022\017" +
+      "\n\007machine\030\016 \001(\t\022\017\n\007version\030\017 \001(\t\022\014\n\004rack" +
+      "\030\020 \001(\t\";\n\rMinionReports\022*\n\007reports\030\001 \003(\013" +
+      "2\031.hickoryspar.MinionReport*\237\001\n\rWorkflow" +
+      "State\022\036\n\032WORKFLOW_STATE_UNSPECIFIED\020\000\022\023\n" +
+      "\017WORKFLOW_QUEUED\020\001\022\024\n\020WORKFLOW_RUNNING\020\002" +
+      "\022\026\n\022WORKFLOW_COMPLETED\020\003\022\023\n\017WORKFLOW_FAI" +
+      "LED\020\004\022\026\n\022WORKFLOW_CANCELLED\020\005B\034\n\030org.hic" +
+      "koryspar.protocolP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -517,325 +802,511 @@
     internal_static_hickoryspar_Envelope_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_Envelope_descriptor,
-        new java.lang.String[] { "CorrelationId", "Response", "TraceParent", "Hello", "HelloRefused", "Heartbeat", "Failure", "Replication", "ClaimBatch", "ClaimBatchResult", "OutcomeBatch", "OutcomeBatchResult", "ConfigWatch", "ConfigUpdate", "SlotLeaseRequest", "SlotLeaseGrant", "JobCall", "JobResult", "OperatorCall", "OperatorResult", "EndpointSpread", "EndpointDigest", "Payload", });
-    internal_static_hickoryspar_Hello_descriptor =
+        new java.lang.String[] { "CorrelationId", "Response", "TraceParent", "Hello", "HelloRefused", "Heartbeat", "Failure", "Replication", "ClaimBatch", "ClaimBatchResult", "OutcomeBatch", "OutcomeBatchResult", "ConfigWatch", "ConfigUpdate", "SlotLeaseRequest", "SlotLeaseGrant", "JobCall", "JobResult", "OperatorCall", "OperatorResult", "EndpointSpread", "EndpointDigest", "ControlDirectory", "WorkflowCall", "WorkflowReply", "CatalogCall", "CatalogReply", "MinionReports", "Acknowledgement", "Payload", });
+    internal_static_hickoryspar_Acknowledgement_descriptor =
       getDescriptor().getMessageType(1);
+    internal_static_hickoryspar_Acknowledgement_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_hickoryspar_Acknowledgement_descriptor,
+        new java.lang.String[] { });
+    internal_static_hickoryspar_Hello_descriptor =
+      getDescriptor().getMessageType(2);
     internal_static_hickoryspar_Hello_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_Hello_descriptor,
-        new java.lang.String[] { "ProtocolVersion", "Cluster", "InstanceId", "ProcessIncarnation", });
+        new java.lang.String[] { "ProtocolVersion", "Cluster", "InstanceId", "ProcessIncarnation", "ReplicaId", "DataCentre", });
     internal_static_hickoryspar_HelloRefused_descriptor =
-      getDescriptor().getMessageType(2);
+      getDescriptor().getMessageType(3);
     internal_static_hickoryspar_HelloRefused_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_HelloRefused_descriptor,
         new java.lang.String[] { "SupportedVersion", "Reason", });
     internal_static_hickoryspar_Heartbeat_descriptor =
-      getDescriptor().getMessageType(3);
+      getDescriptor().getMessageType(4);
     internal_static_hickoryspar_Heartbeat_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_Heartbeat_descriptor,
         new java.lang.String[] { });
     internal_static_hickoryspar_Failure_descriptor =
-      getDescriptor().getMessageType(4);
+      getDescriptor().getMessageType(5);
     internal_static_hickoryspar_Failure_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_Failure_descriptor,
         new java.lang.String[] { "Code", "Message", "LeaderHint", });
     internal_static_hickoryspar_ReplicationMessage_descriptor =
-      getDescriptor().getMessageType(5);
+      getDescriptor().getMessageType(6);
     internal_static_hickoryspar_ReplicationMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_ReplicationMessage_descriptor,
         new java.lang.String[] { "FromReplica", "ToReplica", "Term", "VoteRequest", "VoteResponse", "AppendRequest", "AppendResponse", "SnapshotChunk", "SnapshotChunkResponse", "TimeoutNow", "Kind", });
     internal_static_hickoryspar_VoteRequest_descriptor =
-      getDescriptor().getMessageType(6);
+      getDescriptor().getMessageType(7);
     internal_static_hickoryspar_VoteRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_VoteRequest_descriptor,
         new java.lang.String[] { "PreVote", "LastLogIndex", "LastLogTerm", "Transfer", });
     internal_static_hickoryspar_VoteResponse_descriptor =
-      getDescriptor().getMessageType(7);
+      getDescriptor().getMessageType(8);
     internal_static_hickoryspar_VoteResponse_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_VoteResponse_descriptor,
         new java.lang.String[] { "PreVote", "Granted", });
     internal_static_hickoryspar_AppendRequest_descriptor =
-      getDescriptor().getMessageType(8);
+      getDescriptor().getMessageType(9);
     internal_static_hickoryspar_AppendRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_AppendRequest_descriptor,
         new java.lang.String[] { "PreviousIndex", "PreviousTerm", "Entries", "CommitIndex", "Round", });
     internal_static_hickoryspar_AppendResponse_descriptor =
-      getDescriptor().getMessageType(9);
+      getDescriptor().getMessageType(10);
     internal_static_hickoryspar_AppendResponse_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_AppendResponse_descriptor,
         new java.lang.String[] { "Success", "MatchIndex", "NextIndexHint", "Round", });
     internal_static_hickoryspar_SnapshotChunk_descriptor =
-      getDescriptor().getMessageType(10);
+      getDescriptor().getMessageType(11);
     internal_static_hickoryspar_SnapshotChunk_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_SnapshotChunk_descriptor,
         new java.lang.String[] { "LastIndex", "LastTerm", "OffsetBytes", "TotalBytes", "Data", "Membership", "Checksum", "Round", });
     internal_static_hickoryspar_SnapshotChunkResponse_descriptor =
-      getDescriptor().getMessageType(11);
+      getDescriptor().getMessageType(12);
     internal_static_hickoryspar_SnapshotChunkResponse_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_SnapshotChunkResponse_descriptor,
         new java.lang.String[] { "LastIndex", "NextOffsetBytes", "Round", });
     internal_static_hickoryspar_TimeoutNow_descriptor =
-      getDescriptor().getMessageType(12);
+      getDescriptor().getMessageType(13);
     internal_static_hickoryspar_TimeoutNow_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_TimeoutNow_descriptor,
         new java.lang.String[] { });
     internal_static_hickoryspar_LogEntry_descriptor =
-      getDescriptor().getMessageType(13);
+      getDescriptor().getMessageType(14);
     internal_static_hickoryspar_LogEntry_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_LogEntry_descriptor,
         new java.lang.String[] { "Index", "Term", "Command", "Membership", "NoOp", "Kind", });
     internal_static_hickoryspar_Membership_descriptor =
-      getDescriptor().getMessageType(14);
+      getDescriptor().getMessageType(15);
     internal_static_hickoryspar_Membership_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_Membership_descriptor,
         new java.lang.String[] { "Voters", "Learners", });
     internal_static_hickoryspar_ClaimBatch_descriptor =
-      getDescriptor().getMessageType(15);
+      getDescriptor().getMessageType(16);
     internal_static_hickoryspar_ClaimBatch_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_ClaimBatch_descriptor,
         new java.lang.String[] { "EntryInstance", "EntryIncarnation", "Claims", });
     internal_static_hickoryspar_Claim_descriptor =
-      getDescriptor().getMessageType(16);
+      getDescriptor().getMessageType(17);
     internal_static_hickoryspar_Claim_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_Claim_descriptor,
         new java.lang.String[] { "Team", "Key", "Fingerprint", "ClaimId", });
     internal_static_hickoryspar_ClaimBatchResult_descriptor =
-      getDescriptor().getMessageType(17);
+      getDescriptor().getMessageType(18);
     internal_static_hickoryspar_ClaimBatchResult_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_ClaimBatchResult_descriptor,
         new java.lang.String[] { "Results", });
     internal_static_hickoryspar_ClaimResult_descriptor =
-      getDescriptor().getMessageType(18);
+      getDescriptor().getMessageType(19);
     internal_static_hickoryspar_ClaimResult_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_ClaimResult_descriptor,
         new java.lang.String[] { "Status", "Outcome", "HolderInstance", });
     internal_static_hickoryspar_Outcome_descriptor =
-      getDescriptor().getMessageType(19);
+      getDescriptor().getMessageType(20);
     internal_static_hickoryspar_Outcome_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_Outcome_descriptor,
         new java.lang.String[] { "Kind", "HttpStatus", "Body", "ContentType", "BodyDropped", });
     internal_static_hickoryspar_OutcomeBatch_descriptor =
-      getDescriptor().getMessageType(20);
+      getDescriptor().getMessageType(21);
     internal_static_hickoryspar_OutcomeBatch_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_OutcomeBatch_descriptor,
         new java.lang.String[] { "EntryInstance", "EntryIncarnation", "Records", });
     internal_static_hickoryspar_OutcomeRecord_descriptor =
-      getDescriptor().getMessageType(21);
+      getDescriptor().getMessageType(22);
     internal_static_hickoryspar_OutcomeRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_OutcomeRecord_descriptor,
         new java.lang.String[] { "Team", "Key", "Outcome", });
     internal_static_hickoryspar_OutcomeBatchResult_descriptor =
-      getDescriptor().getMessageType(22);
+      getDescriptor().getMessageType(23);
     internal_static_hickoryspar_OutcomeBatchResult_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_OutcomeBatchResult_descriptor,
         new java.lang.String[] { });
     internal_static_hickoryspar_SlotLeaseRequest_descriptor =
-      getDescriptor().getMessageType(23);
+      getDescriptor().getMessageType(24);
     internal_static_hickoryspar_SlotLeaseRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_SlotLeaseRequest_descriptor,
         new java.lang.String[] { "EntryInstance", "Demands", });
     internal_static_hickoryspar_SlotDemand_descriptor =
-      getDescriptor().getMessageType(24);
+      getDescriptor().getMessageType(25);
     internal_static_hickoryspar_SlotDemand_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_SlotDemand_descriptor,
         new java.lang.String[] { "Minion", "Slots", });
     internal_static_hickoryspar_SlotLeaseGrant_descriptor =
-      getDescriptor().getMessageType(25);
+      getDescriptor().getMessageType(26);
     internal_static_hickoryspar_SlotLeaseGrant_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_SlotLeaseGrant_descriptor,
         new java.lang.String[] { "LeaseMillis", "Grants", });
     internal_static_hickoryspar_Endpoint_descriptor =
-      getDescriptor().getMessageType(26);
+      getDescriptor().getMessageType(27);
     internal_static_hickoryspar_Endpoint_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_Endpoint_descriptor,
         new java.lang.String[] { "Service", "MinionId", "Address", "DataCentre", "Incarnation", "Sequence", "Leaving", "Slots", "Connections", "TtlMillis", });
     internal_static_hickoryspar_EndpointSpread_descriptor =
-      getDescriptor().getMessageType(27);
+      getDescriptor().getMessageType(28);
     internal_static_hickoryspar_EndpointSpread_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_EndpointSpread_descriptor,
         new java.lang.String[] { "Endpoints", });
     internal_static_hickoryspar_EndpointDigest_descriptor =
-      getDescriptor().getMessageType(28);
+      getDescriptor().getMessageType(29);
     internal_static_hickoryspar_EndpointDigest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_EndpointDigest_descriptor,
         new java.lang.String[] { "Versions", });
     internal_static_hickoryspar_EndpointVersion_descriptor =
-      getDescriptor().getMessageType(29);
+      getDescriptor().getMessageType(30);
     internal_static_hickoryspar_EndpointVersion_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_EndpointVersion_descriptor,
         new java.lang.String[] { "MinionId", "Incarnation", "Sequence", "Leaving", });
     internal_static_hickoryspar_ConfigWatch_descriptor =
-      getDescriptor().getMessageType(30);
+      getDescriptor().getMessageType(31);
     internal_static_hickoryspar_ConfigWatch_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_ConfigWatch_descriptor,
         new java.lang.String[] { "EntryInstance", "VersionInForce", });
     internal_static_hickoryspar_ConfigUpdate_descriptor =
-      getDescriptor().getMessageType(31);
+      getDescriptor().getMessageType(32);
     internal_static_hickoryspar_ConfigUpdate_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_ConfigUpdate_descriptor,
         new java.lang.String[] { "Version", "LeaseMillis", "FullDocumentJson", "Deltas", });
     internal_static_hickoryspar_FleetDelta_descriptor =
-      getDescriptor().getMessageType(32);
+      getDescriptor().getMessageType(33);
     internal_static_hickoryspar_FleetDelta_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_FleetDelta_descriptor,
         new java.lang.String[] { "Version", "MergePatchJson", });
     internal_static_hickoryspar_OperatorCall_descriptor =
-      getDescriptor().getMessageType(33);
+      getDescriptor().getMessageType(34);
     internal_static_hickoryspar_OperatorCall_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_OperatorCall_descriptor,
         new java.lang.String[] { "Kind", "Owner", "ChangeId", "BaseVersion", "BodyJson", });
     internal_static_hickoryspar_OperatorResult_descriptor =
-      getDescriptor().getMessageType(34);
+      getDescriptor().getMessageType(35);
     internal_static_hickoryspar_OperatorResult_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_OperatorResult_descriptor,
         new java.lang.String[] { "HttpStatus", "BodyJson", });
     internal_static_hickoryspar_JobCall_descriptor =
-      getDescriptor().getMessageType(35);
+      getDescriptor().getMessageType(36);
     internal_static_hickoryspar_JobCall_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_JobCall_descriptor,
         new java.lang.String[] { "Kind", "Team", "IdempotencyKey", "JobId", "BodyJson", });
     internal_static_hickoryspar_JobResult_descriptor =
-      getDescriptor().getMessageType(36);
+      getDescriptor().getMessageType(37);
     internal_static_hickoryspar_JobResult_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_JobResult_descriptor,
         new java.lang.String[] { "HttpStatus", "BodyJson", });
     internal_static_hickoryspar_Command_descriptor =
-      getDescriptor().getMessageType(37);
+      getDescriptor().getMessageType(38);
     internal_static_hickoryspar_Command_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_Command_descriptor,
-        new java.lang.String[] { "TimeMillis", "FleetChange", "Claims", "Outcomes", "SubmitJob", "CancelJob", "GangPlacement", "GangStep", "Inventory", "EntryLost", "Kind", });
+        new java.lang.String[] { "TimeMillis", "FleetChange", "Claims", "Outcomes", "SubmitJob", "CancelJob", "GangPlacement", "GangStep", "Inventory", "EntryLost", "CatalogChange", "DataCentreSwitch", "Workflows", "Kind", });
     internal_static_hickoryspar_FleetChange_descriptor =
-      getDescriptor().getMessageType(38);
+      getDescriptor().getMessageType(39);
     internal_static_hickoryspar_FleetChange_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_FleetChange_descriptor,
         new java.lang.String[] { "ChangeId", "Owner", "Reason", "BaseVersion", "MergePatchJson", "Summary", });
     internal_static_hickoryspar_JobSpec_descriptor =
-      getDescriptor().getMessageType(39);
+      getDescriptor().getMessageType(40);
     internal_static_hickoryspar_JobSpec_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_JobSpec_descriptor,
         new java.lang.String[] { "Name", "Team", "Kind", "Tasks", "PerTask", "Adjacency", "Urgent", "DeclaredRunMillis", "Preemptible", });
     internal_static_hickoryspar_Shape_descriptor =
-      getDescriptor().getMessageType(40);
+      getDescriptor().getMessageType(41);
     internal_static_hickoryspar_Shape_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_Shape_descriptor,
         new java.lang.String[] { "Cores", "MemoryMegabytes", "Accelerators", });
     internal_static_hickoryspar_SubmitJob_descriptor =
-      getDescriptor().getMessageType(41);
+      getDescriptor().getMessageType(42);
     internal_static_hickoryspar_SubmitJob_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_SubmitJob_descriptor,
         new java.lang.String[] { "JobId", "IdempotencyKey", "Spec", });
     internal_static_hickoryspar_CancelJob_descriptor =
-      getDescriptor().getMessageType(42);
+      getDescriptor().getMessageType(43);
     internal_static_hickoryspar_CancelJob_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_CancelJob_descriptor,
         new java.lang.String[] { "JobId", "Team", });
     internal_static_hickoryspar_TaskPlacement_descriptor =
-      getDescriptor().getMessageType(43);
+      getDescriptor().getMessageType(44);
     internal_static_hickoryspar_TaskPlacement_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_TaskPlacement_descriptor,
         new java.lang.String[] { "Task", "Worker", "LeaseId", });
     internal_static_hickoryspar_GangPlacement_descriptor =
-      getDescriptor().getMessageType(44);
+      getDescriptor().getMessageType(45);
     internal_static_hickoryspar_GangPlacement_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_GangPlacement_descriptor,
         new java.lang.String[] { "JobId", "Attempt", "Placements", "PreemptedJobs", });
     internal_static_hickoryspar_GangStep_descriptor =
-      getDescriptor().getMessageType(45);
+      getDescriptor().getMessageType(46);
     internal_static_hickoryspar_GangStep_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_GangStep_descriptor,
         new java.lang.String[] { "JobId", "Attempt", "Phase", "Result", "Detail", "Then", "FaultyWorkers", });
     internal_static_hickoryspar_WorkerInfo_descriptor =
-      getDescriptor().getMessageType(46);
+      getDescriptor().getMessageType(47);
     internal_static_hickoryspar_WorkerInfo_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_WorkerInfo_descriptor,
         new java.lang.String[] { "Id", "Rack", "DataCentre", "Capacity", "Silent", });
     internal_static_hickoryspar_InventoryUpdate_descriptor =
-      getDescriptor().getMessageType(47);
+      getDescriptor().getMessageType(48);
     internal_static_hickoryspar_InventoryUpdate_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_InventoryUpdate_descriptor,
         new java.lang.String[] { "Upserts", "Removed", });
     internal_static_hickoryspar_EntryLost_descriptor =
-      getDescriptor().getMessageType(48);
+      getDescriptor().getMessageType(49);
     internal_static_hickoryspar_EntryLost_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_EntryLost_descriptor,
         new java.lang.String[] { "EntryInstance", "EntryIncarnation", });
     internal_static_hickoryspar_ControlSnapshot_descriptor =
-      getDescriptor().getMessageType(49);
+      getDescriptor().getMessageType(50);
     internal_static_hickoryspar_ControlSnapshot_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_ControlSnapshot_descriptor,
-        new java.lang.String[] { "TimeMillis", "FleetVersion", "FleetDocumentJson", "History", "Claims", "Jobs", "Workers", "Changes", "LostEntries", });
+        new java.lang.String[] { "TimeMillis", "FleetVersion", "FleetDocumentJson", "History", "Claims", "Jobs", "Workers", "Changes", "LostEntries", "Catalog", "DataCentresOut", "Workflows", });
     internal_static_hickoryspar_FleetHistoryEntry_descriptor =
-      getDescriptor().getMessageType(50);
+      getDescriptor().getMessageType(51);
     internal_static_hickoryspar_FleetHistoryEntry_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_FleetHistoryEntry_descriptor,
         new java.lang.String[] { "Version", "Change", "TimeMillis", });
     internal_static_hickoryspar_ClaimRecord_descriptor =
-      getDescriptor().getMessageType(51);
+      getDescriptor().getMessageType(52);
     internal_static_hickoryspar_ClaimRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_ClaimRecord_descriptor,
         new java.lang.String[] { "Team", "Key", "Fingerprint", "EntryInstance", "EntryIncarnation", "TimeMillis", "Outcome", "ClaimId", });
     internal_static_hickoryspar_ChangeRecord_descriptor =
-      getDescriptor().getMessageType(52);
+      getDescriptor().getMessageType(53);
     internal_static_hickoryspar_ChangeRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_ChangeRecord_descriptor,
         new java.lang.String[] { "ChangeId", "Version", });
     internal_static_hickoryspar_JobRecord_descriptor =
-      getDescriptor().getMessageType(53);
+      getDescriptor().getMessageType(54);
     internal_static_hickoryspar_JobRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_JobRecord_descriptor,
         new java.lang.String[] { "JobId", "IdempotencyKey", "Spec", "SubmittedMillis", "Phase", "Attempt", "Placements", "Result", "Detail", "PhaseSinceMillis", "Then", "CancelRequested", "FaultyWorkers", });
+    internal_static_hickoryspar_ControlDirectory_descriptor =
+      getDescriptor().getMessageType(55);
+    internal_static_hickoryspar_ControlDirectory_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_hickoryspar_ControlDirectory_descriptor,
+        new java.lang.String[] { "ControlAddresses", "LeaderInstance", "Term", });
+    internal_static_hickoryspar_Catalog_descriptor =
+      getDescriptor().getMessageType(56);
+    internal_static_hickoryspar_Catalog_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_hickoryspar_Catalog_descriptor,
+        new java.lang.String[] { "Version", "Queues", "Services", "Teams", });
+    internal_static_hickoryspar_Queue_descriptor =
+      getDescriptor().getMessageType(57);
+    internal_static_hickoryspar_Queue_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_hickoryspar_Queue_descriptor,
+        new java.lang.String[] { "Name", "Host", "PathPrefix", "Service", "Priority", "MaxAttempts", "Stretch", "TargetCompletionMillis", "Open", "TimeoutMillis", "Advice", });
+    internal_static_hickoryspar_AdvicePolicy_descriptor =
+      getDescriptor().getMessageType(58);
+    internal_static_hickoryspar_AdvicePolicy_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_hickoryspar_AdvicePolicy_descriptor,
+        new java.lang.String[] { "DecisionMillis", "PerMinionMillis", "ValidityMillis", });
+    internal_static_hickoryspar_ServicePolicy_descriptor =
+      getDescriptor().getMessageType(59);
+    internal_static_hickoryspar_ServicePolicy_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_hickoryspar_ServicePolicy_descriptor,
+        new java.lang.String[] { "Name", "AdmissionCheck", "Standby", "HealthPath", });
+    internal_static_hickoryspar_TeamEntitlement_descriptor =
+      getDescriptor().getMessageType(60);
+    internal_static_hickoryspar_TeamEntitlement_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_hickoryspar_TeamEntitlement_descriptor,
+        new java.lang.String[] { "Name", "Keys", "GuaranteedAccelerators", });
+    internal_static_hickoryspar_CatalogChange_descriptor =
+      getDescriptor().getMessageType(61);
+    internal_static_hickoryspar_CatalogChange_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_hickoryspar_CatalogChange_descriptor,
+        new java.lang.String[] { "Catalog", "Document", });
+    internal_static_hickoryspar_DataCentreSwitch_descriptor =
+      getDescriptor().getMessageType(62);
+    internal_static_hickoryspar_DataCentreSwitch_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_hickoryspar_DataCentreSwitch_descriptor,
+        new java.lang.String[] { "DataCentre", "Out", });
+    internal_static_hickoryspar_CatalogCall_descriptor =
+      getDescriptor().getMessageType(63);
+    internal_static_hickoryspar_CatalogCall_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_hickoryspar_CatalogCall_descriptor,
+        new java.lang.String[] { "Put", "Get", "DataCentre", "Kind", });
+    internal_static_hickoryspar_CatalogReply_descriptor =
+      getDescriptor().getMessageType(64);
+    internal_static_hickoryspar_CatalogReply_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_hickoryspar_CatalogReply_descriptor,
+        new java.lang.String[] { "Version", "Document", });
+    internal_static_hickoryspar_TaskDemand_descriptor =
+      getDescriptor().getMessageType(65);
+    internal_static_hickoryspar_TaskDemand_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_hickoryspar_TaskDemand_descriptor,
+        new java.lang.String[] { "CpuMillicores", "MemoryMegabytes", "Accelerators", });
+    internal_static_hickoryspar_WorkflowStep_descriptor =
+      getDescriptor().getMessageType(66);
+    internal_static_hickoryspar_WorkflowStep_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_hickoryspar_WorkflowStep_descriptor,
+        new java.lang.String[] { "Tasks", "Demand", "EstimatedMillis", "DependsOn", "Checkpointing", "Gang", "SameRack", "RequiredLabel", "DataRack", "MaxTasksPerMinion", "Speculative", "LongRunning", "Image", "ResponseTargetMillis", "Fills", "MaxUnavailable", });
+    internal_static_hickoryspar_WorkflowSpec_descriptor =
+      getDescriptor().getMessageType(67);
+    internal_static_hickoryspar_WorkflowSpec_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_hickoryspar_WorkflowSpec_descriptor,
+        new java.lang.String[] { "Payload", "Steps", "Occurrences", "FirstDueMillis", "IntervalMillis", });
+    internal_static_hickoryspar_WorkflowCall_descriptor =
+      getDescriptor().getMessageType(68);
+    internal_static_hickoryspar_WorkflowCall_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_hickoryspar_WorkflowCall_descriptor,
+        new java.lang.String[] { "Host", "Path", "TeamKey", "Submit", "Status", "Cancel", "Kind", });
+    internal_static_hickoryspar_WorkflowReply_descriptor =
+      getDescriptor().getMessageType(69);
+    internal_static_hickoryspar_WorkflowReply_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_hickoryspar_WorkflowReply_descriptor,
+        new java.lang.String[] { "Outcome", "State", "Pending", "RetryAfterMillis", "Reason", "CountsPending", });
+    internal_static_hickoryspar_WorkflowBatch_descriptor =
+      getDescriptor().getMessageType(70);
+    internal_static_hickoryspar_WorkflowBatch_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_hickoryspar_WorkflowBatch_descriptor,
+        new java.lang.String[] { "Events", "DispatchNumber", });
+    internal_static_hickoryspar_WorkflowEvent_descriptor =
+      getDescriptor().getMessageType(71);
+    internal_static_hickoryspar_WorkflowEvent_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_hickoryspar_WorkflowEvent_descriptor,
+        new java.lang.String[] { "Submit", "Cancel", "RunStart", "RunEnd", "Forget", "Kind", });
+    internal_static_hickoryspar_SubmitWorkflow_descriptor =
+      getDescriptor().getMessageType(72);
+    internal_static_hickoryspar_SubmitWorkflow_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_hickoryspar_SubmitWorkflow_descriptor,
+        new java.lang.String[] { "WorkflowId", "Team", "Queue", "Spec", });
+    internal_static_hickoryspar_CancelWorkflow_descriptor =
+      getDescriptor().getMessageType(73);
+    internal_static_hickoryspar_CancelWorkflow_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_hickoryspar_CancelWorkflow_descriptor,
+        new java.lang.String[] { "WorkflowId", });
+    internal_static_hickoryspar_ForgetWorkflow_descriptor =
+      getDescriptor().getMessageType(74);
+    internal_static_hickoryspar_ForgetWorkflow_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_hickoryspar_ForgetWorkflow_descriptor,
+        new java.lang.String[] { "WorkflowId", });
+    internal_static_hickoryspar_MinionLife_descriptor =
+      getDescriptor().getMessageType(75);
+    internal_static_hickoryspar_MinionLife_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_hickoryspar_MinionLife_descriptor,
+        new java.lang.String[] { "MinionId", "BornMillis", });
+    internal_static_hickoryspar_RunStart_descriptor =
+      getDescriptor().getMessageType(76);
+    internal_static_hickoryspar_RunStart_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_hickoryspar_RunStart_descriptor,
+        new java.lang.String[] { "WorkflowId", "Occurrence", "Step", "FirstTask", "Run", "Minions", });
+    internal_static_hickoryspar_RunEnd_descriptor =
+      getDescriptor().getMessageType(77);
+    internal_static_hickoryspar_RunEnd_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_hickoryspar_RunEnd_descriptor,
+        new java.lang.String[] { "WorkflowId", "Occurrence", "Step", "Task", "Run", "Cause", "Checkpoint", });
+    internal_static_hickoryspar_WorkflowRecord_descriptor =
+      getDescriptor().getMessageType(78);
+    internal_static_hickoryspar_WorkflowRecord_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_hickoryspar_WorkflowRecord_descriptor,
+        new java.lang.String[] { "Submission", "AcceptedMillis", "EndedMillis", "Cancelled", "Started", "Occurrences", "CompletedOccurrences", });
+    internal_static_hickoryspar_OccurrenceRecord_descriptor =
+      getDescriptor().getMessageType(79);
+    internal_static_hickoryspar_OccurrenceRecord_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_hickoryspar_OccurrenceRecord_descriptor,
+        new java.lang.String[] { "Occurrence", "Steps", });
+    internal_static_hickoryspar_StepRecord_descriptor =
+      getDescriptor().getMessageType(80);
+    internal_static_hickoryspar_StepRecord_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_hickoryspar_StepRecord_descriptor,
+        new java.lang.String[] { "Groups", });
+    internal_static_hickoryspar_GroupRecord_descriptor =
+      getDescriptor().getMessageType(81);
+    internal_static_hickoryspar_GroupRecord_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_hickoryspar_GroupRecord_descriptor,
+        new java.lang.String[] { "LastRun", "Failures", "Done", "Checkpoint", "Active", });
+    internal_static_hickoryspar_RunRecord_descriptor =
+      getDescriptor().getMessageType(82);
+    internal_static_hickoryspar_RunRecord_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_hickoryspar_RunRecord_descriptor,
+        new java.lang.String[] { "Run", "Minions", "Ends", });
+    internal_static_hickoryspar_MinionReport_descriptor =
+      getDescriptor().getMessageType(83);
+    internal_static_hickoryspar_MinionReport_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_hickoryspar_MinionReport_descriptor,
+        new java.lang.String[] { "Life", "Sequence", "Service", "Address", "DataCentre", "Draining", "Leaving", "Capacity", "Labels", "ColdRemainingMillis", "DrainRemainingMillis", "ClockMillis", "AgeMillis", "Machine", "Version", "Rack", });
+    internal_static_hickoryspar_MinionReports_descriptor =
+      getDescriptor().getMessageType(84);
+    internal_static_hickoryspar_MinionReports_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_hickoryspar_MinionReports_descriptor,
+        new java.lang.String[] { "Reports", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
