Take over starts that an earlier dispatcher of the same term proposed

Cause: a stop was sent to a minion whose address was not known yet; the exception ended the dispatcher, and the next one did not know the starts that the ended one had proposed but that were applied after its copy of the state. Excluded: the copy itself, which is taken under the lock of the state.

Change: orders wait until the address is known; a start that is applied and not known is taken over like one of an earlier leader.

--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Dispatcher.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Dispatcher.java
@@ -194,7 +194,7 @@
       long wallMillis) {
     table.apply(requireNonNull(batch, "batch is null"), timeMillis);
     for (int i = 0; i < batch.getEventsCount(); i++) {
-      applied(batch.getEvents(i), problems.get(i), wallMillis);
+      applied(batch.getEvents(i), problems.get(i), nowMillis, wallMillis);
     }
     if (batch.getDispatchNumber() > 0) {
       leases.recorded(batch.getDispatchNumber());
@@ -202,7 +202,8 @@
     planDue = true;
   }
 
-  private void applied(WorkflowEvent event, Optional<Problem> problem, long wallMillis) {
+  private void applied(
+      WorkflowEvent event, Optional<Problem> problem, long nowMillis, long wallMillis) {
     switch (event.getKindCase()) {
       case SUBMIT -> refresh(event.getSubmit().getWorkflowId(), wallMillis);
       case CANCEL -> {
@@ -210,7 +211,7 @@
         refresh(event.getCancel().getWorkflowId(), wallMillis);
       }
       case RUN_START -> {
-        startApplied(event.getRunStart(), problem);
+        startApplied(event.getRunStart(), problem, nowMillis);
         refresh(event.getRunStart().getWorkflowId(), wallMillis);
       }
       case RUN_END -> {
@@ -224,12 +225,13 @@
     }
   }
 
-  private void startApplied(RunStart start, Optional<Problem> problem) {
+  private void startApplied(RunStart start, Optional<Problem> problem, long nowMillis) {
     ActiveRun run = runs.find(start);
     if (run == null) {
-      return;
-    }
-    if (problem.isPresent()) {
+      if (problem.isEmpty()) {
+        takeOver(start, nowMillis);
+      }
+    } else if (problem.isPresent()) {
       listener.happened(
           DispatchEventKind.RUN_REFUSED,
           run.taskRun(0).toString(),
@@ -244,6 +246,14 @@
     }
   }
 
+  // An earlier dispatcher of this term proposed the start before it was given up.
+  private void takeOver(RunStart start, long nowMillis) {
+    RunRecovery recovery = new RunRecovery(minions, runs, nowMillis);
+    table
+        .find(start.getWorkflowId())
+        .ifPresent(workflow -> recovery.recover(workflow, start));
+  }
+
   private void endApplied(RunEnd end) {
     table
         .find(end.getWorkflowId())
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Leases.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Leases.java
@@ -47,7 +47,7 @@
   /** Sends the renewals that are due and gives up on members whose lease has surely ended. */
   void advance(long nowMillis) {
     for (Minion minion : new ArrayList<>(minions.all())) {
-      if (minion.lease().isDue(nowMillis) && !minion.report().getAddress().isEmpty()) {
+      if (minion.lease().isDue(nowMillis) && minion.isAddressKnown()) {
         renew(minion, nowMillis);
       }
       if (!minion.isIdle() && isOver(minion, nowMillis)) {
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Minion.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Minion.java
@@ -76,6 +76,11 @@
     return new MinionTarget(report.getLife(), report.getAddress());
   }
 
+  /** Returns whether the minion can be called; one that is known from records only cannot. */
+  boolean isAddressKnown() {
+    return !report.getAddress().isEmpty();
+  }
+
   MinionReport report() {
     return report;
   }
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/TaskOrders.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/TaskOrders.java
@@ -28,7 +28,7 @@
   void advance(long nowMillis) {
     for (ActiveRun run : java.util.List.copyOf(runs.runs())) {
       for (Member member : run.members()) {
-        if (!member.isEnded() && member.isRecorded()) {
+        if (!member.isEnded() && member.isRecorded() && member.minion().isAddressKnown()) {
           advance(member, nowMillis);
         }
       }
