Keep runs of earlier leaders and lives until their minion tells what became of them

Change: the cancel looks at whether the minion confirmed the run; a new life inherits the members of the earlier one and its next answer decides; starts without answer are stopped in the new life before they can arrive; a minion with tasks that no record explains takes no work. hickoryspar-bench workflows plays loads on simulated minions under a virtual clock with nine kinds of faults and checks each start; WorkflowRulesTest runs a part of it.

--- a/hickoryspar-bench/src/main/java/org/hickoryspar/bench/Command.java
+++ b/hickoryspar-bench/src/main/java/org/hickoryspar/bench/Command.java
@@ -1,7 +1,7 @@
 package org.hickoryspar.bench;
 
 /** A sub-command whose options args4j has set. */
-interface Command {
+public interface Command {
 
   /**
    * Runs the command.
--- a/hickoryspar-bench/src/main/java/org/hickoryspar/bench/Main.java
+++ b/hickoryspar-bench/src/main/java/org/hickoryspar/bench/Main.java
@@ -1,5 +1,6 @@
 package org.hickoryspar.bench;
 
+import org.hickoryspar.bench.workflow.WorkflowsCommand;
 import org.jspecify.annotations.Nullable;
 import org.kohsuke.args4j.Argument;
 import org.kohsuke.args4j.CmdLineException;
@@ -14,7 +15,7 @@
   @Argument(
       required = true,
       metaVar = "COMMAND",
-      usage = "compare | slopes | messages | resident | jmh",
+      usage = "compare | slopes | decisions | messages | resident | jmh | workflows",
       handler = SubCommandHandler.class)
   @SubCommands({
     @SubCommand(name = "compare", impl = CompareCommand.class),
@@ -22,7 +23,8 @@
     @SubCommand(name = "decisions", impl = DecisionsCommand.class),
     @SubCommand(name = "messages", impl = MessagesCommand.class),
     @SubCommand(name = "resident", impl = ResidentCommand.class),
-    @SubCommand(name = "jmh", impl = JmhCommand.class)
+    @SubCommand(name = "jmh", impl = JmhCommand.class),
+    @SubCommand(name = "workflows", impl = WorkflowsCommand.class)
   })
   private @Nullable Command command;
 
--- /dev/null
+++ b/hickoryspar-bench/src/main/java/org/hickoryspar/bench/workflow/SimulatedLeader.java
@@ -0,0 +1,220 @@
+package org.hickoryspar.bench.workflow;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.hickoryspar.kernel.catalog.CatalogState;
+import org.hickoryspar.kernel.dispatch.DispatchListener;
+import org.hickoryspar.kernel.dispatch.DispatchSettings;
+import org.hickoryspar.kernel.dispatch.Dispatcher;
+import org.hickoryspar.kernel.dispatch.Order;
+import org.hickoryspar.kernel.dispatch.OrderOutcome;
+import org.hickoryspar.kernel.dispatch.RenewAnswer;
+import org.hickoryspar.kernel.dispatch.TaskRun;
+import org.hickoryspar.kernel.value.Problem;
+import org.hickoryspar.kernel.workflow.WorkflowTable;
+import org.hickoryspar.protocol.MinionLife;
+import org.hickoryspar.protocol.RunEnd;
+import org.hickoryspar.protocol.WorkflowBatch;
+import org.hickoryspar.protocol.WorkflowRecord;
+
+/** A term of leadership: a dispatcher, its token, and the way of its orders to the minions. */
+final class SimulatedLeader {
+
+  private static final long ANSWER_LIMIT_MILLIS = 600;
+
+  private final long term;
+  private final Dispatcher dispatcher;
+  private final Network network;
+  private final Map<String, SimulatedMinion> minions;
+  private final EndObserver onEnds;
+  private boolean active = true;
+  private long decisionNanos;
+  private long decisions;
+  private long maxDecisionNanos;
+
+  /** Is told of the ends that a leader learns of. */
+  interface EndObserver {
+    void noted(TaskRun taskRun, RunEnd.Cause cause);
+  }
+
+  SimulatedLeader(
+      long term,
+      DispatchSettings settings,
+      CatalogState catalog,
+      List<WorkflowRecord> records,
+      DispatchListener listener,
+      Network network,
+      Map<String, SimulatedMinion> minions,
+      EndObserver onEnds,
+      long nowMillis) {
+    this.term = term;
+    this.network = network;
+    this.minions = minions;
+    this.onEnds = onEnds;
+    WorkflowTable table = new WorkflowTable();
+    table.restore(records);
+    this.dispatcher = new Dispatcher(settings, catalog, table, listener, nowMillis, nowMillis);
+  }
+
+  Dispatcher dispatcher() {
+    return dispatcher;
+  }
+
+  long decisions() {
+    return decisions;
+  }
+
+  long decisionNanos() {
+    return decisionNanos;
+  }
+
+  long maxDecisionNanos() {
+    return maxDecisionNanos;
+  }
+
+  /** Ends the term: nothing is sent or taken in any more. */
+  void depose() {
+    active = false;
+  }
+
+  void applied(WorkflowBatch batch, List<Optional<Problem>> problems, long nowMillis) {
+    if (active) {
+      dispatcher.applied(batch, problems, nowMillis, nowMillis, nowMillis);
+    }
+  }
+
+  /** Decides and sends; returns what is proposed. */
+  WorkflowBatch advance(long nowMillis) {
+    long startNanos = System.nanoTime();
+    dispatcher.advance(nowMillis, nowMillis);
+    WorkflowBatch proposals = dispatcher.takeProposals();
+    long nanos = System.nanoTime() - startNanos;
+    decisionNanos += nanos;
+    maxDecisionNanos = Math.max(maxDecisionNanos, nanos);
+    decisions++;
+    dispatcher.takeOrders().forEach(order -> send(order, nowMillis));
+    return proposals;
+  }
+
+  private void send(Order order, long nowMillis) {
+    SimulatedMinion minion =
+        requireNonNull(minions.get(order.target().life().getMinionId()), "no such minion");
+    if (network.isLate() && !(order instanceof Order.Renew)) {
+      long lateMillis = nowMillis + network.lateMillis();
+      MinionLife life = minion.life();
+      network.at(
+          lateMillis,
+          () -> {
+            // An order that waits inside a minion ends with it.
+            if (minion.life().equals(life)) {
+              carryOut(minion, order, lateMillis);
+            }
+          });
+      answer(order, OrderOutcome.UNKNOWN, nowMillis + ANSWER_LIMIT_MILLIS);
+      return;
+    }
+    long arriveMillis = nowMillis + network.delayMillis();
+    network.at(arriveMillis, () -> arrive(minion, order, nowMillis, arriveMillis));
+  }
+
+  private void arrive(SimulatedMinion minion, Order order, long sentMillis, long nowMillis) {
+    if (!minion.isUp() || network.isCut(minion, nowMillis)) {
+      fail(order, sentMillis);
+    } else if (order instanceof Order.Renew renew) {
+      arrive(minion, renew, sentMillis, nowMillis);
+    } else {
+      OrderOutcome outcome = carryOut(minion, order, nowMillis);
+      if (network.losesAnswer()) {
+        fail(order, sentMillis);
+      } else {
+        answer(order, outcome, nowMillis + network.delayMillis());
+      }
+    }
+  }
+
+  private void fail(Order order, long sentMillis) {
+    long waitMillis = order instanceof Order.Renew renew ? renew.waitMillis() : 0;
+    long atMillis = sentMillis + waitMillis + ANSWER_LIMIT_MILLIS;
+    if (order instanceof Order.Renew renew) {
+      MinionLife life = renew.target().life();
+      network.at(
+          atMillis,
+          () -> {
+            if (active) {
+              dispatcher.renewalFailed(life, OrderOutcome.UNKNOWN, atMillis);
+            }
+          });
+    } else {
+      answer(order, OrderOutcome.UNKNOWN, atMillis);
+    }
+  }
+
+  private OrderOutcome carryOut(SimulatedMinion minion, Order order, long nowMillis) {
+    if (!minion.isUp()) {
+      return OrderOutcome.UNKNOWN;
+    }
+    return order instanceof Order.Start start
+        ? minion.start(start, term, nowMillis)
+        : minion.stop(((Order.Stop) order).taskRun(), term, nowMillis);
+  }
+
+  private void answer(Order order, OrderOutcome outcome, long atMillis) {
+    network.at(
+        atMillis,
+        () -> {
+          if (!active) {
+            return;
+          }
+          if (order instanceof Order.Start start) {
+            dispatcher.startAnswered(start.taskRun(), outcome, atMillis);
+          } else if (order instanceof Order.Stop stop) {
+            dispatcher.stopAnswered(stop.taskRun(), outcome, atMillis);
+          }
+        });
+  }
+
+  private void arrive(SimulatedMinion minion, Order.Renew renew, long sentMillis, long nowMillis) {
+    if (!minion.accepts(term)) {
+      network.at(
+          nowMillis + network.delayMillis(),
+          () -> {
+            if (active) {
+              dispatcher.renewalFailed(renew.target().life(), OrderOutcome.FENCED, nowMillis);
+            }
+          });
+      return;
+    }
+    minion.renew(renew, term, nowMillis);
+    await(minion, renew, sentMillis, nowMillis, nowMillis + renew.waitMillis());
+  }
+
+  // The minion holds the answer back for an end.
+  private void await(
+      SimulatedMinion minion,
+      Order.Renew renew,
+      long sentMillis,
+      long nowMillis,
+      long untilMillis) {
+    if (!minion.isUp() || network.isCut(minion, nowMillis)) {
+      fail(renew, sentMillis);
+      return;
+    }
+    if (!minion.hasEnds() && nowMillis < untilMillis) {
+      network.at(nowMillis + 1, () -> await(minion, renew, sentMillis, nowMillis + 1, untilMillis));
+      return;
+    }
+    RenewAnswer answer = minion.answer(nowMillis);
+    long atMillis = nowMillis + network.delayMillis();
+    network.at(
+        atMillis,
+        () -> {
+          if (active) {
+            answer.ended().forEach(end -> onEnds.noted(end.taskRun(), end.cause()));
+            dispatcher.renewed(renew.target().life(), answer, atMillis);
+          }
+        });
+  }
+}
--- /dev/null
+++ b/hickoryspar-bench/src/main/java/org/hickoryspar/bench/workflow/WorkflowDeployment.java
@@ -0,0 +1,124 @@
+package org.hickoryspar.bench.workflow;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.io.InputStream;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.hickoryspar.kernel.catalog.CatalogState;
+import org.hickoryspar.kernel.dispatch.DispatchSettings;
+import org.hickoryspar.protocol.Catalog;
+import org.hickoryspar.protocol.CatalogChange;
+import org.hickoryspar.protocol.ServicePolicy;
+import org.hickoryspar.protocol.TaskDemand;
+import org.hickoryspar.protocol.TeamEntitlement;
+
+/**
+ * A fleet and the kinds of workflows that it is given.
+ *
+ * @param name name of the deployment
+ * @param minionCount number of minions
+ * @param minionsPerRack minions in a rack
+ * @param cpuMillicores processor of a minion
+ * @param memoryMegabytes memory of a minion
+ * @param teams number of teams
+ * @param guaranteedShare share of the accelerators that is guaranteed, over all teams
+ * @param kinds kinds of workflows
+ */
+record WorkflowDeployment(
+    String name,
+    int minionCount,
+    int minionsPerRack,
+    long cpuMillicores,
+    long memoryMegabytes,
+    int teams,
+    double guaranteedShare,
+    List<WorkflowClass> kinds) {
+
+  private static final int ACCELERATORS = 8;
+  private static final int DATA_CENTRES = 3;
+
+  WorkflowDeployment {
+    kinds = List.copyOf(kinds);
+  }
+
+  /**
+   * Reads a deployment from the resources of this package.
+   *
+   * @throws IllegalArgumentException if there is none of this name
+   */
+  static WorkflowDeployment named(String name) {
+    try (InputStream file = WorkflowDeployment.class.getResourceAsStream(name + ".json")) {
+      if (file == null) {
+        throw new IllegalArgumentException("no deployment \"" + name + '"');
+      }
+      return new ObjectMapper().readValue(file, WorkflowDeployment.class);
+    } catch (IOException e) {
+      throw new IllegalArgumentException("deployment \"" + name + "\" cannot be read", e);
+    }
+  }
+
+  /** Returns the same kinds on a fleet that is larger by a factor, with more work to match. */
+  WorkflowDeployment times(double factor) {
+    return new WorkflowDeployment(
+        name,
+        (int) (minionCount * factor),
+        minionsPerRack,
+        cpuMillicores,
+        memoryMegabytes,
+        teams,
+        guaranteedShare,
+        kinds.stream().map(kind -> kind.times(factor)).toList());
+  }
+
+  /** Returns the settings of the dispatcher. */
+  static DispatchSettings settings() {
+    return new DispatchSettings(
+        8_500, 10_000, 1_000, 300, 1_500, 400, 3_000, 3, 2_900, 120_000, 100);
+  }
+
+  CatalogState catalog() {
+    Catalog.Builder catalog =
+        Catalog.newBuilder()
+            .setVersion(1)
+            .addServices(ServicePolicy.newBuilder().setName(WorkflowLoad.SERVICE));
+    kinds.forEach(kind -> catalog.addQueues(WorkflowLoad.queue(kind)));
+    int each = (int) (minionCount * ACCELERATORS * guaranteedShare / teams);
+    for (int team = 0; team < teams; team++) {
+      catalog.addTeams(
+          TeamEntitlement.newBuilder()
+              .setName("team-" + team)
+              .addKeys("key-" + team)
+              .setGuaranteedAccelerators(each));
+    }
+    CatalogState state = new CatalogState();
+    state.apply(CatalogChange.newBuilder().setCatalog(catalog).build());
+    return state;
+  }
+
+  void addMinions(
+      Map<String, SimulatedMinion> minions,
+      long nowMillis,
+      SimulatedMinion.StartObserver observer) {
+    Random random = new Random(minionCount);
+    List<SimulatedMinion> added = new ArrayList<>();
+    for (int i = 0; i < minionCount; i++) {
+      added.add(
+          new SimulatedMinion(
+              "minion-" + i,
+              "rack-" + i / minionsPerRack,
+              "dc-" + (i / minionsPerRack) % DATA_CENTRES,
+              TaskDemand.newBuilder()
+                  .setCpuMillicores(cpuMillicores)
+                  .setMemoryMegabytes(memoryMegabytes)
+                  .setAccelerators(ACCELERATORS)
+                  .build(),
+              0.98 + 0.02 * random.nextDouble(),
+              nowMillis - 1_000 - random.nextInt(1_000),
+              observer));
+    }
+    added.forEach(minion -> minions.put(minion.id(), minion));
+  }
+}
--- /dev/null
+++ b/hickoryspar-bench/src/main/java/org/hickoryspar/bench/workflow/WorkflowLoad.java
@@ -0,0 +1,99 @@
+package org.hickoryspar.bench.workflow;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Random;
+import org.hickoryspar.protocol.Queue;
+import org.hickoryspar.protocol.SubmitWorkflow;
+import org.hickoryspar.protocol.TaskDemand;
+import org.hickoryspar.protocol.WorkflowSpec;
+import org.hickoryspar.protocol.WorkflowStep;
+
+/** Generates the workflows of a run from a seed. */
+final class WorkflowLoad {
+
+  static final String SERVICE = "service";
+
+  private final Random random;
+  private final int teams;
+  private long lastId;
+
+  WorkflowLoad(long seed, int teams) {
+    this.random = new Random(seed);
+    this.teams = teams;
+  }
+
+  /** Returns workflows in the order of their submission. */
+  List<SimulatedWorkflow> generate(List<WorkflowClass> kinds, long fromMillis, long toMillis) {
+    List<SimulatedWorkflow> workflows = new ArrayList<>();
+    for (WorkflowClass kind : kinds) {
+      double at = fromMillis;
+      while (true) {
+        at += -Math.log(1 - random.nextDouble()) * 1_000 / kind.perSecond();
+        if (at >= toMillis) {
+          break;
+        }
+        workflows.add(workflow(kind, (long) at));
+      }
+    }
+    workflows.sort(Comparator.comparingLong(SimulatedWorkflow::submittedMillis));
+    return workflows;
+  }
+
+  private SimulatedWorkflow workflow(WorkflowClass kind, long atMillis) {
+    int tasks =
+        (int)
+            Math.max(
+                1,
+                Math.min(
+                    kind.maxTasks(),
+                    Math.round(kind.tasks() * Math.exp(random.nextGaussian() * 0.7 - 0.25))));
+    long work =
+        (long) Math.max(300, kind.workMillis() * Math.exp(random.nextGaussian() * 0.3 - 0.045));
+    int accelerators = kind.accelerators().get(random.nextInt(kind.accelerators().size()));
+    boolean hopeless = random.nextDouble() < kind.hopelessShare();
+    boolean cancelled = random.nextDouble() < kind.cancelShare();
+    WorkflowStep step =
+        WorkflowStep.newBuilder()
+            .setTasks(tasks)
+            .setDemand(
+                TaskDemand.newBuilder()
+                    .setCpuMillicores(kind.cpuMillicores())
+                    .setMemoryMegabytes(kind.memoryMegabytes())
+                    .setAccelerators(accelerators))
+            .setEstimatedMillis((long) (work * (0.5 + random.nextDouble())))
+            .setGang(kind.gang())
+            .setSameRack(kind.gang() && random.nextDouble() < kind.sameRackShare())
+            .setCheckpointing(random.nextDouble() < kind.checkpointShare())
+            .build();
+    SubmitWorkflow submission =
+        SubmitWorkflow.newBuilder()
+            .setWorkflowId(String.format("%016x", ++lastId))
+            .setTeam("team-" + random.nextInt(teams))
+            .setQueue(queue(kind))
+            .setSpec(WorkflowSpec.newBuilder().setPayload("payload").addSteps(step))
+            .build();
+    return new SimulatedWorkflow(
+        kind,
+        submission,
+        atMillis,
+        work,
+        hopeless ? 1 : kind.failureShare(),
+        cancelled ? atMillis + 500 + random.nextInt((int) (3 * work)) : Long.MAX_VALUE);
+  }
+
+  static Queue queue(WorkflowClass kind) {
+    return Queue.newBuilder()
+        .setName(kind.name())
+        .setHost("host")
+        .setPathPrefix('/' + kind.name() + '/')
+        .setService(SERVICE)
+        .setPriority(kind.priority())
+        .setMaxAttempts(kind.maxAttempts())
+        .setStretch(kind.stretch())
+        .setTargetCompletionMillis((long) kind.targetMillis())
+        .setTimeoutMillis(3_000)
+        .build();
+  }
+}
--- /dev/null
+++ b/hickoryspar-bench/src/main/java/org/hickoryspar/bench/workflow/WorkflowsCommand.java
@@ -0,0 +1,101 @@
+package org.hickoryspar.bench.workflow;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.PrintStream;
+import java.util.Arrays;
+import java.util.EnumSet;
+import java.util.Map;
+import java.util.Set;
+import org.hickoryspar.bench.Command;
+import org.hickoryspar.kernel.dispatch.DispatchEventKind;
+import org.jspecify.annotations.Nullable;
+import org.kohsuke.args4j.Option;
+
+/**
+ * Plays loads of workflows on simulated minions and prints, one JSON object a line, what share of
+ * the credit was earned, which promises were broken, and how long decisions took.
+ */
+public final class WorkflowsCommand implements Command {
+
+  private static final long MILLIS_PER_SECOND = 1_000;
+  private static final long DRAIN_MILLIS = 60_000;
+
+  @Option(name = "--deployment", usage = "archive or fountains")
+  private String deployment = "archive";
+
+  @Option(name = "--scale", usage = "size of the fleet and of the load, 1 for 33 minions")
+  private double scale = 1;
+
+  @Option(name = "--load", usage = "factor of the load alone")
+  private double load = 1;
+
+  @Option(name = "--seconds", usage = "how long workflows arrive")
+  private int seconds = 35;
+
+  @Option(name = "--seeds", usage = "number of runs")
+  private int seeds = 5;
+
+  @Option(name = "--first-seed", usage = "seed of the first run")
+  private long firstSeed = 1;
+
+  @Option(name = "--faults", usage = "faults of a run, at random times")
+  private int faults;
+
+  @Option(name = "--fault", usage = "the only kind of fault")
+  private @Nullable Fault fault;
+
+  @Option(name = "--trace", usage = "prints the events whose subject or details contain this")
+  private String trace = "";
+
+  /** Makes the command. */
+  public WorkflowsCommand() {}
+
+  @Override
+  public int run() throws Exception {
+    PrintStream out = System.out;
+    WorkflowDeployment fleet = WorkflowDeployment.named(deployment).times(scale);
+    Set<Fault> kinds = fault == null ? EnumSet.allOf(Fault.class) : EnumSet.of(fault);
+    int broken = 0;
+    double earned = 0;
+    for (long seed = firstSeed; seed < firstSeed + seeds; seed++) {
+      WorkflowExperiment experiment =
+          new WorkflowExperiment(
+              fleet, seed, load, seconds * MILLIS_PER_SECOND, DRAIN_MILLIS, this::print);
+      experiment.schedule(kinds, faults);
+      WorkflowResult result = experiment.play();
+      broken += result.broken().size();
+      earned += result.earnedShare();
+      out.println(line(seed, result));
+    }
+    out.printf("mean earned %.4f, promises broken %d%n", earned / seeds, broken);
+    return broken == 0 ? 0 : 1;
+  }
+
+  private void print(DispatchEventKind kind, String subject, Object... details) {
+    String text = kind + " " + subject + ' ' + Arrays.toString(details);
+    if (!trace.isEmpty() && text.contains(trace)) {
+      System.err.println(text);
+    }
+  }
+
+  private static ObjectNode line(long seed, WorkflowResult result) {
+    ObjectNode line = new ObjectMapper().createObjectNode().put("seed", seed);
+    line.put("earned", round(result.earnedShare()));
+    for (Map.Entry<String, WorkflowResult.KindResult> kind : result.kinds().entrySet()) {
+      line.putObject(kind.getKey())
+          .put("count", kind.getValue().count())
+          .put("inTime", kind.getValue().inTime())
+          .put("late", kind.getValue().late())
+          .put("earned", round(kind.getValue().earnedShare()));
+    }
+    line.put("meanDecisionMicros", result.meanDecisionMicros());
+    line.put("maxDecisionMicros", result.maxDecisionMicros());
+    result.broken().stream().limit(5).forEach(line.withArray("broken")::add);
+    return line;
+  }
+
+  private static double round(double share) {
+    return Math.round(share * 1_000) / 1_000.0;
+  }
+}
--- /dev/null
+++ b/hickoryspar-bench/src/test/java/org/hickoryspar/bench/workflow/WorkflowRulesTest.java
@@ -0,0 +1,53 @@
+package org.hickoryspar.bench.workflow;
+
+import static org.testng.Assert.assertEquals;
+
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.IntStream;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Plays loads with faults on simulated minions and checks each start. */
+public class WorkflowRulesTest {
+
+  private static final int SEEDS = 3;
+
+  @DataProvider
+  Object[][] faults() {
+    return IntStream.range(0, Fault.values().length)
+        .mapToObj(i -> new Object[] {EnumSet.of(Fault.values()[i]), 6})
+        .toArray(Object[][]::new);
+  }
+
+  /** Guards against tasks that run twice, too early, too often or without room. */
+  @Test(dataProvider = "faults")
+  void shouldBreakNoPromiseUnderOneKindOfFault(Set<Fault> kinds, int count) {
+    for (long seed = 1; seed <= SEEDS; seed++) {
+      assertEquals(play(seed, kinds, count).broken(), List.of(), "seed " + seed);
+    }
+  }
+
+  /** Guards against faults that are harmless alone and harmful together. */
+  @Test
+  void shouldBreakNoPromiseUnderManyFaultsAtOnce() {
+    for (long seed = 100; seed < 100 + 4 * SEEDS; seed++) {
+      WorkflowResult result = play(seed, EnumSet.allOf(Fault.class), 12);
+      assertEquals(result.broken(), List.of(), "seed " + seed);
+    }
+  }
+
+  private static WorkflowResult play(long seed, Set<Fault> kinds, int count) {
+    WorkflowExperiment experiment =
+        new WorkflowExperiment(
+            WorkflowDeployment.named("archive"),
+            seed,
+            1,
+            25_000,
+            25_000,
+            (kind, subject, details) -> {});
+    experiment.schedule(kinds, count);
+    return experiment.play();
+  }
+}
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Dispatcher.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Dispatcher.java
@@ -45,6 +45,7 @@
   private final Outbox outbox = new Outbox();
   private final RunEnds ends;
   private final MinionTable minions;
+  private final StopGuards guards;
   private final Leases leases;
   private final TaskOrders orders;
   private final WaitingWork waiting;
@@ -75,7 +76,8 @@
     this.listener = requireNonNull(listener, "listener is null");
     this.ends = new RunEnds(runs, outbox, listener);
     this.minions = new MinionTable(listener, this::newLife);
-    this.leases = new Leases(settings, minions, runs, outbox, ends, listener, nowMillis);
+    this.guards = new StopGuards(settings.answerTimeoutMillis(), outbox);
+    this.leases = new Leases(settings, minions, runs, outbox, ends, guards, listener);
     this.orders = new TaskOrders(settings, runs, outbox, ends, listener);
     this.waiting = new WaitingWork(catalog, runs, settings.earlyStartMillis());
     this.planner = new Planner(catalog, minions, runs);
@@ -169,10 +171,11 @@
     if (member != null && !member.isEnded()) {
       orders.stopAnswered(member, outcome, nowMillis);
     }
+    guards.answered(taskRun, outcome, nowMillis);
   }
 
-  private void newLife(Minion earlier, Minion newLife) {
-    leases.newLife(earlier, newLife);
+  private void newLife(Minion earlier, Minion newLife, long nowMillis) {
+    leases.newLife(earlier, newLife, nowMillis);
   }
 
   // -- what is recorded
@@ -249,9 +252,7 @@
   // An earlier dispatcher of this term proposed the start before it was given up.
   private void takeOver(RunStart start, long nowMillis) {
     RunRecovery recovery = new RunRecovery(minions, runs, nowMillis);
-    table
-        .find(start.getWorkflowId())
-        .ifPresent(workflow -> recovery.recover(workflow, start));
+    table.find(start.getWorkflowId()).ifPresent(workflow -> recovery.recover(workflow, start));
   }
 
   private void endApplied(RunEnd end) {
@@ -312,6 +313,7 @@
       planner.plan(waiting.steps(), placement -> start(placement, nowMillis, wallMillis));
     }
     orders.advance(nowMillis);
+    guards.advance(nowMillis);
     if (nowMillis >= nextSweepMillis) {
       nextSweepMillis = nowMillis + SWEEP_MILLIS;
       sweep(nowMillis, wallMillis);
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/LeaseState.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/LeaseState.java
@@ -8,6 +8,7 @@
 
   private static final long FIRST_BACKOFF_MILLIS = 50;
 
+  private final long sinceMillis;
   private boolean contacted;
   private boolean outstanding;
   private long sentMillis;
@@ -20,10 +21,16 @@
   private boolean awaitingCommit;
 
   LeaseState(long nowMillis) {
+    sinceMillis = nowMillis;
     nextDueMillis = nowMillis;
     answeredMillis = nowMillis;
   }
 
+  /** Returns when the leader first knew of this life of the minion. */
+  long sinceMillis() {
+    return sinceMillis;
+  }
+
   boolean isDue(long nowMillis) {
     return !outstanding && !awaitingCommit && nowMillis >= nextDueMillis;
   }
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Leases.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Leases.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.Map;
-import org.hickoryspar.protocol.RunEnd;
 
 /**
  * Renews the leases of minions and takes in what they answer: what runs, what has ended and what is
@@ -22,8 +21,8 @@
   private final RunTable runs;
   private final Outbox outbox;
   private final RunEnds ends;
+  private final StopGuards guards;
   private final DispatchListener listener;
-  private final long leaderSinceMillis;
   private final Map<TaskRun, Long> strayStops = new HashMap<>();
   private final Map<Minion, Long> awaitedBatches = new HashMap<>();
 
@@ -33,15 +32,15 @@
       RunTable runs,
       Outbox outbox,
       RunEnds ends,
-      DispatchListener listener,
-      long leaderSinceMillis) {
+      StopGuards guards,
+      DispatchListener listener) {
     this.settings = settings;
     this.minions = minions;
     this.runs = runs;
     this.outbox = outbox;
     this.ends = ends;
+    this.guards = guards;
     this.listener = listener;
-    this.leaderSinceMillis = leaderSinceMillis;
   }
 
   /** Sends the renewals that are due and gives up on members whose lease has surely ended. */
@@ -77,7 +76,7 @@
       return false;
     }
     if (!lease.isContacted()) {
-      return nowMillis - leaderSinceMillis > settings.leaseOverMillis();
+      return nowMillis - lease.sinceMillis() > settings.leaseOverMillis();
     }
     return minion.clock().earliest(nowMillis) > lease.grantedUntilMillis();
   }
@@ -111,7 +110,7 @@
     answer.running().forEach(row -> listed.put(row.taskRun(), true));
     answer.ended().forEach(row -> listed.put(row.taskRun(), false));
     noteEnds(minion, answer);
-    answer.running().forEach(row -> noteRunning(minion, row, nowMillis));
+    noteRunning(minion, answer, nowMillis);
     if (answer.ended().size() < MAX_LISTED_ENDS) {
       for (Member member : minion.members()) {
         if (!listed.containsKey(member.taskRun()) && isMissing(member, sentMillis)) {
@@ -150,19 +149,27 @@
     }
   }
 
-  private void noteRunning(Minion minion, RenewAnswer.RunningTask row, long nowMillis) {
-    Member member = runs.find(row.taskRun());
-    if (member != null && member.minion() == minion) {
-      member.confirm(nowMillis);
-      member.progressed(row.percent(), row.checkpoint(), nowMillis);
-      return;
+  private void noteRunning(Minion minion, RenewAnswer answer, long nowMillis) {
+    boolean strays = false;
+    for (RenewAnswer.RunningTask row : answer.running()) {
+      Member member = runs.find(row.taskRun());
+      if (member != null && member.minion() == minion) {
+        member.confirm(nowMillis);
+        member.progressed(row.percent(), row.checkpoint(), nowMillis);
+      } else {
+        strays = true;
+        stopStray(minion, row.taskRun(), nowMillis);
+      }
     }
-    Long sentMillis = strayStops.get(row.taskRun());
+    minion.setRunsStrays(strays);
+  }
+
+  private void stopStray(Minion minion, TaskRun taskRun, long nowMillis) {
+    Long sentMillis = strayStops.get(taskRun);
     if (sentMillis == null || nowMillis - sentMillis > settings.answerTimeoutMillis()) {
-      strayStops.put(row.taskRun(), nowMillis);
-      listener.happened(
-          DispatchEventKind.STRAY_TASK, row.taskRun().toString(), "minion", minion.id());
-      outbox.order(new Order.Stop(minion.target(), row.taskRun()));
+      strayStops.put(taskRun, nowMillis);
+      listener.happened(DispatchEventKind.STRAY_TASK, taskRun.toString(), "minion", minion.id());
+      outbox.order(new Order.Stop(minion.target(), taskRun));
     }
   }
 
@@ -202,28 +209,30 @@
     strayStops.values().removeIf(sentMillis -> nowMillis - sentMillis > settings.leaseOverMillis());
   }
 
-  /** Takes over what the earlier life of a minion ran. */
-  void newLife(Minion earlier, Minion newLife) {
+  /**
+   * Takes over what the earlier life of a minion ran. A start that was sent to the earlier life may
+   * have reached the new one, or may still reach it.
+   */
+  void newLife(Minion earlier, Minion newLife, long nowMillis) {
+    guards.drop(earlier);
+    if (earlier.id().equals(newLife.id())) {
+      for (TaskRun taskRun : earlier.lateStarts().mayArrive(nowMillis)) {
+        guards.add(newLife, taskRun);
+      }
+    }
     for (Member member : earlier.members()) {
-      boolean sameMinion = earlier.id().equals(newLife.id());
-      if (sameMinion && (member.isInherited() || (!member.isConfirmed() && mayArrive(member)))) {
-        // A start that is still under way could take effect in the new life.
+      if (!earlier.id().equals(newLife.id())) {
+        ends.lost(member, "another minion is at its address");
+      } else if (member.isRecorded() && !member.isInherited() && !member.start().wasSent()) {
+        ends.lost(member, "its minion has started again");
+      } else {
         member.moveTo(newLife);
-        if (!member.isInherited()) {
+        if (member.start().mayArrive()) {
           member.wantStop();
+        } else if (member.isRecorded()) {
+          member.inherit();
         }
-      } else {
-        ends.lost(member, "its minion has started again");
       }
     }
   }
-
-  private static boolean mayArrive(Member member) {
-    return !member.isRecorded() || member.start().wasSent();
-  }
-
-  /** Returns the cause that stands for a lost task. */
-  static RunEnd.Cause lostCause() {
-    return RunEnd.Cause.LOST;
-  }
 }
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Member.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Member.java
@@ -73,9 +73,11 @@
     return inherited;
   }
 
+  /** Leaves it to the next answer of the minion whether it runs the task. */
   void inherit() {
     recorded = true;
     inherited = true;
+    confirmedMillis = NEVER_MILLIS;
   }
 
   OrderState start() {
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Minion.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Minion.java
@@ -16,9 +16,11 @@
   private final MinionClock clock = new MinionClock();
   private final Set<Member> members = new LinkedHashSet<>();
   private final LeaseState lease;
+  private final LateStarts lateStarts = new LateStarts();
   private Room capacity;
   private Room used = Room.NONE;
   private boolean provisional;
+  private boolean runsStrays;
   private long leavingSinceMillis = NEVER_MILLIS;
   private long reportedMillis;
 
@@ -93,6 +95,10 @@
     return lease;
   }
 
+  LateStarts lateStarts() {
+    return lateStarts;
+  }
+
   String service() {
     return report.getService();
   }
@@ -124,12 +130,18 @@
   /** Returns whether new work may be placed here as far as the minion itself is concerned. */
   boolean acceptsWork() {
     return !provisional
+        && !runsStrays
         && !report.getDraining()
         && !isLeaving()
         && lease.isContacted()
         && !lease.isSuspect();
   }
 
+  /** Takes note whether tasks run here that hold no room in the records. */
+  void setRunsStrays(boolean strays) {
+    runsStrays = strays;
+  }
+
   Room free() {
     return capacity.minus(used);
   }
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/MinionTable.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/MinionTable.java
@@ -6,7 +6,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.function.BiConsumer;
 import org.hickoryspar.protocol.MinionLife;
 import org.hickoryspar.protocol.MinionReport;
 import org.jspecify.annotations.Nullable;
@@ -14,12 +13,17 @@
 /** The minions that are known, each in its newest life. */
 final class MinionTable {
 
+  /** Is told when a minion has started again, or another one at its address. */
+  interface NewLifeListener {
+    void started(Minion earlier, Minion newLife, long nowMillis);
+  }
+
   /** A minion that neither reports nor answers for this long, and runs nothing, is forgotten. */
   private static final long FORGET_MILLIS = 15_000;
 
   private final Map<String, Minion> byId = new LinkedHashMap<>();
   private final DispatchListener listener;
-  private final BiConsumer<Minion, Minion> onNewLife;
+  private final NewLifeListener onNewLife;
 
   /**
    * Creates an empty table.
@@ -27,7 +31,7 @@
    * @param listener told about minions that come, drain and go
    * @param onNewLife told the earlier and the new life when a minion has started again
    */
-  MinionTable(DispatchListener listener, BiConsumer<Minion, Minion> onNewLife) {
+  MinionTable(DispatchListener listener, NewLifeListener onNewLife) {
     this.listener = listener;
     this.onNewLife = onNewLife;
   }
@@ -59,7 +63,7 @@
       join(report, nowMillis);
     } else if (born > known.life().getBornMillis()) {
       Minion newLife = new Minion(report, nowMillis);
-      replace(known, newLife);
+      replace(known, newLife, nowMillis);
       noteClock(newLife, nowMillis);
     } else if (born == known.life().getBornMillis()
         && report.getSequence() > known.report().getSequence()) {
@@ -81,7 +85,7 @@
     for (Minion other : List.copyOf(byId.values())) {
       boolean sameAddress = other.report().getAddress().equals(report.getAddress());
       if (sameAddress && other.life().getBornMillis() < report.getLife().getBornMillis()) {
-        replace(other, minion);
+        replace(other, minion, nowMillis);
       }
     }
     byId.put(minion.id(), minion);
@@ -105,10 +109,10 @@
       return;
     }
     MinionLife life = known.life().toBuilder().setBornMillis(bornMillis).build();
-    replace(known, Minion.provisional(known.report(), life, nowMillis));
+    replace(known, Minion.provisional(known.report(), life, nowMillis), nowMillis);
   }
 
-  private void replace(Minion earlier, Minion newLife) {
+  private void replace(Minion earlier, Minion newLife, long nowMillis) {
     byId.remove(earlier.id());
     byId.put(newLife.id(), newLife);
     listener.happened(
@@ -120,7 +124,7 @@
         newLife.id(),
         "successorBornMillis",
         newLife.life().getBornMillis());
-    onNewLife.accept(earlier, newLife);
+    onNewLife.started(earlier, newLife, nowMillis);
   }
 
   /** Forgets the minions that are gone. */
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/OrderState.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/OrderState.java
@@ -4,6 +4,7 @@
 final class OrderState {
 
   private int sent;
+  private int answered;
   private boolean outstanding;
   private long firstSentMillis = Member.NEVER_MILLIS;
   private long lastSentMillis = Member.NEVER_MILLIS;
@@ -19,10 +20,12 @@
   }
 
   void answered() {
+    answered++;
     outstanding = false;
   }
 
   void done(long nowMillis) {
+    answered++;
     outstanding = false;
     doneMillis = nowMillis;
   }
@@ -31,6 +34,11 @@
     return sent > 0;
   }
 
+  /** Returns whether an order was sent that may still be carried out. */
+  boolean mayArrive() {
+    return sent > answered;
+  }
+
   boolean isDone() {
     return doneMillis != Member.NEVER_MILLIS;
   }
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/RunRecovery.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/RunRecovery.java
@@ -46,15 +46,17 @@
                     .ifPresent(
                         recorded ->
                             recover(
-                                workflow, start.getOccurrence(), start.getStep(), group, recorded)));
+                                workflow,
+                                start.getOccurrence(),
+                                start.getStep(),
+                                group,
+                                recorded)));
   }
 
-  private void recover(
-      Workflow workflow, int occurrence, int step, TaskGroup group, Run recorded) {
+  private void recover(Workflow workflow, int occurrence, int step, TaskGroup group, Run recorded) {
     String checkpoint = group.checkpoint();
     recover(
-        new ActiveRun(
-            workflow, occurrence, step, group, recorded.number(), checkpoint, nowMillis),
+        new ActiveRun(workflow, occurrence, step, group, recorded.number(), checkpoint, nowMillis),
         recorded);
   }
 
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/TaskOrders.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/TaskOrders.java
@@ -37,7 +37,7 @@
 
   private void advance(Member member, long nowMillis) {
     if (member.isStopWanted()) {
-      if (!member.isInherited() && !member.start().wasSent()) {
+      if (!member.isInherited() && !member.isConfirmed() && !member.start().wasSent()) {
         ends.lost(member, "stopped before its start was sent");
       } else if (!member.stop().isDone() && isDue(member.stop(), nowMillis)) {
         member.stop().send(nowMillis);
@@ -59,6 +59,7 @@
     member.startDeadline(deadline);
     minion.lease().granted(deadline);
     member.start().send(nowMillis);
+    minion.lateStarts().sent(member.taskRun(), nowMillis);
     Workflow workflow = member.run().workflow();
     outbox.order(
         new Order.Start(
@@ -71,6 +72,9 @@
   }
 
   void startAnswered(Member member, OrderOutcome outcome, long nowMillis) {
+    if (outcome != OrderOutcome.UNKNOWN) {
+      member.minion().lateStarts().answered(member.taskRun());
+    }
     switch (outcome) {
       case DONE -> {
         member.start().done(nowMillis);
