--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Dispatcher.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Dispatcher.java
@@ -13,7 +13,6 @@
 import org.hickoryspar.protocol.MinionLife;
 import org.hickoryspar.protocol.MinionReport;
 import org.hickoryspar.protocol.Queue;
-import org.hickoryspar.protocol.RunEnd;
 import org.hickoryspar.protocol.RunStart;
 import org.hickoryspar.protocol.WorkflowBatch;
 import org.hickoryspar.protocol.WorkflowEvent;
@@ -49,6 +48,7 @@
   private final Leases leases;
   private final TaskOrders orders;
   private final WaitingWork waiting;
+  private final RecordedEvents recorded;
   private final Planner planner;
   private boolean planDue = true;
   private long nextSweepMillis;
@@ -81,9 +81,10 @@
     this.orders = new TaskOrders(settings, runs, outbox, ends, listener);
     this.waiting = new WaitingWork(catalog, runs, settings.earlyStartMillis());
     this.planner = new Planner(catalog, minions, runs);
-    RunRecovery recovery = new RunRecovery(minions, runs, nowMillis);
+    RunRecovery recovery = new RunRecovery(minions, runs);
+    this.recorded = new RecordedEvents(table, runs, recovery, waiting, listener);
     for (Workflow workflow : table.all()) {
-      recovery.recover(workflow);
+      recovery.recover(workflow, nowMillis);
       waiting.refresh(workflow, wallMillis);
     }
   }
@@ -197,7 +198,7 @@
       long wallMillis) {
     table.apply(requireNonNull(batch, "batch is null"), timeMillis);
     for (int i = 0; i < batch.getEventsCount(); i++) {
-      applied(batch.getEvents(i), problems.get(i), nowMillis, wallMillis);
+      recorded.applied(batch.getEvents(i), problems.get(i), nowMillis, wallMillis);
     }
     if (batch.getDispatchNumber() > 0) {
       leases.recorded(batch.getDispatchNumber());
@@ -205,95 +206,6 @@
     planDue = true;
   }
 
-  private void applied(
-      WorkflowEvent event, Optional<Problem> problem, long nowMillis, long wallMillis) {
-    switch (event.getKindCase()) {
-      case SUBMIT -> refresh(event.getSubmit().getWorkflowId(), wallMillis);
-      case CANCEL -> {
-        stopIfEnded(event.getCancel().getWorkflowId());
-        refresh(event.getCancel().getWorkflowId(), wallMillis);
-      }
-      case RUN_START -> {
-        startApplied(event.getRunStart(), problem, nowMillis);
-        refresh(event.getRunStart().getWorkflowId(), wallMillis);
-      }
-      case RUN_END -> {
-        endApplied(event.getRunEnd());
-        stopIfEnded(event.getRunEnd().getWorkflowId());
-        refresh(event.getRunEnd().getWorkflowId(), wallMillis);
-      }
-      default -> {
-        // Nothing depends on workflows that are forgotten.
-      }
-    }
-  }
-
-  private void startApplied(RunStart start, Optional<Problem> problem, long nowMillis) {
-    ActiveRun run = runs.find(start);
-    if (run == null) {
-      if (problem.isEmpty()) {
-        takeOver(start, nowMillis);
-      }
-    } else if (problem.isPresent()) {
-      listener.happened(
-          DispatchEventKind.RUN_REFUSED,
-          run.taskRun(0).toString(),
-          "reason",
-          problem.get().message());
-      runs.remove(run);
-    } else {
-      run.members().forEach(Member::recorded);
-      if (run.workflow().isEnded()) {
-        run.wantStop();
-      }
-    }
-  }
-
-  // An earlier dispatcher of this term proposed the start before it was given up.
-  private void takeOver(RunStart start, long nowMillis) {
-    RunRecovery recovery = new RunRecovery(minions, runs, nowMillis);
-    table.find(start.getWorkflowId()).ifPresent(workflow -> recovery.recover(workflow, start));
-  }
-
-  private void endApplied(RunEnd end) {
-    table
-        .find(end.getWorkflowId())
-        .ifPresent(
-            workflow -> {
-              for (ActiveRun run : List.copyOf(runs.runs())) {
-                if (run.workflow() == workflow
-                    && run.members().stream().allMatch(Member::isEnded)
-                    && run.group().findRun(run.number()).isEmpty()) {
-                  runs.remove(run);
-                }
-              }
-            });
-  }
-
-  private void stopIfEnded(String workflowId) {
-    Workflow workflow = table.find(workflowId).orElse(null);
-    if (workflow == null) {
-      return;
-    }
-    for (ActiveRun run : runs.runs()) {
-      boolean needless = workflow.isEnded() || run.group().isDone();
-      if (run.workflow() == workflow && needless && !run.isStopWanted()) {
-        run.wantStop();
-        if (workflow.isEnded() && workflow.state() != WorkflowState.WORKFLOW_COMPLETED) {
-          listener.happened(
-              DispatchEventKind.RUN_STOPPING,
-              run.taskRun(0).toString(),
-              "because",
-              workflow.state());
-        }
-      }
-    }
-  }
-
-  private void refresh(String workflowId, long wallMillis) {
-    table.find(workflowId).ifPresent(workflow -> waiting.refresh(workflow, wallMillis));
-  }
-
   // -- decisions
 
   /**
--- /dev/null
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/RecordedEvents.java
@@ -0,0 +1,119 @@
+package org.hickoryspar.kernel.dispatch;
+
+import java.util.Optional;
+import org.hickoryspar.kernel.value.Problem;
+import org.hickoryspar.kernel.workflow.Workflow;
+import org.hickoryspar.kernel.workflow.WorkflowTable;
+import org.hickoryspar.protocol.RunStart;
+import org.hickoryspar.protocol.WorkflowEvent;
+
+/** Draws the conclusions from events that the replicated log has applied. */
+final class RecordedEvents {
+
+  private final WorkflowTable table;
+  private final RunTable runs;
+  private final RunRecovery recovery;
+  private final WaitingWork waiting;
+  private final DispatchListener listener;
+
+  RecordedEvents(
+      WorkflowTable table,
+      RunTable runs,
+      RunRecovery recovery,
+      WaitingWork waiting,
+      DispatchListener listener) {
+    this.table = table;
+    this.runs = runs;
+    this.recovery = recovery;
+    this.waiting = waiting;
+    this.listener = listener;
+  }
+
+  /** Takes in an event that is in the table already. */
+  void applied(WorkflowEvent event, Optional<Problem> problem, long nowMillis, long wallMillis) {
+    Workflow workflow = table.find(idOf(event)).orElse(null);
+    if (workflow == null) {
+      return;
+    }
+    if (event.hasRunStart()) {
+      startApplied(workflow, event.getRunStart(), problem, nowMillis);
+    } else if (event.hasRunEnd()) {
+      removeEnded(workflow);
+    }
+    boolean ended = workflow.isEnded() && problem.isEmpty();
+    stopNeedless(workflow);
+    if (ended && (event.hasRunEnd() || event.hasCancel())) {
+      noteEnd(workflow, wallMillis);
+    }
+    waiting.refresh(workflow, wallMillis);
+  }
+
+  private static String idOf(WorkflowEvent event) {
+    return switch (event.getKindCase()) {
+      case SUBMIT -> event.getSubmit().getWorkflowId();
+      case CANCEL -> event.getCancel().getWorkflowId();
+      case RUN_START -> event.getRunStart().getWorkflowId();
+      case RUN_END -> event.getRunEnd().getWorkflowId();
+      default -> "";
+    };
+  }
+
+  private void startApplied(
+      Workflow workflow, RunStart start, Optional<Problem> problem, long nowMillis) {
+    ActiveRun run = runs.find(start);
+    if (run == null) {
+      if (problem.isEmpty()) {
+        // An earlier dispatcher of this term proposed the start before it was given up.
+        recovery.recover(workflow, start, nowMillis);
+      }
+    } else if (problem.isPresent()) {
+      listener.happened(
+          DispatchEventKind.RUN_REFUSED,
+          run.taskRun(0).toString(),
+          "reason",
+          problem.get().message());
+      runs.remove(run);
+    } else {
+      run.members().forEach(Member::recorded);
+    }
+  }
+
+  private void removeEnded(Workflow workflow) {
+    for (ActiveRun run : runs.of(workflow)) {
+      if (run.members().stream().allMatch(Member::isEnded)
+          && run.group().findRun(run.number()).isEmpty()) {
+        runs.remove(run);
+      }
+    }
+  }
+
+  private void stopNeedless(Workflow workflow) {
+    for (ActiveRun run : runs.of(workflow)) {
+      if ((workflow.isEnded() || run.group().isDone()) && !run.isStopWanted()) {
+        run.wantStop();
+        listener.happened(
+            DispatchEventKind.RUN_STOPPING,
+            run.taskRun(0).toString(),
+            "because",
+            workflow.isEnded() ? workflow.state() : "the tasks are done");
+      }
+    }
+  }
+
+  private void noteEnd(Workflow workflow, long wallMillis) {
+    long failures = workflow.openGroups().stream().mapToLong(group -> group.failures()).sum();
+    listener.happened(
+        DispatchEventKind.WORKFLOW_ENDED,
+        workflow.id(),
+        "state",
+        workflow.state(),
+        "queue",
+        workflow.queue().getName(),
+        "team",
+        workflow.submission().getTeam(),
+        "tookMillis",
+        wallMillis - workflow.acceptedMillis(),
+        "failedRuns",
+        failures);
+  }
+}
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/RunRecovery.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/RunRecovery.java
@@ -14,21 +14,19 @@
 
   private final MinionTable minions;
   private final RunTable runs;
-  private final long nowMillis;
 
-  RunRecovery(MinionTable minions, RunTable runs, long nowMillis) {
+  RunRecovery(MinionTable minions, RunTable runs) {
     this.minions = minions;
     this.runs = runs;
-    this.nowMillis = nowMillis;
   }
 
   /** Takes over all runs of a workflow. */
-  void recover(Workflow workflow) {
+  void recover(Workflow workflow, long nowMillis) {
     for (Occurrence occurrence : workflow.openOccurrences()) {
       for (int step = 0; step < workflow.spec().getStepsCount(); step++) {
         for (TaskGroup group : occurrence.groups(step)) {
           for (Run recorded : group.active()) {
-            recover(workflow, occurrence.number(), step, group, recorded);
+            recover(workflow, occurrence.number(), step, group, recorded, nowMillis);
           }
         }
       }
@@ -36,7 +34,7 @@
   }
 
   /** Takes over one run that was recorded just now. */
-  void recover(Workflow workflow, RunStart start) {
+  void recover(Workflow workflow, RunStart start, long nowMillis) {
     workflow
         .findGroup(start.getOccurrence(), start.getStep(), start.getFirstTask())
         .ifPresent(
@@ -50,17 +48,20 @@
                                 start.getOccurrence(),
                                 start.getStep(),
                                 group,
-                                recorded)));
+                                recorded,
+                                nowMillis)));
   }
 
-  private void recover(Workflow workflow, int occurrence, int step, TaskGroup group, Run recorded) {
+  private void recover(
+      Workflow workflow, int occurrence, int step, TaskGroup group, Run recorded, long nowMillis) {
     String checkpoint = group.checkpoint();
     recover(
         new ActiveRun(workflow, occurrence, step, group, recorded.number(), checkpoint, nowMillis),
-        recorded);
+        recorded,
+        nowMillis);
   }
 
-  private void recover(ActiveRun run, Run recorded) {
+  private void recover(ActiveRun run, Run recorded, long nowMillis) {
     Room demand = WaitingStep.demandOf(run.step());
     for (int i = 0; i < recorded.minions().size(); i++) {
       Minion minion = minions.findOrAdd(recorded.minions().get(i), nowMillis);
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/RunTable.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/RunTable.java
@@ -3,12 +3,13 @@
 import java.util.Collection;
 import java.util.Collections;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import org.hickoryspar.kernel.workflow.TaskGroup;
-import org.hickoryspar.protocol.RunEnd;
+import org.hickoryspar.kernel.workflow.Workflow;
 import org.hickoryspar.protocol.RunStart;
 import org.jspecify.annotations.Nullable;
 
@@ -17,7 +18,8 @@
 
   private final Map<TaskRun, ActiveRun> runs = new LinkedHashMap<>();
   private final Map<TaskRun, Member> members = new HashMap<>();
-  private final Set<TaskGroup> groups = new HashSet<>();
+  private final Map<TaskGroup, Integer> groups = new HashMap<>();
+  private final Map<Workflow, Set<ActiveRun>> byWorkflow = new HashMap<>();
 
   Collection<ActiveRun> runs() {
     return Collections.unmodifiableCollection(runs.values());
@@ -25,7 +27,8 @@
 
   void add(ActiveRun run) {
     runs.put(run.taskRun(0), run);
-    groups.add(run.group());
+    groups.merge(run.group(), 1, Integer::sum);
+    byWorkflow.computeIfAbsent(run.workflow(), w -> new LinkedHashSet<>()).add(run);
     for (Member member : run.members()) {
       members.put(member.taskRun(), member);
       member.minion().add(member);
@@ -37,9 +40,18 @@
       release(member);
     }
     runs.remove(run.taskRun(0));
-    if (runs.values().stream().noneMatch(other -> other.group() == run.group())) {
-      groups.remove(run.group());
-    }
+    groups.computeIfPresent(run.group(), (group, count) -> count == 1 ? null : count - 1);
+    byWorkflow.computeIfPresent(
+        run.workflow(),
+        (workflow, active) -> {
+          active.remove(run);
+          return active.isEmpty() ? null : active;
+        });
+  }
+
+  /** Returns the runs of a workflow. */
+  List<ActiveRun> of(Workflow workflow) {
+    return List.copyOf(byWorkflow.getOrDefault(workflow, Set.of()));
   }
 
   /** Frees the room of a member. */
@@ -50,7 +62,7 @@
 
   /** Returns whether a run of the group holds room, its start being recorded or not. */
   boolean holds(TaskGroup group) {
-    return groups.contains(group);
+    return groups.containsKey(group);
   }
 
   @Nullable Member find(TaskRun taskRun) {
@@ -66,15 +78,4 @@
             start.getFirstTask(),
             start.getRun()));
   }
-
-  /** Finds the run that a recorded end belongs to. */
-  @Nullable ActiveRun find(RunEnd end, TaskGroup group) {
-    return runs.get(
-        new TaskRun(
-            end.getWorkflowId(),
-            end.getOccurrence(),
-            end.getStep(),
-            group.firstTask(),
-            end.getRun()));
-  }
 }
