Preempt for the most urgent queue, isolate minions that fail, cross racks where no rack is large enough

Change: Reclaim chooses the cheapest runs to stop and keeps their room for the group; FaultLedger tells a minion's fault from a workflow's, isolates a minion after two workflows failed in a row and tries it with one task; Places lets a gang cross racks that no empty rack could hold. Decisions are logged as structured lines with a number each, through a bounded queue and a budget per event.

The stopped work is the next cost to look at.

--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/ActiveRun.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/ActiveRun.java
@@ -91,6 +91,18 @@
     return members.stream().allMatch(Member::isConfirmed);
   }
 
+  /** Returns how long all members have worked, 0 while one is not known to run. */
+  long workedMillis(long nowMillis) {
+    long sinceMillis = Member.NEVER_MILLIS;
+    for (Member member : members) {
+      if (!member.isConfirmed()) {
+        return 0;
+      }
+      sinceMillis = Math.max(sinceMillis, member.confirmedMillis());
+    }
+    return nowMillis - sinceMillis;
+  }
+
   /** Returns the event that records the end of a member. */
   WorkflowEvent endOf(Member member, RunEnd.Cause cause, String newCheckpoint) {
     TaskRun taskRun = member.taskRun();
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/DispatchEventKind.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/DispatchEventKind.java
@@ -26,6 +26,8 @@
   MINION_DRAINING,
   /** A minion has ended, or its life is over. */
   MINION_GONE,
+  /** Tasks of several workflows fail on a minion; it gets no work for a while. */
+  MINION_ISOLATED,
   /** A minion does not answer. */
   MINION_SUSPECTED,
   /** A minion answers again. */
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Dispatcher.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Dispatcher.java
@@ -52,6 +52,8 @@
   private final Planner planner;
   private boolean planDue = true;
   private long nextSweepMillis;
+  private long decisionMillis;
+  private long decisionWallMillis;
 
   /**
    * Creates the dispatcher of a leader that has just been elected.
@@ -74,15 +76,16 @@
     requireNonNull(catalog, "catalog is null");
     this.table = requireNonNull(table, "table is null");
     this.listener = requireNonNull(listener, "listener is null");
-    this.ends = new RunEnds(runs, outbox, listener);
+    FaultLedger faults = new FaultLedger(listener);
+    this.ends = new RunEnds(runs, outbox, faults, listener);
     this.minions = new MinionTable(listener, this::newLife);
     this.guards = new StopGuards(settings.answerTimeoutMillis(), outbox);
     this.leases = new Leases(settings, minions, runs, outbox, ends, guards, listener);
     this.orders = new TaskOrders(settings, runs, outbox, ends, listener);
     this.waiting = new WaitingWork(catalog, runs, settings.earlyStartMillis());
-    this.planner = new Planner(catalog, minions, runs);
+    this.planner = new Planner(settings, catalog, minions, runs, faults, new PlannerEffects());
     RunRecovery recovery = new RunRecovery(minions, runs);
-    this.recorded = new RecordedEvents(table, runs, recovery, waiting, listener);
+    this.recorded = new RecordedEvents(table, runs, recovery, waiting, faults, listener);
     for (Workflow workflow : table.all()) {
       recovery.recover(workflow, nowMillis);
       waiting.refresh(workflow, wallMillis);
@@ -222,7 +225,9 @@
     }
     if (planDue) {
       planDue = false;
-      planner.plan(waiting.steps(), placement -> start(placement, nowMillis, wallMillis));
+      this.decisionMillis = nowMillis;
+      this.decisionWallMillis = wallMillis;
+      planner.plan(waiting.steps(), nowMillis);
     }
     orders.advance(nowMillis);
     guards.advance(nowMillis);
@@ -273,6 +278,30 @@
     waiting.refresh(step.workflow(), wallMillis);
   }
 
+  private final class PlannerEffects implements Planner.Effects {
+
+    @Override
+    public void start(Placement placement) {
+      Dispatcher.this.start(placement, decisionMillis, decisionWallMillis);
+    }
+
+    @Override
+    public void preempt(ActiveRun victim, Placement beneficiary) {
+      if (!victim.isStopWanted()) {
+        victim.wantStop();
+        listener.happened(
+            DispatchEventKind.RUN_PREEMPTED,
+            victim.taskRun(0).toString(),
+            "for",
+            beneficiary.waiting().workflow().id(),
+            "workedMillis",
+            victim.workedMillis(decisionMillis),
+            "checkpointing",
+            victim.step().getCheckpointing());
+      }
+    }
+  }
+
   private void sweep(long nowMillis, long wallMillis) {
     minions.sweep(nowMillis);
     leases.sweep(nowMillis);
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Leases.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Leases.java
@@ -109,7 +109,7 @@
     Map<TaskRun, Boolean> listed = new HashMap<>();
     answer.running().forEach(row -> listed.put(row.taskRun(), true));
     answer.ended().forEach(row -> listed.put(row.taskRun(), false));
-    noteEnds(minion, answer);
+    noteEnds(minion, answer, nowMillis);
     noteRunning(minion, answer, nowMillis);
     if (answer.ended().size() < MAX_LISTED_ENDS) {
       for (Member member : minion.members()) {
@@ -129,7 +129,7 @@
         || (member.stop().isDone() && member.stop().doneMillis() < sentMillis);
   }
 
-  private void noteEnds(Minion minion, RenewAnswer answer) {
+  private void noteEnds(Minion minion, RenewAnswer answer, long nowMillis) {
     if (answer.ended().isEmpty()) {
       return;
     }
@@ -137,7 +137,7 @@
     for (RenewAnswer.EndedTask row : answer.ended()) {
       Member member = runs.find(row.taskRun());
       if (member != null && member.minion() == minion && !member.isEnded()) {
-        ends.listed(member, row.cause(), row.checkpoint());
+        ends.listed(member, row.cause(), row.checkpoint(), nowMillis);
         proposed = true;
       }
     }
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Minion.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Minion.java
@@ -17,8 +17,10 @@
   private final Set<Member> members = new LinkedHashSet<>();
   private final LeaseState lease;
   private final LateStarts lateStarts = new LateStarts();
+  private final MinionHealth health = new MinionHealth();
   private Room capacity;
   private Room used = Room.NONE;
+  private Room reserved = Room.NONE;
   private boolean provisional;
   private boolean runsStrays;
   private long leavingSinceMillis = NEVER_MILLIS;
@@ -95,6 +97,10 @@
     return lease;
   }
 
+  MinionHealth health() {
+    return health;
+  }
+
   LateStarts lateStarts() {
     return lateStarts;
   }
@@ -142,8 +148,22 @@
     runsStrays = strays;
   }
 
+  /** Returns the room that anyone may take. */
   Room free() {
-    return capacity.minus(used);
+    return capacity.minus(used).minus(reserved);
+  }
+
+  /** Returns the room that is kept for groups until others have stopped. */
+  Room reserved() {
+    return reserved;
+  }
+
+  void reserve(Room room) {
+    reserved = reserved.plus(room);
+  }
+
+  void unreserve(Room room) {
+    reserved = reserved.minus(room);
   }
 
   Room capacity() {
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Places.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Places.java
@@ -57,12 +57,19 @@
         }
       }
     }
-    if (best == null && !waiting.step().getSameRack()) {
+    if (best == null && mayCrossRacks(waiting, size, minions, load)) {
       best = count(demand, minions, freeOf, load, size) >= size ? minions : null;
     }
     return best == null ? null : fill(demand, size, best, freeOf, load);
   }
 
+  // A gang that is larger than every rack is slower across racks than it could be, but it runs.
+  static boolean mayCrossRacks(WaitingStep waiting, int size, List<Minion> minions, StepLoad load) {
+    return !waiting.step().getSameRack()
+        || byRack(minions).values().stream()
+            .noneMatch(rack -> count(waiting.demand(), rack, Minion::capacity, load, size) >= size);
+  }
+
   static Map<String, List<Minion>> byRack(List<Minion> minions) {
     Map<String, List<Minion>> racks = new LinkedHashMap<>();
     for (Minion minion : minions) {
@@ -83,7 +90,7 @@
     return count;
   }
 
-  private static List<Minion> fill(
+  static List<Minion> fill(
       Room demand, int size, List<Minion> minions, Function<Minion, Room> freeOf, StepLoad load) {
     List<Minion> fullestFirst = new ArrayList<>(minions);
     fullestFirst.sort(
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/RecordedEvents.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/RecordedEvents.java
@@ -1,6 +1,8 @@
 package org.hickoryspar.kernel.dispatch;
 
+import java.util.HashSet;
 import java.util.Optional;
+import java.util.Set;
 import org.hickoryspar.kernel.value.Problem;
 import org.hickoryspar.kernel.workflow.Workflow;
 import org.hickoryspar.kernel.workflow.WorkflowTable;
@@ -14,18 +16,22 @@
   private final RunTable runs;
   private final RunRecovery recovery;
   private final WaitingWork waiting;
+  private final FaultLedger faults;
   private final DispatchListener listener;
+  private final Set<String> notedEnds = new HashSet<>();
 
   RecordedEvents(
       WorkflowTable table,
       RunTable runs,
       RunRecovery recovery,
       WaitingWork waiting,
+      FaultLedger faults,
       DispatchListener listener) {
     this.table = table;
     this.runs = runs;
     this.recovery = recovery;
     this.waiting = waiting;
+    this.faults = faults;
     this.listener = listener;
   }
 
@@ -33,6 +39,7 @@
   void applied(WorkflowEvent event, Optional<Problem> problem, long nowMillis, long wallMillis) {
     Workflow workflow = table.find(idOf(event)).orElse(null);
     if (workflow == null) {
+      notedEnds.remove(idOf(event));
       return;
     }
     if (event.hasRunStart()) {
@@ -42,8 +49,9 @@
     }
     boolean ended = workflow.isEnded() && problem.isEmpty();
     stopNeedless(workflow);
-    if (ended && (event.hasRunEnd() || event.hasCancel())) {
+    if (ended && notedEnds.add(workflow.id())) {
       noteEnd(workflow, wallMillis);
+      faults.forget(workflow);
     }
     waiting.refresh(workflow, wallMillis);
   }
@@ -54,6 +62,7 @@
       case CANCEL -> event.getCancel().getWorkflowId();
       case RUN_START -> event.getRunStart().getWorkflowId();
       case RUN_END -> event.getRunEnd().getWorkflowId();
+      case FORGET -> event.getForget().getWorkflowId();
       default -> "";
     };
   }
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/RunEnds.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/RunEnds.java
@@ -7,16 +7,18 @@
 
   private final RunTable runs;
   private final Outbox outbox;
+  private final FaultLedger faults;
   private final DispatchListener listener;
 
-  RunEnds(RunTable runs, Outbox outbox, DispatchListener listener) {
+  RunEnds(RunTable runs, Outbox outbox, FaultLedger faults, DispatchListener listener) {
     this.runs = runs;
     this.outbox = outbox;
+    this.faults = faults;
     this.listener = listener;
   }
 
   /** A minion listed an end. */
-  void listed(Member member, RunEnd.Cause cause, String checkpoint) {
+  void listed(Member member, RunEnd.Cause cause, String checkpoint, long nowMillis) {
     listener.happened(
         DispatchEventKind.TASK_ENDED,
         member.taskRun().toString(),
@@ -26,6 +28,11 @@
         member.minion().id(),
         "percent",
         member.percent());
+    if (cause == RunEnd.Cause.TASK_FAILED) {
+      faults.failed(member, nowMillis);
+    } else if (cause == RunEnd.Cause.DONE) {
+      faults.succeeded(member);
+    }
     end(member, cause, checkpoint);
   }
 
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/DispatchSession.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/DispatchSession.java
@@ -2,7 +2,6 @@
 
 import static java.util.Objects.requireNonNull;
 
-import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.Executor;
@@ -55,7 +54,7 @@
             state.catalog(),
             table,
             (kind, subject, details) ->
-                EventLogger.log(DispatchLogEvent.DECIDED, kind, subject, Arrays.toString(details)),
+                EventLogger.logDecision(DecisionEvent.of(kind), subject, details),
             monotonicMillis.getAsLong(),
             proposer.wallClockMillis());
     EventLogger.log(DispatchLogEvent.SESSION_STARTED, term, copy.records().size());
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/WorkflowService.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/WorkflowService.java
@@ -20,6 +20,8 @@
 import org.hickoryspar.protocol.WorkflowCall;
 import org.hickoryspar.protocol.WorkflowEvent;
 import org.hickoryspar.protocol.WorkflowReply;
+import org.hickoryspar.protocol.WorkflowSpec;
+import org.hickoryspar.protocol.WorkflowStep;
 
 /** Serves the calls of callers on the leader. */
 final class WorkflowService {
@@ -46,8 +48,17 @@
     }
     Optional<String> team = catalog.teamOfKey(call.getTeamKey());
     if (team.isEmpty() && !queue.get().getOpen()) {
-      EventLogger.log(
-          DispatchLogEvent.CALL_REFUSED, call.getHost(), call.getPath(), "the key is unknown");
+      EventLogger.logDecision(
+          DispatchLogEvent.CALL_REFUSED,
+          call.getPath(),
+          "host",
+          call.getHost(),
+          "kind",
+          call.getKindCase(),
+          "reason",
+          "the key is unknown",
+          "catalogVersion",
+          catalog.version());
       return answered(refused(WorkflowReply.Outcome.UNAUTHORISED, "the key is unknown"));
     }
     String id = call.getPath().substring(queue.get().getPathPrefix().length());
@@ -97,15 +108,32 @@
             result ->
                 result.map(
                     applied -> {
-                      EventLogger.log(
-                          DispatchLogEvent.WORKFLOW_ACCEPTED,
-                          submission.getWorkflowId(),
-                          submission.getTeam(),
-                          submission.getQueue().getName());
+                      logAccepted(submission);
                       return ok().build();
                     }));
   }
 
+  private void logAccepted(SubmitWorkflow submission) {
+    WorkflowSpec spec = submission.getSpec();
+    EventLogger.logDecision(
+        DispatchLogEvent.WORKFLOW_ACCEPTED,
+        submission.getWorkflowId(),
+        "team",
+        submission.getTeam(),
+        "queue",
+        submission.getQueue().getName(),
+        "priority",
+        submission.getQueue().getPriority(),
+        "catalogVersion",
+        state.catalog().view().version(),
+        "occurrences",
+        spec.getOccurrences(),
+        "steps",
+        spec.getStepsCount(),
+        "tasks",
+        spec.getStepsList().stream().mapToInt(WorkflowStep::getTasks).sum());
+  }
+
   private CompletableFuture<Result<WorkflowReply>> cancel(String id, Queue queue) {
     return loop.<Boolean>ask(
             dispatcher ->
@@ -124,7 +152,7 @@
             result ->
                 result.map(
                     applied -> {
-                      EventLogger.log(DispatchLogEvent.WORKFLOW_CANCELLED, id);
+                      EventLogger.logDecision(DispatchLogEvent.WORKFLOW_CANCELLED, id);
                       return ok().build();
                     }));
   }
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/observability/EventLogger.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/observability/EventLogger.java
@@ -3,13 +3,20 @@
 import static java.util.Objects.requireNonNull;
 
 import com.google.common.flogger.FluentLogger;
+import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 
 /** Writes numbered events to the log. */
 public final class EventLogger {
 
+  /** Lines of one event in one second; the busiest leader logs about half of it. */
+  private static final int LINES_PER_SECOND = 400;
+
   private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
+  private static final LogBudget BUDGET =
+      new LogBudget(LINES_PER_SECOND, () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()));
+
   private EventLogger() {}
 
   /**
@@ -31,7 +38,33 @@
    */
   public static void log(LogEvent event, @Nullable Throwable cause, @Nullable Object... arguments) {
     requireNonNull(event, "event is null");
-    LOGGER.at(event.level()).withCause(cause).log(
-        "[%d] %s", event.number(), String.format(event.template(), arguments));
+    if (BUDGET.admits(event.number())) {
+      LOGGER.at(event.level()).withCause(cause).log("%s", text(event, arguments));
+    }
+  }
+
+  /**
+   * Logs an event with the values that it rests on as members of the line.
+   *
+   * @param event the event
+   * @param subject identifier of what it concerns
+   * @param namesAndValues names and values by turns
+   */
+  public static void logDecision(
+      LogEvent event, String subject, @Nullable Object... namesAndValues) {
+    requireNonNull(event, "event is null");
+    if (BUDGET.admits(event.number())) {
+      LOGGER.at(event.level()).log(
+          "%s", JsonLinesFormatter.decision(event, subject, namesAndValues));
+    }
+  }
+
+  /** Returns the budget that all lines of the process are taken from. */
+  static LogBudget budget() {
+    return BUDGET;
+  }
+
+  static String text(LogEvent event, @Nullable Object... arguments) {
+    return "[" + event.number() + "] " + String.format(event.template(), arguments);
   }
 }
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/observability/JsonLinesFormatter.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/observability/JsonLinesFormatter.java
@@ -2,25 +2,23 @@
 
 import static java.util.Objects.requireNonNull;
 
-import com.fasterxml.jackson.databind.node.JsonNodeFactory;
-import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.fasterxml.jackson.core.io.JsonStringEncoder;
 import com.google.common.base.Throwables;
 import io.opentelemetry.api.trace.Span;
 import io.opentelemetry.api.trace.SpanContext;
 import java.util.logging.Formatter;
 import java.util.logging.LogRecord;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Formats a log record as one line of JSON: {@code time}, {@code level}, {@code event}, {@code
- * instance}, {@code traceId}, {@code spanId}, {@code logger}, {@code message}, {@code error}.
- * Members without a value are left out.
+ * instance}, {@code traceId}, {@code spanId}, {@code message}, {@code error}; {@code logger} for
+ * lines without an event. A decision has {@code name}, {@code subject} and the values that it rests
+ * on in place of the message. Members without a value are left out.
  */
 public final class JsonLinesFormatter extends Formatter {
 
-  /** {@link EventLogger} writes the number of the event in front of the message. */
-  private static final Pattern EVENT = Pattern.compile("\\[(\\d{4,5})] (.*)", Pattern.DOTALL);
+  private static final int DECISION_LENGTH = 256;
 
   private final String instanceId;
 
@@ -33,28 +31,61 @@
     this.instanceId = requireNonNull(instanceId, "instanceId is null");
   }
 
+  /** Returns a message that holds the members of a decision. */
+  static String decision(LogEvent event, String subject, @Nullable Object... namesAndValues) {
+    StringBuilder text = new StringBuilder(DECISION_LENGTH);
+    text.append('[').append(event.number()).append("] {\"name\":\"").append(event).append('"');
+    member(text, "subject", subject);
+    for (int i = 0; i + 1 < namesAndValues.length; i += 2) {
+      member(text, String.valueOf(namesAndValues[i]), namesAndValues[i + 1]);
+    }
+    return text.append('}').toString();
+  }
+
+  private static void member(StringBuilder text, String name, @Nullable Object value) {
+    text.append(",\"").append(name).append("\":");
+    if (value instanceof Number || value instanceof Boolean) {
+      text.append(value);
+    } else {
+      string(text, String.valueOf(value));
+    }
+  }
+
+  private static void string(StringBuilder text, String value) {
+    text.append('"').append(JsonStringEncoder.getInstance().quoteAsString(value)).append('"');
+  }
+
   @Override
   public String format(LogRecord logRecord) {
-    ObjectNode line = JsonNodeFactory.instance.objectNode();
-    line.put("time", logRecord.getInstant().toString());
-    line.put("level", logRecord.getLevel().getName());
-    String message = formatMessage(logRecord);
-    Matcher event = EVENT.matcher(message == null ? "" : message);
-    if (event.matches()) {
-      line.put("event", Integer.parseInt(event.group(1)));
-      message = event.group(2);
+    StringBuilder line = new StringBuilder(DECISION_LENGTH);
+    line.append("{\"time\":\"").append(logRecord.getInstant()).append('"');
+    member(line, "level", logRecord.getLevel().getName());
+    member(line, "instance", instanceId);
+    String message = String.valueOf(formatMessage(logRecord));
+    int end = message.startsWith("[") ? message.indexOf("] ") : -1;
+    if (end > 0) {
+      line.append(",\"event\":").append(message, 1, end);
+      message = message.substring(end + 2);
+    } else {
+      member(line, "logger", logRecord.getLoggerName());
     }
-    line.put("instance", instanceId);
-    SpanContext span = Span.current().getSpanContext();
-    if (span.isValid()) {
-      line.put("traceId", span.getTraceId());
-      line.put("spanId", span.getSpanId());
+    span(line);
+    if (end > 0 && message.startsWith("{\"name\":")) {
+      line.append(',').append(message, 1, message.length() - 1);
+    } else {
+      member(line, "message", message);
     }
-    line.put("logger", logRecord.getLoggerName());
-    line.put("message", message);
     if (logRecord.getThrown() != null) {
-      line.put("error", Throwables.getStackTraceAsString(logRecord.getThrown()));
+      member(line, "error", Throwables.getStackTraceAsString(logRecord.getThrown()));
+    }
+    return line.append("}\n").toString();
+  }
+
+  private static void span(StringBuilder line) {
+    SpanContext span = Span.current().getSpanContext();
+    if (span.isValid()) {
+      member(line, "traceId", span.getTraceId());
+      member(line, "spanId", span.getSpanId());
     }
-    return line + "\n";
   }
 }
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/observability/LogSetup.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/observability/LogSetup.java
@@ -2,32 +2,53 @@
 
 import static java.util.Objects.requireNonNull;
 
+import java.io.FileDescriptor;
+import java.io.FileOutputStream;
 import java.util.logging.ConsoleHandler;
 import java.util.logging.Handler;
 import java.util.logging.Level;
 import java.util.logging.LogManager;
 import java.util.logging.Logger;
 
-/** Sets up the log of a daemon: JSON lines on standard error, from level INFO. */
+/** Sets up the log of a daemon: JSON lines, from level INFO. */
 public final class LogSetup {
 
+  private static final Logger ROOT = LogManager.getLogManager().getLogger("");
+
   private LogSetup() {}
 
   /**
-   * Replaces the handlers of the root logger.
+   * Writes the log to standard error, each line at once.
    *
    * @param instanceId the instance that writes the log
    */
   public static void toStandardError(String instanceId) {
+    replaceHandlers(new ConsoleHandler(), instanceId);
+  }
+
+  /**
+   * Writes the log to standard output on a thread of its own. Lines beyond the budget of an event,
+   * or that the output is too slow for, are left out and counted.
+   *
+   * @param instanceId the instance that writes the log
+   * @return ends the writer after the lines that wait
+   */
+  public static AutoCloseable toStandardOutput(String instanceId) {
+    AsyncLogHandler handler =
+        new AsyncLogHandler(new FileOutputStream(FileDescriptor.out), EventLogger.budget());
+    replaceHandlers(handler, instanceId);
+    handler.start();
+    return handler::close;
+  }
+
+  private static void replaceHandlers(Handler handler, String instanceId) {
     requireNonNull(instanceId, "instanceId is null");
-    Logger root = LogManager.getLogManager().getLogger("");
-    for (Handler handler : root.getHandlers()) {
-      root.removeHandler(handler);
+    for (Handler earlier : ROOT.getHandlers()) {
+      ROOT.removeHandler(earlier);
     }
-    Handler handler = new ConsoleHandler();
     handler.setLevel(Level.ALL);
     handler.setFormatter(new JsonLinesFormatter(instanceId));
-    root.addHandler(handler);
-    root.setLevel(Level.INFO);
+    ROOT.addHandler(handler);
+    ROOT.setLevel(Level.INFO);
   }
 }
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/observability/ObservabilityEvent.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/observability/ObservabilityEvent.java
@@ -2,10 +2,11 @@
 
 import java.util.logging.Level;
 
-/** Log events of tracing, 6100 to 6199. */
+/** Log events of tracing and of the log itself, 6100 to 6199. */
 @SuppressWarnings("ImmutableEnumChecker") // java.util.logging.Level has no setters
 enum ObservabilityEvent implements LogEvent {
-  SPAN_FILE_FAILED(6100, Level.WARNING, "spans cannot be written to %s; %d spans are lost");
+  SPAN_FILE_FAILED(6100, Level.WARNING, "spans cannot be written to %s; %d spans are lost"),
+  LINES_DROPPED(6101, Level.WARNING, "%d lines of the log were left out");
 
   private final int number;
   private final Level level;
