--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/observability/LogEvent.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/observability/LogEvent.java
@@ -6,8 +6,8 @@
  * A numbered log event; each package has an enum of its own that implements this interface.
  *
  * <p>Numbers: 1000 to 1999 transport, 2000 to 2999 storage and replication, 3000 to 3999 control,
- * 4000 to 4999 entry, 5000 to 5999 platform, 6000 to 6999 settings and command line, 7000 to 7999
- * stand-ins. {@code docs/events.md} lists all of them.
+ * 4000 to 4999 entry, 5000 to 5999 workflows and minions, 6000 to 6999 settings and command line,
+ * 7000 to 7999 stand-ins, 8000 to 8999 adapters. {@code docs/events.md} lists all of them.
  */
 public interface LogEvent {
 
