Log and measure each call and decision, and serve metrics on the platform

Cause: an entry logged nothing about a call, the dispatcher's decisions had no metrics, and no process on the platform served any. EventCatalogueTest runs in a module that does not see the adapter, so its rows could not be compared there.

Change: CallTelemetry logs how a call ended (outcome, attempts, last problem, leader, term) and counts calls; DecisionTelemetry counts decisions by kind and measures queue wait, completion and rounds of decisions; DispatcherStatus gives the gauges.

--- a/hickoryspar-bench/src/test/java/org/hickoryspar/bench/EventCatalogueTest.java
+++ b/hickoryspar-bench/src/test/java/org/hickoryspar/bench/EventCatalogueTest.java
@@ -17,9 +17,15 @@
 import org.hickoryspar.node.observability.LogEvent;
 import org.testng.annotations.Test;
 
-/** Runs in the last module, whose class path holds the events of all others. */
+/**
+ * Runs in the last module, whose class path holds the events of all others but the adapters, whose
+ * rows a test in their own module compares.
+ */
 public class EventCatalogueTest {
 
+  /** Numbers from here on belong to adapters. */
+  private static final int FIRST_ADAPTER_NUMBER = 8_000;
+
   private static final Path CATALOGUE = Path.of("..", "docs", "events.md");
 
   private static List<LogEvent> events() {
@@ -41,6 +47,10 @@
     return "| %d | %s | `%s` |".formatted(event.number(), event.level(), event);
   }
 
+  private static int number(String row) {
+    return Integer.parseInt(row.split("\\|")[1].strip());
+  }
+
   private static String difference(Set<String> from, Set<String> without) {
     return from.stream().filter(row -> !without.contains(row)).sorted().collect(joining("\n"));
   }
@@ -52,7 +62,7 @@
         events().stream().map(EventCatalogueTest::row).collect(Collectors.toSet());
     Set<String> listed = new TreeSet<>();
     for (String line : Files.readAllLines(CATALOGUE)) {
-      if (line.matches("\\| \\d+ \\|.*")) {
+      if (line.matches("\\| \\d+ \\|.*") && number(line) < FIRST_ADAPTER_NUMBER) {
         listed.add(line.replaceAll("^(\\|[^|]*\\|[^|]*\\|[^|]*\\|).*", "$1"));
       }
     }
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/DispatchListener.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/DispatchListener.java
@@ -12,4 +12,20 @@
    * @param details names and values by turns: what the decision rests on, and its outcome
    */
   void happened(DispatchEventKind kind, String subject, Object... details);
+
+  /**
+   * Takes note that a group of tasks was given its minions; must not block.
+   *
+   * @param priority priority of its queue
+   * @param waitedMillis how long it has waited
+   */
+  default void placed(int priority, long waitedMillis) {}
+
+  /**
+   * Takes note that a workflow has ended; must not block.
+   *
+   * @param priority priority of its queue
+   * @param tookMillis time from its acceptance to its end
+   */
+  default void ended(int priority, long tookMillis) {}
 }
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Dispatcher.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Dispatcher.java
@@ -275,6 +275,7 @@
         wallMillis - step.sinceMillis(),
         "minions",
         placement.minions().stream().map(Minion::id).distinct().toList());
+    listener.placed(step.queue().getPriority(), wallMillis - step.sinceMillis());
     waiting.refresh(step.workflow(), wallMillis);
   }
 
@@ -351,6 +352,16 @@
 
   // -- questions
 
+  /**
+   * Counts what the dispatcher believes of the fleet.
+   *
+   * @param nowMillis monotonic time
+   * @return the numbers
+   */
+  public DispatcherStatus status(long nowMillis) {
+    return DispatcherStatus.of(minions.all(), waiting.steps(), runs.runs().size(), nowMillis);
+  }
+
   /**
    * Finds a workflow.
    *
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/RecordedEvents.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/RecordedEvents.java
@@ -124,5 +124,6 @@
         wallMillis - workflow.acceptedMillis(),
         "failedRuns",
         failures);
+    listener.ended(workflow.queue().getPriority(), wallMillis - workflow.acceptedMillis());
   }
 }
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/daemon/ClusterControl.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/daemon/ClusterControl.java
@@ -4,6 +4,7 @@
 
 import com.google.common.io.Closer;
 import io.netty.channel.EventLoopGroup;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
@@ -27,14 +28,18 @@
 import org.hickoryspar.node.cluster.ClusterSettings;
 import org.hickoryspar.node.cluster.ControlPeers;
 import org.hickoryspar.node.cluster.InstanceIds;
+import org.hickoryspar.node.control.ControlMetrics;
 import org.hickoryspar.node.control.ControlStateMachine;
 import org.hickoryspar.node.control.Proposer;
 import org.hickoryspar.node.control.ReplicatedLog;
+import org.hickoryspar.node.dispatch.CallTelemetry;
+import org.hickoryspar.node.dispatch.DecisionTelemetry;
 import org.hickoryspar.node.dispatch.DispatchLoop;
 import org.hickoryspar.node.dispatch.LeaderCalls;
 import org.hickoryspar.node.dispatch.LeaderServices;
 import org.hickoryspar.node.dispatch.MinionClient;
 import org.hickoryspar.node.dispatch.MinionRegistry;
+import org.hickoryspar.node.observability.ProcessMetrics;
 import org.hickoryspar.node.replication.ReplicaDriver;
 import org.hickoryspar.node.storage.FileLogStorage;
 import org.hickoryspar.node.storage.ReplicaFolder;
@@ -73,13 +78,15 @@
    * @param dataFolder folder of its replica
    * @param dispatchSettings times and limits of workflows
    * @param minions carries orders to minions
+   * @param metrics where the metrics of the process are registered
    * @throws IOException if the folder cannot be used or the address cannot be bound
    */
   public ClusterControl(
       ClusterSettings settings,
       Path dataFolder,
       DispatchSettings dispatchSettings,
-      MinionClient minions)
+      MinionClient minions,
+      PrometheusRegistry metrics)
       throws IOException {
     requireNonNull(settings, "settings is null");
     SecureRandom random = new SecureRandom();
@@ -100,22 +107,21 @@
     peers = new ControlPeers(identity, eventLoops, settings.peerAddress());
     voterPlan = new VoterPlan(settings.lossesToBear(), REPLACE_VOTER_MILLIS);
     ReplicaDriver<CommandResult> replica =
-        new ReplicaDriver<>(
-            identity.replicaId(),
-            machine,
-            peers,
-            storage,
-            System::nanoTime,
-            ReplicaOptions.defaults(),
-            random,
-            failure -> Runtime.getRuntime().halt(EXIT_REPLICA_FAILED));
+        newReplica(identity.replicaId(), machine, peers, storage, random);
     log = replica;
     Proposer proposer = new Proposer(log, System::currentTimeMillis);
     DispatchLoop loop =
         new DispatchLoop(
-            state, proposer, minions, dispatchSettings, ProcessResources::monotonicMillis);
+            state,
+            proposer,
+            minions,
+            dispatchSettings,
+            new DecisionTelemetry(metrics),
+            ProcessResources::monotonicMillis);
     closer.register(loop::close);
     machine.addListener(loop::applied);
+    ControlMetrics.register(metrics, log, state);
+    ProcessMetrics.register(metrics);
     services =
         new LeaderServices(
             state, proposer, log, loop, this::hasEnoughVoters, ProcessResources::monotonicMillis);
@@ -125,6 +131,7 @@
             settings.peerAddress(),
             services::serve,
             timer,
+            new CallTelemetry(metrics),
             ProcessResources::monotonicMillis);
     registry = new MinionRegistry(leaderCalls, ProcessResources::monotonicMillis);
     loop.addListener(
@@ -150,6 +157,23 @@
     loop.start();
   }
 
+  private static ReplicaDriver<CommandResult> newReplica(
+      String replicaId,
+      ControlStateMachine machine,
+      ControlPeers peers,
+      FileLogStorage storage,
+      SecureRandom random) {
+    return new ReplicaDriver<>(
+        replicaId,
+        machine,
+        peers,
+        storage,
+        System::nanoTime,
+        ReplicaOptions.defaults(),
+        random,
+        failure -> Runtime.getRuntime().halt(EXIT_REPLICA_FAILED));
+  }
+
   private static FileLogStorage openStorage(
       ClusterSettings settings, Path dataFolder, SecureRandom random) throws IOException {
     ReplicaFolder folder =
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/daemon/ClusterEntry.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/daemon/ClusterEntry.java
@@ -4,12 +4,15 @@
 
 import com.google.common.io.Closer;
 import io.netty.channel.EventLoopGroup;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.io.IOException;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import org.hickoryspar.node.cluster.ClusterSettings;
 import org.hickoryspar.node.cluster.ControlPeers;
+import org.hickoryspar.node.dispatch.CallTelemetry;
 import org.hickoryspar.node.dispatch.LeaderCalls;
+import org.hickoryspar.node.observability.ProcessMetrics;
 import org.hickoryspar.node.transport.PeerIdentity;
 
 /** An entry of a cluster whose instances find each other from seeds: it passes calls on. */
@@ -23,8 +26,9 @@
    * Starts an entry.
    *
    * @param settings where it runs
+   * @param metrics where the metrics of the process are registered
    */
-  public ClusterEntry(ClusterSettings settings) {
+  public ClusterEntry(ClusterSettings settings, PrometheusRegistry metrics) {
     requireNonNull(settings, "settings is null");
     PeerIdentity identity =
         new PeerIdentity(
@@ -41,7 +45,13 @@
     closer.register(peers::close);
     leaderCalls =
         new LeaderCalls(
-            peers, settings.instanceName(), null, timer, ProcessResources::monotonicMillis);
+            peers,
+            settings.instanceName(),
+            null,
+            timer,
+            new CallTelemetry(metrics),
+            ProcessResources::monotonicMillis);
+    ProcessMetrics.register(metrics);
     settings.seeds().forEach(seed -> peers.know(seed, "the seeds"));
   }
 
--- /dev/null
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/CallTelemetry.java
@@ -0,0 +1,106 @@
+package org.hickoryspar.node.dispatch;
+
+import static java.util.Objects.requireNonNull;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.util.Locale;
+import java.util.concurrent.TimeUnit;
+import org.hickoryspar.kernel.value.Result;
+import org.hickoryspar.node.observability.EventLogger;
+import org.hickoryspar.protocol.Envelope;
+import org.hickoryspar.protocol.WorkflowCall;
+import org.hickoryspar.protocol.WorkflowReply;
+
+/**
+ * Logs and counts the calls about workflows that a process sends to the leader. Questions that are
+ * answered are counted only, because callers ask often.
+ */
+public final class CallTelemetry implements CallListener {
+
+  private static final WorkflowReply.Outcome UNKNOWN = WorkflowReply.Outcome.UNKNOWN;
+  private static final double MILLIS_PER_SECOND = TimeUnit.SECONDS.toMillis(1);
+
+  private final Counter calls;
+  private final Counter repetitions;
+  private final Histogram seconds;
+
+  /**
+   * Creates the telemetry of a process.
+   *
+   * @param registry where the metrics are registered
+   */
+  public CallTelemetry(PrometheusRegistry registry) {
+    requireNonNull(registry, "registry is null");
+    calls =
+        Counter.builder()
+            .name("hickoryspar_workflow_calls_total")
+            .help("Calls of callers about workflows by kind and outcome")
+            .labelNames("kind", "outcome")
+            .register(registry);
+    repetitions =
+        Counter.builder()
+            .name("hickoryspar_workflow_call_repetitions_total")
+            .help("Attempts after the first one to reach the leader with a call")
+            .labelNames("kind")
+            .register(registry);
+    seconds =
+        Histogram.builder()
+            .name("hickoryspar_workflow_call_seconds")
+            .help("Time from the arrival of a call to its result")
+            .labelNames("kind")
+            .classicUpperBounds(0.01, 0.03, 0.1, 0.3, 1, 3, 10)
+            .register(registry);
+  }
+
+  @Override
+  public void ended(Envelope call, Result<Envelope> result, Course course) {
+    if (!call.hasWorkflowCall()) {
+      return;
+    }
+    WorkflowCall workflowCall = call.getWorkflowCall();
+    String kind = workflowCall.getKindCase().name().toLowerCase(Locale.ROOT);
+    WorkflowReply.Outcome outcome =
+        result.map(answer -> answer.getWorkflowReply().getOutcome()).getOrElse(UNKNOWN);
+    calls.labelValues(kind, outcome.name().toLowerCase(Locale.ROOT)).inc();
+    repetitions.labelValues(kind).inc(Math.max(0, course.attempts() - 1));
+    seconds.labelValues(kind).observe(course.tookMillis() / MILLIS_PER_SECOND);
+    boolean isQuestion = workflowCall.hasStatus();
+    if (!isQuestion || outcome == UNKNOWN) {
+      log(workflowCall, kind, outcome, result, course);
+    }
+  }
+
+  private static void log(
+      WorkflowCall call,
+      String kind,
+      WorkflowReply.Outcome outcome,
+      Result<Envelope> result,
+      Course course) {
+    String path = call.getPath();
+    EventLogger.logDecision(
+        DispatchLogEvent.CALL_ENDED,
+        path.substring(path.lastIndexOf('/') + 1),
+        "kind",
+        kind,
+        "outcome",
+        outcome,
+        "reason",
+        result.fold(problem -> problem.message(), answer -> answer.getWorkflowReply().getReason()),
+        "attempts",
+        course.attempts(),
+        "lastProblem",
+        course.lastProblem(),
+        "leader",
+        course.leader(),
+        "term",
+        course.term(),
+        "tookMillis",
+        course.tookMillis(),
+        "host",
+        call.getHost(),
+        "path",
+        path);
+  }
+}
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/DispatchLogEvent.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/DispatchLogEvent.java
@@ -13,6 +13,7 @@
   WORKFLOW_REFUSED(5021, Level.INFO, "%s"),
   WORKFLOW_CANCELLED(5022, Level.INFO, "%s"),
   CALL_REFUSED(5023, Level.INFO, "%s"),
+  CALL_ENDED(5024, Level.INFO, "%s"),
   CATALOG_CHANGED(5030, Level.INFO, "catalog version %d is in force: %d queues, %d teams"),
   CATALOG_REFUSED(5031, Level.INFO, "catalog version %d is refused: %s"),
   DATA_CENTRE_SWITCHED(5032, Level.INFO, "data centre %s is out of service: %s");
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/DispatchLoop.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/DispatchLoop.java
@@ -33,6 +33,7 @@
   private final Proposer proposer;
   private final MinionClient minions;
   private final DispatchSettings settings;
+  private final DecisionTelemetry telemetry;
   private final LongSupplier monotonicMillis;
   private final LinkedBlockingQueue<Runnable> tasks = new LinkedBlockingQueue<>();
   private final List<SessionListener> listeners = new ArrayList<>();
@@ -48,6 +49,7 @@
    * @param proposer proposes events
    * @param minions carries orders to minions
    * @param settings times and limits
+   * @param telemetry logs and counts the decisions
    * @param monotonicMillis a clock that never goes back
    */
   public DispatchLoop(
@@ -55,11 +57,13 @@
       Proposer proposer,
       MinionClient minions,
       DispatchSettings settings,
+      DecisionTelemetry telemetry,
       LongSupplier monotonicMillis) {
     this.state = requireNonNull(state, "state is null");
     this.proposer = requireNonNull(proposer, "proposer is null");
     this.minions = requireNonNull(minions, "minions is null");
     this.settings = requireNonNull(settings, "settings is null");
+    this.telemetry = requireNonNull(telemetry, "telemetry is null");
     this.monotonicMillis = requireNonNull(monotonicMillis, "monotonicMillis is null");
     thread.setDaemon(true);
   }
@@ -168,7 +172,8 @@
     if (current == null && mayGrant) {
       // Set before the state is copied: no batch may fall between the copy and the first event.
       leading = true;
-      current = new DispatchSession(state, proposer, minions, settings, this, monotonicMillis);
+      current =
+          new DispatchSession(state, proposer, minions, settings, telemetry, this, monotonicMillis);
       session = current;
       for (SessionListener listener : listeners) {
         listener.started(current.dispatcher());
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/DispatchSession.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/DispatchSession.java
@@ -23,6 +23,8 @@
 /** The dispatcher of one term and its connections to the log and the minions; one thread. */
 final class DispatchSession {
 
+  private static final long STATUS_EVERY_MILLIS = 1_000;
+
   private final Proposer proposer;
   private final MinionClient minions;
   private final Executor loop;
@@ -30,6 +32,8 @@
   private final long term;
   private final long includedBatch;
   private final Dispatcher dispatcher;
+  private final DecisionTelemetry telemetry;
+  private long nextStatusMillis;
   private boolean failed;
 
   DispatchSession(
@@ -37,8 +41,10 @@
       Proposer proposer,
       MinionClient minions,
       DispatchSettings settings,
+      DecisionTelemetry telemetry,
       Executor loop,
       LongSupplier monotonicMillis) {
+    this.telemetry = requireNonNull(telemetry, "telemetry is null");
     this.proposer = requireNonNull(proposer, "proposer is null");
     this.minions = requireNonNull(minions, "minions is null");
     this.loop = requireNonNull(loop, "loop is null");
@@ -53,8 +59,7 @@
             settings,
             state.catalog(),
             table,
-            (kind, subject, details) ->
-                EventLogger.logDecision(DecisionEvent.of(kind), subject, details),
+            telemetry,
             monotonicMillis.getAsLong(),
             proposer.wallClockMillis());
     EventLogger.log(DispatchLogEvent.SESSION_STARTED, term, copy.records().size());
@@ -84,7 +89,14 @@
   }
 
   void advance() {
-    dispatcher.advance(monotonicMillis.getAsLong(), proposer.wallClockMillis());
+    long startNanos = System.nanoTime();
+    long now = monotonicMillis.getAsLong();
+    dispatcher.advance(now, proposer.wallClockMillis());
+    telemetry.decided(System.nanoTime() - startNanos);
+    if (now >= nextStatusMillis) {
+      nextStatusMillis = now + STATUS_EVERY_MILLIS;
+      telemetry.publish(dispatcher.status(now));
+    }
     WorkflowBatch batch = dispatcher.takeProposals();
     if (batch.getEventsCount() > 0) {
       propose(batch);
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/LeaderCalls.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/LeaderCalls.java
@@ -7,8 +7,10 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
 import java.util.function.LongSupplier;
+import org.hickoryspar.kernel.value.Problem;
 import org.hickoryspar.kernel.value.Result;
 import org.hickoryspar.node.cluster.ControlPeers;
 import org.hickoryspar.node.transport.PeerConnection;
@@ -33,6 +35,7 @@
   private final String ownInstance;
   private final @Nullable Function<Envelope, CompletableFuture<Result<Envelope.Builder>>> local;
   private final ScheduledExecutorService timer;
+  private final CallListener listener;
   private final LongSupplier monotonicMillis;
 
   /**
@@ -42,6 +45,7 @@
    * @param ownInstance instance id of this process
    * @param local serves calls while this process leads, null for a process that never does
    * @param timer runs repetitions
+   * @param listener told how each call ended
    * @param monotonicMillis a clock that never goes back
    */
   public LeaderCalls(
@@ -49,11 +53,13 @@
       String ownInstance,
       @Nullable Function<Envelope, CompletableFuture<Result<Envelope.Builder>>> local,
       ScheduledExecutorService timer,
+      CallListener listener,
       LongSupplier monotonicMillis) {
     this.peers = requireNonNull(peers, "peers is null");
     this.ownInstance = requireNonNull(ownInstance, "ownInstance is null");
     this.local = local;
     this.timer = requireNonNull(timer, "timer is null");
+    this.listener = requireNonNull(listener, "listener is null");
     this.monotonicMillis = requireNonNull(monotonicMillis, "monotonicMillis is null");
   }
 
@@ -67,32 +73,64 @@
    */
   public CompletableFuture<Result<Envelope>> call(Envelope.Builder call, long limitMillis) {
     requireNonNull(call, "call is null");
-    CompletableFuture<Result<Envelope>> answer = new CompletableFuture<>();
-    attempt(call, monotonicMillis.getAsLong() + limitMillis, answer);
-    return answer;
+    PendingCall pending = new PendingCall(call, limitMillis);
+    pending.attempt();
+    return pending.answer;
   }
 
-  private void attempt(
-      Envelope.Builder call, long untilMillis, CompletableFuture<Result<Envelope>> answer) {
-    long leftMillis = untilMillis - monotonicMillis.getAsLong();
-    if (leftMillis <= 0) {
-      answer.complete(Result.failure("unknown", "no leader answered in time"));
-      return;
+  /** One call and its attempts so far; an attempt begins after the one before it has ended. */
+  private final class PendingCall {
+
+    private final Envelope.Builder call;
+    private final long startMillis = monotonicMillis.getAsLong();
+    private final long untilMillis;
+    private final CompletableFuture<Result<Envelope>> answer = new CompletableFuture<>();
+    private final AtomicInteger attempts = new AtomicInteger();
+    private volatile String lastProblem = "";
+    private volatile ControlPeers.Leader leader = peers.leader();
+
+    PendingCall(Envelope.Builder call, long limitMillis) {
+      this.call = call;
+      this.untilMillis = startMillis + limitMillis;
+    }
+
+    void attempt() {
+      long leftMillis = untilMillis - monotonicMillis.getAsLong();
+      if (leftMillis <= 0) {
+        end(Result.failure("unknown", "no leader answered in time"));
+        return;
+      }
+      leader = peers.leader();
+      attempts.incrementAndGet();
+      send(call, leader.instanceId(), Math.min(leftMillis, ATTEMPT_MILLIS)).thenAccept(this::take);
+    }
+
+    private void take(Result<Envelope> result) {
+      Optional<Problem> repeated = result.problem().filter(p -> REPEATED.contains(p.code()));
+      if (repeated.isPresent()) {
+        lastProblem = repeated.get().message();
+        timer.schedule(this::attempt, RETRY_MILLIS, TimeUnit.MILLISECONDS);
+      } else {
+        end(result);
+      }
+    }
+
+    private void end(Result<Envelope> result) {
+      listener.ended(
+          call.build(),
+          result,
+          new CallListener.Course(
+              attempts.get(),
+              lastProblem,
+              leader.instanceId(),
+              leader.term(),
+              monotonicMillis.getAsLong() - startMillis));
+      answer.complete(result);
     }
-    send(call, Math.min(leftMillis, ATTEMPT_MILLIS))
-        .thenAccept(
-            result -> {
-              if (result.problem().filter(p -> REPEATED.contains(p.code())).isEmpty()) {
-                answer.complete(result);
-              } else {
-                timer.schedule(
-                    () -> attempt(call, untilMillis, answer), RETRY_MILLIS, TimeUnit.MILLISECONDS);
-              }
-            });
   }
 
-  private CompletableFuture<Result<Envelope>> send(Envelope.Builder call, long limitMillis) {
-    String leader = peers.leader().instanceId();
+  private CompletableFuture<Result<Envelope>> send(
+      Envelope.Builder call, String leader, long limitMillis) {
     Function<Envelope, CompletableFuture<Result<Envelope.Builder>>> server = local;
     if (server != null && leader.equals(ownInstance)) {
       return server
