Tell from log files what became of one workflow, task or minion

Cause: the lines of one workflow are spread over the logs of an entry and of several leaders; merging them by hand takes longer than an on-call engineer has.

Change: 'hickoryspar explain ID FILE...' reads logs of any processes, skips and counts what is no log line, and prints the story of one identifier by time, with what happened to its minions and to the leadership meanwhile.

--- /dev/null
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/cli/ExplainCommand.java
@@ -0,0 +1,44 @@
+package org.hickoryspar.node.cli;
+
+import java.io.File;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import org.hickoryspar.node.explain.LogReader;
+import org.hickoryspar.node.explain.Story;
+import org.kohsuke.args4j.Argument;
+
+/** Tells from log files what became of one request, workflow, task or minion. */
+final class ExplainCommand extends Command {
+
+  @Argument(index = 0, required = true, metaVar = "ID", usage = "workflow, task, run or minion")
+  private String id = "";
+
+  @Argument(index = 1, required = true, metaVar = "FILE...", usage = "logs of any processes")
+  private List<File> files = new ArrayList<>();
+
+  @Override
+  String summary() {
+    return "Tells from log files what became of one workflow, task or minion.";
+  }
+
+  @Override
+  ExitCode run(Console console) {
+    LogReader reader = new LogReader();
+    Story story = new Story(id);
+    for (File file : files) {
+      try {
+        reader.read(file.toPath(), story::add);
+      } catch (IOException e) {
+        return console.fail(ExitCode.REFUSED, "cannot read " + file + ": " + e.getMessage());
+      }
+    }
+    int lines = story.tell(console.out()::println);
+    if (reader.skipped() > 0) {
+      console.err().println(reader.skipped() + " lines are no log lines and were skipped");
+    }
+    return lines > 0
+        ? ExitCode.DONE
+        : console.fail(ExitCode.NOT_FOUND, "the files say nothing of " + id);
+  }
+}
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/cli/Main.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/cli/Main.java
@@ -119,7 +119,8 @@
       @SubCommand(name = "exception", impl = ExceptionCommands.class),
       @SubCommand(name = "data-centre", impl = DataCentreCommands.class),
       @SubCommand(name = "job", impl = JobCommands.class),
-      @SubCommand(name = "status", impl = StatusCommand.class)
+      @SubCommand(name = "status", impl = StatusCommand.class),
+      @SubCommand(name = "explain", impl = ExplainCommand.class)
     })
     private @Nullable Command command;
 
--- /dev/null
+++ b/hickoryspar-node/src/test/java/org/hickoryspar/node/explain/LogReaderTest.java
@@ -0,0 +1,57 @@
+package org.hickoryspar.node.explain;
+
+import static org.testng.Assert.assertEquals;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+public class LogReaderTest {
+
+  private static final String LINE =
+      "{\"time\":\"2026-05-23T12:57:50.729Z\",\"level\":\"INFO\",\"instance\":\"core-1\","
+          + "\"event\":5106,\"name\":\"TASK_ENDED\",\"subject\":\"a1.0.0.0#1\",\"cause\":\"DONE\"}";
+
+  @DataProvider
+  Object[][] unreadable() {
+    return new Object[][] {
+      {""},
+      {"no braces"},
+      {LINE.substring(0, 60)},
+      {"{\"time\":\"yesterday\"}"},
+      {"{\"event\":5106}"},
+      {"{\"time\":17}"},
+      {"{}"},
+      {"{]"}
+    };
+  }
+
+  /** Guards against a log that was cut off, or mixed with other output, ending the reading. */
+  @Test(dataProvider = "unreadable")
+  void shouldSkipWhatIsNoLogLine(String line) throws Exception {
+    Path file = Files.createTempFile("log", ".jsonl");
+    Files.write(file, List.of(LINE, line, LINE));
+    List<LogLine> read = new ArrayList<>();
+    LogReader reader = new LogReader();
+
+    reader.read(file, read::add);
+
+    Files.delete(file);
+    assertEquals(read.size(), 2);
+    assertEquals(reader.skipped(), 1);
+  }
+
+  /** Guards against the loss of the inputs of a decision on the way to the reader. */
+  @Test
+  void shouldKeepAllDetailsWhenACollectorPutsATimeInFront() {
+    LogLine line = new LogReader().parse("12.345 s core-1 " + LINE).orElseThrow();
+
+    assertEquals(line.event(), 5106);
+    assertEquals(line.subject(), "a1.0.0.0#1");
+    assertEquals(line.details(), Map.of("level", "INFO", "cause", "DONE"));
+  }
+}
