Announce the end of a connection when a refused body has not arrived

An answer that does not wait for the body, such as 401, was written without 'Connection: close'. When the body had not arrived by then, the connection ended after the answer, and a client that used it again lost its next request. Load only decides whether headers and body arrive together; the fault is the missing header.

Excluded: a fault of the test client; a raw socket that sends the header alone shows the same.

The new test sends a header without its body and failed before the change.

--- a/hickoryspar-bench/src/main/java/org/hickoryspar/bench/workflow/WorkflowsCommand.java
+++ b/hickoryspar-bench/src/main/java/org/hickoryspar/bench/workflow/WorkflowsCommand.java
@@ -21,7 +21,7 @@
   private static final long MILLIS_PER_SECOND = 1_000;
   private static final long DRAIN_MILLIS = 60_000;
 
-  @Option(name = "--deployment", usage = "archive or fountains")
+  @Option(name = "--deployment", usage = "archive, fountains, archive-grown or fountains-grown")
   private String deployment = "archive";
 
   @Option(name = "--scale", usage = "size of the fleet and of the load, 1 for 33 minions")
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/entry/Replies.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/entry/Replies.java
@@ -8,6 +8,7 @@
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
+import org.hickoryspar.node.http.KeepAlive;
 
 /** Writes the answers that the entry itself gives. */
 final class Replies {
@@ -30,6 +31,7 @@
 
   /** Answers with JSON. */
   static void json(Response response, Callback callback, int status, byte[] body) {
+    KeepAlive.endUnlessBodyIsRead(response);
     response.setStatus(status);
     response.getHeaders().put(HttpHeader.CONTENT_TYPE, JSON);
     response.write(true, ByteBuffer.wrap(body), callback);
@@ -37,6 +39,7 @@
 
   /** Answers with plain text. */
   static void text(Response response, Callback callback, int status, String type, String body) {
+    KeepAlive.endUnlessBodyIsRead(response);
     response.setStatus(status);
     response.getHeaders().put(HttpHeader.CONTENT_TYPE, type);
     response.write(true, ByteBuffer.wrap(body.getBytes(StandardCharsets.UTF_8)), callback);
--- a/hickoryspar-standins/src/test/java/org/hickoryspar/node/entry/EntryRulesTest.java
+++ b/hickoryspar-standins/src/test/java/org/hickoryspar/node/entry/EntryRulesTest.java
@@ -4,12 +4,14 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
@@ -106,6 +108,30 @@
     }
   }
 
+  /**
+   * Guards against a connection that is kept open after a refusal and then ends under the next
+   * request: a body that has not arrived when the answer is written cannot be skipped.
+   */
+  @Test
+  public void shouldSayThatItClosesTheConnectionWhenARefusedBodyHasNotArrived() throws Exception {
+    try (Rig rig = new Rig()) {
+      EntryDaemon entry = rig.startEntry();
+      try (Socket socket = new Socket("127.0.0.1", entry.port())) {
+        socket.setSoTimeout(10_000);
+        String head =
+            "POST /v1/services/catalogue/requests HTTP/1.1\r\n"
+                + "Host: entry\r\nContent-Length: 5\r\n\r\n";
+        socket.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
+
+        String answer =
+            new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+
+        assertTrue(answer.startsWith("HTTP/1.1 401"), answer);
+        assertTrue(answer.toLowerCase(Locale.ROOT).contains("connection: close"), answer);
+      }
+    }
+  }
+
   // -- idempotency keys
 
   /** Guards against a second run, or another answer, when a key is submitted again. */
