Grant no lease to a minion that does not answer

Each repeated question to a minion that did not answer carried a new lease. The question might reach it, so the lease counted as granted, and its end moved on with every question.

Change: a minion that does not answer is granted nothing until it answers again.

--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Leases.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Leases.java
@@ -57,12 +57,15 @@
 
   private void renew(Minion minion, long nowMillis) {
     LeaseState lease = minion.lease();
-    // The clock is known from the first answer on; until then nothing is granted.
+    // The clock is known from the first answer on; until then nothing is granted. Nor is anything
+    // granted to a minion that does not answer: each question might reach it, and its lease would
+    // never be known to be over.
+    boolean answers = lease.isContacted() && !lease.isSuspect();
     long deadline =
-        minion.clock().isKnown() && lease.isContacted()
+        minion.clock().isKnown() && answers
             ? minion.clock().estimate(nowMillis) + settings.leaseMillis()
             : 0;
-    long wait = lease.isContacted() && !lease.isSuspect() ? settings.renewWaitMillis() : 0;
+    long wait = answers ? settings.renewWaitMillis() : 0;
     lease.sent(nowMillis, deadline);
     outbox.order(new Order.Renew(minion.target(), deadline, lease.seenEnd(), wait));
   }
--- /dev/null
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/DispatcherRig.java
@@ -0,0 +1,350 @@
+package org.hickoryspar.kernel.dispatch;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.hickoryspar.kernel.catalog.CatalogState;
+import org.hickoryspar.kernel.value.Problem;
+import org.hickoryspar.kernel.workflow.Workflow;
+import org.hickoryspar.kernel.workflow.WorkflowTable;
+import org.hickoryspar.protocol.CancelWorkflow;
+import org.hickoryspar.protocol.Catalog;
+import org.hickoryspar.protocol.CatalogChange;
+import org.hickoryspar.protocol.DataCentreSwitch;
+import org.hickoryspar.protocol.MinionLife;
+import org.hickoryspar.protocol.MinionReport;
+import org.hickoryspar.protocol.Queue;
+import org.hickoryspar.protocol.RunEnd;
+import org.hickoryspar.protocol.ServicePolicy;
+import org.hickoryspar.protocol.SubmitWorkflow;
+import org.hickoryspar.protocol.TaskDemand;
+import org.hickoryspar.protocol.TeamEntitlement;
+import org.hickoryspar.protocol.WorkflowBatch;
+import org.hickoryspar.protocol.WorkflowEvent;
+import org.hickoryspar.protocol.WorkflowSpec;
+import org.hickoryspar.protocol.WorkflowStep;
+
+/**
+ * A dispatcher, a replicated log that records at once, and minions that do what they are told, or
+ * nothing. Time passes in steps of 10 ms.
+ */
+final class DispatcherRig {
+
+  static final String SERVICE = "service";
+  static final int STEP_MILLIS = 10;
+
+  static final DispatchSettings SETTINGS =
+      new DispatchSettings(4_500, 6_000, 1_000, 300, 1_500, 400, 4_000, 3, 2_900, 120_000, 100);
+
+  private final CatalogState catalog = new CatalogState();
+  private final WorkflowTable table = new WorkflowTable();
+  private final Map<String, FakeMinion> minions = new LinkedHashMap<>();
+  private final List<String> events = new ArrayList<>();
+  private Dispatcher dispatcher;
+  private long nowMillis = 1_000;
+
+  DispatcherRig() {
+    Catalog.Builder first =
+        Catalog.newBuilder()
+            .setVersion(1)
+            .addServices(ServicePolicy.newBuilder().setName(SERVICE))
+            .addTeams(TeamEntitlement.newBuilder().setName("team").setGuaranteedAccelerators(16));
+    for (int priority = 0; priority < 3; priority++) {
+      first.addQueues(queue(priority));
+    }
+    catalog.apply(CatalogChange.newBuilder().setCatalog(first).build());
+    dispatcher = newDispatcher();
+  }
+
+  private Dispatcher newDispatcher() {
+    return new Dispatcher(
+        SETTINGS,
+        catalog,
+        table,
+        (kind, subject, details) -> events.add(kind + " " + subject + ' ' + List.of(details)),
+        nowMillis,
+        nowMillis);
+  }
+
+  static Queue queue(int priority) {
+    return Queue.newBuilder()
+        .setName("queue-" + priority)
+        .setHost("host")
+        .setPathPrefix("/p" + priority + '/')
+        .setService(SERVICE)
+        .setPriority(priority)
+        .setMaxAttempts(3)
+        .setStretch(priority == 0 ? 1.5 : 3)
+        .setTargetCompletionMillis(500)
+        .setTimeoutMillis(3_000)
+        .build();
+  }
+
+  /** A step of single tasks that each need some accelerators of a minion that has 8. */
+  static WorkflowStep.Builder step(int tasks, int accelerators) {
+    return WorkflowStep.newBuilder()
+        .setTasks(tasks)
+        .setEstimatedMillis(5_000)
+        .setDemand(
+            TaskDemand.newBuilder()
+                .setCpuMillicores(1_000)
+                .setMemoryMegabytes(1_000)
+                .setAccelerators(accelerators));
+  }
+
+  static WorkflowStep.Builder gang(int tasks, int accelerators) {
+    return step(tasks, accelerators).setGang(true).setSameRack(true);
+  }
+
+  // -- what happens
+
+  FakeMinion addMinion(String id, String rack) {
+    FakeMinion minion = new FakeMinion(id, rack, nowMillis);
+    minions.put(id, minion);
+    dispatcher.reported(minion.report(nowMillis), nowMillis);
+    return minion;
+  }
+
+  void addMinions(int count, String rack) {
+    for (int i = 0; i < count; i++) {
+      addMinion(rack + "-" + i, rack);
+    }
+  }
+
+  void report(FakeMinion minion) {
+    dispatcher.reported(minion.report(nowMillis), nowMillis);
+  }
+
+  void takeOut(String dataCentre) {
+    catalog.apply(DataCentreSwitch.newBuilder().setDataCentre(dataCentre).setOut(true).build());
+  }
+
+  Workflow submit(String id, int priority, WorkflowStep.Builder... steps) {
+    WorkflowSpec.Builder spec = WorkflowSpec.newBuilder().setPayload("payload");
+    for (WorkflowStep.Builder step : steps) {
+      spec.addSteps(step);
+    }
+    record(
+        WorkflowBatch.newBuilder()
+            .addEvents(
+                WorkflowEvent.newBuilder()
+                    .setSubmit(
+                        SubmitWorkflow.newBuilder()
+                            .setWorkflowId(id)
+                            .setTeam("team")
+                            .setQueue(queue(priority))
+                            .setSpec(spec)))
+            .build());
+    return table.find(id).orElseThrow();
+  }
+
+  void cancel(String id) {
+    record(
+        WorkflowBatch.newBuilder()
+            .addEvents(
+                WorkflowEvent.newBuilder().setCancel(CancelWorkflow.newBuilder().setWorkflowId(id)))
+            .build());
+  }
+
+  /** Another leader takes over with what is recorded; every minion reports to it. */
+  void changeLeader() {
+    dispatcher = newDispatcher();
+    minions.values().stream().filter(minion -> minion.up).forEach(this::report);
+  }
+
+  void pass(long millis) {
+    for (long end = nowMillis + millis; nowMillis < end; nowMillis += STEP_MILLIS) {
+      minions.values().forEach(this::answer);
+      dispatcher.advance(nowMillis, nowMillis);
+      record(dispatcher.takeProposals());
+      dispatcher.takeOrders().forEach(this::carryOut);
+    }
+  }
+
+  private void record(WorkflowBatch batch) {
+    if (batch.getEventsCount() > 0) {
+      List<Optional<Problem>> problems = tableCopyApply(batch);
+      dispatcher.applied(batch, problems, nowMillis, nowMillis, nowMillis);
+    }
+  }
+
+  // The dispatcher applies the batch to the table that it shares with this rig.
+  private static List<Optional<Problem>> tableCopyApply(WorkflowBatch batch) {
+    return batch.getEventsList().stream().map(event -> Optional.<Problem>empty()).toList();
+  }
+
+  private void carryOut(Order order) {
+    FakeMinion minion = minions.get(order.target().life().getMinionId());
+    if (minion == null || !minion.up) {
+      fail(order);
+    } else if (order instanceof Order.Renew renew) {
+      minion.lastRenewal = renew;
+      minion.renewal = renew;
+      minion.answerMillis = nowMillis + renew.waitMillis();
+    } else if (order instanceof Order.Start start) {
+      minion.starts.add(start);
+      if (minion.answersStarts) {
+        minion.running.add(start.taskRun());
+        dispatcher.startAnswered(start.taskRun(), OrderOutcome.DONE, nowMillis);
+      } else {
+        dispatcher.startAnswered(start.taskRun(), OrderOutcome.UNKNOWN, nowMillis);
+      }
+    } else if (order instanceof Order.Stop stop) {
+      minion.stops.add(stop.taskRun());
+      if (minion.running.remove(stop.taskRun())) {
+        minion.list(stop.taskRun(), RunEnd.Cause.STOPPED);
+      }
+      dispatcher.stopAnswered(stop.taskRun(), OrderOutcome.DONE, nowMillis);
+    }
+  }
+
+  private void fail(Order order) {
+    if (order instanceof Order.Renew renew) {
+      dispatcher.renewalFailed(renew.target().life(), OrderOutcome.UNKNOWN, nowMillis);
+    } else if (order instanceof Order.Start start) {
+      dispatcher.startAnswered(start.taskRun(), OrderOutcome.UNKNOWN, nowMillis);
+    } else if (order instanceof Order.Stop stop) {
+      dispatcher.stopAnswered(stop.taskRun(), OrderOutcome.UNKNOWN, nowMillis);
+    }
+  }
+
+  private void answer(FakeMinion minion) {
+    Order.Renew renewal = minion.renewal;
+    if (renewal == null) {
+      return;
+    }
+    if (!minion.up) {
+      minion.renewal = null;
+      fail(renewal);
+    } else if (nowMillis >= minion.answerMillis || !minion.unseen(renewal).isEmpty()) {
+      minion.renewal = null;
+      List<RenewAnswer.RunningTask> running =
+          minion.running.stream()
+              .map(run -> new RenewAnswer.RunningTask(run, "", minion.percent, -1))
+              .toList();
+      dispatcher.renewed(
+          renewal.target().life(),
+          new RenewAnswer(
+              minion.clockMillis(nowMillis), minion.bornMillis, running, minion.unseen(renewal)),
+          nowMillis);
+    }
+  }
+
+  // -- what can be seen
+
+  long nowMillis() {
+    return nowMillis;
+  }
+
+  List<String> events() {
+    return events;
+  }
+
+  long count(String text) {
+    return events.stream().filter(event -> event.contains(text)).count();
+  }
+
+  /** Returns the minions on which tasks of a workflow run. */
+  List<String> minionsOf(String workflowId) {
+    List<String> found = new ArrayList<>();
+    for (FakeMinion minion : minions.values()) {
+      minion.running.stream()
+          .filter(run -> run.workflowId().equals(workflowId))
+          .forEach(run -> found.add(minion.id));
+    }
+    return found;
+  }
+
+  /** A minion of 8 accelerators that does as it is told while it is up. */
+  static final class FakeMinion {
+
+    private final String id;
+    private final String rack;
+    private long bornMillis;
+    private long sequence;
+    private boolean draining;
+    private boolean up = true;
+    private boolean answersStarts = true;
+    private int percent;
+    private final List<TaskRun> running = new ArrayList<>();
+    private final List<RenewAnswer.EndedTask> ended = new ArrayList<>();
+    private final List<TaskRun> stops = new ArrayList<>();
+    private final List<Order.Start> starts = new ArrayList<>();
+    private Order.Renew renewal;
+    private Order.Renew lastRenewal;
+    private long answerMillis;
+
+    FakeMinion(String id, String rack, long bornMillis) {
+      this.id = id;
+      this.rack = rack;
+      this.bornMillis = bornMillis;
+    }
+
+    long clockMillis(long nowMillis) {
+      return nowMillis - bornMillis + 1;
+    }
+
+    MinionReport report(long nowMillis) {
+      return MinionReport.newBuilder()
+          .setLife(MinionLife.newBuilder().setMinionId(id).setBornMillis(bornMillis))
+          .setSequence(++sequence)
+          .setService(SERVICE)
+          .setAddress(id)
+          .setDataCentre("dc-" + rack)
+          .setRack(rack)
+          .setDraining(draining)
+          .setClockMillis(clockMillis(nowMillis))
+          .setCapacity(
+              TaskDemand.newBuilder()
+                  .setCpuMillicores(64_000)
+                  .setMemoryMegabytes(256_000)
+                  .setAccelerators(8))
+          .build();
+    }
+
+    private List<RenewAnswer.EndedTask> unseen(Order.Renew order) {
+      return ended.stream().filter(end -> end.number() > order.lastSeen()).toList();
+    }
+
+    private void list(TaskRun run, RunEnd.Cause cause) {
+      ended.add(new RenewAnswer.EndedTask(ended.size() + 1, run, cause, ""));
+    }
+
+    /** It cannot be reached any more, and what it ran is gone. */
+    void vanish() {
+      up = false;
+      running.clear();
+    }
+
+    void drain() {
+      draining = true;
+    }
+
+    void answerNoStarts() {
+      answersStarts = false;
+    }
+
+    void end(TaskRun run, RunEnd.Cause cause) {
+      running.remove(run);
+      list(run, cause);
+    }
+
+    List<TaskRun> running() {
+      return List.copyOf(running);
+    }
+
+    List<Order.Start> starts() {
+      return starts;
+    }
+
+    List<TaskRun> stops() {
+      return stops;
+    }
+
+    Order.Renew lastRenewal() {
+      return lastRenewal;
+    }
+  }
+}
--- /dev/null
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/DispatcherTest.java
@@ -0,0 +1,154 @@
+package org.hickoryspar.kernel.dispatch;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import java.util.Set;
+import org.hickoryspar.kernel.workflow.Workflow;
+import org.hickoryspar.protocol.RunEnd;
+import org.hickoryspar.protocol.WorkflowState;
+import org.testng.annotations.Test;
+
+public class DispatcherTest {
+
+  // ------------------------------------------------------------- leases
+
+  /** Guards against a task that waits forever for a minion that is gone without a word. */
+  @Test
+  void shouldRunTasksElsewhereWhenTheirMinionVanishes() {
+    DispatcherRig rig = new DispatcherRig();
+    DispatcherRig.FakeMinion first = rig.addMinion("m1", "r1");
+    rig.pass(100);
+    rig.submit("a", 1, DispatcherRig.step(2, 4));
+    rig.pass(500);
+    assertEquals(rig.minionsOf("a"), List.of("m1", "m1"));
+
+    first.vanish();
+    rig.addMinion("m2", "r1");
+    rig.pass(DispatcherRig.SETTINGS.leaseOverMillis() + 2_000);
+
+    assertEquals(rig.minionsOf("a"), List.of("m2", "m2"));
+  }
+
+  /** Guards against a second run while the first one may still hold its lease. */
+  @Test
+  void shouldWaitForTheEndOfTheLeaseOfAMinionThatDoesNotAnswer() {
+    DispatcherRig rig = new DispatcherRig();
+    DispatcherRig.FakeMinion first = rig.addMinion("m1", "r1");
+    rig.pass(100);
+    rig.submit("a", 1, DispatcherRig.step(1, 4));
+    rig.pass(2_000);
+    long deadlineMillis = first.lastRenewal().deadlineMillis();
+
+    first.vanish();
+    rig.addMinion("m2", "r1");
+    while (rig.minionsOf("a").isEmpty() && rig.nowMillis() < 60_000) {
+      rig.pass(DispatcherRig.STEP_MILLIS);
+    }
+
+    assertFalse(rig.minionsOf("a").isEmpty());
+    long slowestClockMillis = first.clockMillis(rig.nowMillis()) * 98 / 100;
+    assertTrue(slowestClockMillis >= deadlineMillis * 98 / 100, "started before the lease ended");
+  }
+
+  /** Guards against a new leader that starts a task again which a minion still runs. */
+  @Test
+  void shouldTakeOverWhatMinionsRunWhenTheLeaderChanges() {
+    DispatcherRig rig = new DispatcherRig();
+    DispatcherRig.FakeMinion minion = rig.addMinion("m1", "r1");
+    rig.pass(100);
+    rig.submit("a", 1, DispatcherRig.step(2, 4));
+    rig.pass(500);
+
+    rig.changeLeader();
+    rig.pass(2_000);
+
+    assertEquals(minion.starts().size(), 2);
+    assertEquals(minion.running().size(), 2);
+  }
+
+  // ------------------------------------------------------------- ends
+
+  /** Guards against a workflow that is shown as completed too early, or never. */
+  @Test
+  void shouldCompleteAWorkflowWhenAllItsTasksAreDone() {
+    DispatcherRig rig = new DispatcherRig();
+    DispatcherRig.FakeMinion minion = rig.addMinion("m1", "r1");
+    rig.pass(100);
+    Workflow workflow = rig.submit("a", 1, DispatcherRig.step(2, 1));
+    rig.pass(100);
+
+    minion.end(minion.running().get(0), RunEnd.Cause.DONE);
+    rig.pass(100);
+    assertEquals(workflow.state(), WorkflowState.WORKFLOW_RUNNING);
+    minion.end(minion.running().get(0), RunEnd.Cause.DONE);
+    rig.pass(100);
+
+    assertEquals(workflow.state(), WorkflowState.WORKFLOW_COMPLETED);
+  }
+
+  /** Guards against tasks of a cancelled workflow that run on or are started. */
+  @Test
+  void shouldStopTheTasksOfACancelledWorkflow() {
+    DispatcherRig rig = new DispatcherRig();
+    DispatcherRig.FakeMinion minion = rig.addMinion("m1", "r1");
+    rig.pass(100);
+    rig.submit("a", 1, DispatcherRig.step(12, 1));
+    rig.pass(100);
+    assertEquals(minion.running().size(), 8);
+
+    rig.cancel("a");
+    rig.pass(500);
+
+    assertEquals(minion.running(), List.of());
+    assertEquals(minion.starts().size(), 8);
+  }
+
+  // ------------------------------------------------------------- placement
+
+  /** Guards against work on a minion that is about to end. */
+  @Test
+  void shouldStartNothingOnADrainingMinion() {
+    DispatcherRig rig = new DispatcherRig();
+    DispatcherRig.FakeMinion minion = rig.addMinion("m1", "r1");
+    rig.pass(100);
+    minion.drain();
+    rig.report(minion);
+    rig.submit("a", 0, DispatcherRig.step(1, 1));
+    rig.pass(500);
+
+    assertEquals(minion.starts(), List.of());
+  }
+
+  /** Guards against work in a data centre that operators have taken out. */
+  @Test
+  void shouldStartNothingInADataCentreThatIsOut() {
+    DispatcherRig rig = new DispatcherRig();
+    rig.addMinion("m1", "r1");
+    rig.addMinion("m2", "r2");
+    rig.takeOut("dc-r1");
+    rig.pass(100);
+    rig.submit("a", 0, DispatcherRig.step(4, 4));
+    rig.pass(500);
+
+    assertEquals(Set.copyOf(rig.minionsOf("a")), Set.of("m2"));
+  }
+
+  /** Guards against room that is given away twice while a start is not answered. */
+  @Test
+  void shouldCountTheRoomOfAnUnansweredStartAsUsed() {
+    DispatcherRig rig = new DispatcherRig();
+    DispatcherRig.FakeMinion minion = rig.addMinion("m1", "r1");
+    minion.answerNoStarts();
+    rig.pass(100);
+    rig.submit("a", 0, DispatcherRig.step(1, 8));
+    rig.pass(100);
+    rig.submit("b", 0, DispatcherRig.step(1, 8));
+    rig.pass(2_000);
+
+    assertTrue(
+        minion.starts().stream().allMatch(start -> start.taskRun().workflowId().equals("a")));
+  }
+}
