Hold room for groups that cannot start yet, and stop others only when waiting would be too late

Change: Ranking orders by priority, what can still be reached, and the latest start; Forecasts finds where the runs that hold room leave enough first, and Holds keeps it: others use it only if they end before. Priority 0 stops others only if the forecast takes up more than 40% of the time left, and beyond the guarantee of its team only if it loses less than it gains. WorkEstimates learns per queue whether declared or mean times predict better; Progress tells the pace. A stopped member's checkpoint is not replaced by an older one of its gang. Rounds of placement are at least 10 ms apart. The simulation gives no rack a gang it cannot hold, saves at a stop, sums up waste, and lets minions vanish.

--- a/hickoryspar-bench/src/main/java/org/hickoryspar/bench/workflow/Fault.java
+++ b/hickoryspar-bench/src/main/java/org/hickoryspar/bench/workflow/Fault.java
@@ -8,6 +8,8 @@
   MINIONS_CUT,
   /** Minions crash and start again. */
   MINIONS_CRASH,
+  /** Minions are gone for good, and others come. */
+  MINIONS_VANISH,
   /** Minions fail all that they start. */
   MINIONS_FAIL,
   /** Tasks on some minions stand still. */
--- a/hickoryspar-bench/src/main/java/org/hickoryspar/bench/workflow/SimulatedMinion.java
+++ b/hickoryspar-bench/src/main/java/org/hickoryspar/bench/workflow/SimulatedMinion.java
@@ -72,6 +72,12 @@
     double slowdown(SimulatedRun run);
   }
 
+  /** Returns another minion in its place. */
+  SimulatedMinion successor(String suffix, long atMillis) {
+    return new SimulatedMinion(
+        id + suffix, rack, dataCentre, capacity, clockRate, atMillis, observer);
+  }
+
   String id() {
     return id;
   }
@@ -248,7 +254,7 @@
       return;
     }
     highestOver.merge(withoutRun(run.taskRun()), run.taskRun().run(), Math::max);
-    ended.add(new RenewAnswer.EndedTask(++lastEnd, run.taskRun(), cause, run.checkpoint()));
+    ended.add(new RenewAnswer.EndedTask(++lastEnd, run.taskRun(), cause, run.checkpoint(cause)));
     observer.ended(this, run, cause, nowMillis);
   }
 
--- a/hickoryspar-bench/src/main/java/org/hickoryspar/bench/workflow/SimulatedRun.java
+++ b/hickoryspar-bench/src/main/java/org/hickoryspar/bench/workflow/SimulatedRun.java
@@ -1,13 +1,18 @@
 package org.hickoryspar.bench.workflow;
 
 import org.hickoryspar.kernel.dispatch.TaskRun;
+import org.hickoryspar.protocol.RunEnd;
 
 /** A task that a simulated minion runs. */
 final class SimulatedRun {
 
+  private static final long CHECKPOINT_MILLIS = 1_000;
+  private static final long RESTORE_MILLIS = 400;
+
   private final TaskRun taskRun;
   private final SimulatedWorkflow workflow;
   private final long startedMillis;
+  private final double resumedMillis;
   private double doneMillis;
   private boolean working;
   private long stopMillis = Long.MAX_VALUE;
@@ -24,7 +29,9 @@
     this.taskRun = taskRun;
     this.workflow = workflow;
     this.startedMillis = startedMillis;
-    this.doneMillis = resumedMillis;
+    this.resumedMillis = resumedMillis;
+    // The time to restore comes before the work goes on.
+    this.doneMillis = resumedMillis > 0 ? resumedMillis - RESTORE_MILLIS : 0;
     this.fails = fails;
     this.failAtShare = failAtShare;
     this.working = !workflow.submission().getSpec().getSteps(taskRun.step()).getGang();
@@ -80,10 +87,25 @@
     return fails && doneMillis >= failAtShare * workflow.workMillis();
   }
 
-  /** Returns the checkpoint, which tells how much is saved; empty for none. */
+  /** Returns the work that is lost when the run ends and is started again. */
+  double lostMillis(RunEnd.Cause cause) {
+    String saved = checkpoint(cause);
+    long savedMillis = saved.isEmpty() ? 0 : Long.parseLong(saved);
+    return Math.max(0, doneMillis - Math.max(resumedMillis, (double) savedMillis));
+  }
+
+  /** Returns the newest checkpoint of a run that goes on, empty for none. */
   String checkpoint() {
+    return checkpoint((long) doneMillis / CHECKPOINT_MILLIS * CHECKPOINT_MILLIS);
+  }
+
+  /** Returns the checkpoint of a run that ends, empty for none; a stop saves all that is done. */
+  String checkpoint(RunEnd.Cause cause) {
+    return cause == RunEnd.Cause.STOPPED ? checkpoint((long) doneMillis) : checkpoint();
+  }
+
+  private String checkpoint(long savedMillis) {
     boolean saves = workflow.submission().getSpec().getSteps(taskRun.step()).getCheckpointing();
-    long saved = ((long) doneMillis / 1_000) * 1_000;
-    return saves && saved > 0 ? Long.toString(saved) : "";
+    return saves && savedMillis > 0 ? Long.toString(savedMillis) : "";
   }
 }
--- /dev/null
+++ b/hickoryspar-bench/src/main/java/org/hickoryspar/bench/workflow/Waste.java
@@ -0,0 +1,39 @@
+package org.hickoryspar.bench.workflow;
+
+import java.util.Map;
+import java.util.TreeMap;
+import org.hickoryspar.protocol.RunEnd;
+import org.hickoryspar.protocol.TaskDemand;
+
+/** Sums up the work of tasks that were ended before they were done, beyond what was saved. */
+final class Waste {
+
+  private static final int CORES_PER_ACCELERATOR = 8;
+  private static final double MILLICORES = 1_000;
+  private static final double MILLIS_PER_SECOND = 1_000;
+
+  private double coreSeconds;
+  private final Map<String, Double> byKindAndCause = new TreeMap<>();
+
+  void ended(SimulatedRun run, RunEnd.Cause cause) {
+    if (cause == RunEnd.Cause.DONE || cause == RunEnd.Cause.TASK_FAILED) {
+      return;
+    }
+    TaskDemand demand =
+        run.workflow().submission().getSpec().getSteps(run.taskRun().step()).getDemand();
+    double cores =
+        demand.getCpuMillicores() / MILLICORES + demand.getAccelerators() * CORES_PER_ACCELERATOR;
+    double lost = cores * run.lostMillis(cause) / MILLIS_PER_SECOND;
+    coreSeconds += lost;
+    byKindAndCause.merge(run.workflow().kind().name() + ' ' + cause, lost, Double::sum);
+  }
+
+  /** Returns the sum for each kind of workflow and cause of the end. */
+  Map<String, Double> byKindAndCause() {
+    return byKindAndCause;
+  }
+
+  double coreSeconds() {
+    return coreSeconds;
+  }
+}
--- a/hickoryspar-bench/src/main/java/org/hickoryspar/bench/workflow/WorkflowDeployment.java
+++ b/hickoryspar-bench/src/main/java/org/hickoryspar/bench/workflow/WorkflowDeployment.java
@@ -73,6 +73,16 @@
         kinds.stream().map(kind -> kind.times(factor)).toList());
   }
 
+  /** Returns how many tasks of a kind an idle rack holds. */
+  int tasksPerRack(WorkflowClass kind, int accelerators) {
+    long perMinion =
+        Math.min(
+            ACCELERATORS / accelerators,
+            Math.min(
+                cpuMillicores / kind.cpuMillicores(), memoryMegabytes / kind.memoryMegabytes()));
+    return (int) perMinion * minionsPerRack;
+  }
+
   /** Returns the settings of the dispatcher. */
   static DispatchSettings settings() {
     return new DispatchSettings(
--- a/hickoryspar-bench/src/main/java/org/hickoryspar/bench/workflow/WorkflowExperiment.java
+++ b/hickoryspar-bench/src/main/java/org/hickoryspar/bench/workflow/WorkflowExperiment.java
@@ -38,6 +38,7 @@
   private final Network network;
   private final RuleChecker checker = new RuleChecker();
   private final SimulatedGangs gangs;
+  private final Waste waste = new Waste();
   private final CatalogState catalog;
   private final DispatchSettings settings;
   private final DispatchListener listener;
@@ -74,7 +75,7 @@
         };
     this.catalog = deployment.catalog();
     this.load =
-        new WorkflowLoad(seed + 2, deployment.teams())
+        new WorkflowLoad(seed + 2, deployment)
             .generate(
                 deployment.kinds().stream().map(kind -> kind.times(loadFactor)).toList(),
                 nowMillis + 2_000,
@@ -126,7 +127,7 @@
         network.at(nowMillis + forMillis, () -> network.setLostAnswerShare(0));
       }
       default -> {
-        for (SimulatedMinion minion : minions.values()) {
+        for (SimulatedMinion minion : List.copyOf(minions.values())) {
           if (random.nextDouble() < 0.12 && minion.isUp()) {
             strike(fault, minion, forMillis);
           }
@@ -143,6 +144,10 @@
         minion.crash(nowMillis);
         network.at(overMillis, () -> minion.restart(overMillis));
       }
+      case MINIONS_VANISH -> {
+        minion.crash(nowMillis);
+        network.at(overMillis, () -> join(minion.successor("+", overMillis)));
+      }
       case MINIONS_FAIL -> {
         minion.setFailsAll(true);
         network.at(overMillis, () -> minion.setFailsAll(false));
@@ -170,6 +175,11 @@
     }
   }
 
+  private void join(SimulatedMinion minion) {
+    minions.put(minion.id(), minion);
+    heartbeat(minion);
+  }
+
   // What was proposed and not yet applied is either lost or applied before the next leader starts.
   private void loseLeader() {
     leader.depose();
@@ -287,6 +297,8 @@
     return new WorkflowResult(
         kinds,
         checker.broken(),
+        Math.round(waste.coreSeconds()),
+        waste.byKindAndCause(),
         leader.decisions() == 0 ? 0 : leader.decisionNanos() / leader.decisions() / 1_000,
         leader.maxDecisionNanos() / 1_000);
   }
@@ -326,6 +338,7 @@
     @Override
     public void ended(SimulatedMinion minion, SimulatedRun run, RunEnd.Cause cause, long atMillis) {
       checker.ended(minion, run);
+      waste.ended(run, cause);
       gangs.ended(run, cause, atMillis);
     }
 
--- a/hickoryspar-bench/src/main/java/org/hickoryspar/bench/workflow/WorkflowLoad.java
+++ b/hickoryspar-bench/src/main/java/org/hickoryspar/bench/workflow/WorkflowLoad.java
@@ -16,12 +16,12 @@
   static final String SERVICE = "service";
 
   private final Random random;
-  private final int teams;
+  private final WorkflowDeployment deployment;
   private long lastId;
 
-  WorkflowLoad(long seed, int teams) {
+  WorkflowLoad(long seed, WorkflowDeployment deployment) {
     this.random = new Random(seed);
-    this.teams = teams;
+    this.deployment = deployment;
   }
 
   /** Returns workflows in the order of their submission. */
@@ -64,13 +64,16 @@
                     .setAccelerators(accelerators))
             .setEstimatedMillis((long) (work * (0.5 + random.nextDouble())))
             .setGang(kind.gang())
-            .setSameRack(kind.gang() && random.nextDouble() < kind.sameRackShare())
+            .setSameRack(
+                kind.gang()
+                    && random.nextDouble() < kind.sameRackShare()
+                    && tasks <= deployment.tasksPerRack(kind, accelerators))
             .setCheckpointing(random.nextDouble() < kind.checkpointShare())
             .build();
     SubmitWorkflow submission =
         SubmitWorkflow.newBuilder()
             .setWorkflowId(String.format("%016x", ++lastId))
-            .setTeam("team-" + random.nextInt(teams))
+            .setTeam("team-" + random.nextInt(deployment.teams()))
             .setQueue(queue(kind))
             .setSpec(WorkflowSpec.newBuilder().setPayload("payload").addSteps(step))
             .build();
--- a/hickoryspar-bench/src/main/java/org/hickoryspar/bench/workflow/WorkflowResult.java
+++ b/hickoryspar-bench/src/main/java/org/hickoryspar/bench/workflow/WorkflowResult.java
@@ -8,12 +8,17 @@
  *
  * @param kinds by kind
  * @param broken promises that were broken, in words
+ * @param wastedCoreSeconds work that was stopped or lost and not saved; an accelerator counts as 8
+ *     cores
+ * @param wasteByKindAndCause the same by kind of workflow and cause of the end
  * @param meanDecisionMicros mean time of a round of decisions
  * @param maxDecisionMicros longest round of decisions
  */
 record WorkflowResult(
     Map<String, KindResult> kinds,
     List<String> broken,
+    long wastedCoreSeconds,
+    Map<String, Double> wasteByKindAndCause,
     long meanDecisionMicros,
     long maxDecisionMicros) {
 
--- a/hickoryspar-bench/src/main/java/org/hickoryspar/bench/workflow/WorkflowsCommand.java
+++ b/hickoryspar-bench/src/main/java/org/hickoryspar/bench/workflow/WorkflowsCommand.java
@@ -89,6 +89,9 @@
           .put("late", kind.getValue().late())
           .put("earned", round(kind.getValue().earnedShare()));
     }
+    line.put("wastedCoreSeconds", result.wastedCoreSeconds());
+    ObjectNode waste = line.putObject("waste");
+    result.wasteByKindAndCause().forEach((cause, lost) -> waste.put(cause, Math.round(lost)));
     line.put("meanDecisionMicros", result.meanDecisionMicros());
     line.put("maxDecisionMicros", result.maxDecisionMicros());
     result.broken().stream().limit(5).forEach(line.withArray("broken")::add);
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Dispatcher.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Dispatcher.java
@@ -37,6 +37,9 @@
   private static final long SWEEP_MILLIS = 1_000;
   private static final long MAX_PAUSE_MILLIS = 100;
 
+  /** Events that arrive within this time share a round of placement. */
+  private static final long PLAN_EVERY_MILLIS = 10;
+
   private final DispatchSettings settings;
   private final WorkflowTable table;
   private final DispatchListener listener;
@@ -49,8 +52,10 @@
   private final TaskOrders orders;
   private final WaitingWork waiting;
   private final RecordedEvents recorded;
+  private final TeamNeeds needs;
   private final Planner planner;
   private boolean planDue = true;
+  private long nextPlanMillis;
   private long nextSweepMillis;
   private long decisionMillis;
   private long decisionWallMillis;
@@ -77,18 +82,23 @@
     this.table = requireNonNull(table, "table is null");
     this.listener = requireNonNull(listener, "listener is null");
     FaultLedger faults = new FaultLedger(listener);
-    this.ends = new RunEnds(runs, outbox, faults, listener);
+    WorkEstimates estimates = new WorkEstimates();
+    this.ends = new RunEnds(runs, outbox, faults, estimates, listener);
     this.minions = new MinionTable(listener, this::newLife);
     this.guards = new StopGuards(settings.answerTimeoutMillis(), outbox);
     this.leases = new Leases(settings, minions, runs, outbox, ends, guards, listener);
     this.orders = new TaskOrders(settings, runs, outbox, ends, listener);
     this.waiting = new WaitingWork(catalog, runs, settings.earlyStartMillis());
-    this.planner = new Planner(settings, catalog, minions, runs, faults, new PlannerEffects());
+    this.needs = new TeamNeeds(catalog);
+    this.planner =
+        new Planner(
+            settings, catalog, minions, runs, faults, estimates, needs, new PlannerEffects());
     RunRecovery recovery = new RunRecovery(minions, runs);
-    this.recorded = new RecordedEvents(table, runs, recovery, waiting, faults, listener);
+    this.recorded = new RecordedEvents(table, runs, recovery, waiting, faults, needs, listener);
     for (Workflow workflow : table.all()) {
       recovery.recover(workflow, nowMillis);
       waiting.refresh(workflow, wallMillis);
+      needs.update(workflow);
     }
   }
 
@@ -223,11 +233,12 @@
       waiting.advance(wallMillis);
       planDue = true;
     }
-    if (planDue) {
+    if (planDue && nowMillis >= nextPlanMillis) {
       planDue = false;
+      nextPlanMillis = nowMillis + PLAN_EVERY_MILLIS;
       this.decisionMillis = nowMillis;
       this.decisionWallMillis = wallMillis;
-      planner.plan(waiting.steps(), nowMillis);
+      planner.plan(waiting.steps(), nowMillis, wallMillis);
     }
     orders.advance(nowMillis);
     guards.advance(nowMillis);
@@ -325,7 +336,7 @@
    * @return a time in milliseconds
    */
   public long pauseMillis(long nowMillis) {
-    long next = nowMillis + MAX_PAUSE_MILLIS;
+    long next = planDue ? nextPlanMillis : nowMillis + MAX_PAUSE_MILLIS;
     for (Minion minion : minions.all()) {
       next = Math.min(next, minion.lease().nextDueMillis());
     }
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Leases.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Leases.java
@@ -158,7 +158,7 @@
       Member member = runs.find(row.taskRun());
       if (member != null && member.minion() == minion) {
         member.confirm(nowMillis);
-        member.progressed(row.percent(), row.checkpoint(), nowMillis);
+        member.seen(row.percent(), row.checkpoint(), nowMillis);
       } else {
         strays = true;
         stopStray(minion, row.taskRun(), nowMillis);
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Member.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Member.java
@@ -23,9 +23,7 @@
   private long startDeadlineMillis;
   private boolean ended;
   private String checkpoint;
-  private int percent;
-  private long firstSeenMillis = NEVER_MILLIS;
-  private long rejections;
+  private final Progress progress = new Progress();
 
   Member(ActiveRun run, int index, Minion minion, Room demand) {
     this.run = run;
@@ -133,29 +131,18 @@
     return checkpoint;
   }
 
-  int percent() {
-    return percent;
+  Progress progress() {
+    return progress;
   }
 
-  void progressed(int newPercent, String newCheckpoint, long nowMillis) {
-    percent = newPercent;
+  /** Takes note of what the minion says of the task. */
+  void seen(int percent, String newCheckpoint, long nowMillis) {
+    // A gang works only from the moment when all its members are there.
+    if (run.isConfirmed()) {
+      progress.at(percent, nowMillis);
+    }
     if (!newCheckpoint.isEmpty()) {
       checkpoint = newCheckpoint;
     }
-    if (firstSeenMillis == NEVER_MILLIS) {
-      firstSeenMillis = nowMillis;
-    }
-  }
-
-  long firstSeenMillis() {
-    return firstSeenMillis;
-  }
-
-  long rejections() {
-    return rejections;
-  }
-
-  void rejected() {
-    rejections++;
   }
 }
--- /dev/null
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/MinionPools.java
@@ -0,0 +1,78 @@
+package org.hickoryspar.kernel.dispatch;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** The minions that may be given work, by what steps ask of them; valid for one round. */
+final class MinionPools {
+
+  private final List<Minion> usable = new ArrayList<>();
+  private final long nowMillis;
+  private final Map<Key, Pool> pools = new HashMap<>();
+
+  MinionPools(Collection<Minion> minions, Set<String> dataCentresOut, long nowMillis) {
+    this.nowMillis = nowMillis;
+    for (Minion minion : minions) {
+      if (minion.acceptsWork()
+          && !dataCentresOut.contains(minion.dataCentre())
+          && !minion.health().isIsolated(nowMillis)) {
+        usable.add(minion);
+      }
+    }
+  }
+
+  boolean areUsable(List<Minion> minions) {
+    return usable.containsAll(minions);
+  }
+
+  /** Returns the minions that suit a step. */
+  Pool of(WaitingStep waiting) {
+    return pools.computeIfAbsent(
+        new Key(waiting.queue().getService(), waiting.step().getRequiredLabel()), this::newPool);
+  }
+
+  private Pool newPool(Key key) {
+    Pool pool = new Pool();
+    for (Minion minion : usable) {
+      if (minion.service().equals(key.service) && minion.hasLabel(key.label)) {
+        if (minion.health().isOnTrial(nowMillis)) {
+          pool.onTrial.add(minion);
+        } else if (minion.health().isDoubted(nowMillis)) {
+          pool.doubted.add(minion);
+        } else {
+          pool.trusted.add(minion);
+        }
+      }
+    }
+    return pool;
+  }
+
+  /** Minions of a service with a label, by how far they are trusted. */
+  static final class Pool {
+
+    private final List<Minion> trusted = new ArrayList<>();
+    private final List<Minion> doubted = new ArrayList<>();
+    private final List<Minion> onTrial = new ArrayList<>();
+
+    /** Returns the minions without a recent failure. */
+    List<Minion> trusted() {
+      return trusted;
+    }
+
+    /** Returns the minions with a recent failure that may be the fault of the task. */
+    List<Minion> doubted() {
+      return doubted;
+    }
+
+    /** Returns the minions that a single task shall be tried on. */
+    List<Minion> onTrial() {
+      return onTrial;
+    }
+  }
+
+  private record Key(String service, String label) {}
+}
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Places.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Places.java
@@ -1,6 +1,7 @@
 package org.hickoryspar.kernel.dispatch;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -21,6 +22,9 @@
     Minion best = null;
     long bestCost = Long.MAX_VALUE;
     for (Minion minion : minions) {
+      if (!minion.free().holds(demand)) {
+        continue;
+      }
       Room free = freeOf.apply(minion);
       if (free.holds(demand) && load.allows(minion, 1)) {
         boolean far = !dataRack.isEmpty() && !dataRack.equals(minion.rack());
@@ -70,6 +74,13 @@
             .noneMatch(rack -> count(waiting.demand(), rack, Minion::capacity, load, size) >= size);
   }
 
+  /** Returns the sets of minions of which one must hold all tasks of a group. */
+  static Collection<List<Minion>> candidateSets(
+      WaitingStep waiting, int size, List<Minion> minions, StepLoad load) {
+    boolean oneRack = size == 1 || !mayCrossRacks(waiting, size, minions, load);
+    return oneRack ? byRack(minions).values() : List.of(minions);
+  }
+
   static Map<String, List<Minion>> byRack(List<Minion> minions) {
     Map<String, List<Minion>> racks = new LinkedHashMap<>();
     for (Minion minion : minions) {
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Planner.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Planner.java
@@ -1,7 +1,7 @@
 package org.hickoryspar.kernel.dispatch;
 
 import java.util.ArrayList;
-import java.util.Comparator;
+import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -9,22 +9,31 @@
 import org.hickoryspar.kernel.workflow.TaskGroup;
 import org.jspecify.annotations.Nullable;
 
-/** Decides which waiting groups start where, most urgent first, and what is stopped for them. */
+/**
+ * Decides which waiting groups start where, the first in rank first, and what is stopped for them.
+ * Room that groups without room will need is held for the first of them, and others use it only as
+ * long as it is free anyway.
+ */
 final class Planner {
 
   /** Room is kept this long beyond the time in which a task stops. */
   private static final long RESERVATION_MARGIN_MILLIS = 1_500;
 
-  private static final Comparator<WaitingStep> MOST_URGENT_FIRST =
-      Comparator.comparingInt((WaitingStep step) -> step.queue().getPriority())
-          .thenComparingLong(WaitingStep::sinceMillis)
-          .thenComparing(step -> step.workflow().id());
+  /** Groups for which room is held at the same time. */
+  private static final int MAX_HELD_GROUPS = 6;
+
+  /**
+   * Share of the time left that a forecast may use up, since some runs last longer than expected.
+   */
+  private static final int TRUSTED_SLACK_PERCENT = 40;
 
   private final DispatchSettings settings;
   private final CatalogState catalog;
   private final MinionTable minions;
   private final RunTable runs;
   private final FaultLedger faults;
+  private final WorkEstimates estimates;
+  private final Ranking ranking;
   private final Reclaim reclaim;
   private final Effects effects;
   private final Map<TaskGroup, Reservation> reservations = new LinkedHashMap<>();
@@ -43,143 +52,206 @@
       MinionTable minions,
       RunTable runs,
       FaultLedger faults,
+      WorkEstimates estimates,
+      TeamNeeds needs,
       Effects effects) {
     this.settings = settings;
     this.catalog = catalog;
     this.minions = minions;
     this.runs = runs;
     this.faults = faults;
+    this.estimates = estimates;
+    this.ranking = new Ranking(new Urgencies(settings, estimates, needs));
     this.reclaim = new Reclaim(new VictimCost.LostWork());
     this.effects = effects;
   }
 
   /** Places the groups of steps that wait. */
-  void plan(List<WaitingStep> waiting, long nowMillis) {
-    List<WaitingStep> ordered = new ArrayList<>(waiting);
-    ordered.sort(MOST_URGENT_FIRST);
-    List<Minion> usable =
-        minions.all().stream()
-            .filter(Minion::acceptsWork)
-            .filter(minion -> !catalog.dataCentresOut().contains(minion.dataCentre()))
-            .filter(minion -> !minion.health().isIsolated(nowMillis))
-            .toList();
-    startReserved(usable, nowMillis);
-    for (WaitingStep step : ordered) {
-      place(step, usable, nowMillis);
+  void plan(List<WaitingStep> waiting, long nowMillis, long wallMillis) {
+    Round round = new Round(nowMillis, wallMillis);
+    round.startReserved();
+    for (RankedStep step : ranking.rank(waiting, wallMillis)) {
+      round.place(step);
     }
   }
 
-  // A reservation ends when its group starts or ends, when a minion of it becomes unusable, or when
-  // its time is up.
-  private void startReserved(List<Minion> usable, long nowMillis) {
-    for (Reservation reservation : List.copyOf(reservations.values())) {
-      Placement placement = reservation.placement();
-      TaskGroup group = placement.group();
-      boolean needless =
-          placement.waiting().workflow().isEnded() || group.isDone() || runs.holds(group);
-      boolean unusable = !usable.containsAll(placement.minions());
-      reservation.release();
-      if (needless || unusable || nowMillis >= reservation.untilMillis()) {
-        reservations.remove(group);
-      } else if (reservation.isRoomFree()) {
-        reservations.remove(group);
-        effects.start(placement);
-      } else {
-        reservation.take();
-      }
+  /** One round of decisions. */
+  private final class Round {
+
+    private final long nowMillis;
+    private final long wallMillis;
+    private final MinionPools pools;
+    private final Horizon horizon;
+    private final Holds holds;
+    private final Blocked blocked = new Blocked();
+
+    Round(long nowMillis, long wallMillis) {
+      this.nowMillis = nowMillis;
+      this.wallMillis = wallMillis;
+      this.pools = new MinionPools(minions.all(), catalog.dataCentresOut(), nowMillis);
+      this.horizon = new Horizon(estimates, settings.stopTimeoutMillis(), nowMillis);
+      this.holds = new Holds(horizon, nowMillis);
     }
-  }
 
-  private void place(WaitingStep waiting, List<Minion> usable, long nowMillis) {
-    List<Minion> suitable =
-        usable.stream()
-            .filter(minion -> minion.service().equals(waiting.queue().getService()))
-            .filter(minion -> minion.hasLabel(waiting.step().getRequiredLabel()))
-            .toList();
-    StepLoad load = new StepLoad(waiting, runs);
-    for (TaskGroup group : waiting.groups()) {
-      if (reservations.containsKey(group) || runs.holds(group)) {
-        continue;
+    // A reservation ends when its group starts or ends, when a minion of it becomes unusable, or
+    // when its time is up.
+    void startReserved() {
+      for (Reservation reservation : List.copyOf(reservations.values())) {
+        Placement placement = reservation.placement();
+        TaskGroup group = placement.group();
+        boolean needless =
+            placement.waiting().workflow().isEnded() || group.isDone() || runs.holds(group);
+        boolean unusable = !pools.areUsable(placement.minions());
+        reservation.release();
+        if (needless || unusable || nowMillis >= reservation.untilMillis()) {
+          reservations.remove(group);
+        } else if (reservation.isRoomFree()) {
+          reservations.remove(group);
+          effects.start(placement);
+        } else {
+          reservation.take();
+        }
       }
-      List<Minion> chosen = choose(waiting, group, suitable, load, nowMillis);
-      if (chosen != null) {
-        chosen.forEach(load::add);
-        effects.start(new Placement(waiting, group, chosen));
-      } else if (!Reclaim.mayPreempt(waiting)
-          || !preemptFor(waiting, group, trusted(group, suitable, nowMillis), load, nowMillis)) {
-        return;
+    }
+
+    void place(RankedStep ranked) {
+      WaitingStep waiting = ranked.waiting();
+      MinionPools.Pool pool = pools.of(waiting);
+      StepLoad load = new StepLoad(waiting, runs);
+      for (TaskGroup group : waiting.groups()) {
+        if (reservations.containsKey(group) || runs.holds(group)) {
+          continue;
+        }
+        if (blocked.covers(waiting, group.size(), ranked.urgency().expectedMillis())) {
+          return;
+        }
+        List<Minion> chosen = choose(ranked, group, pool, load);
+        if (chosen != null) {
+          start(new Placement(waiting, group, chosen), load, endMillis(ranked));
+        } else if (!makeRoom(ranked, group, pool, load)) {
+          return;
+        }
       }
     }
-  }
 
-  private @Nullable List<Minion> choose(
-      WaitingStep waiting, TaskGroup group, List<Minion> suitable, StepLoad load, long nowMillis) {
-    List<Minion> chosen = onTrial(waiting, group, suitable, load, nowMillis);
-    if (chosen == null) {
-      chosen = find(waiting, group, trusted(group, suitable, nowMillis), load);
+    private long endMillis(RankedStep ranked) {
+      return nowMillis + ranked.urgency().expectedMillis();
     }
-    if (chosen == null) {
-      List<Minion> others =
-          suitable.stream()
-              .filter(minion -> !minion.health().isOnTrial(nowMillis))
-              .filter(minion -> !faults.hasFailedOn(group, minion))
-              .toList();
-      chosen = find(waiting, group, others, load);
+
+    private void start(Placement placement, StepLoad load, long endMillis) {
+      Room demand = placement.waiting().demand();
+      for (Minion minion : placement.minions()) {
+        load.add(minion);
+        holds.used(minion, demand, endMillis);
+      }
+      effects.start(placement);
     }
-    return chosen;
-  }
 
-  private List<Minion> trusted(TaskGroup group, List<Minion> suitable, long nowMillis) {
-    return suitable.stream()
-        .filter(minion -> !minion.health().isDoubted(nowMillis))
-        .filter(minion -> !faults.hasFailedOn(group, minion))
-        .toList();
-  }
+    private @Nullable List<Minion> choose(
+        RankedStep ranked, TaskGroup group, MinionPools.Pool pool, StepLoad load) {
+      WaitingStep waiting = ranked.waiting();
+      List<Minion> chosen = null;
+      if (!pool.onTrial().isEmpty() && isExpendable(waiting, group)) {
+        chosen = find(ranked, group, pool.onTrial().stream().filter(Minion::isIdle).toList(), load);
+      }
+      if (chosen == null) {
+        chosen = find(ranked, group, withoutFailure(group, pool.trusted()), load);
+      }
+      if (chosen == null && !pool.doubted().isEmpty()) {
+        List<Minion> others = new ArrayList<>(pool.trusted());
+        others.addAll(pool.doubted());
+        chosen = find(ranked, group, withoutFailure(group, others), load);
+      }
+      return chosen;
+    }
 
-  // A single task that may fail once more shows whether a minion has recovered.
-  private static @Nullable List<Minion> onTrial(
-      WaitingStep waiting, TaskGroup group, List<Minion> suitable, StepLoad load, long nowMillis) {
-    boolean expendable =
-        group.size() == 1
-            && group.failures() == 0
-            && waiting.workflow().maxAttempts() > 1
-            && !Reclaim.mayPreempt(waiting);
-    if (!expendable) {
-      return null;
+    // A single task that may fail once more shows whether a minion has recovered.
+    private boolean isExpendable(WaitingStep waiting, TaskGroup group) {
+      return group.size() == 1
+          && group.failures() == 0
+          && waiting.workflow().maxAttempts() > 1
+          && !Reclaim.mayPreempt(waiting.queue());
     }
-    List<Minion> idle =
-        suitable.stream()
-            .filter(minion -> minion.health().isOnTrial(nowMillis) && minion.isIdle())
-            .toList();
-    Minion minion = Places.tightest(waiting, idle, Minion::free, load);
-    return minion == null ? null : List.of(minion);
-  }
 
-  private static @Nullable List<Minion> find(
-      WaitingStep waiting, TaskGroup group, List<Minion> minions, StepLoad load) {
-    if (group.size() > 1) {
-      return Places.gang(waiting, group.size(), minions, Minion::free, load);
+    private List<Minion> withoutFailure(TaskGroup group, List<Minion> pool) {
+      return group.failures() == 0
+          ? pool
+          : pool.stream().filter(minion -> !faults.hasFailedOn(group, minion)).toList();
+    }
+
+    private @Nullable List<Minion> find(
+        RankedStep ranked, TaskGroup group, List<Minion> pool, StepLoad load) {
+      long endMillis = endMillis(ranked);
+      if (group.size() > 1) {
+        return Places.gang(
+            ranked.waiting(), group.size(), pool, minion -> holds.free(minion, endMillis), load);
+      }
+      Minion minion = Places.tightest(ranked.waiting(), pool, m -> holds.free(m, endMillis), load);
+      return minion == null ? null : List.of(minion);
     }
-    Minion minion = Places.tightest(waiting, minions, Minion::free, load);
-    return minion == null ? null : List.of(minion);
-  }
 
-  private boolean preemptFor(
-      WaitingStep waiting, TaskGroup group, List<Minion> suitable, StepLoad load, long nowMillis) {
-    Reclaim.Plan plan = reclaim.plan(waiting, group.size(), suitable, load, nowMillis);
-    if (plan == null) {
+    /** Returns whether room is made for a group, so that the next one may be looked at. */
+    private boolean makeRoom(
+        RankedStep ranked, TaskGroup group, MinionPools.Pool pool, StepLoad load) {
+      Urgency urgency = ranked.urgency();
+      WaitingStep waiting = ranked.waiting();
+      List<Minion> trusted = withoutFailure(group, pool.trusted());
+      Collection<List<Minion>> candidates =
+          Places.candidateSets(waiting, group.size(), trusted, load);
+      boolean preempting = Reclaim.mayPreempt(waiting.queue());
+      if (!preempting && holds.groups() >= MAX_HELD_GROUPS) {
+        blocked.add(waiting, group.size(), urgency.expectedMillis());
+        return false;
+      }
+      Forecast forecast =
+          new Forecasts(horizon, holds::unheld, nowMillis)
+              .earliest(waiting.demand(), group.size(), candidates);
+      if (preempting
+          && isTooLate(forecast, urgency)
+          && preemptFor(ranked, group, candidates, load)) {
+        return true;
+      }
+      if (forecast != null && holds.groups() < MAX_HELD_GROUPS) {
+        holds.add(forecast, waiting.demand());
+      } else {
+        blocked.add(waiting, group.size(), urgency.expectedMillis());
+      }
       return false;
     }
-    Placement placement = new Placement(waiting, group, plan.minions());
-    Reservation reservation =
-        new Reservation(
-            placement,
-            plan.victims(),
-            nowMillis + settings.stopTimeoutMillis() + RESERVATION_MARGIN_MILLIS);
-    plan.victims().forEach(victim -> effects.preempt(victim, placement));
-    plan.minions().forEach(load::add);
-    reservation.take();
-    reservations.put(group, reservation);
-    return true;
+
+    private boolean isTooLate(@Nullable Forecast forecast, Urgency urgency) {
+      long allowedMillis = (urgency.latestStartMillis() - wallMillis) * TRUSTED_SLACK_PERCENT / 100;
+      return forecast == null || forecast.startMillis() - nowMillis > allowedMillis;
+    }
+
+    private boolean preemptFor(
+        RankedStep ranked, TaskGroup group, Collection<List<Minion>> candidates, StepLoad load) {
+      WaitingStep waiting = ranked.waiting();
+      Reclaim.Plan plan = reclaim.plan(waiting.demand(), group.size(), candidates, load, nowMillis);
+      if (plan == null || !isWorthwhile(plan, ranked, group)) {
+        return false;
+      }
+      Placement placement = new Placement(waiting, group, plan.minions());
+      Reservation reservation =
+          new Reservation(
+              placement,
+              plan.victims(),
+              nowMillis + settings.stopTimeoutMillis() + RESERVATION_MARGIN_MILLIS);
+      plan.victims().forEach(victim -> effects.preempt(victim, placement));
+      plan.minions().forEach(load::add);
+      reservation.take();
+      reservations.put(group, reservation);
+      return true;
+    }
+
+    // What is guaranteed is given at any cost; others must not lose more than is gained.
+    private boolean isWorthwhile(Reclaim.Plan plan, RankedStep ranked, TaskGroup group) {
+      Urgency urgency = ranked.urgency();
+      return urgency.isGuaranteed()
+          || (urgency.prospect() == Urgency.Prospect.IN_TIME
+              && plan.cost()
+                  <= VictimCost.work(
+                      ranked.waiting().demand(), group.size(), urgency.expectedMillis()));
+    }
   }
 }
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Reclaim.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Reclaim.java
@@ -3,11 +3,12 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
-import java.util.HashSet;
+import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.hickoryspar.protocol.Queue;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -25,83 +26,173 @@
     this.cost = cost;
   }
 
-  static boolean mayPreempt(WaitingStep waiting) {
-    return waiting.queue().getPriority() == PREEMPTING_PRIORITY;
+  static boolean mayPreempt(Queue queue) {
+    return queue.getPriority() == PREEMPTING_PRIORITY;
   }
 
   /** Returns the minions of a group and the victims, or null when stopping others does not help. */
   @Nullable Plan plan(
-      WaitingStep waiting, int size, List<Minion> minions, StepLoad load, long nowMillis) {
+      Room demand,
+      int size,
+      Collection<List<Minion>> candidateSets,
+      StepLoad load,
+      long nowMillis) {
     Plan best = null;
-    for (List<Minion> candidates : candidateSets(waiting, size, minions, load)) {
-      Plan plan = planOn(waiting, size, candidates, load, nowMillis);
-      if (plan != null && (best == null || plan.cost < best.cost)) {
+    for (List<Minion> candidates : candidateSets) {
+      Search search = new Search(demand, size, candidates, load, nowMillis);
+      Plan plan = search.plan(best == null ? Double.MAX_VALUE : best.cost);
+      if (plan != null) {
         best = plan;
       }
     }
     return best;
   }
 
-  private static Collection<List<Minion>> candidateSets(
-      WaitingStep waiting, int size, List<Minion> minions, StepLoad load) {
-    Map<String, List<Minion>> racks = Places.byRack(minions);
-    boolean oneRack = size == 1 || !Places.mayCrossRacks(waiting, size, minions, load);
-    return oneRack ? racks.values() : List.of(minions);
-  }
+  /** One search for victims on a set of minions. */
+  private final class Search {
 
-  private @Nullable Plan planOn(
-      WaitingStep waiting, int size, List<Minion> minions, StepLoad load, long nowMillis) {
-    Room demand = waiting.demand();
-    List<ActiveRun> stoppable = stoppable(minions);
-    Set<ActiveRun> victims = new LinkedHashSet<>(stoppable);
-    if (count(demand, minions, victims, load, size) < size) {
-      return null;
+    private final Room demand;
+    private final int size;
+    private final List<Minion> minions;
+    private final StepLoad load;
+    private final long nowMillis;
+    private final Map<Minion, Room> free = new HashMap<>();
+    private final Set<ActiveRun> victims = new LinkedHashSet<>();
+    private double total;
+
+    Search(Room demand, int size, List<Minion> minions, StepLoad load, long nowMillis) {
+      this.demand = demand;
+      this.size = size;
+      this.minions = minions;
+      this.load = load;
+      this.nowMillis = nowMillis;
+      minions.forEach(minion -> free.put(minion, minion.free()));
+    }
+
+    /** Frees the minion with the least loss for each task until there are enough. */
+    @Nullable Plan plan(double costLimit) {
+      while (count() < size) {
+        Step next = cheapestStep();
+        if (next == null) {
+          return null;
+        }
+        next.runs.forEach(this::stop);
+        if (total >= costLimit) {
+          return null;
+        }
+      }
+      spareNeedless();
+      return new Plan(
+          Places.fill(demand, size, minions, this::freeOf, load), List.copyOf(victims), total);
     }
-    // The dearest are spared first, as long as the others free enough.
-    stoppable.sort(
-        Comparator.comparingDouble((ActiveRun run) -> cost.of(run, nowMillis)).reversed());
-    for (ActiveRun run : stoppable) {
-      victims.remove(run);
-      if (count(demand, minions, victims, load, size) < size) {
-        victims.add(run);
+
+    private int count() {
+      int count = 0;
+      for (Minion minion : minions) {
+        count += countOn(minion, freeOf(minion));
       }
+      return count;
+    }
+
+    private int countOn(Minion minion, Room room) {
+      return Math.min(room.count(demand, size), load.left(minion));
+    }
+
+    private Room freeOf(Minion minion) {
+      return free.getOrDefault(minion, Room.NONE);
+    }
+
+    private @Nullable Step cheapestStep() {
+      Step best = null;
+      for (Minion minion : minions) {
+        Step step = nextTaskOn(minion);
+        if (step != null && (best == null || step.cost < best.cost)) {
+          best = step;
+        }
+      }
+      return best;
+    }
+
+    // The runs whose end lets one more task fit, the cheapest for its room first.
+    private @Nullable Step nextTaskOn(Minion minion) {
+      Room room = freeOf(minion);
+      int before = countOn(minion, room);
+      List<ActiveRun> chosen = new ArrayList<>();
+      double sum = 0;
+      for (ActiveRun run : stoppableOn(minion)) {
+        chosen.add(run);
+        sum += costOf(run);
+        room = room.plus(roomOf(run, minion));
+        if (countOn(minion, room) > before) {
+          return new Step(chosen, sum);
+        }
+      }
+      return null;
     }
-    double total = victims.stream().mapToDouble(run -> cost.of(run, nowMillis)).sum();
-    return new Plan(
-        Places.fill(demand, size, minions, minion -> freeWithout(minion, victims), load),
-        List.copyOf(victims),
-        total);
-  }
 
-  private static List<ActiveRun> stoppable(List<Minion> minions) {
-    Set<ActiveRun> runs = new HashSet<>();
-    for (Minion minion : minions) {
+    private List<ActiveRun> stoppableOn(Minion minion) {
+      Set<ActiveRun> runs = new LinkedHashSet<>();
       for (Member member : minion.members()) {
         ActiveRun run = member.run();
         if (run.workflow().queue().getPriority() > PREEMPTING_PRIORITY
-            && !run.step().getLongRunning()) {
+            && !run.step().getLongRunning()
+            && !victims.contains(run)) {
           runs.add(run);
         }
       }
+      List<ActiveRun> cheapestFirst = new ArrayList<>(runs);
+      cheapestFirst.sort(Comparator.comparingDouble(this::costOf));
+      return cheapestFirst;
     }
-    return new ArrayList<>(runs);
-  }
 
-  private static int count(
-      Room demand, List<Minion> minions, Set<ActiveRun> victims, StepLoad load, int limit) {
-    return Places.count(demand, minions, minion -> freeWithout(minion, victims), load, limit);
-  }
+    private double costOf(ActiveRun run) {
+      return cost.of(run, nowMillis);
+    }
 
-  private static Room freeWithout(Minion minion, Set<ActiveRun> victims) {
-    Room free = minion.free();
-    for (Member member : minion.members()) {
-      if (victims.contains(member.run())) {
-        free = free.plus(member.demand());
+    private Room roomOf(ActiveRun run, Minion minion) {
+      Room room = Room.NONE;
+      for (Member member : run.members()) {
+        if (member.minion() == minion && !member.isEnded()) {
+          room = room.plus(member.demand());
+        }
+      }
+      return room;
+    }
+
+    private void stop(ActiveRun run) {
+      victims.add(run);
+      total += costOf(run);
+      shift(run, true);
+    }
+
+    private void shift(ActiveRun run, boolean freed) {
+      for (Member member : run.members()) {
+        if (!member.isEnded()) {
+          Room room = member.demand();
+          free.computeIfPresent(
+              member.minion(), (minion, was) -> freed ? was.plus(room) : was.minus(room));
+        }
+      }
+    }
+
+    // A later victim may have freed enough that an earlier one goes on; the dearest come first.
+    private void spareNeedless() {
+      List<ActiveRun> dearestFirst = new ArrayList<>(victims);
+      dearestFirst.sort(Comparator.comparingDouble(this::costOf).reversed());
+      for (ActiveRun run : dearestFirst) {
+        shift(run, false);
+        if (count() >= size) {
+          victims.remove(run);
+          total -= costOf(run);
+        } else {
+          shift(run, true);
+        }
       }
     }
-    return free;
   }
 
+  private record Step(List<ActiveRun> runs, double cost) {}
+
   /**
    * What to stop and where to start.
    *
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/RecordedEvents.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/RecordedEvents.java
@@ -17,6 +17,7 @@
   private final RunRecovery recovery;
   private final WaitingWork waiting;
   private final FaultLedger faults;
+  private final TeamNeeds needs;
   private final DispatchListener listener;
   private final Set<String> notedEnds = new HashSet<>();
 
@@ -26,12 +27,14 @@
       RunRecovery recovery,
       WaitingWork waiting,
       FaultLedger faults,
+      TeamNeeds needs,
       DispatchListener listener) {
     this.table = table;
     this.runs = runs;
     this.recovery = recovery;
     this.waiting = waiting;
     this.faults = faults;
+    this.needs = needs;
     this.listener = listener;
   }
 
@@ -53,6 +56,7 @@
       noteEnd(workflow, wallMillis);
       faults.forget(workflow);
     }
+    needs.update(workflow);
     waiting.refresh(workflow, wallMillis);
   }
 
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Room.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Room.java
@@ -32,6 +32,21 @@
         accelerators - other.accelerators);
   }
 
+  /** Returns the smaller amount of each resource. */
+  Room atMost(Room other) {
+    return new Room(
+        Math.min(cpuMillicores, other.cpuMillicores),
+        Math.min(memoryMegabytes, other.memoryMegabytes),
+        Math.min(accelerators, other.accelerators));
+  }
+
+  /** Returns whether no resource exceeds that of another amount. */
+  boolean isWithin(Room other) {
+    return cpuMillicores <= other.cpuMillicores
+        && memoryMegabytes <= other.memoryMegabytes
+        && accelerators <= other.accelerators;
+  }
+
   boolean holds(Room demand) {
     return demand.cpuMillicores <= Math.max(0, cpuMillicores)
         && demand.memoryMegabytes <= Math.max(0, memoryMegabytes)
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/RunEnds.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/RunEnds.java
@@ -8,12 +8,19 @@
   private final RunTable runs;
   private final Outbox outbox;
   private final FaultLedger faults;
+  private final WorkEstimates estimates;
   private final DispatchListener listener;
 
-  RunEnds(RunTable runs, Outbox outbox, FaultLedger faults, DispatchListener listener) {
+  RunEnds(
+      RunTable runs,
+      Outbox outbox,
+      FaultLedger faults,
+      WorkEstimates estimates,
+      DispatchListener listener) {
     this.runs = runs;
     this.outbox = outbox;
     this.faults = faults;
+    this.estimates = estimates;
     this.listener = listener;
   }
 
@@ -27,11 +34,12 @@
         "minion",
         member.minion().id(),
         "percent",
-        member.percent());
+        member.progress().percent());
     if (cause == RunEnd.Cause.TASK_FAILED) {
       faults.failed(member, nowMillis);
     } else if (cause == RunEnd.Cause.DONE) {
       faults.succeeded(member);
+      estimates.observed(member.run(), member.run().workedMillis(nowMillis));
     }
     end(member, cause, checkpoint);
   }
@@ -51,7 +59,7 @@
         "confirmed",
         member.isConfirmed(),
         "percent",
-        member.percent());
+        member.progress().percent());
     end(member, RunEnd.Cause.LOST, member.checkpoint());
   }
 
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/StepLoad.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/StepLoad.java
@@ -6,19 +6,24 @@
 /** Counts the tasks of one step on each minion, where a step limits them. */
 final class StepLoad {
 
+  /** The load of a step without a limit. */
+  static final StepLoad UNLIMITED = new StepLoad();
+
   private final int limit;
   private final Map<Minion, Integer> counts = new HashMap<>();
 
+  private StepLoad() {
+    limit = Integer.MAX_VALUE;
+  }
+
   StepLoad(WaitingStep waiting, RunTable runs) {
     int max = waiting.step().getMaxTasksPerMinion();
     limit = max == 0 ? Integer.MAX_VALUE : max;
     if (max == 0) {
       return;
     }
-    for (ActiveRun run : runs.runs()) {
-      if (run.workflow() == waiting.workflow()
-          && run.occurrence() == waiting.occurrence()
-          && run.stepIndex() == waiting.stepIndex()) {
+    for (ActiveRun run : runs.of(waiting.workflow())) {
+      if (run.occurrence() == waiting.occurrence() && run.stepIndex() == waiting.stepIndex()) {
         run.members().stream().filter(member -> !member.isEnded()).forEach(m -> add(m.minion()));
       }
     }
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/TaskOrders.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/TaskOrders.java
@@ -98,7 +98,6 @@
             outcome,
             "minion",
             member.minion().id());
-        member.rejected();
         member.run().wantStop();
       }
     }
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/VictimCost.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/VictimCost.java
@@ -6,12 +6,20 @@
   /** Returns the cost of stopping a run now. */
   double of(ActiveRun run, long nowMillis);
 
+  /** An accelerator counts as this many cores. */
+  int CORES_PER_ACCELERATOR = 8;
+
+  /** Returns the work of some tasks in core-milliseconds. */
+  static double work(Room demand, int tasks, long millis) {
+    double cores =
+        demand.cpuMillicores() / LostWork.MILLICORES
+            + demand.accelerators() * CORES_PER_ACCELERATOR;
+    return cores * tasks * millis;
+  }
+
   /** Counts the work that is lost, in core-milliseconds; what a checkpoint saves is not lost. */
   final class LostWork implements VictimCost {
 
-    /** An accelerator counts as this many cores. */
-    private static final int CORES_PER_ACCELERATOR = 8;
-
     private static final double MILLICORES = 1_000.0;
 
     /** A run that is stopped loses at least the time to stop and start it. */
@@ -23,10 +31,8 @@
         return 0;
       }
       Room demand = run.members().get(0).demand();
-      double cores =
-          demand.cpuMillicores() / MILLICORES + demand.accelerators() * CORES_PER_ACCELERATOR;
       long workedMillis = run.step().getCheckpointing() ? 0 : run.workedMillis(nowMillis);
-      return cores * run.members().size() * (workedMillis + OVERHEAD_MILLIS);
+      return work(demand, run.members().size(), workedMillis + OVERHEAD_MILLIS);
     }
   }
 }
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/workflow/TaskGroup.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/workflow/TaskGroup.java
@@ -72,8 +72,10 @@
       return;
     }
     boolean counted = run.contains(RunEnd.Cause.TASK_FAILED);
+    // A stopped member saves all that is done; what the others saved last is older.
+    boolean hasNewest = run.contains(RunEnd.Cause.STOPPED);
     run.end(member, end.getCause());
-    if (!end.getCheckpoint().isEmpty()) {
+    if (!end.getCheckpoint().isEmpty() && !hasNewest) {
       checkpoint = end.getCheckpoint();
     }
     if (!step.getLongRunning()) {
--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/DispatcherRig.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/DispatcherRig.java
@@ -140,6 +140,15 @@
     return table.find(id).orElseThrow();
   }
 
+  /** Ends all tasks of a workflow that run. */
+  void endAll(String workflowId, RunEnd.Cause cause) {
+    for (FakeMinion minion : minions.values()) {
+      minion.running().stream()
+          .filter(run -> run.workflowId().equals(workflowId))
+          .forEach(run -> minion.end(run, cause));
+    }
+  }
+
   void cancel(String id) {
     record(
         WorkflowBatch.newBuilder()
@@ -165,13 +174,13 @@
 
   private void record(WorkflowBatch batch) {
     if (batch.getEventsCount() > 0) {
-      List<Optional<Problem>> problems = tableCopyApply(batch);
+      List<Optional<Problem>> problems = accepted(batch);
       dispatcher.applied(batch, problems, nowMillis, nowMillis, nowMillis);
     }
   }
 
   // The dispatcher applies the batch to the table that it shares with this rig.
-  private static List<Optional<Problem>> tableCopyApply(WorkflowBatch batch) {
+  private static List<Optional<Problem>> accepted(WorkflowBatch batch) {
     return batch.getEventsList().stream().map(event -> Optional.<Problem>empty()).toList();
   }
 
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/explain/Sentences.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/explain/Sentences.java
@@ -49,7 +49,6 @@
     BY_NAME.put("MINION_SUSPECTED", "the minion does not answer for {silentMillis} ms: {outcome}");
     BY_NAME.put("MINION_RETURNED", "the minion answers again after {silentMillis} ms");
     BY_NAME.put("MINION_ISOLATED", "the minion gets no work for {forMillis} ms: {lastFailure}");
-    BY_NAME.put("MINION_STALLED", "the minion gets no work: {task} stands still at {percent}");
     BY_NAME.put("MINION_DRAINING", "the minion drains, {remainingMillis} ms remain");
     BY_NAME.put("MINION_GONE", "the minion, born at {bornMillis}, has ended");
   }
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/explain/Story.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/explain/Story.java
@@ -23,7 +23,6 @@
           "MINION_SUSPECTED",
           "MINION_RETURNED",
           "MINION_ISOLATED",
-          "MINION_STALLED",
           "MINION_DRAINING",
           "MINION_GONE");
 
