Replace a lost leader within a second and turn calls to its successor at once

Calls in flight waited up to 700 ms for an answer of the lost leader although its successor was known.

LeaderCallsTest covers a silent leader, repetition, refusal and the end of the time.

--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/replication/ReplicaOptions.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/replication/ReplicaOptions.java
@@ -61,6 +61,17 @@
         1_000, 2_000, 150, 800, 10, 512, 512 << 10, 16, 256 << 10, 1_000, 1_000, 64, 60_000);
   }
 
+  /**
+   * Returns the values for replicas that are some ten milliseconds apart, where a leader that is
+   * lost must be replaced within a second.
+   *
+   * @return election timeout 600 to 1,000 ms, heartbeat 100 ms, lease 500 ms less 10%
+   */
+  public static ReplicaOptions quickElections() {
+    return new ReplicaOptions(
+        600, 1_000, 100, 500, 10, 512, 512 << 10, 16, 256 << 10, 1_000, 1_000, 64, 60_000);
+  }
+
   long leaseNanos() {
     return nanos(leaseMillis) / 100 * (100 - driftPercent);
   }
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/cluster/ClusterKeeper.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/cluster/ClusterKeeper.java
@@ -17,8 +17,8 @@
 /** On a control daemon, keeps the others and the entries informed, and the voters as planned. */
 public final class ClusterKeeper implements AutoCloseable {
 
-  private static final long TICK_MILLIS = 100;
-  private static final long TELL_EVERY_TICKS = 10;
+  private static final long TICK_MILLIS = 50;
+  private static final long TELL_EVERY_TICKS = 20;
 
   private final ReplicatedLog<?> log;
   private final ControlPeers peers;
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/cluster/ControlPeers.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/cluster/ControlPeers.java
@@ -9,6 +9,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Consumer;
 import org.hickoryspar.kernel.membership.ReachableReplica;
 import org.hickoryspar.node.control.ReplicationTransport;
 import org.hickoryspar.node.observability.EventLogger;
@@ -31,6 +33,7 @@
   private final String ownAddress;
   private final PeerHandler handler;
   private final Map<String, PeerConnection> byAddress = new ConcurrentHashMap<>();
+  private final List<Consumer<Leader>> leaderListeners = new CopyOnWriteArrayList<>();
   private volatile Leader leader = new Leader("", 0);
 
   /**
@@ -93,16 +96,33 @@
    * @param instanceId the instance that leads, empty when none is known
    * @param term its term
    */
-  public synchronized void noteLeader(String instanceId, long term) {
-    Leader known = leader;
-    boolean newer = term > known.term || (term == known.term && known.instanceId.isEmpty());
-    if (newer && !instanceId.equals(known.instanceId)) {
+  public void noteLeader(String instanceId, long term) {
+    Leader newLeader = new Leader(instanceId, term);
+    if (takeOver(newLeader)) {
       EventLogger.log(
           ClusterEvent.LEADER_KNOWN, instanceId.isEmpty() ? "nobody" : instanceId, term);
+      leaderListeners.forEach(listener -> listener.accept(newLeader));
     }
+  }
+
+  /** Returns whether another instance leads now. */
+  private synchronized boolean takeOver(Leader newLeader) {
+    Leader known = leader;
+    boolean newer =
+        newLeader.term > known.term || (newLeader.term == known.term && known.instanceId.isEmpty());
     if (newer) {
-      leader = new Leader(instanceId, term);
+      leader = newLeader;
     }
+    return newer && !newLeader.instanceId.equals(known.instanceId);
+  }
+
+  /**
+   * Adds a listener that is told when another leader is known; it must not block.
+   *
+   * @param listener the listener
+   */
+  public void onLeaderChange(Consumer<Leader> listener) {
+    leaderListeners.add(requireNonNull(listener, "listener is null"));
   }
 
   /**
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/daemon/ClusterControl.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/daemon/ClusterControl.java
@@ -169,7 +169,7 @@
         peers,
         storage,
         System::nanoTime,
-        ReplicaOptions.defaults(),
+        ReplicaOptions.quickElections(),
         random,
         failure -> Runtime.getRuntime().halt(EXIT_REPLICA_FAILED));
   }
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/LeaderCalls.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/LeaderCalls.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -37,6 +38,7 @@
   private final ScheduledExecutorService timer;
   private final CallListener listener;
   private final LongSupplier monotonicMillis;
+  private final Set<PendingCall> open = ConcurrentHashMap.newKeySet();
 
   /**
    * Creates a sender of calls.
@@ -61,6 +63,7 @@
     this.timer = requireNonNull(timer, "timer is null");
     this.listener = requireNonNull(listener, "listener is null");
     this.monotonicMillis = requireNonNull(monotonicMillis, "monotonicMillis is null");
+    peers.onLeaderChange(leader -> open.forEach(call -> call.leaderChanged(leader)));
   }
 
   /**
@@ -74,6 +77,7 @@
   public CompletableFuture<Result<Envelope>> call(Envelope.Builder call, long limitMillis) {
     requireNonNull(call, "call is null");
     PendingCall pending = new PendingCall(call, limitMillis);
+    open.add(pending);
     pending.attempt();
     return pending.answer;
   }
@@ -88,6 +92,7 @@
     private final AtomicInteger attempts = new AtomicInteger();
     private volatile String lastProblem = "";
     private volatile ControlPeers.Leader leader = peers.leader();
+    private volatile CompletableFuture<Result<Envelope>> attempt = new CompletableFuture<>();
 
     PendingCall(Envelope.Builder call, long limitMillis) {
       this.call = call;
@@ -102,7 +107,19 @@
       }
       leader = peers.leader();
       attempts.incrementAndGet();
-      send(call, leader.instanceId(), Math.min(leftMillis, ATTEMPT_MILLIS)).thenAccept(this::take);
+      CompletableFuture<Result<Envelope>> current = new CompletableFuture<>();
+      attempt = current;
+      current.thenAccept(this::take);
+      send(call, leader.instanceId(), Math.min(leftMillis, ATTEMPT_MILLIS))
+          .thenAccept(current::complete);
+    }
+
+    /** Gives up on the answer of an earlier leader, which may be lost. */
+    void leaderChanged(ControlPeers.Leader newLeader) {
+      if (!newLeader.instanceId().isEmpty()
+          && !newLeader.instanceId().equals(leader.instanceId())) {
+        attempt.complete(Result.failure("unknown", "another leader is known"));
+      }
     }
 
     private void take(Result<Envelope> result) {
@@ -116,6 +133,7 @@
     }
 
     private void end(Result<Envelope> result) {
+      open.remove(this);
       listener.ended(
           call.build(),
           result,
--- /dev/null
+++ b/hickoryspar-node/src/test/java/org/hickoryspar/node/dispatch/LeaderCallsTest.java
@@ -0,0 +1,168 @@
+package org.hickoryspar.node.dispatch;
+
+import static org.awaitility.Awaitility.await;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import com.google.common.io.Closer;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
+import org.hickoryspar.kernel.value.Result;
+import org.hickoryspar.node.cluster.ControlPeers;
+import org.hickoryspar.node.transport.PeerHandler;
+import org.hickoryspar.node.transport.PeerIdentity;
+import org.hickoryspar.node.transport.PeerServer;
+import org.hickoryspar.protocol.Envelope;
+import org.hickoryspar.protocol.Failure;
+import org.hickoryspar.protocol.WorkflowCall;
+import org.hickoryspar.protocol.WorkflowReply;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+public class LeaderCallsTest {
+
+  private static final long LONG_MILLIS = 30_000;
+
+  private final AtomicReference<CallListener.Course> course = new AtomicReference<>();
+  private Closer closer = Closer.create();
+  private EventLoopGroup eventLoops;
+  private ControlPeers peers;
+  private LeaderCalls calls;
+
+  @BeforeMethod
+  void start() {
+    closer = Closer.create();
+    eventLoops = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
+    closer.register(() -> eventLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS));
+    ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
+    closer.register(timer::shutdownNow);
+    peers = new ControlPeers(new PeerIdentity("test", "entry", 1), eventLoops, "");
+    closer.register(peers::close);
+    calls =
+        new LeaderCalls(
+            peers,
+            "entry",
+            null,
+            timer,
+            (call, result, ended) -> course.set(ended),
+            () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()));
+  }
+
+  @AfterMethod
+  void stop() throws IOException {
+    closer.close();
+  }
+
+  /** Starts a control daemon that handles calls in one way, and returns its instance id. */
+  private String control(PeerHandler handler) {
+    PeerServer server =
+        new PeerServer(
+            new PeerIdentity("test", "control", 2, "control/1", "dc"), eventLoops, handler);
+    closer.register(server::close);
+    InetSocketAddress address =
+        server
+            .listen(new InetSocketAddress("127.0.0.1", 0))
+            .fold(
+                problem -> {
+                  throw new AssertionError(problem);
+                },
+                bound -> bound);
+    String id = "127.0.0.1:" + address.getPort();
+    peers.know(id, "the test");
+    await().until(() -> peers.connection(id).isPresent());
+    return id;
+  }
+
+  private static Envelope.Builder ok() {
+    return Envelope.newBuilder()
+        .setWorkflowReply(WorkflowReply.newBuilder().setOutcome(WorkflowReply.Outcome.OK).build());
+  }
+
+  private static Envelope.Builder call() {
+    return Envelope.newBuilder().setWorkflowCall(WorkflowCall.newBuilder().setPath("/a/1"));
+  }
+
+  /** Guards against calls that wait for a leader that is lost although its successor is known. */
+  @Test
+  void shouldTurnToANewLeaderAtOnceWhenTheOldOneIsSilent() throws Exception {
+    AtomicInteger received = new AtomicInteger();
+    String silent = control((from, message, reply) -> received.incrementAndGet());
+    String next = control((from, message, reply) -> reply.accept(ok()));
+    peers.noteLeader(silent, 1);
+
+    CompletableFuture<Result<Envelope>> answer = calls.call(call(), LONG_MILLIS);
+    await().until(() -> received.get() > 0);
+    peers.noteLeader(next, 2);
+
+    assertTrue(answer.get(LONG_MILLIS, TimeUnit.MILLISECONDS).isSuccess());
+    assertEquals(course.get().leader(), next);
+    assertEquals(course.get().lastProblem(), "another leader is known");
+  }
+
+  @DataProvider
+  Object[][] repeatedProblems() {
+    return new Object[][] {{"not-leader"}, {"unavailable"}, {"unknown"}};
+  }
+
+  /** Guards against a caller who is told of a problem that says nothing about the call. */
+  @Test(dataProvider = "repeatedProblems")
+  void shouldRepeatACallThatWasNotServed(String code) throws Exception {
+    AtomicInteger received = new AtomicInteger();
+    String leader =
+        control(
+            (from, message, reply) ->
+                reply.accept(
+                    received.incrementAndGet() < 3
+                        ? Envelope.newBuilder()
+                            .setFailure(Failure.newBuilder().setCode(code).setMessage("no"))
+                        : ok()));
+    peers.noteLeader(leader, 1);
+
+    Result<Envelope> answer =
+        calls.call(call(), LONG_MILLIS).get(LONG_MILLIS, TimeUnit.MILLISECONDS);
+
+    assertTrue(answer.isSuccess());
+    assertEquals(course.get().attempts(), 3);
+  }
+
+  /** Guards against repetitions of a call that the leader has refused. */
+  @Test
+  void shouldNotRepeatACallThatWasRefused() throws Exception {
+    String leader =
+        control(
+            (from, message, reply) ->
+                reply.accept(
+                    Envelope.newBuilder()
+                        .setFailure(
+                            Failure.newBuilder().setCode("invalid-catalog").setMessage("no"))));
+    peers.noteLeader(leader, 1);
+
+    Result<Envelope> answer =
+        calls.call(call(), LONG_MILLIS).get(LONG_MILLIS, TimeUnit.MILLISECONDS);
+
+    assertEquals(answer.problem().orElseThrow().code(), "invalid-catalog");
+    assertEquals(course.get().attempts(), 1);
+  }
+
+  /** Guards against an answer "not run" for a call that may have taken effect. */
+  @Test
+  void shouldAnswerUnknownWhenNoLeaderAnswersInTime() throws Exception {
+    String silent = control((from, message, reply) -> {});
+    peers.noteLeader(silent, 1);
+
+    Result<Envelope> answer = calls.call(call(), 200).get(LONG_MILLIS, TimeUnit.MILLISECONDS);
+
+    assertEquals(answer.problem().orElseThrow().code(), "unknown");
+  }
+}
