Log why groups wait, and keep new work from minions that leave an order unanswered

Cause: a log told when a group was placed but not why it had waited. New work went to a minion that was cut off until a renewal failed, up to 1.6 s later; a gang with a member there held the room of the others until it ended alone.

Change: GROUP_WAITS (5116) tells reason, demand, suitable minions and expected room after 1 s and every 5 s. A minion that left an order unanswered gets no work until it answers; a gang with an unconfirmed member on a minion that does not answer is stopped at once.

--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/DispatchEventKind.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/DispatchEventKind.java
@@ -4,6 +4,8 @@
 public enum DispatchEventKind {
   /** A group is placed; its start is proposed. */
   RUN_PLACED,
+  /** A group has no room for a while. */
+  GROUP_WAITS,
   /** The replicated state refused a start. */
   RUN_REFUSED,
   /** A minion rejected a start. */
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Dispatcher.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Dispatcher.java
@@ -92,7 +92,15 @@
     this.needs = new TeamNeeds(catalog);
     this.planner =
         new Planner(
-            settings, catalog, minions, runs, faults, estimates, needs, new PlannerEffects());
+            settings,
+            catalog,
+            minions,
+            runs,
+            faults,
+            estimates,
+            needs,
+            new WaitReports(listener),
+            new PlannerEffects());
     RunRecovery recovery = new RunRecovery(minions, runs);
     this.recorded = new RecordedEvents(table, runs, recovery, waiting, faults, needs, listener);
     for (Workflow workflow : table.all()) {
@@ -317,6 +325,7 @@
   private void sweep(long nowMillis, long wallMillis) {
     minions.sweep(nowMillis);
     leases.sweep(nowMillis);
+    planner.sweep(nowMillis);
     for (Workflow workflow : table.all()) {
       if (workflow.isEnded()
           && wallMillis - workflow.endedMillis() > settings.retentionMillis()
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/LeaseState.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/LeaseState.java
@@ -14,6 +14,7 @@
   private long sentMillis;
   private long answeredMillis;
   private int failures;
+  private boolean silent;
   private long nextDueMillis;
   private long grantedUntilMillis;
   private long seenEnd;
@@ -61,6 +62,7 @@
     outstanding = false;
     contacted = true;
     failures = 0;
+    silent = false;
     answeredMillis = nowMillis;
     nextDueMillis = nowMillis;
   }
@@ -97,6 +99,16 @@
     return contacted;
   }
 
+  /** An order got no answer; until the next one, the minion may be out of reach. */
+  void orderUnanswered() {
+    silent = true;
+  }
+
+  /** Returns whether an order got no answer since the minion last answered a renewal. */
+  boolean isSilent() {
+    return silent;
+  }
+
   boolean isSuspect() {
     return failures > 0;
   }
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Leases.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Leases.java
@@ -190,6 +190,24 @@
           nowMillis - lease.answeredMillis(),
           "members",
           minion.members().size());
+      stopIncompleteGangs(minion);
+    }
+  }
+
+  // A gang whose member may not have started there would hold the room of the others in vain.
+  private void stopIncompleteGangs(Minion minion) {
+    for (Member member : minion.members()) {
+      ActiveRun run = member.run();
+      if (run.members().size() > 1 && !member.isConfirmed() && !run.isStopWanted()) {
+        run.wantStop();
+        listener.happened(
+            DispatchEventKind.RUN_STOPPING,
+            run.taskRun(0).toString(),
+            "because",
+            "the minion of a member does not answer",
+            "minion",
+            minion.id());
+      }
     }
   }
 
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Minion.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Minion.java
@@ -140,7 +140,8 @@
         && !report.getDraining()
         && !isLeaving()
         && lease.isContacted()
-        && !lease.isSuspect();
+        && !lease.isSuspect()
+        && !lease.isSilent();
   }
 
   /** Takes note whether tasks run here that hold no room in the records. */
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Planner.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Planner.java
@@ -35,6 +35,7 @@
   private final WorkEstimates estimates;
   private final Ranking ranking;
   private final Reclaim reclaim;
+  private final WaitReports waits;
   private final Effects effects;
   private final Map<TaskGroup, Reservation> reservations = new LinkedHashMap<>();
 
@@ -54,6 +55,7 @@
       FaultLedger faults,
       WorkEstimates estimates,
       TeamNeeds needs,
+      WaitReports waits,
       Effects effects) {
     this.settings = settings;
     this.catalog = catalog;
@@ -63,6 +65,7 @@
     this.estimates = estimates;
     this.ranking = new Ranking(new Urgencies(settings, estimates, needs));
     this.reclaim = new Reclaim(new VictimCost.LostWork());
+    this.waits = waits;
     this.effects = effects;
   }
 
@@ -75,6 +78,11 @@
     }
   }
 
+  /** Forgets what concerns groups that have ended. */
+  void sweep(long nowMillis) {
+    waits.sweep(nowMillis);
+  }
+
   /** One round of decisions. */
   private final class Round {
 
@@ -144,6 +152,7 @@
         load.add(minion);
         holds.used(minion, demand, endMillis);
       }
+      waits.forget(placement.group());
       effects.start(placement);
     }
 
@@ -201,6 +210,7 @@
       boolean preempting = Reclaim.mayPreempt(waiting.queue());
       if (!preempting && holds.groups() >= MAX_HELD_GROUPS) {
         blocked.add(waiting, group.size(), urgency.expectedMillis());
+        waits.waits(waiting, group, trusted.size(), null, nowMillis, wallMillis);
         return false;
       }
       Forecast forecast =
@@ -211,6 +221,7 @@
           && preemptFor(ranked, group, candidates, load)) {
         return true;
       }
+      waits.waits(waiting, group, trusted.size(), forecast, nowMillis, wallMillis);
       if (forecast != null && holds.groups() < MAX_HELD_GROUPS) {
         holds.add(forecast, waiting.demand());
       } else {
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/TaskOrders.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/TaskOrders.java
@@ -80,9 +80,9 @@
         member.start().done(nowMillis);
         member.confirm(nowMillis);
       }
-      case UNKNOWN -> {
-        // The order stays outstanding and is sent again when its time is up.
-      }
+      case UNKNOWN ->
+          // The order stays outstanding and is sent again when its time is up.
+          member.minion().lease().orderUnanswered();
       case TOO_LATE -> member.start().answered();
       case OUTDATED_RUN -> {
         // It was there before; the next answer to a renewal lists its end, or nothing.
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/DecisionEvent.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/DecisionEvent.java
@@ -9,6 +9,7 @@
 /** Log events of the dispatcher's decisions, 5101 to 5199, one for each kind. */
 enum DecisionEvent implements LogEvent {
   RUN_PLACED(5101),
+  GROUP_WAITS(5116),
   RUN_REFUSED(5102),
   START_REJECTED(5103),
   RUN_STOPPING(5104),
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/explain/Sentences.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/explain/Sentences.java
@@ -30,8 +30,8 @@
         "WORKFLOW_ENDED", "ended as {state} after {tookMillis} ms; {failedRuns} run(s) had failed");
     BY_NAME.put(
         "GROUP_WAITS",
-        "waits since {waitedMillis} ms: {reason} (demand {demand}; {candidates} minion(s) suit it,"
-            + " {roomNow} task(s) would fit now, {freeAccelerators} accelerator(s) free)");
+        "waits for {waitedMillis} ms: {reason}; {tasks} task(s) of {demand}, {suitableMinions}"
+            + " minion(s) suit, room is expected in {expectedInMillis} ms");
     BY_NAME.put(
         "RUN_PLACED", "{tasks} task(s) placed after waiting {waitedMillis} ms, on {minions}");
     BY_NAME.put("RUN_REFUSED", "the start was not recorded and not sent: {reason}");
