--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/DispatchEventKind.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/DispatchEventKind.java
@@ -16,6 +16,8 @@
   RUN_PREEMPTED,
   /** A minion listed the end of a task. */
   TASK_ENDED,
+  /** All members of a gang have ended. */
+  RUN_OVER,
   /** A task can no longer run where it was started. */
   TASK_LOST,
   /** A minion runs something that is not recorded for it. */
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/RecordedEvents.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/RecordedEvents.java
@@ -96,10 +96,25 @@
       if (run.members().stream().allMatch(Member::isEnded)
           && run.group().findRun(run.number()).isEmpty()) {
         runs.remove(run);
+        noteOver(run);
       }
     }
   }
 
+  private void noteOver(ActiveRun run) {
+    if (run.members().size() > 1) {
+      listener.happened(
+          DispatchEventKind.RUN_OVER,
+          run.taskRun(0).toString(),
+          "members",
+          run.members().size(),
+          "done",
+          run.group().isDone(),
+          "failures",
+          run.group().failures());
+    }
+  }
+
   private void stopNeedless(Workflow workflow) {
     for (ActiveRun run : runs.of(workflow)) {
       if ((workflow.isEnded() || run.group().isDone()) && !run.isStopWanted()) {
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/RunEnds.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/RunEnds.java
@@ -26,15 +26,20 @@
 
   /** A minion listed an end. */
   void listed(Member member, RunEnd.Cause cause, String checkpoint, long nowMillis) {
-    listener.happened(
-        DispatchEventKind.TASK_ENDED,
-        member.taskRun().toString(),
-        "cause",
-        cause,
-        "minion",
-        member.minion().id(),
-        "percent",
-        member.progress().percent());
+    // The members of a gang end together; the first end tells why.
+    if (member.run().members().stream().noneMatch(Member::isEnded)) {
+      listener.happened(
+          DispatchEventKind.TASK_ENDED,
+          member.taskRun().toString(),
+          "cause",
+          cause,
+          "minion",
+          member.minion().id(),
+          "percent",
+          member.progress().percent(),
+          "members",
+          member.run().members().size());
+    }
     if (cause == RunEnd.Cause.TASK_FAILED) {
       faults.failed(member, nowMillis);
     } else if (cause == RunEnd.Cause.DONE) {
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/cluster/ControlPeers.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/cluster/ControlPeers.java
@@ -3,6 +3,7 @@
 import static java.util.Objects.requireNonNull;
 
 import io.netty.channel.EventLoopGroup;
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
@@ -11,6 +12,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import org.hickoryspar.kernel.membership.ReachableReplica;
 import org.hickoryspar.node.control.ReplicationTransport;
 import org.hickoryspar.node.observability.EventLogger;
@@ -31,6 +33,7 @@
   private final PeerIdentity identity;
   private final EventLoopGroup eventLoops;
   private final String ownAddress;
+  private final Function<String, InetSocketAddress> dial;
   private final PeerHandler handler;
   private final Map<String, PeerConnection> byAddress = new ConcurrentHashMap<>();
   private final List<Consumer<Leader>> leaderListeners = new CopyOnWriteArrayList<>();
@@ -43,11 +46,17 @@
    * @param eventLoops event loops, owned by the caller
    * @param ownAddress address of this process for peers, to which it does not connect; empty for
    *     none
+   * @param dial tells where the address of a peer is reached
    */
-  public ControlPeers(PeerIdentity identity, EventLoopGroup eventLoops, String ownAddress) {
+  public ControlPeers(
+      PeerIdentity identity,
+      EventLoopGroup eventLoops,
+      String ownAddress,
+      Function<String, InetSocketAddress> dial) {
     this.identity = requireNonNull(identity, "identity is null");
     this.eventLoops = requireNonNull(eventLoops, "eventLoops is null");
     this.ownAddress = requireNonNull(ownAddress, "ownAddress is null");
+    this.dial = requireNonNull(dial, "dial is null");
     this.handler =
         (from, message, reply) -> {
           if (message.hasControlDirectory()) {
@@ -71,8 +80,7 @@
         unknown -> {
           EventLogger.log(ClusterEvent.CONTROL_FOUND, address, source);
           PeerConnection connection =
-              new PeerConnection(
-                  identity, eventLoops, address, InstanceIds.socketAddress(address), handler);
+              new PeerConnection(identity, eventLoops, address, dial.apply(address), handler);
           connection.connect();
           return connection;
         });
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/daemon/ClusterControl.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/daemon/ClusterControl.java
@@ -39,11 +39,12 @@
 import org.hickoryspar.node.dispatch.LeaderServices;
 import org.hickoryspar.node.dispatch.MinionClient;
 import org.hickoryspar.node.dispatch.MinionRegistry;
+import org.hickoryspar.node.faults.FaultInjection;
 import org.hickoryspar.node.observability.ProcessMetrics;
 import org.hickoryspar.node.replication.ReplicaDriver;
 import org.hickoryspar.node.storage.FileLogStorage;
+import org.hickoryspar.node.storage.FileOperations;
 import org.hickoryspar.node.storage.ReplicaFolder;
-import org.hickoryspar.node.storage.SystemFileOperations;
 import org.hickoryspar.node.transport.PeerIdentity;
 import org.hickoryspar.node.transport.PeerServer;
 import org.hickoryspar.protocol.Envelope;
@@ -90,7 +91,8 @@
       throws IOException {
     requireNonNull(settings, "settings is null");
     SecureRandom random = new SecureRandom();
-    FileLogStorage storage = openStorage(settings, dataFolder, random);
+    FaultInjection faults = FaultInjection.fromSystemProperty();
+    FileLogStorage storage = openStorage(settings, dataFolder, faults.files(), random);
     PeerIdentity identity =
         new PeerIdentity(
             settings.cluster(),
@@ -104,12 +106,12 @@
     closer.register(timer::shutdownNow);
     ControlState state = new ControlState();
     ControlStateMachine machine = new ControlStateMachine(state);
-    peers = new ControlPeers(identity, eventLoops, settings.peerAddress());
+    peers = new ControlPeers(identity, eventLoops, settings.peerAddress(), faults::dial);
     voterPlan = new VoterPlan(settings.lossesToBear(), REPLACE_VOTER_MILLIS);
     ReplicaDriver<CommandResult> replica =
         newReplica(identity.replicaId(), machine, peers, storage, random);
     log = replica;
-    Proposer proposer = new Proposer(log, System::currentTimeMillis);
+    Proposer proposer = new Proposer(log, faults::wallClockMillis);
     DispatchLoop loop =
         new DispatchLoop(
             state,
@@ -175,10 +177,10 @@
   }
 
   private static FileLogStorage openStorage(
-      ClusterSettings settings, Path dataFolder, SecureRandom random) throws IOException {
+      ClusterSettings settings, Path dataFolder, FileOperations files, SecureRandom random)
+      throws IOException {
     ReplicaFolder folder =
-        new ReplicaFolder(
-            new SystemFileOperations(), dataFolder, settings.cluster(), settings.peerAddress());
+        new ReplicaFolder(files, dataFolder, settings.cluster(), settings.peerAddress());
     if (settings.firstStart() && settings.seeds().contains(settings.peerAddress())) {
       // Refused when an earlier process of this start has initialised the folder already.
       folder.initialise(settings.seeds());
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/daemon/ClusterEntry.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/daemon/ClusterEntry.java
@@ -12,6 +12,7 @@
 import org.hickoryspar.node.cluster.ControlPeers;
 import org.hickoryspar.node.dispatch.CallTelemetry;
 import org.hickoryspar.node.dispatch.LeaderCalls;
+import org.hickoryspar.node.faults.FaultInjection;
 import org.hickoryspar.node.observability.ProcessMetrics;
 import org.hickoryspar.node.transport.PeerIdentity;
 
@@ -37,11 +38,12 @@
             ProcessResources.processIncarnation(),
             "",
             settings.dataCentre());
+    FaultInjection faults = FaultInjection.fromSystemProperty();
     EventLoopGroup eventLoops = ProcessResources.eventLoops(closer, 1);
     ScheduledExecutorService timer =
         Executors.newSingleThreadScheduledExecutor(task -> new Thread(task, "calls"));
     closer.register(timer::shutdownNow);
-    peers = new ControlPeers(identity, eventLoops, "");
+    peers = new ControlPeers(identity, eventLoops, "", faults::dial);
     closer.register(peers::close);
     leaderCalls =
         new LeaderCalls(
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/explain/Sentences.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/explain/Sentences.java
@@ -42,6 +42,8 @@
         "is being stopped to make room for {for}, after {workedMillis} ms of work (checkpointing:"
             + " {checkpointing})");
     BY_NAME.put("TASK_ENDED", "ended on {minion}: {cause}, at {percent} percent");
+    BY_NAME.put(
+        "RUN_OVER", "all {members} members have ended (done: {done}, failed runs: {failures})");
     BY_NAME.put(
         "TASK_LOST",
         "counts as lost on {minion} at {percent} percent: {reason} (start confirmed: {confirmed})");
--- /dev/null
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/faults/FaultyFiles.java
@@ -0,0 +1,114 @@
+package org.hickoryspar.node.faults;
+
+import static java.util.Objects.requireNonNull;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.hickoryspar.node.storage.FileOperations;
+
+/** File operations that are slow or refuse writes while a test asks for it. */
+final class FaultyFiles implements FileOperations {
+
+  private final FileOperations files;
+  private final Supplier<InjectedFaults> faults;
+
+  FaultyFiles(FileOperations files, Supplier<InjectedFaults> faults) {
+    this.files = requireNonNull(files, "files is null");
+    this.faults = requireNonNull(faults, "faults is null");
+  }
+
+  private void write() throws IOException {
+    if (faults.get().diskFull()) {
+      throw new IOException("No space left on device (injected)");
+    }
+  }
+
+  private void sync() throws IOException {
+    try {
+      TimeUnit.MILLISECONDS.sleep(faults.get().syncDelayMillis());
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new IOException("interrupted during a sync", e);
+    }
+  }
+
+  @Override
+  public void createFolder(Path folder) throws IOException {
+    write();
+    files.createFolder(folder);
+  }
+
+  @Override
+  public List<Path> list(Path folder) throws IOException {
+    return files.list(folder);
+  }
+
+  @Override
+  public byte[] read(Path file) throws IOException {
+    return files.read(file);
+  }
+
+  @Override
+  public OutputFile append(Path file) throws IOException {
+    write();
+    return new FaultyFile(files.append(file));
+  }
+
+  @Override
+  public void truncate(Path file, long sizeBytes) throws IOException {
+    files.truncate(file, sizeBytes);
+  }
+
+  @Override
+  public void rename(Path from, Path to) throws IOException {
+    write();
+    files.rename(from, to);
+  }
+
+  @Override
+  public void delete(Path file) throws IOException {
+    files.delete(file);
+  }
+
+  @Override
+  public void syncFolder(Path folder) throws IOException {
+    sync();
+    files.syncFolder(folder);
+  }
+
+  @Override
+  public Closeable lock(Path file) throws IOException {
+    return files.lock(file);
+  }
+
+  private final class FaultyFile implements OutputFile {
+
+    private final OutputFile file;
+
+    FaultyFile(OutputFile file) {
+      this.file = file;
+    }
+
+    @Override
+    public void write(ByteBuffer bytes) throws IOException {
+      FaultyFiles.this.write();
+      file.write(bytes);
+    }
+
+    @Override
+    public void sync() throws IOException {
+      FaultyFiles.this.sync();
+      file.sync();
+    }
+
+    @Override
+    public void close() throws IOException {
+      file.close();
+    }
+  }
+}
--- a/hickoryspar-node/src/test/java/org/hickoryspar/node/dispatch/LeaderCallsTest.java
+++ b/hickoryspar-node/src/test/java/org/hickoryspar/node/dispatch/LeaderCallsTest.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.atomic.AtomicReference;
 import org.hickoryspar.kernel.value.Result;
 import org.hickoryspar.node.cluster.ControlPeers;
+import org.hickoryspar.node.cluster.InstanceIds;
 import org.hickoryspar.node.transport.PeerHandler;
 import org.hickoryspar.node.transport.PeerIdentity;
 import org.hickoryspar.node.transport.PeerServer;
@@ -47,7 +48,9 @@
     closer.register(() -> eventLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS));
     ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
     closer.register(timer::shutdownNow);
-    peers = new ControlPeers(new PeerIdentity("test", "entry", 1), eventLoops, "");
+    peers =
+        new ControlPeers(
+            new PeerIdentity("test", "entry", 1), eventLoops, "", InstanceIds::socketAddress);
     closer.register(peers::close);
     calls =
         new LeaderCalls(
--- a/hickoryspar-standins/src/test/java/org/hickoryspar/standins/scenario/LinkProxy.java
+++ b/hickoryspar-standins/src/main/java/org/hickoryspar/standins/net/LinkProxy.java
@@ -1,4 +1,6 @@
-package org.hickoryspar.standins.scenario;
+package org.hickoryspar.standins.net;
+
+import static java.util.Objects.requireNonNull;
 
 import java.io.IOException;
 import java.io.InputStream;
@@ -9,41 +11,75 @@
 import java.net.Socket;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
 
-/** A TCP link between two processes that can go silent in either direction. */
-final class LinkProxy implements AutoCloseable {
+/** A TCP link between two processes that can go silent in either direction, be slow or reset. */
+public final class LinkProxy implements AutoCloseable {
 
   private static final int BUFFER_BYTES = 16 * 1024;
+  private static final int BACKLOG = 200;
 
   private final ServerSocket listener;
   private final InetSocketAddress target;
   private final Set<Socket> open = ConcurrentHashMap.newKeySet();
   private volatile boolean dropForward;
   private volatile boolean dropBackward;
+  private volatile long delayMillis;
 
-  LinkProxy(InetSocketAddress target) throws IOException {
-    this.target = target;
-    this.listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+  /**
+   * Creates a link and listens on a free port of the loopback address.
+   *
+   * @param target where connections lead
+   * @throws IOException if no port is free
+   */
+  public LinkProxy(InetSocketAddress target) throws IOException {
+    this.target = requireNonNull(target, "target is null");
+    this.listener = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
     startThread(this::accept);
   }
 
-  int port() {
+  /**
+   * Returns the port to connect to.
+   *
+   * @return the port
+   */
+  public int port() {
     return listener.getLocalPort();
   }
 
-  /** Drops bytes silently; connections stay open, as behind a middle box that lost its state. */
-  void drop(boolean forward, boolean backward) {
+  /**
+   * Drops bytes silently; connections stay open, as behind a middle box that lost its state.
+   *
+   * @param forward whether to drop what goes to the target
+   * @param backward whether to drop what comes from the target
+   */
+  public void drop(boolean forward, boolean backward) {
     dropForward |= forward;
     dropBackward |= backward;
   }
 
+  /**
+   * Delays each piece of data in both directions.
+   *
+   * @param millis the delay, 0 for none
+   */
+  public void delay(long millis) {
+    delayMillis = millis;
+  }
+
+  /** Ends all connections; new ones work. */
+  public void reset() {
+    open.forEach(LinkProxy::closeQuietly);
+  }
+
   /** Forwards again; connections that have lost bytes are closed. */
-  void heal() {
+  public void heal() {
     boolean damaged = dropForward || dropBackward;
     dropForward = false;
     dropBackward = false;
+    delayMillis = 0;
     if (damaged) {
-      open.forEach(LinkProxy::closeQuietly);
+      reset();
     }
   }
 
@@ -54,38 +90,53 @@
         Socket to = new Socket();
         open.add(from);
         open.add(to);
-        try {
-          to.connect(target);
-        } catch (IOException e) {
-          closeQuietly(from);
-          continue;
-        }
-        startThread(() -> copy(from, to, true));
-        startThread(() -> copy(to, from, false));
+        startThread(() -> connect(from, to));
       } catch (IOException e) {
         // The listener was closed.
       }
     }
   }
 
+  private void connect(Socket from, Socket to) {
+    try {
+      to.connect(target);
+      to.setTcpNoDelay(true);
+      from.setTcpNoDelay(true);
+    } catch (IOException e) {
+      end(from, to);
+      return;
+    }
+    startThread(() -> copy(to, from, false));
+    copy(from, to, true);
+  }
+
   private void copy(Socket from, Socket to, boolean forward) {
     byte[] buffer = new byte[BUFFER_BYTES];
     try {
       InputStream in = from.getInputStream();
       OutputStream out = to.getOutputStream();
       for (int count = in.read(buffer); count >= 0; count = in.read(buffer)) {
+        TimeUnit.MILLISECONDS.sleep(delayMillis);
         if (!(forward ? dropForward : dropBackward)) {
           out.write(buffer, 0, count);
         }
       }
     } catch (IOException e) {
       // One end was closed.
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
     } finally {
-      closeQuietly(from);
-      closeQuietly(to);
+      end(from, to);
     }
   }
 
+  private void end(Socket from, Socket to) {
+    closeQuietly(from);
+    closeQuietly(to);
+    open.remove(from);
+    open.remove(to);
+  }
+
   private static void closeQuietly(Socket socket) {
     try {
       socket.close();
@@ -103,6 +154,6 @@
   @Override
   public void close() throws IOException {
     listener.close();
-    open.forEach(LinkProxy::closeQuietly);
+    reset();
   }
 }
--- a/hickoryspar-standins/src/test/java/org/hickoryspar/standins/scenario/TestCluster.java
+++ b/hickoryspar-standins/src/test/java/org/hickoryspar/standins/scenario/TestCluster.java
@@ -26,6 +26,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.hickoryspar.standins.net.LinkProxy;
 
 /** A cluster of real processes on loopback, with links that can be cut. */
 final class TestCluster implements AutoCloseable {
