Send no start to a minion that does not answer

Change: a minion that does not answer gets no start until it answers again. The new test of DispatcherTest failed before.

--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/TaskOrders.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/TaskOrders.java
@@ -43,11 +43,16 @@
         member.stop().send(nowMillis);
         outbox.order(new Order.Stop(member.minion().target(), member.taskRun()));
       }
-    } else if (!member.isInherited() && !member.isConfirmed() && isDue(member.start(), nowMillis)) {
+    } else if (mayStart(member) && isDue(member.start(), nowMillis)) {
       start(member, nowMillis);
     }
   }
 
+  // A start renews the lease of its minion, so a minion that does not answer gets none.
+  private static boolean mayStart(Member member) {
+    return !member.isInherited() && !member.isConfirmed() && !member.minion().lease().isSuspect();
+  }
+
   private boolean isDue(OrderState order, long nowMillis) {
     return !order.isOutstanding()
         || nowMillis - order.lastSentMillis() >= settings.answerTimeoutMillis();
--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/DispatcherTest.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/DispatcherTest.java
@@ -32,6 +32,23 @@
     assertEquals(rig.minionsOf("a"), List.of("m2", "m2"));
   }
 
+  /** Guards against a start that is sent again and again and renews the lease each time. */
+  @Test
+  void shouldRunATaskElsewhereWhenItsMinionVanishesBeforeItAnswersTheStart() {
+    DispatcherRig rig = new DispatcherRig();
+    DispatcherRig.FakeMinion first = rig.addMinion("m1", "r1");
+    first.answerNoStarts();
+    rig.pass(100);
+    rig.submit("a", 1, DispatcherRig.step(1, 4));
+    rig.pass(500);
+
+    first.vanish();
+    rig.addMinion("m2", "r1");
+    rig.pass(DispatcherRig.SETTINGS.leaseOverMillis() + 2_000);
+
+    assertEquals(rig.minionsOf("a"), List.of("m2"));
+  }
+
   /** Guards against a second run while the first one may still hold its lease. */
   @Test
   void shouldWaitForTheEndOfTheLeaseOfAMinionThatDoesNotAnswer() {
