Notice minions that are out of reach sooner, and check acknowledged ends as the platform does

Change: renewals wait 0.7 s for an end instead of 1 s, and orders 0.4 s for an answer instead of 0.6 s. The checker of the simulation takes an end as noted when it is acknowledged and the lease has held since, and now also sees a start that came between the end and its acknowledgement. A burst of urgent work can be simulated.

--- a/hickoryspar-bench/src/main/java/org/hickoryspar/bench/workflow/RuleChecker.java
+++ b/hickoryspar-bench/src/main/java/org/hickoryspar/bench/workflow/RuleChecker.java
@@ -17,6 +17,8 @@
 
   private final Map<TaskRun, SimulatedMinion> runningTasks = new HashMap<>();
   private final Map<SimulatedMinion, long[]> used = new HashMap<>();
+  private final Map<TaskRun, Long> lastStartMillis = new HashMap<>();
+  private final Set<TaskRun> ended = new HashSet<>();
   private final Set<TaskRun> done = new HashSet<>();
   private final Map<TaskRun, Set<Integer>> failedRuns = new HashMap<>();
   private final List<String> broken = new ArrayList<>();
@@ -48,13 +50,14 @@
     }
     take(minion, step.getDemand(), where);
     runningTasks.put(task, minion);
+    lastStartMillis.put(task, nowMillis);
   }
 
   private boolean isStepDone(SimulatedWorkflow workflow, TaskRun task, int dependency) {
     WorkflowStep step = workflow.submission().getSpec().getSteps(dependency);
     for (int i = 0; i < step.getTasks(); i++) {
       TaskRun other = new TaskRun(task.workflowId(), task.occurrence(), dependency, i, 0);
-      if (!done.contains(step.getGang() ? groupOf(other) : other)) {
+      if (!ended.contains(step.getGang() ? groupOf(other) : other)) {
         return false;
       }
     }
@@ -74,25 +77,31 @@
     }
   }
 
-  void ended(SimulatedMinion minion, SimulatedRun run) {
+  void ended(SimulatedMinion minion, SimulatedRun run, RunEnd.Cause cause) {
     TaskRun task = withoutRun(run.taskRun());
     WorkflowStep step = run.workflow().submission().getSpec().getSteps(task.step());
     if (runningTasks.get(task) == minion) {
       runningTasks.remove(task);
     }
+    if (cause == RunEnd.Cause.DONE) {
+      ended.add(step.getGang() ? groupOf(task) : task);
+    }
     long[] sum = used.computeIfAbsent(minion, m -> new long[3]);
     sum[0] -= step.getDemand().getCpuMillicores();
     sum[1] -= step.getDemand().getMemoryMegabytes();
     sum[2] -= step.getDemand().getAccelerators();
   }
 
-  /** The leader learns of an end; what no leader learns of may be repeated. */
-  void noted(SimulatedWorkflow workflow, TaskRun taskRun, RunEnd.Cause cause) {
+  /** An end was acknowledged to its minion; what is never acknowledged may be repeated. */
+  void noted(SimulatedWorkflow workflow, TaskRun taskRun, RunEnd.Cause cause, long endedMillis) {
     TaskRun task = withoutRun(taskRun);
     boolean gang = workflow.submission().getSpec().getSteps(task.step()).getGang();
     TaskRun counted = gang ? groupOf(task) : task;
     if (cause == RunEnd.Cause.DONE) {
       done.add(counted);
+      if (lastStartMillis.getOrDefault(task, Long.MIN_VALUE) > endedMillis) {
+        broken.add("was started after it was done at " + endedMillis + " ms: " + task);
+      }
     } else if (cause == RunEnd.Cause.TASK_FAILED) {
       failedRuns.computeIfAbsent(counted, t -> new HashSet<>()).add(taskRun.run());
     }
--- a/hickoryspar-bench/src/main/java/org/hickoryspar/bench/workflow/SimulatedLeader.java
+++ b/hickoryspar-bench/src/main/java/org/hickoryspar/bench/workflow/SimulatedLeader.java
@@ -12,34 +12,26 @@
 import org.hickoryspar.kernel.dispatch.Order;
 import org.hickoryspar.kernel.dispatch.OrderOutcome;
 import org.hickoryspar.kernel.dispatch.RenewAnswer;
-import org.hickoryspar.kernel.dispatch.TaskRun;
 import org.hickoryspar.kernel.value.Problem;
 import org.hickoryspar.kernel.workflow.WorkflowTable;
 import org.hickoryspar.protocol.MinionLife;
-import org.hickoryspar.protocol.RunEnd;
 import org.hickoryspar.protocol.WorkflowBatch;
 import org.hickoryspar.protocol.WorkflowRecord;
 
 /** A term of leadership: a dispatcher, its token, and the way of its orders to the minions. */
 final class SimulatedLeader {
 
-  private static final long ANSWER_LIMIT_MILLIS = 600;
+  private static final long ANSWER_LIMIT_MILLIS = 400;
 
   private final long term;
   private final Dispatcher dispatcher;
   private final Network network;
   private final Map<String, SimulatedMinion> minions;
-  private final EndObserver onEnds;
   private boolean active = true;
   private long decisionNanos;
   private long decisions;
   private long maxDecisionNanos;
 
-  /** Is told of the ends that a leader learns of. */
-  interface EndObserver {
-    void noted(TaskRun taskRun, RunEnd.Cause cause);
-  }
-
   SimulatedLeader(
       long term,
       DispatchSettings settings,
@@ -48,12 +40,10 @@
       DispatchListener listener,
       Network network,
       Map<String, SimulatedMinion> minions,
-      EndObserver onEnds,
       long nowMillis) {
     this.term = term;
     this.network = network;
     this.minions = minions;
-    this.onEnds = onEnds;
     WorkflowTable table = new WorkflowTable();
     table.restore(records);
     this.dispatcher = new Dispatcher(settings, catalog, table, listener, nowMillis, nowMillis);
@@ -212,7 +202,6 @@
         atMillis,
         () -> {
           if (active) {
-            answer.ended().forEach(end -> onEnds.noted(end.taskRun(), end.cause()));
             dispatcher.renewed(renew.target().life(), answer, atMillis);
           }
         });
--- a/hickoryspar-bench/src/main/java/org/hickoryspar/bench/workflow/SimulatedMinion.java
+++ b/hickoryspar-bench/src/main/java/org/hickoryspar/bench/workflow/SimulatedMinion.java
@@ -21,7 +21,7 @@
  */
 final class SimulatedMinion {
 
-  private static final long MAX_LEASE_MILLIS = 10_000;
+  private static final long MAX_LEASE_MILLIS = 6_000;
   private static final long STOP_MILLIS = 400;
 
   private final String id;
@@ -42,6 +42,8 @@
   private final Map<TaskRun, SimulatedRun> running = new LinkedHashMap<>();
   private final List<RenewAnswer.EndedTask> ended = new ArrayList<>();
   private final Map<TaskRun, Integer> highestOver = new HashMap<>();
+  private final Map<Long, Long> endedMillis = new HashMap<>();
+  private long lapsedMillis = Long.MIN_VALUE;
 
   SimulatedMinion(
       String id,
@@ -68,6 +70,9 @@
 
     void ended(SimulatedMinion minion, SimulatedRun run, RunEnd.Cause cause, long nowMillis);
 
+    /** The end of a run was acknowledged while the lease had held since then. */
+    void noted(TaskRun taskRun, RunEnd.Cause cause, long endedMillis);
+
     /** Returns how much longer the work of a run takes for where it runs. */
     double slowdown(SimulatedRun run);
   }
@@ -161,6 +166,7 @@
     leaseUntilMillis = 0;
     lastEnd = 0;
     ended.clear();
+    endedMillis.clear();
     highestOver.clear();
   }
 
@@ -208,10 +214,23 @@
     if (order.deadlineMillis() > 0) {
       extend(order.deadlineMillis(), nowMillis);
     }
-    ended.removeIf(end -> end.number() <= order.lastSeen());
+    acknowledge(order.lastSeen());
     return answer(nowMillis);
   }
 
+  // An end that is acknowledged after the lease has lapsed is not noted: its task may run again.
+  private void acknowledge(long lastSeen) {
+    for (RenewAnswer.EndedTask end : List.copyOf(ended)) {
+      if (end.number() <= lastSeen) {
+        ended.remove(end);
+        Long atMillis = endedMillis.remove(end.number());
+        if (atMillis != null && lapsedMillis < atMillis) {
+          observer.noted(end.taskRun(), end.cause(), atMillis);
+        }
+      }
+    }
+  }
+
   boolean hasEnds() {
     return !ended.isEmpty();
   }
@@ -232,7 +251,8 @@
   // -- time
 
   void advance(long nowMillis, double elapsedMillis) {
-    if (!running.isEmpty() && clockMillis(nowMillis) > leaseUntilMillis) {
+    if (clockMillis(nowMillis) > leaseUntilMillis) {
+      lapsedMillis = nowMillis;
       List.copyOf(running.values()).forEach(run -> end(run, RunEnd.Cause.LEASE_LAPSED, nowMillis));
     }
     Iterator<SimulatedRun> runs = List.copyOf(running.values()).iterator();
@@ -254,6 +274,7 @@
       return;
     }
     highestOver.merge(withoutRun(run.taskRun()), run.taskRun().run(), Math::max);
+    endedMillis.put(lastEnd + 1, nowMillis);
     ended.add(new RenewAnswer.EndedTask(++lastEnd, run.taskRun(), cause, run.checkpoint(cause)));
     observer.ended(this, run, cause, nowMillis);
   }
--- a/hickoryspar-bench/src/main/java/org/hickoryspar/bench/workflow/WorkflowDeployment.java
+++ b/hickoryspar-bench/src/main/java/org/hickoryspar/bench/workflow/WorkflowDeployment.java
@@ -85,8 +85,7 @@
 
   /** Returns the settings of the dispatcher. */
   static DispatchSettings settings() {
-    return new DispatchSettings(
-        8_500, 10_000, 1_000, 300, 1_500, 400, 3_000, 3, 2_900, 120_000, 100);
+    return new DispatchSettings(4_500, 6_000, 700, 300, 1_500, 400, 4_000, 3, 2_900, 120_000, 100);
   }
 
   CatalogState catalog() {
--- a/hickoryspar-bench/src/main/java/org/hickoryspar/bench/workflow/WorkflowExperiment.java
+++ b/hickoryspar-bench/src/main/java/org/hickoryspar/bench/workflow/WorkflowExperiment.java
@@ -3,6 +3,7 @@
 import static java.util.Objects.requireNonNull;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -32,6 +33,7 @@
   private static final long HEARTBEAT_MILLIS = 1_500;
   private static final long COMMIT_MILLIS = 15;
   private static final long LEADERLESS_MILLIS = 1_300;
+  private static final long BURST_MILLIS = 6_000;
 
   private final WorkflowDeployment deployment;
   private final Random random;
@@ -57,6 +59,7 @@
       WorkflowDeployment deployment,
       long seed,
       double loadFactor,
+      double burstFactor,
       long durationMillis,
       long drainMillis,
       DispatchListener listener) {
@@ -74,12 +77,13 @@
           listener.happened(kind, subject, timed);
         };
     this.catalog = deployment.catalog();
-    this.load =
-        new WorkflowLoad(seed + 2, deployment)
-            .generate(
-                deployment.kinds().stream().map(kind -> kind.times(loadFactor)).toList(),
-                nowMillis + 2_000,
-                nowMillis + durationMillis);
+    WorkflowLoad generator = new WorkflowLoad(seed + 2, deployment);
+    List<WorkflowClass> kinds =
+        deployment.kinds().stream().map(kind -> kind.times(loadFactor)).toList();
+    long fromMillis = nowMillis + 2_000;
+    this.load = new ArrayList<>(generator.generate(kinds, fromMillis, nowMillis + durationMillis));
+    load.addAll(generator.burst(kinds, burstFactor, fromMillis, fromMillis + BURST_MILLIS));
+    load.sort(Comparator.comparingLong(SimulatedWorkflow::submittedMillis));
     this.endMillis = nowMillis + durationMillis + drainMillis;
     deployment.addMinions(minions, nowMillis, new Observer());
     this.leader = newLeader();
@@ -87,20 +91,7 @@
 
   private SimulatedLeader newLeader() {
     return new SimulatedLeader(
-        term,
-        settings,
-        catalog,
-        table.snapshot(),
-        listener,
-        network,
-        minions,
-        (taskRun, cause) -> {
-          SimulatedWorkflow workflow = workflows.get(taskRun.workflowId());
-          if (workflow != null) {
-            checker.noted(workflow, taskRun, cause);
-          }
-        },
-        nowMillis);
+        term, settings, catalog, table.snapshot(), listener, network, minions, nowMillis);
   }
 
   /** Adds faults at random times during the load. */
@@ -337,11 +328,20 @@
 
     @Override
     public void ended(SimulatedMinion minion, SimulatedRun run, RunEnd.Cause cause, long atMillis) {
-      checker.ended(minion, run);
+      checker.ended(minion, run, cause);
       waste.ended(run, cause);
       gangs.ended(run, cause, atMillis);
     }
 
+    @Override
+    public void noted(TaskRun taskRun, RunEnd.Cause cause, long endedMillis) {
+      checker.noted(
+          requireNonNull(workflows.get(taskRun.workflowId()), "unknown workflow"),
+          taskRun,
+          cause,
+          endedMillis);
+    }
+
     @Override
     public double slowdown(SimulatedRun run) {
       return gangs.slowdown(run);
--- a/hickoryspar-bench/src/main/java/org/hickoryspar/bench/workflow/WorkflowLoad.java
+++ b/hickoryspar-bench/src/main/java/org/hickoryspar/bench/workflow/WorkflowLoad.java
@@ -27,20 +27,34 @@
   /** Returns workflows in the order of their submission. */
   List<SimulatedWorkflow> generate(List<WorkflowClass> kinds, long fromMillis, long toMillis) {
     List<SimulatedWorkflow> workflows = new ArrayList<>();
-    for (WorkflowClass kind : kinds) {
-      double at = fromMillis;
-      while (true) {
-        at += -Math.log(1 - random.nextDouble()) * 1_000 / kind.perSecond();
-        if (at >= toMillis) {
-          break;
-        }
-        workflows.add(workflow(kind, (long) at));
-      }
-    }
+    kinds.forEach(kind -> add(workflows, kind, fromMillis, toMillis));
     workflows.sort(Comparator.comparingLong(SimulatedWorkflow::submittedMillis));
     return workflows;
   }
 
+  /** Returns further workflows of the most urgent kinds that come during a burst. */
+  List<SimulatedWorkflow> burst(
+      List<WorkflowClass> kinds, double factor, long fromMillis, long toMillis) {
+    List<WorkflowClass> urgent =
+        kinds.stream()
+            .filter(kind -> kind.priority() == 0 && factor > 1)
+            .map(kind -> kind.times(factor - 1))
+            .toList();
+    return generate(urgent, fromMillis, toMillis);
+  }
+
+  private void add(
+      List<SimulatedWorkflow> workflows, WorkflowClass kind, long fromMillis, long toMillis) {
+    double at = fromMillis;
+    while (true) {
+      at += -Math.log(1 - random.nextDouble()) * 1_000 / kind.perSecond();
+      if (at >= toMillis) {
+        return;
+      }
+      workflows.add(workflow(kind, (long) at));
+    }
+  }
+
   private SimulatedWorkflow workflow(WorkflowClass kind, long atMillis) {
     int tasks =
         (int)
--- a/hickoryspar-bench/src/main/java/org/hickoryspar/bench/workflow/WorkflowsCommand.java
+++ b/hickoryspar-bench/src/main/java/org/hickoryspar/bench/workflow/WorkflowsCommand.java
@@ -30,6 +30,9 @@
   @Option(name = "--load", usage = "factor of the load alone")
   private double load = 1;
 
+  @Option(name = "--burst", usage = "factor of the most urgent load in the first six seconds")
+  private double burst = 1;
+
   @Option(name = "--seconds", usage = "how long workflows arrive")
   private int seconds = 35;
 
@@ -61,7 +64,7 @@
     for (long seed = firstSeed; seed < firstSeed + seeds; seed++) {
       WorkflowExperiment experiment =
           new WorkflowExperiment(
-              fleet, seed, load, seconds * MILLIS_PER_SECOND, DRAIN_MILLIS, this::print);
+              fleet, seed, load, burst, seconds * MILLIS_PER_SECOND, DRAIN_MILLIS, this::print);
       experiment.schedule(kinds, faults);
       WorkflowResult result = experiment.play();
       broken += result.broken().size();
--- a/hickoryspar-bench/src/test/java/org/hickoryspar/bench/workflow/WorkflowRulesTest.java
+++ b/hickoryspar-bench/src/test/java/org/hickoryspar/bench/workflow/WorkflowRulesTest.java
@@ -44,6 +44,7 @@
             WorkflowDeployment.named("archive"),
             seed,
             1,
+            1,
             25_000,
             25_000,
             (kind, subject, details) -> {});
