Ask minions at once after a restart of all control daemons

Change: each control daemon keeps the places of minions that report to it in a cache file, which may be lost or damaged. An old report makes a minion known so that it is asked; it gets work only after it has reported itself, since it may drain.

--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Minion.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Minion.java
@@ -35,19 +35,26 @@
 
   /** Creates a life that is known from its predecessor only, until it reports itself. */
   static Minion provisional(MinionReport earlier, MinionLife life, long nowMillis) {
-    Minion minion =
-        new Minion(
-            earlier.toBuilder()
-                .setLife(life)
-                .setSequence(0)
-                .setDraining(false)
-                .setLeaving(false)
-                .build(),
-            nowMillis);
+    return provisional(earlier.toBuilder().setLife(life).build(), nowMillis);
+  }
+
+  /** Creates a life whose state is not known until it reports itself. */
+  static Minion provisional(MinionReport place, long nowMillis) {
+    Minion minion = new Minion(withoutState(place), nowMillis);
     minion.provisional = true;
     return minion;
   }
 
+  private static MinionReport withoutState(MinionReport place) {
+    return place.toBuilder().setSequence(0).setDraining(false).setLeaving(false).build();
+  }
+
+  /** Takes note where a life can be asked that was known from records only. */
+  void learnPlace(MinionReport place) {
+    report = withoutState(place);
+    capacity = Room.of(place.getCapacity());
+  }
+
   void update(MinionReport newer, long nowMillis) {
     boolean leaves = newer.getLeaving();
     if (leaves && !isLeaving()) {
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/MinionTable.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/MinionTable.java
@@ -21,6 +21,9 @@
   /** A minion that neither reports nor answers for this long, and runs nothing, is forgotten. */
   private static final long FORGET_MILLIS = 15_000;
 
+  /** A report that is older than some heartbeats no longer tells the state of a minion. */
+  private static final long STALE_MILLIS = 5_000;
+
   private final Map<String, Minion> byId = new LinkedHashMap<>();
   private final DispatchListener listener;
   private final NewLifeListener onNewLife;
@@ -57,6 +60,10 @@
   }
 
   void report(MinionReport report, long nowMillis) {
+    if (report.getAgeMillis() > STALE_MILLIS) {
+      noteStale(report, nowMillis);
+      return;
+    }
     Minion known = byId.get(report.getLife().getMinionId());
     long born = report.getLife().getBornMillis();
     if (known == null) {
@@ -80,6 +87,16 @@
     }
   }
 
+  // An old report tells where a minion was and can be asked, not whether it takes work.
+  private void noteStale(MinionReport report, long nowMillis) {
+    Minion known = byId.get(report.getLife().getMinionId());
+    if (known == null) {
+      byId.put(report.getLife().getMinionId(), Minion.provisional(report, nowMillis));
+    } else if (!known.isAddressKnown() && known.life().equals(report.getLife())) {
+      known.learnPlace(report);
+    }
+  }
+
   private void join(MinionReport report, long nowMillis) {
     Minion minion = new Minion(report, nowMillis);
     for (Minion other : List.copyOf(byId.values())) {
--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/DispatcherRig.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/DispatcherRig.java
@@ -163,6 +163,20 @@
     minions.values().stream().filter(minion -> minion.up).forEach(this::report);
   }
 
+  /** Another leader takes over that knows minions from reports of long ago only. */
+  void changeLeaderWithOldReports() {
+    dispatcher = newDispatcher();
+    for (FakeMinion minion : minions.values()) {
+      MinionReport old =
+          minion.report(nowMillis).toBuilder().setAgeMillis(60_000).clearClockMillis().build();
+      dispatcher.reported(old, nowMillis);
+    }
+  }
+
+  Workflow find(String workflowId) {
+    return dispatcher.find(workflowId).orElseThrow();
+  }
+
   void pass(long millis) {
     for (long end = nowMillis + millis; nowMillis < end; nowMillis += STEP_MILLIS) {
       minions.values().forEach(this::answer);
--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/DispatcherTest.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/DispatcherTest.java
@@ -86,6 +86,40 @@
     assertEquals(minion.running().size(), 2);
   }
 
+  /** Guards against leases that end, and ends that are learned late, after a restart of all. */
+  @Test
+  void shouldAskMinionsThatAreKnownFromOldReportsOnly() {
+    DispatcherRig rig = new DispatcherRig();
+    DispatcherRig.FakeMinion minion = rig.addMinion("m1", "r1");
+    rig.pass(100);
+    rig.submit("a", 1, DispatcherRig.step(1, 4));
+    rig.pass(500);
+
+    rig.changeLeaderWithOldReports();
+    rig.pass(100);
+    minion.end(minion.running().get(0), RunEnd.Cause.DONE);
+    rig.pass(200);
+
+    assertEquals(rig.find("a").state(), WorkflowState.WORKFLOW_COMPLETED);
+  }
+
+  /** Guards against work on a minion that drains since its last report is old. */
+  @Test
+  void shouldStartNothingOnAMinionThatIsKnownFromAnOldReportOnly() {
+    DispatcherRig rig = new DispatcherRig();
+    DispatcherRig.FakeMinion minion = rig.addMinion("m1", "r1");
+    rig.pass(100);
+
+    rig.changeLeaderWithOldReports();
+    rig.submit("a", 0, DispatcherRig.step(1, 4));
+    rig.pass(500);
+    assertEquals(minion.starts(), List.of());
+    rig.report(minion);
+    rig.pass(500);
+
+    assertEquals(minion.starts().size(), 1);
+  }
+
   // ------------------------------------------------------------- ends
 
   /** Guards against a workflow that is shown as completed too early, or never. */
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/daemon/ClusterControl.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/daemon/ClusterControl.java
@@ -39,9 +39,11 @@
 import org.hickoryspar.node.dispatch.LeaderServices;
 import org.hickoryspar.node.dispatch.MinionClient;
 import org.hickoryspar.node.dispatch.MinionRegistry;
+import org.hickoryspar.node.dispatch.RegistryKeeper;
 import org.hickoryspar.node.faults.FaultInjection;
 import org.hickoryspar.node.observability.ProcessMetrics;
 import org.hickoryspar.node.replication.ReplicaDriver;
+import org.hickoryspar.node.storage.CacheFile;
 import org.hickoryspar.node.storage.FileLogStorage;
 import org.hickoryspar.node.storage.FileOperations;
 import org.hickoryspar.node.storage.ReplicaFolder;
@@ -136,6 +138,7 @@
             new CallTelemetry(metrics),
             ProcessResources::monotonicMillis);
     registry = new MinionRegistry(leaderCalls, ProcessResources::monotonicMillis);
+    keepRegistry(new CacheFile(faults.files(), dataFolder, "minions"));
     loop.addListener(
         dispatcher ->
             registry
@@ -145,18 +148,28 @@
     replica.start();
     listen(server, settings.peerAddress());
     settings.seeds().forEach(seed -> peers.know(seed, "the seeds"));
+    keepCluster(server, settings.dataCentre());
+    loop.start();
+  }
+
+  private void keepRegistry(CacheFile file) {
+    RegistryKeeper keeper = new RegistryKeeper(registry, file);
+    closer.register(keeper::close);
+    keeper.start();
+  }
+
+  private void keepCluster(PeerServer server, String dataCentre) {
     ClusterKeeper keeper =
         new ClusterKeeper(
             log,
             peers,
             server,
             voterPlan,
-            settings.dataCentre(),
+            dataCentre,
             registry::leaderChanged,
             ProcessResources::monotonicMillis);
     closer.register(keeper::close);
     keeper.start();
-    loop.start();
   }
 
   private static ReplicaDriver<CommandResult> newReplica(
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/DispatchLogEvent.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/DispatchLogEvent.java
@@ -9,6 +9,8 @@
   SESSION_ENDED(5002, Level.INFO, "this replica does not decide any more, last term %d"),
   SESSION_FAILED(5003, Level.SEVERE, "the dispatcher failed; its state is built again"),
   PROPOSAL_FAILED(5004, Level.WARNING, "events of workflows were not recorded: %s"),
+  REGISTRY_NOT_READ(5005, Level.INFO, "the places of minions that were kept cannot be read: %s"),
+  REGISTRY_NOT_WRITTEN(5006, Level.WARNING, "the places of minions are not kept: %s"),
   WORKFLOW_ACCEPTED(5020, Level.INFO, "%s"),
   WORKFLOW_REFUSED(5021, Level.INFO, "%s"),
   WORKFLOW_CANCELLED(5022, Level.INFO, "%s"),
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/MinionRegistry.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/MinionRegistry.java
@@ -5,8 +5,10 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.LongSupplier;
 import org.hickoryspar.protocol.Envelope;
 import org.hickoryspar.protocol.MinionLife;
@@ -26,7 +28,12 @@
 
   private final LeaderCalls leader;
   private final LongSupplier monotonicMillis;
+
+  /** Age that a report from before the start of this process is given. */
+  private static final long OLD_MILLIS = 60_000;
+
   private final Map<String, Entry> byId = new ConcurrentHashMap<>();
+  private final AtomicBoolean changed = new AtomicBoolean();
 
   /**
    * Creates an empty registry.
@@ -53,6 +60,9 @@
       return CompletableFuture.completedFuture(true);
     }
     byId.put(report.getLife().getMinionId(), entry);
+    if (before == null || !saysTheSame(before.report, report)) {
+      changed.set(true);
+    }
     if (before != null && before.isTold && saysTheSame(before.report, report)) {
       entry.isTold = true;
       return CompletableFuture.completedFuture(true);
@@ -69,6 +79,7 @@
   public CompletableFuture<Boolean> leave(String minionId) {
     requireNonNull(minionId, "minionId is null");
     byId.remove(minionId);
+    changed.set(true);
     MinionReport leaving =
         MinionReport.newBuilder()
             .setLife(MinionLife.newBuilder().setMinionId(minionId))
@@ -80,7 +91,7 @@
   /** Tells a new leader all that is known. */
   public void leaderChanged() {
     long now = monotonicMillis.getAsLong();
-    byId.values().removeIf(entry -> now - entry.atMillis > KEEP_MILLIS);
+    byId.values().removeIf(entry -> now - entry.atMillis > KEEP_MILLIS + OLD_MILLIS);
     List<Entry> all = new ArrayList<>(byId.values());
     all.forEach(entry -> entry.isTold = false);
     if (!all.isEmpty()) {
@@ -98,6 +109,38 @@
     return byId.values().stream().map(entry -> entry.aged(now)).toList();
   }
 
+  /**
+   * Takes in what a process of this instance knew before it ended. Such a report tells where a
+   * minion can be asked; it is not taken for its state.
+   *
+   * @param reports what {@link #saved} returned
+   */
+  public void restore(MinionReports reports) {
+    requireNonNull(reports, "reports is null");
+    long atMillis = monotonicMillis.getAsLong() - OLD_MILLIS;
+    for (MinionReport report : reports.getReportsList()) {
+      byId.putIfAbsent(report.getLife().getMinionId(), new Entry(report, atMillis));
+    }
+  }
+
+  /**
+   * Returns what is worth keeping for a restart, if it has changed since the last call.
+   *
+   * @return where minions are, or empty if that is as before
+   */
+  public Optional<MinionReports> saved() {
+    if (!changed.getAndSet(false)) {
+      return Optional.empty();
+    }
+    MinionReports.Builder reports = MinionReports.newBuilder();
+    byId.values().forEach(entry -> reports.addReports(placeOf(entry.report)));
+    return Optional.of(reports.build());
+  }
+
+  private static MinionReport placeOf(MinionReport report) {
+    return report.toBuilder().clearSequence().clearClockMillis().clearAgeMillis().build();
+  }
+
   private CompletableFuture<Boolean> tell(List<Entry> entries) {
     long now = monotonicMillis.getAsLong();
     MinionReports.Builder reports = MinionReports.newBuilder();
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/storage/ReplicaFolder.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/storage/ReplicaFolder.java
@@ -162,6 +162,7 @@
           name.equals(LOCK)
               || name.equals(PROBE)
               || name.endsWith(AtomicFile.TEMPORARY_SUFFIX)
+              || name.endsWith(CacheFile.SUFFIX)
               || (name.equals(HardStateFile.NAME) && HardStateFile.read(files, folder).term() <= 1)
               || (SegmentedLog.isSegment(file) && isFirstSegment(file));
       if (!leftover) {
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/storage/StorageEvent.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/storage/StorageEvent.java
@@ -10,7 +10,8 @@
       2001, Level.WARNING, "folder %s is empty; replica %s waits to be added as a learner"),
   LOADED(2002, Level.INFO, "read term %d, snapshot at index %d and %d entries"),
   SNAPSHOT_WRITTEN(2003, Level.INFO, "wrote the snapshot at index %d, %d bytes"),
-  CLOSE_FAILED(2004, Level.WARNING, "a file could not be closed");
+  CLOSE_FAILED(2004, Level.WARNING, "a file could not be closed"),
+  CACHE_DAMAGED(2005, Level.INFO, "%s is damaged and not used");
 
   private final int number;
 
