Follow the other minions when one entry of a list is odd

Cause: a heartbeat with a port out of range, or with characters that no address has, was registered. The HTTP client throws on such an address, on the thread of the decisions; the session failed, was built again with the same entry and failed again, so that this leader decided nothing more. Further: an Error ended the thread of the decisions while the replica kept its lease, and an odd address in a directory or in changed settings ended the periodic task that followed the list.

The decision loop starts a new session after an Error as well, and pauses when sessions fail one after the other. ControlPeers leaves out an unusable address.

--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/cluster/ClusterEvent.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/cluster/ClusterEvent.java
@@ -10,10 +10,7 @@
   VOTER_CHANGE(2203, Level.INFO, "starting a voter change: %s"),
   VOTER_CHANGE_DONE(2204, Level.INFO, "the voter change is complete, voters: %s"),
   VOTER_CHANGE_FAILED(2205, Level.WARNING, "the voter change failed: %s"),
-  TICK_FAILED(
-      2206,
-      Level.SEVERE,
-      "periodic maintenance of the cluster failed; it is repeated at the next tick");
+  ADDRESS_UNUSABLE(2207, Level.WARNING, "control address \"%s\" from %s is unusable: %s");
 
   private final int number;
   private final Level level;
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/cluster/ClusterMaintenance.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/cluster/ClusterMaintenance.java
@@ -2,14 +2,11 @@
 
 import static java.util.Objects.requireNonNull;
 
-import java.util.concurrent.Executors;
-import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.hickoryspar.kernel.membership.ReachableReplica;
 import org.hickoryspar.kernel.membership.VoterPlanner;
+import org.hickoryspar.node.concurrent.PeriodicTask;
 import org.hickoryspar.node.control.ReplicatedLog;
-import org.hickoryspar.node.observability.EventLogger;
 import org.hickoryspar.node.transport.PeerServer;
 import org.hickoryspar.protocol.ControlDirectory;
 import org.hickoryspar.protocol.Envelope;
@@ -29,8 +26,7 @@
   private final VoterReconciler voterReconciler;
   private final Runnable onLeaderChange;
   private final LongSupplier monotonicMillis;
-  private final ScheduledExecutorService executor =
-      Executors.newSingleThreadScheduledExecutor(task -> new Thread(task, "cluster"));
+  private final PeriodicTask ticker = new PeriodicTask("cluster", TICK_INTERVAL_MILLIS, this::tick);
   private long tickCount;
   private ControlPeers.Leader lastBroadcastLeader = new ControlPeers.Leader("", 0);
 
@@ -63,17 +59,7 @@
 
   /** Starts the periodic task. */
   public void start() {
-    executor.scheduleWithFixedDelay(
-        this::runTick, TICK_INTERVAL_MILLIS, TICK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
-  }
-
-  private void runTick() {
-    try {
-      tick();
-    } catch (RuntimeException e) {
-      // An uncaught exception would cancel the periodic task.
-      EventLogger.log(ClusterEvent.TICK_FAILED, e);
-    }
+    ticker.start();
   }
 
   private void tick() {
@@ -103,6 +89,6 @@
 
   @Override
   public void close() {
-    executor.shutdownNow();
+    ticker.close();
   }
 }
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/cluster/ControlPeers.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/cluster/ControlPeers.java
@@ -23,6 +23,7 @@
 import org.hickoryspar.protocol.Envelope;
 import org.hickoryspar.protocol.Hello;
 import org.hickoryspar.protocol.ReplicationMessage;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Connections to all known control daemons, which are discovered from the seeds, from the
@@ -65,7 +66,8 @@
   }
 
   /**
-   * Connects to a control daemon unless there is already a connection to it.
+   * Connects to a control daemon unless there is already a connection to it. An unusable address is
+   * logged and ignored, so that one entry of a list does not affect the others.
    *
    * @param address its peer address; ignored if it is empty or the address of this process
    * @param source source of the address, for the log
@@ -74,16 +76,23 @@
     if (address.isEmpty() || address.equals(ownAddress)) {
       return;
     }
-    connectionsByAddress.computeIfAbsent(
-        address,
-        key -> {
-          EventLogger.log(ClusterEvent.CONTROL_FOUND, address, source);
-          PeerConnection connection =
-              new PeerConnection(
-                  identity, eventLoops, address, addressResolver.apply(address), handler);
-          connection.connect();
-          return connection;
-        });
+    connectionsByAddress.computeIfAbsent(address, key -> newConnection(address, source));
+  }
+
+  /** Returns null, so that no connection is added, if the address is unusable. */
+  private @Nullable PeerConnection newConnection(String address, String source) {
+    InetSocketAddress socketAddress;
+    try {
+      socketAddress = addressResolver.apply(address);
+    } catch (IllegalArgumentException e) {
+      EventLogger.log(ClusterEvent.ADDRESS_UNUSABLE, address, source, e.getMessage());
+      return null;
+    }
+    EventLogger.log(ClusterEvent.CONTROL_FOUND, address, source);
+    PeerConnection connection =
+        new PeerConnection(identity, eventLoops, address, socketAddress, handler);
+    connection.connect();
+    return connection;
   }
 
   /**
--- /dev/null
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/concurrent/package-info.java
@@ -0,0 +1,5 @@
+/** Threads that the daemons share. */
+@NullMarked
+package org.hickoryspar.node.concurrent;
+
+import org.jspecify.annotations.NullMarked;
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/DispatchLoop.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/DispatchLoop.java
@@ -30,6 +30,10 @@
 public final class DispatchLoop implements Executor, AutoCloseable {
 
   private static final long IDLE_PAUSE_MILLIS = 25;
+
+  /** Pause before the next session after a second failure within this time. */
+  private static final long REPEATED_FAILURE_PAUSE_MILLIS = 250;
+
   private static final int MAX_TASKS_PER_BATCH = 1_000;
 
   private final ControlState state;
@@ -45,6 +49,8 @@
   private volatile boolean closed;
   private volatile boolean leading;
   private @Nullable DispatchSession session;
+  private long lastFailureMillis = Long.MIN_VALUE / 2;
+  private long nextSessionMillis;
 
   /**
    * Creates a loop that is not started.
@@ -169,10 +175,19 @@
   private void runGuarded(Runnable task) {
     try {
       task.run();
-    } catch (RuntimeException e) {
+    } catch (RuntimeException | Error e) {
       EventLogger.log(DispatchLogEvent.SESSION_FAILED, e);
       session = null;
+      delayNextSessionAfterRepeatedFailure();
+    }
+  }
+
+  private void delayNextSessionAfterRepeatedFailure() {
+    long nowMillis = monotonicMillis.getAsLong();
+    if (nowMillis - lastFailureMillis < REPEATED_FAILURE_PAUSE_MILLIS) {
+      nextSessionMillis = nowMillis + REPEATED_FAILURE_PAUSE_MILLIS;
     }
+    lastFailureMillis = nowMillis;
   }
 
   private long pauseMillis() {
@@ -192,7 +207,7 @@
       leading = false;
       current = null;
     }
-    if (current == null && holdsLease) {
+    if (current == null && holdsLease && monotonicMillis.getAsLong() >= nextSessionMillis) {
       // Set before the state is copied, so that no batch applied after the copy is missed.
       leading = true;
       current =
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/DispatchSession.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/DispatchSession.java
@@ -3,7 +3,6 @@
 import static java.util.Objects.requireNonNull;
 
 import java.util.List;
-import java.util.Optional;
 import java.util.concurrent.Executor;
 import java.util.function.LongSupplier;
 import org.hickoryspar.kernel.control.CommandResult;
@@ -11,9 +10,6 @@
 import org.hickoryspar.kernel.dispatch.DispatchSettings;
 import org.hickoryspar.kernel.dispatch.Dispatcher;
 import org.hickoryspar.kernel.dispatch.Order;
-import org.hickoryspar.kernel.dispatch.OrderOutcome;
-import org.hickoryspar.kernel.dispatch.RenewalResponse;
-import org.hickoryspar.kernel.value.Result;
 import org.hickoryspar.kernel.workflow.WorkflowTable;
 import org.hickoryspar.node.control.Proposer;
 import org.hickoryspar.node.observability.EventLogger;
@@ -29,13 +25,12 @@
   private static final long STATUS_INTERVAL_MILLIS = 1_000;
 
   private final Proposer proposer;
-  private final MinionClient minionClient;
   private final Executor loop;
   private final LongSupplier monotonicMillis;
   private final long term;
-  private final long fencingToken;
   private final long snapshotBatchNumber;
   private final Dispatcher dispatcher;
+  private final OrderSender orderSender;
   private final DecisionTelemetry telemetry;
   private long nextStatusMillis;
   private boolean failed;
@@ -51,11 +46,10 @@
       LongSupplier monotonicMillis) {
     this.telemetry = requireNonNull(telemetry, "telemetry is null");
     this.proposer = requireNonNull(proposer, "proposer is null");
-    this.minionClient = requireNonNull(minionClient, "minionClient is null");
     this.loop = requireNonNull(loop, "loop is null");
     this.monotonicMillis = requireNonNull(monotonicMillis, "monotonicMillis is null");
     this.term = proposer.term();
-    this.fencingToken = requireNonNull(fencingTokens, "fencingTokens is null").next(term);
+    long fencingToken = requireNonNull(fencingTokens, "fencingTokens is null").next(term);
     ControlState.WorkflowSnapshot snapshot = state.snapshotWorkflows();
     this.snapshotBatchNumber = snapshot.batchNumber();
     WorkflowTable table = new WorkflowTable();
@@ -68,6 +62,8 @@
             telemetry,
             monotonicMillis.getAsLong(),
             proposer.wallClockMillis());
+    this.orderSender =
+        new OrderSender(minionClient, fencingToken, dispatcher, loop, monotonicMillis);
     EventLogger.log(
         DispatchLogEvent.SESSION_STARTED, term, snapshot.records().size(), fencingToken);
   }
@@ -115,7 +111,7 @@
         failed = true;
         return;
       }
-      send(order);
+      orderSender.send(order);
     }
   }
 
@@ -134,41 +130,4 @@
                           loop.execute(() -> failed = true);
                         }));
   }
-
-  private void send(Order order) {
-    if (order instanceof Order.Renew renew) {
-      minionClient
-          .renew(renew, fencingToken)
-          .thenAccept(result -> loop.execute(() -> handleRenewalResult(renew, result)));
-    } else if (order instanceof Order.Start start) {
-      minionClient
-          .start(start, fencingToken)
-          .thenAccept(
-              outcome ->
-                  loop.execute(
-                      () ->
-                          dispatcher.handleStartOutcome(
-                              start.taskRun(), outcome, monotonicMillis.getAsLong())));
-    } else if (order instanceof Order.Stop stop) {
-      minionClient
-          .stop(stop, fencingToken)
-          .thenAccept(
-              outcome ->
-                  loop.execute(
-                      () ->
-                          dispatcher.handleStopOutcome(
-                              stop.taskRun(), outcome, monotonicMillis.getAsLong())));
-    }
-  }
-
-  private void handleRenewalResult(Order.Renew order, Result<RenewalResponse> result) {
-    long nowMillis = monotonicMillis.getAsLong();
-    Optional<RenewalResponse> response = result.fold(problem -> Optional.empty(), Optional::of);
-    if (response.isPresent()) {
-      dispatcher.handleRenewal(order.target().life(), response.get(), nowMillis);
-    } else {
-      String code = result.problem().orElseThrow().code();
-      dispatcher.handleRenewalFailure(order.target().life(), OrderOutcome.valueOf(code), nowMillis);
-    }
-  }
 }
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/MinionRegistryStore.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/MinionRegistryStore.java
@@ -4,9 +4,7 @@
 
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.io.IOException;
-import java.util.concurrent.Executors;
-import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
+import org.hickoryspar.node.concurrent.PeriodicTask;
 import org.hickoryspar.node.observability.EventLogger;
 import org.hickoryspar.node.storage.CacheFile;
 import org.hickoryspar.protocol.MinionReports;
@@ -22,13 +20,8 @@
 
   private final MinionRegistry registry;
   private final CacheFile file;
-  private final ScheduledExecutorService executor =
-      Executors.newSingleThreadScheduledExecutor(
-          task -> {
-            Thread writer = new Thread(task, "registry");
-            writer.setDaemon(true);
-            return writer;
-          });
+  private final PeriodicTask writer =
+      new PeriodicTask("registry", WRITE_INTERVAL_MILLIS, this::writeIfChanged);
 
   /**
    * Creates a store that is not started.
@@ -44,9 +37,7 @@
   /** Restores the registry from the file and starts to save changes at a fixed interval. */
   public void start() {
     file.read().ifPresent(this::restore);
-    var unused =
-        executor.scheduleWithFixedDelay(
-            this::write, WRITE_INTERVAL_MILLIS, WRITE_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+    writer.start();
   }
 
   private void restore(byte[] contents) {
@@ -57,7 +48,7 @@
     }
   }
 
-  private void write() {
+  private void writeIfChanged() {
     registry.snapshotIfChanged().ifPresent(this::write);
   }
 
@@ -71,6 +62,6 @@
 
   @Override
   public void close() {
-    executor.shutdownNow();
+    writer.close();
   }
 }
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/faults/FaultInjection.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/faults/FaultInjection.java
@@ -8,10 +8,8 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Optional;
-import java.util.concurrent.Executors;
-import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
 import org.hickoryspar.node.cluster.InstanceIds;
+import org.hickoryspar.node.concurrent.PeriodicTask;
 import org.hickoryspar.node.observability.EventLogger;
 import org.hickoryspar.node.storage.FileOperations;
 import org.hickoryspar.node.storage.SystemFileOperations;
@@ -65,16 +63,7 @@
     EventLogger.log(FaultEvent.INJECTION_ON, file);
     FaultInjection injection = new FaultInjection(true);
     injection.reload(file);
-    ScheduledExecutorService poller =
-        Executors.newSingleThreadScheduledExecutor(
-            task -> {
-              Thread thread = new Thread(task, "faults");
-              thread.setDaemon(true);
-              return thread;
-            });
-    var unused =
-        poller.scheduleWithFixedDelay(
-            () -> injection.reload(file), POLL_MILLIS, POLL_MILLIS, TimeUnit.MILLISECONDS);
+    new PeriodicTask("faults", POLL_MILLIS, () -> injection.reload(file)).start();
     return injection;
   }
 
--- a/hickoryspar-node/src/test/java/org/hickoryspar/node/dispatch/DispatchLoopTest.java
+++ b/hickoryspar-node/src/test/java/org/hickoryspar/node/dispatch/DispatchLoopTest.java
@@ -112,6 +112,36 @@
     await().atMost(TIMEOUT).until(() -> sessions.get() == 2);
   }
 
+  /** Guards against an error, which is no exception, that ends the thread of the decisions. */
+  @Test
+  public void shouldStartANewSessionWhenATaskFailsWithAnError() throws Exception {
+    log.status = statusOf(3, true);
+    await().atMost(TIMEOUT).until(this::hasSession);
+
+    CompletableFuture<Result<String>> failing =
+        loop.submit(
+            dispatcher -> {
+              throw new StackOverflowError("failure of the dispatcher");
+            });
+
+    Result<String> failed = failing.get(TIMEOUT.toSeconds(), TimeUnit.SECONDS);
+    assertEquals(failed.problem().orElseThrow().code(), "not-leader");
+    await().atMost(TIMEOUT).until(() -> sessions.get() == 2);
+    await().atMost(TIMEOUT).until(this::hasSession);
+  }
+
+  /** Guards against one minion that no order can be sent to and that ends session after session. */
+  @Test
+  public void shouldKeepItsSessionWhenAnOrderCannotBeSent() throws Exception {
+    log.status = statusOf(3, true);
+    await().atMost(TIMEOUT).until(this::hasSession);
+
+    report("unusable");
+    awaitRenewalToken();
+
+    assertEquals(sessions.get(), 1);
+  }
+
   private boolean hasSession() throws Exception {
     return loop.submit(dispatcher -> Result.success("deciding")).get().problem().isEmpty();
   }
@@ -120,12 +150,19 @@
   private long awaitRenewalToken() throws Exception {
     await().atMost(TIMEOUT).until(this::hasSession);
     renewalTokens.clear();
+    report("m1");
+    Long token = renewalTokens.poll(TIMEOUT.toSeconds(), TimeUnit.SECONDS);
+    assertTrue(token != null, "no renewal was sent");
+    return token;
+  }
+
+  private void report(String address) throws Exception {
     MinionReport report =
         MinionReport.newBuilder()
-            .setLife(MinionLife.newBuilder().setMinionId("m1").setBornMillis(1))
+            .setLife(MinionLife.newBuilder().setMinionId(address).setBornMillis(1))
             .setSequence(1)
             .setService("service")
-            .setAddress("m1")
+            .setAddress(address)
             .build();
     loop.submit(
             dispatcher -> {
@@ -133,9 +170,6 @@
               return Result.success("reported");
             })
         .get();
-    Long token = renewalTokens.poll(TIMEOUT.toSeconds(), TimeUnit.SECONDS);
-    assertTrue(token != null, "no renewal was sent");
-    return token;
   }
 
   private static ReplicatedLog.Status statusOf(long term, boolean holdsLease) {
@@ -152,11 +186,14 @@
         Map.of());
   }
 
-  /** Records the fencing tokens of renewals and never responds. */
+  /** Records the fencing tokens of renewals and never responds; throws for one address. */
   private final class UnresponsiveMinionClient implements MinionClient {
 
     @Override
     public CompletableFuture<Result<RenewalResponse>> renew(Order.Renew order, long fencingToken) {
+      if (order.target().address().equals("unusable")) {
+        throw new IllegalArgumentException("unusable address");
+      }
       renewalTokens.add(fencingToken);
       return new CompletableFuture<>();
     }
