--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/entry/EntryHandler.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/entry/EntryHandler.java
@@ -12,6 +12,8 @@
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
+import org.hickoryspar.node.http.BodyReader;
+import org.hickoryspar.node.http.ByteBudget;
 import org.hickoryspar.node.observability.EventLogger;
 import org.hickoryspar.node.observability.MetricsText;
 import org.hickoryspar.node.settings.Settings;
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/entry/BodyReader.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/http/BodyReader.java
@@ -1,4 +1,6 @@
-package org.hickoryspar.node.entry;
+package org.hickoryspar.node.http;
+
+import static java.util.Objects.requireNonNull;
 
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
@@ -8,7 +10,7 @@
 import org.jspecify.annotations.Nullable;
 
 /** Reads a request body into memory, up to a limit; releases its bytes when the request ends. */
-final class BodyReader implements Runnable {
+public final class BodyReader implements Runnable {
 
   private final Request request;
   private final Limits limits;
@@ -18,14 +20,6 @@
   private final Consumer<Throwable> onFailure;
   private final ByteArrayOutputStream body = new ByteArrayOutputStream();
 
-  /**
-   * Limits of a body.
-   *
-   * @param maxBytes maximum size of the body
-   * @param budget memory budget of all bodies together
-   */
-  record Limits(int maxBytes, ByteBudget budget) {}
-
   /**
    * Maximum number of bytes of a rejected body that are read and discarded before the response. A
    * connection that is closed with unread bytes is reset, and the caller may lose the response with
@@ -51,14 +45,24 @@
     this.onFailure = onFailure;
   }
 
-  /** Reads the body without blocking and calls exactly one of the four callbacks. */
-  static void read(
+  /**
+   * Reads a body without blocking and calls exactly one of the four callbacks.
+   *
+   * @param request the request
+   * @param limits limits of the body
+   * @param onBody receives the whole body
+   * @param onTooLarge called if the body exceeds its limit
+   * @param onBudgetExhausted called if the bodies in memory leave no space for this one
+   * @param onFailure receives the cause if the body cannot be read
+   */
+  public static void read(
       Request request,
       Limits limits,
       Consumer<byte[]> onBody,
       Runnable onTooLarge,
       Runnable onBudgetExhausted,
       Consumer<Throwable> onFailure) {
+    requireNonNull(request, "request is null");
     if (request.getLength() > limits.maxBytes + MAX_DISCARDED_BYTES) {
       onTooLarge.run();
       return;
@@ -71,6 +75,7 @@
     reader.run();
   }
 
+  /** Reads what has arrived; the server calls it again when there is more. */
   @Override
   public void run() {
     while (true) {
@@ -113,4 +118,18 @@
       }
     }
   }
+
+  /**
+   * Limits of a body.
+   *
+   * @param maxBytes maximum size of the body
+   * @param budget memory budget of all bodies together
+   */
+  public record Limits(int maxBytes, ByteBudget budget) {
+
+    /** Rejects a null budget with a {@link NullPointerException}. */
+    public Limits {
+      requireNonNull(budget, "budget is null");
+    }
+  }
 }
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/entry/ByteBudget.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/http/ByteBudget.java
@@ -1,12 +1,17 @@
-package org.hickoryspar.node.entry;
+package org.hickoryspar.node.http;
 
 /** Limits the total size of the request bodies in memory. Thread-safe. */
-final class ByteBudget {
+public final class ByteBudget {
 
   private final long maxBytes;
   private long usedBytes;
 
-  ByteBudget(long maxBytes) {
+  /**
+   * Creates a budget of which nothing is in use.
+   *
+   * @param maxBytes maximum total size in bytes
+   */
+  public ByteBudget(long maxBytes) {
     this.maxBytes = maxBytes;
   }
 
