Refuse workflows and queues whose numbers are out of range

Cause: the number of tasks, steps and occurrences of a submission had no limit. A job of 2^31 - 1 tasks was accepted, replicated and then expanded on every replica, which ran out of memory at each start again. Times near the end of a long made the sums of the planner overflow, so that a job without an end looked overdue or due at once.

Queues have a limit on stretch and completion target.

--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/catalog/CatalogValidator.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/catalog/CatalogValidator.java
@@ -16,12 +16,18 @@
 /** Validates a catalog before it is accepted. */
 public final class CatalogValidator {
 
+  /** Maximum ratio of the completion target of a workflow to its critical path. */
+  private static final double MAX_STRETCH = 1_000;
+
+  /** Maximum constant part of a completion target: ten years. */
+  private static final long MAX_DURATION_MILLIS = 3_650L * 24 * 60 * 60 * 1_000;
+
   private CatalogValidator() {}
 
   /**
    * Checks that the version is at least 1, that services have distinct names, that queues refer to
-   * existing services, have a timeout and differ in host or path prefix, and that no two teams have
-   * a key in common.
+   * existing services, have a timeout and a completion target within limits and differ in host or
+   * path prefix, and that no two teams have a key in common.
    *
    * @param catalog the catalog
    * @return the first violation, with the code {@code "invalid-catalog"}, or empty if the catalog
@@ -60,6 +66,10 @@
       if (queue.getTimeoutMillis() == 0) {
         return invalid("queue " + queue.getName() + " has a timeout of 0 ms");
       }
+      if (queue.getStretch() > MAX_STRETCH
+          || queue.getTargetCompletionMillis() > MAX_DURATION_MILLIS) {
+        return invalid("queue " + queue.getName() + " has a completion target out of range");
+      }
       String hostAndPrefix =
           CatalogView.normalizeHost(queue.getHost()) + ' ' + queue.getPathPrefix();
       String existing = queueNameByHostAndPrefix.put(hostAndPrefix, queue.getName());
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/WorkflowService.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/WorkflowService.java
@@ -8,8 +8,10 @@
 import org.hickoryspar.kernel.control.CommandResult;
 import org.hickoryspar.kernel.control.ControlState;
 import org.hickoryspar.kernel.dispatch.Dispatcher;
+import org.hickoryspar.kernel.value.Problem;
 import org.hickoryspar.kernel.value.Result;
 import org.hickoryspar.kernel.workflow.Workflow;
+import org.hickoryspar.kernel.workflow.WorkflowValidator;
 import org.hickoryspar.node.control.Proposer;
 import org.hickoryspar.node.observability.EventLogger;
 import org.hickoryspar.protocol.CancelWorkflow;
@@ -85,6 +87,10 @@
 
   private CompletableFuture<Result<WorkflowReply>> submit(
       WorkflowCall call, String id, Queue queue, String team) {
+    Optional<Problem> violation = WorkflowValidator.validate(call.getSubmit());
+    if (violation.isPresent()) {
+      return completed(reply(WorkflowReply.Outcome.INVALID, violation.get().message()));
+    }
     return loop.<Boolean>submit(dispatcher -> Result.success(dispatcher.find(id).isPresent()))
         .thenCompose(
             lookup ->
