--- a/review/standins/Daemon.java
+++ b/review/standins/Daemon.java
@@ -98,7 +98,7 @@
 
   void signal(String signal) throws IOException, InterruptedException {
     record.add("process " + name + " gets SIG" + signal);
-    new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
+    new ProcessBuilder("sh", "-c", "kill -" + signal + " " + process.pid()).start().waitFor();
   }
 
   boolean logContains(String text) throws IOException {
--- a/review/standins/Minion.java
+++ b/review/standins/Minion.java
@@ -58,6 +58,7 @@
   private long fencingToken;
   private long leaseMillis;
   private long lastEnd;
+  private String service = Operator.SERVICE;
   private int tasksToFail;
   private final List<Long> startTimes = new ArrayList<>();
   private final Map<String, Task> tasks = new LinkedHashMap<>();
@@ -89,6 +90,11 @@
     return startTimes.stream().filter(time -> time >= caseMillis).count();
   }
 
+  /** Sets the service that the minion reports; called before its life begins. */
+  synchronized void setService(String name) {
+    service = name;
+  }
+
   // -- life
 
   /** Begins a life; the first heartbeat goes to the given control process. */
@@ -188,7 +194,7 @@
 
   private ObjectNode heartbeat() {
     ObjectNode node = Minions.newObject();
-    node.put("Service", Operator.SERVICE);
+    node.put("Service", service);
     node.put("Address", server.getAddress().getHostString() + ':' + server.getAddress().getPort());
     node.put("Zone", zone).put("Version", "v1").put("Slots", 8);
     node.put("State", draining ? "draining" : "ready").put("ColdRemainingMs", 0);
--- a/review/standins/Operator.java
+++ b/review/standins/Operator.java
@@ -17,17 +17,26 @@
 
   /** Returns a configuration with three queues and some more idle routes. */
   static ObjectNode config(long version, int idleRoutes) {
+    return config(version, idleRoutes, List.of(SERVICE), SERVICE);
+  }
+
+  /** Returns a configuration with several services, one of which all queues are sent to. */
+  static ObjectNode config(
+      long version, int idleRoutes, List<String> services, String queueService) {
     ObjectNode node = Cluster.MAPPER.createObjectNode().put("Version", version);
     for (int priority = 0; priority < 3; priority++) {
-      addRoute(node, "r-queue" + priority, "/queue" + priority + '/', priority);
+      addRoute(node, "r-queue" + priority, "/queue" + priority + '/', priority, queueService);
     }
     for (int i = 0; i < idleRoutes; i++) {
-      addRoute(node, String.format("r-idle%04d", i), String.format("/idle%04d/", i), 2);
+      addRoute(
+          node, String.format("r-idle%04d", i), String.format("/idle%04d/", i), 2, queueService);
+    }
+    for (String name : services) {
+      ObjectNode service = node.withArray("Services").addObject();
+      service.put("Name", name).put("HealthPath", "/health").put("MaxConnections", 64);
+      service.put("Protocol", "h1").put("Tls", false).put("ColdStartS", 0.0).put("ColdPerS", 0.0);
+      service.put("AdmissionCheck", false).put("Standby", false);
     }
-    ObjectNode service = node.withArray("Services").addObject();
-    service.put("Name", SERVICE).put("HealthPath", "/health").put("MaxConnections", 64);
-    service.put("Protocol", "h1").put("Tls", false).put("ColdStartS", 0.0).put("ColdPerS", 0.0);
-    service.put("AdmissionCheck", false).put("Standby", false);
     node.putObject("Limits").put("MaxHeaderBytes", 16384).put("MaxBodyBytes", 262144)
         .put("HeaderTimeoutMs", 3000).put("IdleTimeoutMs", 15000);
     ObjectNode tenant = node.withArray("Tenants").addObject().put("Name", "kaje80");
@@ -37,11 +46,12 @@
     return node;
   }
 
-  private static void addRoute(ObjectNode config, String name, String pathPrefix, int priority) {
+  private static void addRoute(
+      ObjectNode config, String name, String pathPrefix, int priority, String service) {
     ObjectNode route = config.withArray("Routes").addObject();
     route.put("Name", name).put("Hostname", HOST).put("PathPrefix", pathPrefix);
     route.put("Type", "non_idempotent").put("TimeoutMs", 3000).put("TargetCompletionMs", 1200);
-    route.put("Priority", priority).put("Service", SERVICE).put("MaxAttempts", 4);
+    route.put("Priority", priority).put("Service", service).put("MaxAttempts", 4);
     route.put("Stretch", 3.0).put("Public", false).putArray("AllowedRegions");
   }
 
