Bound the replicated log in bytes, not only in entries

The configuration could not be read, and an accepted job got no answer.

The same class elsewhere: events that wait for the core, batches of workflow events (over 2 MiB they were rejected for ever), and batches written to the disk. hickoryspar_control_log_bytes shows the size.

--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Dispatcher.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Dispatcher.java
@@ -288,9 +288,10 @@
   }
 
   /**
-   * Removes and returns the events to propose to the replicated log.
+   * Removes and returns the next batch of events to propose to the replicated log. Must be called
+   * until no events are left.
    *
-   * @return one batch of the events added since the last call; empty if there are none
+   * @return the batch, without events if there are none to propose
    */
   public WorkflowBatch takeProposals() {
     return outbox.takeProposals();
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/replication/EntryLog.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/replication/EntryLog.java
@@ -16,6 +16,11 @@
   private long baseIndex;
   private long baseTerm;
   private final ArrayList<LogEntry> entries = new ArrayList<>();
+
+  /** Position after each entry, in bytes of serialized entries since this object was created. */
+  private final ArrayList<Long> endOffsets = new ArrayList<>();
+
+  private long baseOffset;
   private final TreeMap<Long, Membership> memberships = new TreeMap<>();
   private long syncedIndex;
   private final Deque<PendingWrite> pendingWrites = new ArrayDeque<>();
@@ -71,6 +76,29 @@
     return entries.get((int) (index - baseIndex - 1));
   }
 
+  /** Returns the size of the entries that the log holds. */
+  long sizeBytes() {
+    return bytesAfter(baseIndex);
+  }
+
+  /** Returns the size of the entries after an index, which must not be below the base index. */
+  long bytesAfter(long index) {
+    return endOffset(lastIndex()) - endOffset(index);
+  }
+
+  /** Returns the lowest index after which the entries up to an index have at most a given size. */
+  long lowestIndexWithin(long maxBytes, long toIndex) {
+    long index = toIndex;
+    while (index > baseIndex && endOffset(toIndex) - endOffset(index - 1) <= maxBytes) {
+      index--;
+    }
+    return index;
+  }
+
+  private long endOffset(long index) {
+    return index == baseIndex ? baseOffset : endOffsets.get((int) (index - baseIndex - 1));
+  }
+
   /** Returns as many entries from an index on as the limits allow, but at least one. */
   List<LogEntry> slice(long fromIndex, int maxEntries, long maxBytes) {
     List<LogEntry> slice = new ArrayList<>();
@@ -90,6 +118,7 @@
       throw new IllegalStateException(
           "expected entry " + (lastIndex() + 1) + ", found " + entry.getIndex());
     }
+    endOffsets.add(endOffset(lastIndex()) + entry.getSerializedSize());
     entries.add(entry);
     if (entry.hasMembership()) {
       memberships.put(entry.getIndex(), entry.getMembership());
@@ -97,7 +126,9 @@
   }
 
   void truncateFrom(long index) {
-    entries.subList((int) (index - baseIndex - 1), entries.size()).clear();
+    int remainingEntries = (int) (index - baseIndex - 1);
+    entries.subList(remainingEntries, entries.size()).clear();
+    endOffsets.subList(remainingEntries, endOffsets.size()).clear();
     memberships.tailMap(index, true).clear();
     clampSyncedIndex(index - 1);
   }
@@ -105,6 +136,7 @@
   /** Replaces the whole log with a snapshot. */
   void reset(Snapshot snapshot) {
     entries.clear();
+    endOffsets.clear();
     memberships.clear();
     baseIndex = snapshot.lastIndex();
     baseTerm = snapshot.lastTerm();
@@ -118,7 +150,10 @@
       return;
     }
     baseTerm = termAt(index);
-    entries.subList(0, (int) (index - baseIndex)).clear();
+    baseOffset = endOffset(index);
+    int droppedEntries = (int) (index - baseIndex);
+    entries.subList(0, droppedEntries).clear();
+    endOffsets.subList(0, droppedEntries).clear();
     baseIndex = index;
     memberships.headMap(memberships.floorKey(index), false).clear();
   }
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/replication/LeaderState.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/replication/LeaderState.java
@@ -78,12 +78,24 @@
         context.reject(proposal.requestId(), "unavailable", "a leadership transfer is in progress");
         continue;
       }
+      if (!hasRoomFor(proposal)) {
+        context.reject(
+            proposal.requestId(), "unavailable", "too many uncommitted bytes in the log");
+        continue;
+      }
       long index =
           context.appendInCurrentTerm(LogEntry.newBuilder().setCommand(proposal.command()));
       context.addAction(new ReplicaAction.Accepted(proposal.requestId(), index, context.term()));
     }
   }
 
+  // A proposal of any size is accepted when no other one is pending.
+  private boolean hasRoomFor(ReplicaEvent.Proposal proposal) {
+    long uncommittedBytes = context.log().bytesAfter(context.commitIndex());
+    return uncommittedBytes == 0
+        || uncommittedBytes + proposal.command().size() <= context.options().maxUncommittedBytes();
+  }
+
   void readBarrier(long requestId) {
     long readIndex = Math.max(context.commitIndex(), termStartIndex);
     readBarriers.add(
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/replication/ReplicaContext.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/replication/ReplicaContext.java
@@ -193,7 +193,10 @@
   void saveSnapshot(Snapshot taken) {
     snapshot = taken;
     snapshotToWrite = taken;
-    long index = taken.lastIndex() - options.retainedEntries();
+    long index =
+        Math.max(
+            taken.lastIndex() - options.retainedEntries(),
+            log.lowestIndexWithin(options.retainedBytes(), taken.lastIndex()));
     if (index > log.baseIndex()) {
       log.compactTo(index);
       compactTo = index;
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/replication/ReplicaCore.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/replication/ReplicaCore.java
@@ -359,6 +359,7 @@
         leadership == null ? 0 : leadership.termStartIndex(),
         context.commitIndex(),
         context.log().lastIndex(),
+        context.log().sizeBytes(),
         membership.getVotersList(),
         membership.getLearnersList(),
         leadership == null ? Map.of() : leadership.matchIndexes());
--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/replication/ReplicaCoreTest.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/replication/ReplicaCoreTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import com.google.protobuf.ByteString;
 import java.util.List;
 import java.util.Optional;
 import java.util.SplittableRandom;
@@ -193,6 +194,29 @@
     assertEquals(late.view().term(), 1);
   }
 
+  /** Guards against a log that grows without limit while the other voters do not keep up. */
+  @Test
+  public void shouldRejectProposalsWhenUncommittedBytesReachLimit() {
+    ReplicaCore core = leaderWithLease();
+    ByteString command = ByteString.copyFrom(new byte[1 << 20]);
+    long accepted = 0;
+    boolean rejected = false;
+    for (int id = 0; !rejected && accepted <= OPTIONS.maxUncommittedBytes() >> 20; id++) {
+      List<ReplicaAction> actions =
+          step(core, new ReplicaEvent.Propose(List.of(new ReplicaEvent.Proposal(id, command))));
+      rejected = actions.stream().anyMatch(ReplicaAction.Rejected.class::isInstance);
+      accepted += rejected ? 0 : 1;
+    }
+    assertTrue(rejected, accepted + " proposals of 1 MiB were accepted");
+    assertTrue(core.view().logBytes() <= OPTIONS.maxUncommittedBytes() + (1 << 10));
+
+    step(core, new ReplicaEvent.Synced(Long.MAX_VALUE));
+    receiveAppendResponse(core, 1, core.view().lastIndex());
+    List<ReplicaAction> actions =
+        step(core, new ReplicaEvent.Propose(List.of(new ReplicaEvent.Proposal(99, command))));
+    assertTrue(actions.stream().anyMatch(ReplicaAction.Accepted.class::isInstance));
+  }
+
   private ReplicaCore follower() {
     return follower(nowNanos);
   }
--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/replication/SimulatedReplica.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/replication/SimulatedReplica.java
@@ -28,6 +28,7 @@
   long appliedIndex;
   private long stateHash;
   private long snapshotIndex;
+  private long bytesSinceSnapshot;
   private long lastSyncEndNanos;
   private final Map<Long, Long> acceptedTermByIndex = new HashMap<>();
   private final Deque<ReplicaAction> pendingApplies = new ArrayDeque<>();
@@ -73,6 +74,7 @@
     appliedIndex = 0;
     stateHash = 0;
     snapshotIndex = 0;
+    bytesSinceSnapshot = 0;
     pausedUntilNanos = 0;
     core =
         new ReplicaCore(
@@ -155,13 +157,16 @@
       appliedIndex = restore.snapshot().lastIndex();
       stateHash = restore.snapshot().data().asReadOnlyByteBuffer().getLong();
       snapshotIndex = appliedIndex;
+      bytesSinceSnapshot = 0;
       safetyChecker.checkState(appliedIndex, stateHash);
     } else if (action instanceof ReplicaAction.Apply apply) {
       apply.entries().forEach(this::apply);
     }
     completeReads();
-    if (appliedIndex - snapshotIndex >= Simulation.OPTIONS.snapshotIntervalEntries()) {
+    if (appliedIndex - snapshotIndex >= Simulation.OPTIONS.snapshotIntervalEntries()
+        || bytesSinceSnapshot >= Simulation.OPTIONS.snapshotIntervalBytes()) {
       snapshotIndex = appliedIndex;
+      bytesSinceSnapshot = 0;
       ByteBuffer data = ByteBuffer.allocate(64).putLong(0, stateHash);
       long index = appliedIndex;
       simulation.schedule(
@@ -175,6 +180,7 @@
     SafetyChecker.check(
         entry.getIndex() == appliedIndex + 1, "an entry was applied twice or skipped");
     appliedIndex++;
+    bytesSinceSnapshot += entry.getSerializedSize();
     stateHash = entry.hasCommand() ? 31 * stateHash + entry.getCommand().hashCode() : stateHash;
     SafetyChecker.check(
         safetyChecker.recordApplied(entry) == stateHash, "wrong state after " + appliedIndex);
--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/replication/Simulation.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/replication/Simulation.java
@@ -21,9 +21,11 @@
    * the margin for clock drift alone.
    */
   static final ReplicaOptions OPTIONS =
-      new ReplicaOptions(200, 400, 30, 200, 10, 8, 1 << 10, 4, 16, 20, 5, 8, 2_000);
+      new ReplicaOptions(
+          200, 400, 30, 200, 10, 8, 1 << 10, 4, 16, 20, 1 << 10, 5, 1 << 10, 4 << 10, 8, 2_000);
 
   private static final long NANOS_PER_MILLI = 1_000_000;
+  private static final int LARGE_COMMAND_BYTES = 400;
 
   private final SplittableRandom random;
   private final boolean trace;
@@ -203,14 +205,18 @@
       List<ReplicaEvent.Proposal> proposals = new ArrayList<>();
       for (int i = random.nextInt(4); i >= 0; i--) {
         lastRequestId++;
-        proposals.add(
-            new ReplicaEvent.Proposal(
-                lastRequestId, ByteString.copyFromUtf8("command " + lastRequestId)));
+        proposals.add(new ReplicaEvent.Proposal(lastRequestId, command(lastRequestId)));
       }
       replica.step(new ReplicaEvent.Propose(proposals));
     }
   }
 
+  // Some commands are so large that a few of them reach the limits of the log in bytes.
+  private static ByteString command(long requestId) {
+    String padding = requestId % 16 == 0 ? "x".repeat(LARGE_COMMAND_BYTES) : "";
+    return ByteString.copyFromUtf8("command " + requestId + padding);
+  }
+
   // -- faults
 
   private void injectFault() {
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/control/ControlMetrics.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/control/ControlMetrics.java
@@ -37,6 +37,11 @@
         registry,
         () -> log.status().holdsLease() ? 1 : 0);
     gauge("commit_index", "Highest committed index.", registry, () -> log.status().commitIndex());
+    gauge(
+        "log_bytes",
+        "Size of the log entries in memory, in bytes.",
+        registry,
+        () -> log.status().logBytes());
     gauge("applied_index", "Highest applied index.", registry, () -> log.status().appliedIndex());
     gauge("fleet_version", "Version of the fleet document.", registry, state::fleetVersion);
     gauge("claims", "Claims in the replicated state.", registry, state::claimCount);
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/DispatchSession.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/DispatchSession.java
@@ -101,8 +101,9 @@
       telemetry.publish(dispatcher.status(nowMillis));
     }
     WorkflowBatch batch = dispatcher.takeProposals();
-    if (batch.getEventsCount() > 0) {
+    while (batch.getEventsCount() > 0) {
       propose(batch);
+      batch = dispatcher.takeProposals();
     }
     List<Order> orders = dispatcher.takeOrders();
     for (Order order : orders) {
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/replication/Applier.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/replication/Applier.java
@@ -20,20 +20,24 @@
 
   private final StateMachine<R> stateMachine;
   private final int snapshotIntervalEntries;
+  private final long snapshotIntervalBytes;
   private final BiConsumer<LogEntry, R> onApplied;
   private final ObjLongConsumer<ByteString> onSnapshot;
   private final PriorityQueue<PendingAction> pendingActions =
       new PriorityQueue<>(Comparator.comparingLong((PendingAction pending) -> pending.index));
   private volatile long appliedIndex;
   private long snapshotIndex;
+  private long bytesSinceSnapshot;
 
   Applier(
       StateMachine<R> stateMachine,
       int snapshotIntervalEntries,
+      long snapshotIntervalBytes,
       BiConsumer<LogEntry, R> onApplied,
       ObjLongConsumer<ByteString> onSnapshot) {
     this.stateMachine = stateMachine;
     this.snapshotIntervalEntries = snapshotIntervalEntries;
+    this.snapshotIntervalBytes = snapshotIntervalBytes;
     this.onApplied = onApplied;
     this.onSnapshot = onSnapshot;
   }
@@ -44,7 +48,7 @@
 
   void restore(Snapshot snapshot) {
     stateMachine.restore(snapshot.data());
-    snapshotIndex = snapshot.lastIndex();
+    startSnapshotInterval(snapshot.lastIndex());
     advanceTo(snapshot.lastIndex());
   }
 
@@ -57,13 +61,25 @@
       } else {
         advanceTo(entry.getIndex());
       }
-      if (appliedIndex - snapshotIndex >= snapshotIntervalEntries) {
-        snapshotIndex = appliedIndex;
+      bytesSinceSnapshot += entry.getSerializedSize();
+      if (isSnapshotDue()) {
+        startSnapshotInterval(appliedIndex);
         onSnapshot.accept(stateMachine.snapshot(), appliedIndex);
       }
     }
   }
 
+  // The number of entries bounds the time to replay the log, their size the memory and disk space.
+  private boolean isSnapshotDue() {
+    return appliedIndex - snapshotIndex >= snapshotIntervalEntries
+        || bytesSinceSnapshot >= snapshotIntervalBytes;
+  }
+
+  private void startSnapshotInterval(long index) {
+    snapshotIndex = index;
+    bytesSinceSnapshot = 0;
+  }
+
   /** Runs an action once an index is applied, immediately if it already is. */
   void runWhenApplied(long index, Runnable action) {
     if (appliedIndex >= index) {
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/replication/ReplicaDriver.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/replication/ReplicaDriver.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
@@ -39,6 +40,7 @@
 
   private static final int MAX_BATCH_ITEMS = 1_024;
   private static final int MAX_QUEUED_EVENTS = 20_000;
+  private static final long MAX_QUEUED_BYTES = 16L << 20;
   private static final int MAX_COMMAND_BYTES = 2 << 20;
   private static final long TICK_INTERVAL_MILLIS = 10;
 
@@ -56,6 +58,7 @@
   private final WorkerThread<Runnable> applyThread;
   private final AtomicBoolean failed = new AtomicBoolean();
   private final AtomicBoolean closed = new AtomicBoolean();
+  private final AtomicLong queuedBytes = new AtomicLong();
   private volatile boolean running;
   private final long folderLockedNanos;
   private volatile ReplicaView view;
@@ -98,6 +101,7 @@
         new Applier<>(
             requireNonNull(stateMachine, "stateMachine is null"),
             options.snapshotIntervalEntries(),
+            options.snapshotIntervalBytes(),
             pendingRequests::handleApplied,
             (data, index) -> enqueue(new ReplicaEvent.SnapshotTaken(index, data)));
     this.coreThread = createWorker("core", MAX_BATCH_ITEMS, TICK_INTERVAL_MILLIS, this::stepBatch);
@@ -135,13 +139,14 @@
                   + " bytes, found "
                   + command.size()));
     }
-    if (!running || coreThread.size() > MAX_QUEUED_EVENTS) {
+    if (!running || isQueueFull(command.size())) {
       return CompletableFuture.completedFuture(
           Result.failure(
               "unavailable", running ? "too many queued events" : "the replica is not running"));
     }
     long id = pendingRequests.nextId();
     CompletableFuture<Result<R>> future = pendingRequests.addProposal(id);
+    queuedBytes.addAndGet(command.size());
     enqueue(new ReplicaEvent.Propose(List.of(new ReplicaEvent.Proposal(id, command))));
     return future;
   }
@@ -194,14 +199,20 @@
     if (!running) {
       return;
     }
-    int queuedEvents = coreThread.size();
-    if (queuedEvents > MAX_QUEUED_EVENTS) {
-      EventLogger.log(ReplicationEvent.MESSAGES_DROPPED, replicaId, queuedEvents);
+    if (isQueueFull(message.getSerializedSize())) {
+      EventLogger.log(
+          ReplicationEvent.MESSAGES_DROPPED, replicaId, coreThread.size(), queuedBytes.get());
       return;
     }
+    queuedBytes.addAndGet(message.getSerializedSize());
     coreThread.put(new ReplicaEvent.Received(message));
   }
 
+  private boolean isQueueFull(int addedBytes) {
+    return coreThread.size() > MAX_QUEUED_EVENTS
+        || queuedBytes.get() + addedBytes > MAX_QUEUED_BYTES;
+  }
+
   @Override
   public Status status() {
     // Reads the clock after the view, so that a pause in between cannot prolong the lease.
@@ -215,6 +226,7 @@
         current.leaderId(),
         holdsLease,
         current.commitIndex(),
+        current.logBytes(),
         applied,
         current.voters(),
         current.learners(),
@@ -267,6 +279,7 @@
       } else {
         step(event);
       }
+      queuedBytes.addAndGet(-queuedBytesOf(event));
     }
     if (!proposals.isEmpty()) {
       step(new ReplicaEvent.Propose(proposals));
@@ -277,6 +290,16 @@
     }
   }
 
+  private static long queuedBytesOf(ReplicaEvent event) {
+    if (event instanceof ReplicaEvent.Received received) {
+      return received.message().getSerializedSize();
+    }
+    if (event instanceof ReplicaEvent.Propose propose) {
+      return propose.proposals().stream().mapToLong(proposal -> proposal.command().size()).sum();
+    }
+    return 0;
+  }
+
   private void step(ReplicaEvent event) {
     if (!running) {
       return;
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/replication/ReplicationEvent.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/replication/ReplicationEvent.java
@@ -11,7 +11,7 @@
   CLOSE_FAILED(2103, Level.WARNING, "failed to close the storage of replica %s"),
   RESTORED(2104, Level.INFO, "replica %s restored the snapshot at index %d (%d bytes)"),
   MESSAGES_DROPPED(
-      2105, Level.WARNING, "replica %s dropped a message because %d events are queued");
+      2105, Level.WARNING, "replica %s dropped a message because %d events of %d bytes are queued");
 
   private final int number;
 
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/storage/SegmentedLog.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/storage/SegmentedLog.java
@@ -21,6 +21,9 @@
    */
   static final long SEGMENT_BYTES = 8L << 20;
 
+  /** Size from which on encoded records are written, so that a long batch is not held in memory. */
+  private static final int WRITE_BUFFER_BYTES = 1 << 20;
+
   private static final String PREFIX = "log-";
   private static final String SUFFIX = ".segment";
 
@@ -101,20 +104,33 @@
       return;
     }
     Segment segment = segments.get(segments.size() - 1);
-    if (segment.sizeBytes >= SEGMENT_BYTES) {
-      segment = roll(entries.get(0).getIndex());
-    }
     List<byte[]> records = new ArrayList<>();
     int sizeBytes = 0;
     for (LogEntry entry : entries) {
+      if (segment.sizeBytes >= SEGMENT_BYTES) {
+        write(segment, records, sizeBytes);
+        sizeBytes = 0;
+        segment = roll(entry.getIndex());
+      } else if (sizeBytes >= WRITE_BUFFER_BYTES) {
+        write(segment, records, sizeBytes);
+        sizeBytes = 0;
+      }
       byte[] record = RecordFormat.encode(entry);
       segment.offsets.add((int) segment.sizeBytes);
       segment.sizeBytes += record.length;
       sizeBytes += record.length;
       records.add(record);
     }
+    write(segment, records, sizeBytes);
+  }
+
+  private void write(Segment segment, List<byte[]> records, int sizeBytes) throws IOException {
+    if (records.isEmpty()) {
+      return;
+    }
     ByteBuffer buffer = ByteBuffer.allocate(sizeBytes);
     records.forEach(buffer::put);
+    records.clear();
     unsynced = true;
     openOutput(segment).write(buffer.flip());
   }
--- a/hickoryspar-node/src/test/java/org/hickoryspar/node/dispatch/DispatchLoopTest.java
+++ b/hickoryspar-node/src/test/java/org/hickoryspar/node/dispatch/DispatchLoopTest.java
@@ -181,6 +181,7 @@
         holdsLease,
         0,
         0,
+        0,
         List.of("c1/1"),
         List.of(),
         Map.of());
--- a/hickoryspar-node/src/test/java/org/hickoryspar/node/replication/LocalCluster.java
+++ b/hickoryspar-node/src/test/java/org/hickoryspar/node/replication/LocalCluster.java
@@ -29,7 +29,8 @@
   /** Timeouts for a machine that runs other builds, on which shorter leases expire occasionally. */
   static final ReplicaOptions OPTIONS =
       new ReplicaOptions(
-          500, 1_000, 40, 500, 10, 512, 512 << 10, 16, 256 << 10, 200, 100, 64, 10_000);
+          500, 1_000, 40, 500, 10, 512, 512 << 10, 16, 256 << 10, 200, 1 << 20, 100, 1 << 20,
+          1 << 20, 64, 10_000);
 
   private final Path root;
   private final List<String> instances;
@@ -154,7 +155,11 @@
     }
 
     Result<Long> add(long amount) {
-      return driver.propose(ByteString.copyFromUtf8(Long.toString(amount))).join();
+      return add(ByteString.copyFromUtf8(Long.toString(amount)));
+    }
+
+    Result<Long> add(ByteString amount) {
+      return driver.propose(amount).join();
     }
 
     private void send(ReplicationMessage message) {
--- a/hickoryspar-node/src/test/java/org/hickoryspar/node/replication/ReplicaDriverTest.java
+++ b/hickoryspar-node/src/test/java/org/hickoryspar/node/replication/ReplicaDriverTest.java
@@ -16,6 +16,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.stream.Stream;
 import org.hickoryspar.kernel.value.Problem;
 import org.hickoryspar.kernel.value.Result;
 import org.hickoryspar.node.replication.LocalCluster.LocalReplica;
@@ -28,6 +29,15 @@
 
 public class ReplicaDriverTest {
 
+  private static final int LARGE_COMMANDS = 100;
+  private static final int LARGE_COMMAND_BYTES = 64 << 10;
+
+  /** What is retained before a snapshot, what is appended until the next one, and one command. */
+  private static final long MAX_LOG_BYTES =
+      LocalCluster.OPTIONS.retainedBytes()
+          + LocalCluster.OPTIONS.snapshotIntervalBytes()
+          + 2 * LARGE_COMMAND_BYTES;
+
   private Path root;
   private LocalCluster cluster;
 
@@ -80,6 +90,45 @@
     await().until(() -> restarted.stateMachine.sum.get() == 51);
   }
 
+  /**
+   * Guards against replicas that run out of memory and disk space because the log is bounded by the
+   * number of its entries alone: hundreds of changes of a large configuration stay below it.
+   */
+  @Test
+  public void shouldBoundSizeOfLogWhenCommandsAreLarge() throws IOException {
+    LocalReplica leader = cluster.awaitLeader();
+    LocalReplica stopped = cluster.others(leader).get(0);
+    cluster.stop(stopped);
+    for (int i = 0; i < LARGE_COMMANDS; i++) {
+      assertTrue(leader.add(largeCommand()).isSuccess());
+    }
+    // The stopped replica lags by more than what the log retains, and needs a snapshot.
+    cluster.start(stopped.instance);
+    for (String instance : List.of("a", "b", "c")) {
+      LocalReplica replica = cluster.replica(instance);
+      await().until(() -> replica.stateMachine.sum.get() == LARGE_COMMANDS);
+      await().until(() -> replica.status().logBytes() <= MAX_LOG_BYTES);
+      await().until(() -> logFileBytes(instance) <= MAX_LOG_BYTES);
+    }
+    cluster.close();
+    cluster.startAll();
+    assertEquals(readSum(cluster.awaitLeader()), LARGE_COMMANDS);
+  }
+
+  private static ByteString largeCommand() {
+    return ByteString.copyFromUtf8("0".repeat(LARGE_COMMAND_BYTES - 1) + '1');
+  }
+
+  private long logFileBytes(String instance) throws IOException {
+    long sizeBytes = 0;
+    try (Stream<Path> files = Files.list(cluster.path(instance))) {
+      for (Path file : files.filter(path -> path.toString().endsWith(".segment")).toList()) {
+        sizeBytes += Files.size(file);
+      }
+    }
+    return sizeBytes;
+  }
+
   // -- status
 
   @DataProvider
--- a/hickoryspar-node/src/test/java/org/hickoryspar/node/storage/FileLogStorageTest.java
+++ b/hickoryspar-node/src/test/java/org/hickoryspar/node/storage/FileLogStorageTest.java
@@ -130,6 +130,25 @@
 
   // -- write
 
+  /** Guards against a segment that exceeds its limit because many large entries come at once. */
+  @Test
+  public void shouldStartNewSegmentsWhenBatchIsLarge() throws IOException {
+    ByteString command = ByteString.copyFrom(new byte[1 << 20]);
+    List<LogEntry> entries = new ArrayList<>();
+    for (int index = 2; index < 22; index++) {
+      entries.add(LogEntry.newBuilder().setIndex(index).setTerm(2).setCommand(command).build());
+    }
+    try (FileLogStorage storage = open()) {
+      storage.load();
+      storage.write(List.of(append(1, entries.toArray(LogEntry[]::new))));
+    }
+    for (Path file : files.list(folder)) {
+      long limitBytes = SegmentedLog.SEGMENT_BYTES + (2 << 20);
+      assertTrue(Files.size(file) <= limitBytes, file + " has " + Files.size(file) + " bytes");
+    }
+    assertEquals(load().entries().subList(1, 21), entries);
+  }
+
   @DataProvider
   Object[][] writes() {
     List<Object[]> rows = new ArrayList<>();
