Apply the leave of a minion only to the life that announced it

A minion drained, ended, started again under its id and got a task; up to 4 s later the leader started the task elsewhere although the minion answered.

Cause: a control daemon that was frozen passed the announcement on when it woke, with the id alone. The leader marked the new life as ending, took what it ran for lost after 0.5 s in spite of its answers, and gave it no more work, as the daemons pass on no report that equals the last one.

Evidence: untouched code, thaw at 13.90 s, second run at 14.58 s (0.5 s of LEAVE_TIMEOUT_MILLIS and a round); the minion reports the stop of its run at 14.93 s. No log line told of the announcement: events 5118 MINION_LEAVING and 5119 MINION_STAYED are new.

Change: a leave names the life that reported to the daemon last; the leader ignores one of another life. A leave keeps new work away until the minion answers a renewal sent after it. Runs are lost at once only if this life drained, the leave names it and renewals fail; otherwise the lease decides. It works because no announcement, however late or misattributed, ends a lease whose holder answers or never drained.

--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/DispatchEventKind.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/DispatchEventKind.java
@@ -35,5 +35,9 @@
   /** The renewal of a minion's lease has failed. */
   MINION_SUSPECTED,
   /** A suspected minion has responded to a renewal again. */
-  MINION_RETURNED
+  MINION_RETURNED,
+  /** A minion, or an earlier life of it, has announced that its process is about to end. */
+  MINION_LEAVING,
+  /** A minion has responded to a renewal that was sent after its announced end. */
+  MINION_STAYED
 }
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Dispatcher.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Dispatcher.java
@@ -125,16 +125,15 @@
 
   /**
    * Handles the announcement of a minion that its process is about to end. Ignored for an unknown
-   * minion.
+   * minion and for a life that is not the current one.
    *
-   * @param minionId identifier of the minion
+   * @param life the life that announces its end; without a time of birth if it is not known which
+   *     life that is
    * @param nowMillis monotonic time in milliseconds
    */
-  public void handleLeave(String minionId, long nowMillis) {
-    requireNonNull(minionId, "minionId is null");
-    minions.all().stream()
-        .filter(minion -> minion.id().equals(minionId))
-        .forEach(minion -> minion.markLeaving(nowMillis));
+  public void handleLeave(MinionLife life, long nowMillis) {
+    minions.handleLeave(requireNonNull(life, "life is null"), nowMillis);
+    planDue = true;
   }
 
   /**
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/LeaseManager.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/LeaseManager.java
@@ -13,7 +13,7 @@
   /** Maximum number of ends in a response; a response with fewer ends is complete. */
   private static final int MAX_LISTED_ENDS = 500;
 
-  /** A minion that announced its end is assumed to have ended after this time. */
+  /** A minion that announced its end and does not respond has ended after this time. */
   private static final long LEAVE_TIMEOUT_MILLIS = 500;
 
   private final DispatchSettings settings;
@@ -65,20 +65,23 @@
         minion.clock().isKnown() && responsive
             ? minion.clock().estimateMillis(nowMillis) + settings.leaseMillis()
             : 0;
-    long waitMillis = responsive ? settings.renewalWaitMillis() : 0;
+    // A minion that has announced its end is asked at once whether it is still there.
+    long waitMillis = responsive && !minion.isLeaving() ? settings.renewalWaitMillis() : 0;
     lease.recordSent(nowMillis, deadlineMillis);
     outbox.send(
         new Order.Renew(minion.target(), deadlineMillis, lease.recordedEndNumber(), waitMillis));
   }
 
   private boolean isExpired(Minion minion, long nowMillis) {
-    if (minion.isLeaving() && nowMillis - minion.leavingSinceMillis() > LEAVE_TIMEOUT_MILLIS) {
-      return true;
-    }
     LeaseState lease = minion.lease();
     if (!lease.isSuspect() && lease.hasResponded()) {
       return false;
     }
+    if (lease.isSuspect()
+        && minion.hasAnnouncedEnd()
+        && nowMillis - minion.leavingSinceMillis() > LEAVE_TIMEOUT_MILLIS) {
+      return true;
+    }
     if (!lease.hasResponded()) {
       return nowMillis - lease.createdMillis() > settings.leaseExpiryMillis();
     }
@@ -88,7 +91,7 @@
   private void recordLossIfExpired(Member member, long nowMillis) {
     boolean mayStillStart =
         member.minion().clock().lowerBoundMillis(nowMillis) <= member.startDeadlineMillis()
-            && !member.minion().isLeaving();
+            && !member.minion().hasAnnouncedEnd();
     if (member.isStartRecorded() && !mayStillStart) {
       endRecorder.recordLoss(member, "lease expired");
     }
@@ -110,6 +113,10 @@
       return;
     }
     minion.clock().update(response.clockMillis(), nowMillis);
+    if (minion.isLeaving() && sentMillis > minion.leavingSinceMillis()) {
+      minion.clearLeaving();
+      listener.onEvent(DispatchEventKind.MINION_STAYED, minion.id());
+    }
     Map<TaskRun, Boolean> listedRuns = new HashMap<>();
     response.running().forEach(task -> listedRuns.put(task.taskRun(), true));
     response.ended().forEach(task -> listedRuns.put(task.taskRun(), false));
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Minion.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Minion.java
@@ -24,6 +24,7 @@
   private boolean provisional;
   private boolean hasStrayTasks;
   private long leavingSinceMillis = NEVER_MILLIS;
+  private boolean leavingLifeKnown;
   private long lastReportMillis;
 
   Minion(MinionReport report, long nowMillis) {
@@ -56,23 +57,30 @@
   }
 
   void update(MinionReport newReport, long nowMillis) {
-    boolean leaving = newReport.getLeaving();
-    if (leaving && !isLeaving()) {
-      leavingSinceMillis = nowMillis;
-    } else if (!leaving) {
-      leavingSinceMillis = NEVER_MILLIS;
-    }
+    clearLeaving();
     report = newReport;
     capacity = Resources.of(newReport.getCapacity());
     provisional = false;
     lastReportMillis = nowMillis;
   }
 
-  /** Marks the minion as about to end. */
-  void markLeaving(long nowMillis) {
+  /**
+   * Marks the minion as about to end, so that it gets no new work until it reports or responds
+   * again.
+   *
+   * @param lifeKnown whether the announcement is known to be from this life; it may otherwise be a
+   *     late one of an earlier life
+   */
+  void markLeaving(boolean lifeKnown, long nowMillis) {
     if (!isLeaving()) {
       leavingSinceMillis = nowMillis;
     }
+    leavingLifeKnown |= lifeKnown;
+  }
+
+  void clearLeaving() {
+    leavingSinceMillis = NEVER_MILLIS;
+    leavingLifeKnown = false;
   }
 
   MinionLife life() {
@@ -132,6 +140,14 @@
     return leavingSinceMillis != NEVER_MILLIS;
   }
 
+  /**
+   * Returns whether this life has announced its end. A minion drains first; without that, the
+   * announcement may be from an earlier life that the receiver took for this one.
+   */
+  boolean hasAnnouncedEnd() {
+    return isLeaving() && leavingLifeKnown && report.getDraining();
+  }
+
   long leavingSinceMillis() {
     return leavingSinceMillis;
   }
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/MinionTable.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/MinionTable.java
@@ -90,6 +90,33 @@
     }
   }
 
+  /**
+   * Handles the announcement of a minion that its process is about to end. It may arrive late, when
+   * the minion has a newer life.
+   *
+   * @param life the life that announces its end; without a time of birth if that is unknown
+   */
+  void handleLeave(MinionLife life, long nowMillis) {
+    Minion known = byId.get(life.getMinionId());
+    if (known == null) {
+      return;
+    }
+    long knownBornMillis = known.life().getBornMillis();
+    listener.onEvent(
+        DispatchEventKind.MINION_LEAVING,
+        known.id(),
+        "bornMillis",
+        life.getBornMillis(),
+        "knownBornMillis",
+        knownBornMillis,
+        "draining",
+        known.report().getDraining());
+    boolean lifeKnown = life.getBornMillis() != 0;
+    if (!lifeKnown || life.getBornMillis() == knownBornMillis) {
+      known.markLeaving(lifeKnown, nowMillis);
+    }
+  }
+
   // A stale report provides an address to which renewals can be sent. It does not show whether the
   // minion accepts work.
   private void handleStaleReport(MinionReport report, long nowMillis) {
--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/DispatcherHarness.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/DispatcherHarness.java
@@ -125,6 +125,10 @@
     dispatcher.handleReport(minion.report(nowMillis), nowMillis);
   }
 
+  void leave(MinionLife life) {
+    dispatcher.handleLeave(life, nowMillis);
+  }
+
   void takeDataCentreOut(String dataCentre) {
     catalog.apply(DataCentreSwitch.newBuilder().setDataCentre(dataCentre).setOut(true).build());
   }
@@ -372,6 +376,27 @@
       running.clear();
     }
 
+    /** Starts the minion again under its identifier, without any of its earlier state. */
+    void restart(long nowMillis) {
+      bornMillis = nowMillis;
+      sequence = 0;
+      draining = false;
+      reachable = true;
+      running.clear();
+      ended.clear();
+      starts.clear();
+      pendingRenewal = null;
+    }
+
+    /** Sets whether orders reach the minion; what runs on it goes on. */
+    void setReachable(boolean reachable) {
+      this.reachable = reachable;
+    }
+
+    MinionLife life() {
+      return MinionLife.newBuilder().setMinionId(id).setBornMillis(bornMillis).build();
+    }
+
     void startDraining() {
       draining = true;
     }
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/DecisionEvent.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/DecisionEvent.java
@@ -24,7 +24,9 @@
   MINION_GONE(5112),
   MINION_ISOLATED(5113),
   MINION_SUSPECTED(5114),
-  MINION_RETURNED(5115);
+  MINION_RETURNED(5115),
+  MINION_LEAVING(5118),
+  MINION_STAYED(5119);
 
   private static final Map<DispatchEventKind, DecisionEvent> BY_KIND =
       new EnumMap<>(DispatchEventKind.class);
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/LeaderServices.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/LeaderServices.java
@@ -89,7 +89,7 @@
           long nowMillis = monotonicMillis.getAsLong();
           for (MinionReport report : reports.getReportsList()) {
             if (report.getLeaving()) {
-              dispatcher.handleLeave(report.getLife().getMinionId(), nowMillis);
+              dispatcher.handleLeave(report.getLife(), nowMillis);
             } else {
               dispatcher.handleReport(report, nowMillis);
             }
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/MinionRegistry.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/MinionRegistry.java
@@ -72,20 +72,21 @@
   }
 
   /**
-   * Handles the announcement of a minion that its process is about to end.
+   * Handles the announcement of a minion that its process is about to end. The life that it speaks
+   * of is the one that has reported here last; it is unknown if none has.
    *
    * @param minionId identifier of the minion
    * @return true if the leader has received it; false if the leader did not respond in time
    */
   public CompletableFuture<Boolean> handleLeave(String minionId) {
     requireNonNull(minionId, "minionId is null");
-    byId.remove(minionId);
+    Registration previous = byId.remove(minionId);
     changedSinceSnapshot.set(true);
-    MinionReport leaving =
-        MinionReport.newBuilder()
-            .setLife(MinionLife.newBuilder().setMinionId(minionId))
-            .setLeaving(true)
-            .build();
+    MinionLife life =
+        previous == null
+            ? MinionLife.newBuilder().setMinionId(minionId).build()
+            : previous.report.getLife();
+    MinionReport leaving = MinionReport.newBuilder().setLife(life).setLeaving(true).build();
     return forward(List.of(new Registration(leaving, monotonicMillis.getAsLong())));
   }
 
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/explain/EventDescriptions.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/explain/EventDescriptions.java
@@ -54,6 +54,11 @@
         "MINION_ISOLATED",
         "the minion is isolated for {forMillis} ms after a failure: {lastFailure}");
     TEMPLATES.put("MINION_DRAINING", "the minion is draining, {remainingMillis} ms remain");
+    TEMPLATES.put(
+        "MINION_LEAVING",
+        "the life of the minion that started at {bornMillis} says that it ends now (known life:"
+            + " {knownBornMillis}, draining: {draining})");
+    TEMPLATES.put("MINION_STAYED", "the minion responds after its announced end");
     TEMPLATES.put("MINION_GONE", "the minion, started at {bornMillis}, has ended");
   }
 
--- a/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/MinionReport.java
+++ b/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/MinionReport.java
@@ -221,7 +221,8 @@
   private boolean leaving_ = false;
   /**
    * <pre>
-   * The minion has said that it ends now.
+   * The minion has said that it ends now. The life is without time of birth if it is not known
+   * which life has said so.
    * </pre>
    *
    * <code>bool leaving = 7;</code>
@@ -1572,7 +1573,8 @@
     private boolean leaving_ ;
     /**
      * <pre>
-     * The minion has said that it ends now.
+     * The minion has said that it ends now. The life is without time of birth if it is not known
+     * which life has said so.
      * </pre>
      *
      * <code>bool leaving = 7;</code>
@@ -1584,7 +1586,8 @@
     }
     /**
      * <pre>
-     * The minion has said that it ends now.
+     * The minion has said that it ends now. The life is without time of birth if it is not known
+     * which life has said so.
      * </pre>
      *
      * <code>bool leaving = 7;</code>
@@ -1600,7 +1603,8 @@
     }
     /**
      * <pre>
-     * The minion has said that it ends now.
+     * The minion has said that it ends now. The life is without time of birth if it is not known
+     * which life has said so.
      * </pre>
      *
      * <code>bool leaving = 7;</code>
--- a/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/MinionReportOrBuilder.java
+++ b/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/MinionReportOrBuilder.java
@@ -75,7 +75,8 @@
 
   /**
    * <pre>
-   * The minion has said that it ends now.
+   * The minion has said that it ends now. The life is without time of birth if it is not known
+   * which life has said so.
    * </pre>
    *
    * <code>bool leaving = 7;</code>
