Answer a retried submission with what an earlier attempt has stored

Cause: an entry repeats a call that it has no response to and returned what the last attempt got. The leader compared queue and key with the newest catalog before it looked for the workflow that an earlier attempt of the same call had stored. In the case the entry is frozen with the responses in its socket and the key is withdrawn; a lost connection, a new leader or a removed queue do the same.

Change: all attempts of a call carry one identifier, stored with the workflow; a retry that would be refused is accepted if that very call has stored it. A retry that is refused proves nothing of an attempt that is still under way, so after an attempt without a response refusals that depend on catalog or load become "unknown" (504), for submissions and cancellations. ControlClient of the product's own interface does the same for jobs. It works because "refused" is now said only if each attempt was refused or never served, and a new call with a withdrawn key is refused as before.

--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Dispatcher.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Dispatcher.java
@@ -2,6 +2,7 @@
 
 import static java.util.Objects.requireNonNull;
 
+import com.google.protobuf.ByteString;
 import java.util.List;
 import java.util.Optional;
 import org.hickoryspar.kernel.catalog.CatalogState;
@@ -318,6 +319,19 @@
     return table.find(workflowId);
   }
 
+  /**
+   * Returns whether a call has submitted a workflow that is still known. Examines all workflows.
+   *
+   * @param callId identifier of the call
+   * @return true if a workflow was submitted by the call
+   */
+  public boolean hasSubmissionOf(ByteString callId) {
+    requireNonNull(callId, "callId is null");
+    return !callId.isEmpty()
+        && table.all().stream()
+            .anyMatch(workflow -> workflow.submission().getCallId().equals(callId));
+  }
+
   /**
    * Counts the workflows of a queue that have not started any task.
    *
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/daemon/ClusterControlDaemon.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/daemon/ClusterControlDaemon.java
@@ -32,6 +32,7 @@
 import org.hickoryspar.node.control.ControlStateMachine;
 import org.hickoryspar.node.control.Proposer;
 import org.hickoryspar.node.control.ReplicatedLog;
+import org.hickoryspar.node.dispatch.CallIds;
 import org.hickoryspar.node.dispatch.CallTelemetry;
 import org.hickoryspar.node.dispatch.DecisionTelemetry;
 import org.hickoryspar.node.dispatch.DispatchLoop;
@@ -139,7 +140,8 @@
             services::serve,
             timer,
             new CallTelemetry(metrics),
-            ProcessResources::monotonicMillis);
+            ProcessResources::monotonicMillis,
+            new CallIds(random));
     registry = new MinionRegistry(leaderClient, ProcessResources::monotonicMillis);
     startRegistryPersistence(new CacheFile(faults.files(), dataFolder, "minions"));
     loop.addListener(
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/daemon/ClusterEntryDaemon.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/daemon/ClusterEntryDaemon.java
@@ -6,10 +6,12 @@
 import io.netty.channel.EventLoopGroup;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.io.IOException;
+import java.security.SecureRandom;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import org.hickoryspar.node.cluster.ClusterSettings;
 import org.hickoryspar.node.cluster.ControlPeers;
+import org.hickoryspar.node.dispatch.CallIds;
 import org.hickoryspar.node.dispatch.CallTelemetry;
 import org.hickoryspar.node.dispatch.LeaderClient;
 import org.hickoryspar.node.faults.FaultInjection;
@@ -55,7 +57,8 @@
             null,
             timer,
             new CallTelemetry(metrics),
-            ProcessResources::monotonicMillis);
+            ProcessResources::monotonicMillis,
+            new CallIds(new SecureRandom()));
     ProcessMetrics.register(metrics);
     settings.seeds().forEach(seed -> peers.connectTo(seed, "the seeds"));
   }
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/LeaderClient.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/LeaderClient.java
@@ -2,6 +2,7 @@
 
 import static java.util.Objects.requireNonNull;
 
+import com.google.protobuf.ByteString;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -11,6 +12,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import org.hickoryspar.kernel.value.Problem;
 import org.hickoryspar.kernel.value.Result;
 import org.hickoryspar.node.cluster.ControlPeers;
@@ -20,7 +22,9 @@
 
 /**
  * Sends calls to the current leader and retries them until the leader responds or the timeout
- * expires. Calls must be idempotent. Thread-safe.
+ * expires. Calls must be idempotent. All attempts of a call have the same identifier, so that the
+ * leader can answer a later attempt with what an earlier one has stored. A refusal that may
+ * contradict an earlier attempt is not returned. Thread-safe.
  */
 public final class LeaderClient {
 
@@ -29,8 +33,11 @@
 
   private static final long RETRY_DELAY_MILLIS = 40;
 
+  /** Code of a problem after which the call may have taken effect, or may still do so. */
+  private static final String UNKNOWN = "unknown";
+
   /** Codes of problems that are not caused by the call itself. */
-  private static final Set<String> RETRYABLE_CODES = Set.of("not-leader", "unavailable", "unknown");
+  private static final Set<String> RETRYABLE_CODES = Set.of("not-leader", "unavailable", UNKNOWN);
 
   private final ControlPeers peers;
   private final String ownInstance;
@@ -39,6 +46,7 @@
   private final ScheduledExecutorService timer;
   private final CallListener listener;
   private final LongSupplier monotonicMillis;
+  private final Supplier<ByteString> callIds;
   private final Set<PendingCall> pendingCalls = ConcurrentHashMap.newKeySet();
 
   /**
@@ -50,6 +58,7 @@
    * @param timer runs retries; owned by the caller
    * @param listener receives the result of each call
    * @param monotonicMillis monotonic clock in milliseconds
+   * @param callIds generates identifiers of calls that no other process generates
    */
   public LeaderClient(
       ControlPeers peers,
@@ -57,13 +66,15 @@
       @Nullable Function<Envelope, CompletableFuture<Result<Envelope.Builder>>> localHandler,
       ScheduledExecutorService timer,
       CallListener listener,
-      LongSupplier monotonicMillis) {
+      LongSupplier monotonicMillis,
+      Supplier<ByteString> callIds) {
     this.peers = requireNonNull(peers, "peers is null");
     this.ownInstance = requireNonNull(ownInstance, "ownInstance is null");
     this.localHandler = localHandler;
     this.timer = requireNonNull(timer, "timer is null");
     this.listener = requireNonNull(listener, "listener is null");
     this.monotonicMillis = requireNonNull(monotonicMillis, "monotonicMillis is null");
+    this.callIds = requireNonNull(callIds, "callIds is null");
     peers.addLeaderListener(
         leader -> pendingCalls.forEach(call -> call.handleLeaderChange(leader)));
   }
@@ -73,12 +84,13 @@
    *
    * @param call the call; must not be modified afterwards
    * @param timeoutMillis time after which the call is not retried any more
-   * @return the response; a failure {@code "unknown"} if no leader responded in time, in which case
-   *     the call may have taken effect; or the failure with which the leader responded
+   * @return the response; a failure {@code "unknown"} if no leader responded in time, or if a later
+   *     attempt was refused after an earlier one that may have taken effect; or the failure with
+   *     which the leader responded
    */
   public CompletableFuture<Result<Envelope>> call(Envelope.Builder call, long timeoutMillis) {
     requireNonNull(call, "call is null");
-    PendingCall pending = new PendingCall(call, timeoutMillis);
+    PendingCall pending = new PendingCall(call.setCallId(callIds.get()), timeoutMillis);
     pendingCalls.add(pending);
     pending.startAttempt();
     return pending.future;
@@ -129,12 +141,24 @@
           result.problem().filter(p -> RETRYABLE_CODES.contains(p.code()));
       if (retryable.isPresent()) {
         lastProblem = retryable.get().message();
+        if (retryable.get().code().equals(UNKNOWN)) {
+          call.setRetried(true);
+        }
         timer.schedule(this::startAttempt, RETRY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
       } else {
-        complete(result);
+        complete(result.flatMap(this::withoutContradiction));
       }
     }
 
+    private Result<Envelope> withoutContradiction(Envelope reply) {
+      return Refusals.mayContradictEarlierAttempt(call, reply)
+          ? Result.failure(
+              UNKNOWN,
+              "an earlier attempt may have taken effect; a later one was refused: "
+                  + reply.getWorkflowReply().getReason())
+          : Result.success(reply);
+    }
+
     private void complete(Result<Envelope> result) {
       pendingCalls.remove(this);
       listener.onCallEnded(
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/LeaderServices.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/LeaderServices.java
@@ -65,7 +65,7 @@
     switch (call.getPayloadCase()) {
       case WORKFLOW_CALL -> {
         return workflowService
-            .serve(call.getWorkflowCall())
+            .serve(call.getWorkflowCall(), call.getCallId(), call.getRetried())
             .thenApply(r -> r.map(reply -> Envelope.newBuilder().setWorkflowReply(reply)));
       }
       case CATALOG_CALL -> {
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/WorkflowService.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/WorkflowService.java
@@ -2,6 +2,7 @@
 
 import static java.util.Objects.requireNonNull;
 
+import com.google.protobuf.ByteString;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.hickoryspar.kernel.catalog.CatalogView;
@@ -38,17 +39,35 @@
     this.loop = requireNonNull(loop, "loop is null");
   }
 
-  /** Serves a call; fails if this replica is not the leader or loses its leadership meanwhile. */
-  CompletableFuture<Result<WorkflowReply>> serve(WorkflowCall call) {
+  /**
+   * Serves a call; fails if this replica is not the leader or loses its leadership meanwhile.
+   *
+   * @param callId identifier of the call, the same for all its attempts
+   * @param retried whether an earlier attempt may have taken effect; a submission that one has
+   *     stored is accepted although the catalog would now refuse it
+   */
+  CompletableFuture<Result<WorkflowReply>> serve(
+      WorkflowCall call, ByteString callId, boolean retried) {
     CatalogView catalog = state.catalog().view();
+    Optional<Queue> queue = catalog.findQueue(call.getHost(), call.getPath());
+    Optional<String> team = catalog.findTeamByKey(call.getTeamKey());
+    Optional<WorkflowReply> refusal = findRefusal(call, catalog, queue, team);
+    if (refusal.isPresent()) {
+      return retried && call.hasSubmit()
+          ? replyToRetriedSubmission(callId, refusal.get())
+          : completed(refusal.get());
+    }
+    return serve(call, callId, queue.orElseThrow(), team.orElse(""));
+  }
+
+  private static Optional<WorkflowReply> findRefusal(
+      WorkflowCall call, CatalogView catalog, Optional<Queue> queue, Optional<String> team) {
     if (catalog.version() == 0) {
-      return completed(reply(WorkflowReply.Outcome.REFUSED, "there is no catalog yet"));
+      return Optional.of(reply(WorkflowReply.Outcome.REFUSED, "there is no catalog yet"));
     }
-    Optional<Queue> queue = catalog.findQueue(call.getHost(), call.getPath());
     if (queue.isEmpty()) {
-      return completed(reply(WorkflowReply.Outcome.NO_QUEUE, "no such queue"));
+      return Optional.of(reply(WorkflowReply.Outcome.NO_QUEUE, "no such queue"));
     }
-    Optional<String> team = catalog.findTeamByKey(call.getTeamKey());
     if (team.isEmpty() && !queue.get().getOpen()) {
       EventLogger.logDecision(
           DispatchLogEvent.CALL_REFUSED,
@@ -61,23 +80,45 @@
           "the key is unknown",
           "catalogVersion",
           catalog.version());
-      return completed(reply(WorkflowReply.Outcome.UNAUTHORISED, "the key is unknown"));
+      return Optional.of(reply(WorkflowReply.Outcome.UNAUTHORISED, "the key is unknown"));
     }
-    String id = call.getPath().substring(queue.get().getPathPrefix().length());
+    return Optional.empty();
+  }
+
+  private CompletableFuture<Result<WorkflowReply>> replyToRetriedSubmission(
+      ByteString callId, WorkflowReply refusal) {
+    return loop.submit(
+        dispatcher ->
+            Result.success(
+                dispatcher.hasSubmissionOf(callId)
+                    ? ok().setReason("stored by an earlier attempt").build()
+                    : refusal));
+  }
+
+  private CompletableFuture<Result<WorkflowReply>> serve(
+      WorkflowCall call, ByteString callId, Queue queue, String team) {
+    String id = call.getPath().substring(queue.getPathPrefix().length());
     switch (call.getKindCase()) {
       case SUBMIT -> {
-        return submit(call, id, queue.get(), team.orElse(""));
+        return submit(
+            SubmitWorkflow.newBuilder()
+                .setWorkflowId(id)
+                .setTeam(team)
+                .setQueue(queue)
+                .setSpec(call.getSubmit())
+                .setCallId(callId)
+                .build());
       }
       case STATUS -> {
         return loop.submit(
             dispatcher ->
                 Result.success(
                     id.isEmpty()
-                        ? pendingReply(dispatcher, queue.get())
-                        : stateReply(dispatcher, id, queue.get())));
+                        ? pendingReply(dispatcher, queue)
+                        : stateReply(dispatcher, id, queue)));
       }
       case CANCEL -> {
-        return cancel(id, queue.get());
+        return cancel(id, queue);
       }
       default -> {
         return completed(reply(WorkflowReply.Outcome.INVALID, "unknown kind of call"));
@@ -85,27 +126,18 @@
     }
   }
 
-  private CompletableFuture<Result<WorkflowReply>> submit(
-      WorkflowCall call, String id, Queue queue, String team) {
-    Optional<Problem> violation = WorkflowValidator.validate(call.getSubmit());
+  private CompletableFuture<Result<WorkflowReply>> submit(SubmitWorkflow submission) {
+    Optional<Problem> violation = WorkflowValidator.validate(submission.getSpec());
     if (violation.isPresent()) {
       return completed(reply(WorkflowReply.Outcome.INVALID, violation.get().message()));
     }
+    String id = submission.getWorkflowId();
     return loop.<Boolean>submit(dispatcher -> Result.success(dispatcher.find(id).isPresent()))
         .thenCompose(
             lookup ->
                 lookup.fold(
                     problem -> CompletableFuture.completedFuture(Result.failure(problem)),
-                    exists ->
-                        exists
-                            ? completed(ok().build())
-                            : proposeSubmission(
-                                SubmitWorkflow.newBuilder()
-                                    .setWorkflowId(id)
-                                    .setTeam(team)
-                                    .setQueue(queue)
-                                    .setSpec(call.getSubmit())
-                                    .build())));
+                    exists -> exists ? completed(ok().build()) : proposeSubmission(submission)));
   }
 
   private CompletableFuture<Result<WorkflowReply>> proposeSubmission(SubmitWorkflow submission) {
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/entry/ControlClient.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/entry/ControlClient.java
@@ -3,13 +3,16 @@
 import static java.util.Objects.requireNonNull;
 
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
+import org.eclipse.jetty.http.HttpStatus;
 import org.hickoryspar.kernel.value.Problem;
 import org.hickoryspar.kernel.value.Result;
 import org.hickoryspar.node.transport.PeerConnection;
@@ -41,6 +44,13 @@
 
   private static final long RETRY_DELAY_MILLIS = 100;
 
+  /**
+   * Statuses of refused submissions that depend on the state at the time of the attempt, unlike
+   * those of malformed ones: the key has expired, or the team has too many unfinished jobs.
+   */
+  private static final Set<Integer> STATE_DEPENDENT_REFUSALS =
+      Set.of(HttpStatus.GONE_410, HttpStatus.TOO_MANY_REQUESTS_429);
+
   private final List<PeerConnection> replicas;
   private final LongSupplier monotonicMillis;
   private final AtomicInteger preferredIndex = new AtomicInteger();
@@ -65,7 +75,6 @@
     requireNonNull(batch, "batch is null");
     return call(
         () -> Envelope.newBuilder().setClaimBatch(batch),
-        "",
         Envelope::getClaimBatchResult,
         timeoutMillis);
   }
@@ -76,7 +85,6 @@
     requireNonNull(batch, "batch is null");
     return call(
         () -> Envelope.newBuilder().setOutcomeBatch(batch),
-        "",
         Envelope::getOutcomeBatchResult,
         timeoutMillis);
   }
@@ -86,7 +94,6 @@
     requireNonNull(watch, "watch is null");
     return call(
         () -> Envelope.newBuilder().setConfigWatch(watch),
-        "",
         Envelope::getConfigUpdate,
         timeoutMillis);
   }
@@ -97,7 +104,6 @@
     requireNonNull(request, "request is null");
     return call(
         () -> Envelope.newBuilder().setSlotLeaseRequest(request),
-        "",
         Envelope::getSlotLeaseGrant,
         timeoutMillis);
   }
@@ -106,11 +112,13 @@
   public CompletableFuture<Result<JobResult>> job(
       JobCall call, String traceParent, long timeoutMillis) {
     requireNonNull(call, "call is null");
-    return call(
-        () -> Envelope.newBuilder().setJobCall(call),
-        traceParent,
-        Envelope::getJobResult,
-        timeoutMillis);
+    boolean submits = call.getKind() == JobCall.Kind.SUBMIT;
+    return start(
+        new Call<>(
+            () -> Envelope.newBuilder().setJobCall(call).setTraceParent(traceParent),
+            Envelope::getJobResult,
+            result -> submits && STATE_DEPENDENT_REFUSALS.contains(result.getHttpStatus()),
+            deadlineMillis(timeoutMillis)));
   }
 
   @Override
@@ -118,29 +126,29 @@
       OperatorCall call, String traceParent, long timeoutMillis) {
     requireNonNull(call, "call is null");
     return call(
-        () -> Envelope.newBuilder().setOperatorCall(call),
-        traceParent,
+        () -> Envelope.newBuilder().setOperatorCall(call).setTraceParent(traceParent),
         Envelope::getOperatorResult,
         timeoutMillis);
   }
 
   private <T> CompletableFuture<Result<T>> call(
       Supplier<Envelope.Builder> request,
-      String traceParent,
       Function<Envelope, T> responseReader,
       long timeoutMillis) {
-    requireNonNull(traceParent, "traceParent is null");
-    long deadlineMillis = monotonicMillis.getAsLong() + timeoutMillis;
-    return attempt(
-        () -> request.get().setTraceParent(traceParent), responseReader, deadlineMillis, false);
+    return start(
+        new Call<>(request, responseReader, response -> false, deadlineMillis(timeoutMillis)));
   }
 
-  private <T> CompletableFuture<Result<T>> attempt(
-      Supplier<Envelope.Builder> request,
-      Function<Envelope, T> responseReader,
-      long deadlineMillis,
-      boolean mayHaveBeenSent) {
-    long remainingMillis = deadlineMillis - monotonicMillis.getAsLong();
+  private long deadlineMillis(long timeoutMillis) {
+    return monotonicMillis.getAsLong() + timeoutMillis;
+  }
+
+  private <T> CompletableFuture<Result<T>> start(Call<T> call) {
+    return attempt(call, false);
+  }
+
+  private <T> CompletableFuture<Result<T>> attempt(Call<T> call, boolean mayHaveBeenSent) {
+    long remainingMillis = call.deadlineMillis - monotonicMillis.getAsLong();
     if (remainingMillis <= 0) {
       return CompletableFuture.completedFuture(
           mayHaveBeenSent
@@ -150,68 +158,47 @@
     int index = preferredIndex.get();
     return replicas
         .get(index)
-        .request(request.get(), Math.min(remainingMillis, ATTEMPT_TIMEOUT_MILLIS))
+        .request(call.request.get(), Math.min(remainingMillis, ATTEMPT_TIMEOUT_MILLIS))
         .thenCompose(
             result ->
                 result.fold(
                     problem ->
-                        retry(
-                            request,
-                            responseReader,
-                            deadlineMillis,
-                            index,
-                            "",
-                            mayHaveBeenSent || problem.code().equals("unknown")),
-                    response ->
-                        handleResponse(
-                            response,
-                            request,
-                            responseReader,
-                            deadlineMillis,
-                            index,
-                            mayHaveBeenSent)));
+                        retry(call, index, "", mayHaveBeenSent || problem.code().equals("unknown")),
+                    response -> handleResponse(call, response, index, mayHaveBeenSent)));
   }
 
   private <T> CompletableFuture<Result<T>> handleResponse(
-      Envelope response,
-      Supplier<Envelope.Builder> request,
-      Function<Envelope, T> responseReader,
-      long deadlineMillis,
-      int index,
-      boolean mayHaveBeenSent) {
+      Call<T> call, Envelope response, int index, boolean mayHaveBeenSent) {
     if (!response.hasFailure()) {
-      return CompletableFuture.completedFuture(Result.success(responseReader.apply(response)));
+      return CompletableFuture.completedFuture(readResponse(call, response, mayHaveBeenSent));
     }
     Problem problem =
         Problem.of(response.getFailure().getCode(), response.getFailure().getMessage());
     return switch (problem.code()) {
       case "not-leader", "unavailable" ->
-          retry(
-              request,
-              responseReader,
-              deadlineMillis,
-              index,
-              response.getFailure().getLeaderHint(),
-              mayHaveBeenSent);
-      case "unknown" -> retry(request, responseReader, deadlineMillis, index, "", true);
+          retry(call, index, response.getFailure().getLeaderHint(), mayHaveBeenSent);
+      case "unknown" -> retry(call, index, "", true);
       default -> CompletableFuture.completedFuture(Result.failure(problem));
     };
   }
 
+  private static <T> Result<T> readResponse(
+      Call<T> call, Envelope response, boolean mayHaveBeenSent) {
+    T value = call.responseReader.apply(response);
+    return mayHaveBeenSent && call.isStateDependentRefusal.test(value)
+        ? Result.failure(
+            "unknown", "an earlier attempt may have taken effect; a later one was refused")
+        : Result.success(value);
+  }
+
   private <T> CompletableFuture<Result<T>> retry(
-      Supplier<Envelope.Builder> request,
-      Function<Envelope, T> responseReader,
-      long deadlineMillis,
-      int failedIndex,
-      String leaderHint,
-      boolean mayHaveBeenSent) {
+      Call<T> call, int failedIndex, String leaderHint, boolean mayHaveBeenSent) {
     boolean hintUsable = selectNextReplica(failedIndex, leaderHint);
     Executor executor =
         hintUsable
             ? Runnable::run
             : CompletableFuture.delayedExecutor(RETRY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
-    return CompletableFuture.supplyAsync(
-            () -> attempt(request, responseReader, deadlineMillis, mayHaveBeenSent), executor)
+    return CompletableFuture.supplyAsync(() -> attempt(call, mayHaveBeenSent), executor)
         .thenCompose(response -> response);
   }
 
@@ -227,4 +214,16 @@
     preferredIndex.compareAndSet(failedIndex, (failedIndex + 1) % replicas.size());
     return false;
   }
+
+  /**
+   * A call with all its attempts.
+   *
+   * @param isStateDependentRefusal whether a response says that the call had no effect, for a
+   *     reason that may not have applied to an earlier attempt
+   */
+  private record Call<T>(
+      Supplier<Envelope.Builder> request,
+      Function<Envelope, T> responseReader,
+      Predicate<T> isStateDependentRefusal,
+      long deadlineMillis) {}
 }
--- a/hickoryspar-node/src/test/java/org/hickoryspar/node/dispatch/LeaderClientTest.java
+++ b/hickoryspar-node/src/test/java/org/hickoryspar/node/dispatch/LeaderClientTest.java
@@ -10,22 +10,28 @@
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.security.SecureRandom;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
+import org.hickoryspar.kernel.value.Problem;
 import org.hickoryspar.kernel.value.Result;
 import org.hickoryspar.node.cluster.ControlPeers;
 import org.hickoryspar.node.cluster.InstanceIds;
 import org.hickoryspar.node.transport.PeerHandler;
 import org.hickoryspar.node.transport.PeerIdentity;
 import org.hickoryspar.node.transport.PeerServer;
+import org.hickoryspar.protocol.Acknowledgement;
 import org.hickoryspar.protocol.Envelope;
 import org.hickoryspar.protocol.Failure;
 import org.hickoryspar.protocol.WorkflowCall;
 import org.hickoryspar.protocol.WorkflowReply;
+import org.hickoryspar.protocol.WorkflowSpec;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
@@ -59,7 +65,8 @@
             null,
             timer,
             (call, result, callSummary) -> summary.set(callSummary),
-            () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()));
+            () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()),
+            new CallIds(new SecureRandom()));
   }
 
   @AfterMethod
@@ -158,6 +165,83 @@
     assertEquals(summary.get().attempts(), 1);
   }
 
+  @DataProvider
+  Object[][] refusalsOfRetries() {
+    WorkflowCall.Builder submit =
+        WorkflowCall.newBuilder().setSubmit(WorkflowSpec.getDefaultInstance());
+    WorkflowCall.Builder cancel =
+        WorkflowCall.newBuilder().setCancel(Acknowledgement.getDefaultInstance());
+    WorkflowCall.Builder status =
+        WorkflowCall.newBuilder().setStatus(Acknowledgement.getDefaultInstance());
+    return new Object[][] {
+      {submit, WorkflowReply.Outcome.REFUSED, true},
+      {submit, WorkflowReply.Outcome.NO_QUEUE, true},
+      {submit, WorkflowReply.Outcome.UNAUTHORISED, true},
+      {cancel, WorkflowReply.Outcome.UNAUTHORISED, true},
+      // These are true whatever became of the earlier attempt.
+      {submit, WorkflowReply.Outcome.INVALID, false},
+      {cancel, WorkflowReply.Outcome.NO_WORKFLOW, false},
+      {status, WorkflowReply.Outcome.UNAUTHORISED, false},
+    };
+  }
+
+  /**
+   * Guards against a caller who is told that its workflow was refused although an earlier attempt,
+   * whose response was lost, has stored it.
+   */
+  @Test(dataProvider = "refusalsOfRetries")
+  void shouldNotReturnRefusalWhenAnEarlierAttemptMayHaveTakenEffect(
+      WorkflowCall.Builder call, WorkflowReply.Outcome outcome, boolean unknown) throws Exception {
+    List<Envelope> attempts = new CopyOnWriteArrayList<>();
+    String leader =
+        startControl(
+            (from, message, reply) -> {
+              attempts.add(message);
+              reply.accept(
+                  attempts.size() == 1
+                      ? Envelope.newBuilder().setFailure(Failure.newBuilder().setCode("unknown"))
+                      : Envelope.newBuilder()
+                          .setWorkflowReply(WorkflowReply.newBuilder().setOutcome(outcome)));
+            });
+    peers.recordLeader(leader, 1);
+
+    Result<Envelope> result =
+        client
+            .call(Envelope.newBuilder().setWorkflowCall(call), TIMEOUT_MILLIS)
+            .get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+
+    assertEquals(result.problem().map(Problem::code).orElse(""), unknown ? "unknown" : "");
+    assertEquals(attempts.stream().map(Envelope::getRetried).toList(), List.of(false, true));
+    assertEquals(attempts.get(0).getCallId(), attempts.get(1).getCallId());
+  }
+
+  /** Guards against a true refusal that is withheld because an earlier attempt was not served. */
+  @Test
+  void shouldReturnRefusalWhenEarlierAttemptsWereNotServed() throws Exception {
+    AtomicInteger received = new AtomicInteger();
+    String leader =
+        startControl(
+            (from, message, reply) ->
+                reply.accept(
+                    received.incrementAndGet() == 1
+                        ? Envelope.newBuilder()
+                            .setFailure(Failure.newBuilder().setCode("not-leader"))
+                        : Envelope.newBuilder()
+                            .setWorkflowReply(
+                                WorkflowReply.newBuilder()
+                                    .setOutcome(WorkflowReply.Outcome.UNAUTHORISED))));
+    peers.recordLeader(leader, 1);
+    WorkflowCall.Builder submit =
+        WorkflowCall.newBuilder().setSubmit(WorkflowSpec.getDefaultInstance());
+
+    Result<Envelope> result =
+        client
+            .call(Envelope.newBuilder().setWorkflowCall(submit), TIMEOUT_MILLIS)
+            .get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+
+    assertTrue(result.isSuccess(), result.toString());
+  }
+
   /** Guards against a call that may have taken effect and is reported as not run. */
   @Test
   void shouldFailWithUnknownWhenNoLeaderRespondsInTime() throws Exception {
--- a/hickoryspar-node/src/test/java/org/hickoryspar/node/dispatch/MinionRegistryTest.java
+++ b/hickoryspar-node/src/test/java/org/hickoryspar/node/dispatch/MinionRegistryTest.java
@@ -8,6 +8,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
+import java.security.SecureRandom;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -56,7 +57,8 @@
                 this::receive,
                 timer,
                 (call, result, summary) -> {},
-                nowMillis::get),
+                nowMillis::get,
+                new CallIds(new SecureRandom())),
             nowMillis::get);
   }
 
--- a/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/Envelope.java
+++ b/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/Envelope.java
@@ -33,6 +33,7 @@
   }
   private Envelope() {
     traceParent_ = "";
+    callId_ = com.google.protobuf.ByteString.EMPTY;
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -211,6 +212,36 @@
     }
   }
 
+  public static final int CALL_ID_FIELD_NUMBER = 4;
+  private com.google.protobuf.ByteString callId_ = com.google.protobuf.ByteString.EMPTY;
+  /**
+   * <pre>
+   * Identifies a call to the leader; all attempts of a call have the same identifier.
+   * </pre>
+   *
+   * <code>bytes call_id = 4;</code>
+   * @return The callId.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString getCallId() {
+    return callId_;
+  }
+
+  public static final int RETRIED_FIELD_NUMBER = 5;
+  private boolean retried_ = false;
+  /**
+   * <pre>
+   * Whether an earlier attempt of the call may have taken effect.
+   * </pre>
+   *
+   * <code>bool retried = 5;</code>
+   * @return The retried.
+   */
+  @java.lang.Override
+  public boolean getRetried() {
+    return retried_;
+  }
+
   public static final int HELLO_FIELD_NUMBER = 10;
   /**
    * <code>.hickoryspar.Hello hello = 10;</code>
@@ -1040,6 +1071,12 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(traceParent_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 3, traceParent_);
     }
+    if (!callId_.isEmpty()) {
+      output.writeBytes(4, callId_);
+    }
+    if (retried_ != false) {
+      output.writeBool(5, retried_);
+    }
     if (payloadCase_ == 10) {
       output.writeMessage(10, (org.hickoryspar.protocol.Hello) payload_);
     }
@@ -1138,6 +1175,14 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(traceParent_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(3, traceParent_);
     }
+    if (!callId_.isEmpty()) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBytesSize(4, callId_);
+    }
+    if (retried_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(5, retried_);
+    }
     if (payloadCase_ == 10) {
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(10, (org.hickoryspar.protocol.Hello) payload_);
@@ -1263,6 +1308,10 @@
         != other.getResponse()) return false;
     if (!getTraceParent()
         .equals(other.getTraceParent())) return false;
+    if (!getCallId()
+        .equals(other.getCallId())) return false;
+    if (getRetried()
+        != other.getRetried()) return false;
     if (!getPayloadCase().equals(other.getPayloadCase())) return false;
     switch (payloadCase_) {
       case 10:
@@ -1391,6 +1440,11 @@
         getResponse());
     hash = (37 * hash) + TRACE_PARENT_FIELD_NUMBER;
     hash = (53 * hash) + getTraceParent().hashCode();
+    hash = (37 * hash) + CALL_ID_FIELD_NUMBER;
+    hash = (53 * hash) + getCallId().hashCode();
+    hash = (37 * hash) + RETRIED_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getRetried());
     switch (payloadCase_) {
       case 10:
         hash = (37 * hash) + HELLO_FIELD_NUMBER;
@@ -1637,6 +1691,8 @@
       correlationId_ = 0L;
       response_ = false;
       traceParent_ = "";
+      callId_ = com.google.protobuf.ByteString.EMPTY;
+      retried_ = false;
       if (helloBuilder_ != null) {
         helloBuilder_.clear();
       }
@@ -1760,6 +1816,12 @@
       if (((from_bitField0_ & 0x00000004) != 0)) {
         result.traceParent_ = traceParent_;
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.callId_ = callId_;
+      }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.retried_ = retried_;
+      }
     }
 
     private void buildPartialOneofs(org.hickoryspar.protocol.Envelope result) {
@@ -1894,6 +1956,12 @@
         bitField0_ |= 0x00000004;
         onChanged();
       }
+      if (!other.getCallId().isEmpty()) {
+        setCallId(other.getCallId());
+      }
+      if (other.getRetried() != false) {
+        setRetried(other.getRetried());
+      }
       switch (other.getPayloadCase()) {
         case HELLO: {
           mergeHello(other.getHello());
@@ -2044,6 +2112,16 @@
               bitField0_ |= 0x00000004;
               break;
             } // case 26
+            case 34: {
+              callId_ = input.readBytes();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 34
+            case 40: {
+              retried_ = input.readBool();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 40
             case 82: {
               input.readMessage(
                   internalGetHelloFieldBuilder().getBuilder(),
@@ -2426,6 +2504,94 @@
       return this;
     }
 
+    private com.google.protobuf.ByteString callId_ = com.google.protobuf.ByteString.EMPTY;
+    /**
+     * <pre>
+     * Identifies a call to the leader; all attempts of a call have the same identifier.
+     * </pre>
+     *
+     * <code>bytes call_id = 4;</code>
+     * @return The callId.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString getCallId() {
+      return callId_;
+    }
+    /**
+     * <pre>
+     * Identifies a call to the leader; all attempts of a call have the same identifier.
+     * </pre>
+     *
+     * <code>bytes call_id = 4;</code>
+     * @param value The callId to set.
+     * @return This builder for chaining.
+     */
+    public Builder setCallId(com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      callId_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Identifies a call to the leader; all attempts of a call have the same identifier.
+     * </pre>
+     *
+     * <code>bytes call_id = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearCallId() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      callId_ = getDefaultInstance().getCallId();
+      onChanged();
+      return this;
+    }
+
+    private boolean retried_ ;
+    /**
+     * <pre>
+     * Whether an earlier attempt of the call may have taken effect.
+     * </pre>
+     *
+     * <code>bool retried = 5;</code>
+     * @return The retried.
+     */
+    @java.lang.Override
+    public boolean getRetried() {
+      return retried_;
+    }
+    /**
+     * <pre>
+     * Whether an earlier attempt of the call may have taken effect.
+     * </pre>
+     *
+     * <code>bool retried = 5;</code>
+     * @param value The retried to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRetried(boolean value) {
+
+      retried_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether an earlier attempt of the call may have taken effect.
+     * </pre>
+     *
+     * <code>bool retried = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearRetried() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      retried_ = false;
+      onChanged();
+      return this;
+    }
+
     private com.google.protobuf.SingleFieldBuilder<
         org.hickoryspar.protocol.Hello, org.hickoryspar.protocol.Hello.Builder, org.hickoryspar.protocol.HelloOrBuilder> helloBuilder_;
     /**
--- a/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/EnvelopeOrBuilder.java
+++ b/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/EnvelopeOrBuilder.java
@@ -46,6 +46,26 @@
   com.google.protobuf.ByteString
       getTraceParentBytes();
 
+  /**
+   * <pre>
+   * Identifies a call to the leader; all attempts of a call have the same identifier.
+   * </pre>
+   *
+   * <code>bytes call_id = 4;</code>
+   * @return The callId.
+   */
+  com.google.protobuf.ByteString getCallId();
+
+  /**
+   * <pre>
+   * Whether an earlier attempt of the call may have taken effect.
+   * </pre>
+   *
+   * <code>bool retried = 5;</code>
+   * @return The retried.
+   */
+  boolean getRetried();
+
   /**
    * <code>.hickoryspar.Hello hello = 10;</code>
    * @return Whether the hello field is set.
--- a/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/SubmitWorkflow.java
+++ b/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/SubmitWorkflow.java
@@ -30,6 +30,7 @@
   private SubmitWorkflow() {
     workflowId_ = "";
     team_ = "";
+    callId_ = com.google.protobuf.ByteString.EMPTY;
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -176,6 +177,21 @@
     return spec_ == null ? org.hickoryspar.protocol.WorkflowSpec.getDefaultInstance() : spec_;
   }
 
+  public static final int CALL_ID_FIELD_NUMBER = 5;
+  private com.google.protobuf.ByteString callId_ = com.google.protobuf.ByteString.EMPTY;
+  /**
+   * <pre>
+   * Identifier of the call that submitted the workflow.
+   * </pre>
+   *
+   * <code>bytes call_id = 5;</code>
+   * @return The callId.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString getCallId() {
+    return callId_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -202,6 +218,9 @@
     if (((bitField0_ & 0x00000002) != 0)) {
       output.writeMessage(4, getSpec());
     }
+    if (!callId_.isEmpty()) {
+      output.writeBytes(5, callId_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -225,6 +244,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(4, getSpec());
     }
+    if (!callId_.isEmpty()) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBytesSize(5, callId_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -254,6 +277,8 @@
       if (!getSpec()
           .equals(other.getSpec())) return false;
     }
+    if (!getCallId()
+        .equals(other.getCallId())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -277,6 +302,8 @@
       hash = (37 * hash) + SPEC_FIELD_NUMBER;
       hash = (53 * hash) + getSpec().hashCode();
     }
+    hash = (37 * hash) + CALL_ID_FIELD_NUMBER;
+    hash = (53 * hash) + getCallId().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -427,6 +454,7 @@
         specBuilder_.dispose();
         specBuilder_ = null;
       }
+      callId_ = com.google.protobuf.ByteString.EMPTY;
       return this;
     }
 
@@ -479,6 +507,9 @@
             : specBuilder_.build();
         to_bitField0_ |= 0x00000002;
       }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.callId_ = callId_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -510,6 +541,9 @@
       if (other.hasSpec()) {
         mergeSpec(other.getSpec());
       }
+      if (!other.getCallId().isEmpty()) {
+        setCallId(other.getCallId());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -560,6 +594,11 @@
               bitField0_ |= 0x00000008;
               break;
             } // case 34
+            case 42: {
+              callId_ = input.readBytes();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 42
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -963,6 +1002,50 @@
       return specBuilder_;
     }
 
+    private com.google.protobuf.ByteString callId_ = com.google.protobuf.ByteString.EMPTY;
+    /**
+     * <pre>
+     * Identifier of the call that submitted the workflow.
+     * </pre>
+     *
+     * <code>bytes call_id = 5;</code>
+     * @return The callId.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString getCallId() {
+      return callId_;
+    }
+    /**
+     * <pre>
+     * Identifier of the call that submitted the workflow.
+     * </pre>
+     *
+     * <code>bytes call_id = 5;</code>
+     * @param value The callId to set.
+     * @return This builder for chaining.
+     */
+    public Builder setCallId(com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      callId_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Identifier of the call that submitted the workflow.
+     * </pre>
+     *
+     * <code>bytes call_id = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearCallId() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      callId_ = getDefaultInstance().getCallId();
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:hickoryspar.SubmitWorkflow)
   }
 
--- a/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/SubmitWorkflowOrBuilder.java
+++ b/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/SubmitWorkflowOrBuilder.java
@@ -63,4 +63,14 @@
    * <code>.hickoryspar.WorkflowSpec spec = 4;</code>
    */
   org.hickoryspar.protocol.WorkflowSpecOrBuilder getSpecOrBuilder();
+
+  /**
+   * <pre>
+   * Identifier of the call that submitted the workflow.
+   * </pre>
+   *
+   * <code>bytes call_id = 5;</code>
+   * @return The callId.
+   */
+  com.google.protobuf.ByteString getCallId();
 }
