--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/control/ControlState.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/control/ControlState.java
@@ -91,14 +91,10 @@
         return new CommandResult.Accepted();
       }
       case CATALOG_CHANGE -> {
-        Optional<Problem> problem = catalog.apply(command.getCatalogChange());
-        return problem.isEmpty()
-            ? new CommandResult.Accepted()
-            : new CommandResult.Refused(problem.get());
+        return acceptedUnless(catalog.apply(command.getCatalogChange()));
       }
       case DATA_CENTRE_SWITCH -> {
-        catalog.apply(command.getDataCentreSwitch());
-        return new CommandResult.Accepted();
+        return acceptedUnless(catalog.apply(command.getDataCentreSwitch()));
       }
       case WORKFLOWS -> {
         return apply(command.getWorkflows(), nowMillis);
@@ -112,6 +108,12 @@
     }
   }
 
+  private static CommandResult acceptedUnless(Optional<Problem> problem) {
+    return problem.isEmpty()
+        ? new CommandResult.Accepted()
+        : new CommandResult.Refused(problem.get());
+  }
+
   private CommandResult apply(WorkflowBatch batch, long nowMillis) {
     synchronized (workflows) {
       List<Optional<Problem>> problems = workflows.apply(batch, nowMillis);
@@ -312,6 +314,7 @@
         .addAllWorkers(workers.snapshot())
         .setCatalog(catalog.lastChange())
         .addAllDataCentresOut(catalog.dataCentresOut())
+        .addAllDataCentres(catalog.dataCentreRecords())
         .addAllWorkflows(snapshotWorkflows().records())
         .build()
         .toByteString();
@@ -340,7 +343,8 @@
     claims.restore(snapshot.getClaimsList(), snapshot.getLostEntriesList());
     jobs.restore(snapshot.getJobsList());
     workers.restore(snapshot.getWorkersList());
-    catalog.restore(snapshot.getCatalog(), snapshot.getDataCentresOutList());
+    catalog.restore(
+        snapshot.getCatalog(), snapshot.getDataCentresList(), snapshot.getDataCentresOutList());
     synchronized (workflows) {
       workflows.restore(snapshot.getWorkflowsList());
       workflowBatchNumber++;
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/cli/ChangeCommand.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/cli/ChangeCommand.java
@@ -7,6 +7,8 @@
 /** A command that changes the fleet, with a reason and an identifier for resending. */
 abstract class ChangeCommand extends ServerCommand {
 
+  private static final int MAX_ATTEMPTS = 5;
+
   @Option(
       name = "--reason",
       required = true,
@@ -53,7 +55,39 @@
   final ExitCode send(Session session, String method, String path, ObjectNode body)
       throws InterruptedException {
     session.console().err().println("change id: " + changeId);
-    ApiResult result = session.client().send(method, path, Map.of(), body);
+    return report(session, session.client().send(method, path, Map.of(), body));
+  }
+
+  /**
+   * Sends a change like {@link #send}, based on the current version: if it arrives late, it cannot
+   * undo a later change. Repeats it with the next version while other operators change the fleet.
+   */
+  final ExitCode sendBasedOnCurrentVersion(
+      Session session, String method, String path, ObjectNode body) throws InterruptedException {
+    session.console().err().println("change id: " + changeId);
+    ApiResult result = sendOnce(session, method, path, body);
+    for (int i = 1; i < MAX_ATTEMPTS && isVersionConflict(result); i++) {
+      result = sendOnce(session, method, path, body);
+    }
+    return report(session, result);
+  }
+
+  private static ApiResult sendOnce(Session session, String method, String path, ObjectNode body)
+      throws InterruptedException {
+    ApiResult fleet = session.client().send("GET", "/v1/fleet", Map.of(), null);
+    if (!fleet.isSuccess()) {
+      return fleet;
+    }
+    body.put("baseVersion", fleet.body().path("version").asLong());
+    return session.client().send(method, path, Map.of(), body);
+  }
+
+  private static boolean isVersionConflict(ApiResult result) {
+    return result.exitCode() == ExitCode.CONFLICT
+        && result.body().path("code").asText().equals("version-conflict");
+  }
+
+  private ExitCode report(Session session, ApiResult result) {
     if (result.exitCode() == ExitCode.UNKNOWN) {
       session.console().err().println("resend with --change-id " + changeId);
     }
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/cli/DataCentreCommands.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/cli/DataCentreCommands.java
@@ -38,7 +38,7 @@
 
     @Override
     ExitCode apply(Session session) throws InterruptedException {
-      return send(
+      return sendBasedOnCurrentVersion(
           session, "POST", "/v1/data-centres/" + escapeSegment(name) + "/out", newChangeBody());
     }
   }
@@ -56,7 +56,7 @@
 
     @Override
     ExitCode apply(Session session) throws InterruptedException {
-      return send(
+      return sendBasedOnCurrentVersion(
           session, "POST", "/v1/data-centres/" + escapeSegment(name) + "/in", newChangeBody());
     }
   }
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/cli/ExceptionCommands.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/cli/ExceptionCommands.java
@@ -94,7 +94,7 @@
             .console()
             .fail(ExitCode.REFUSED, "--ends: expected a time or a duration, found " + ends);
       }
-      return send(session, "POST", "/v1/exceptions", body);
+      return sendBasedOnCurrentVersion(session, "POST", "/v1/exceptions", body);
     }
 
     private static long endsMillis(String text, Instant now) {
@@ -144,7 +144,8 @@
 
     @Override
     ExitCode apply(Session session) throws InterruptedException {
-      return send(session, "DELETE", "/v1/exceptions/" + escapeSegment(id), newChangeBody());
+      return sendBasedOnCurrentVersion(
+          session, "DELETE", "/v1/exceptions/" + escapeSegment(id), newChangeBody());
     }
   }
 }
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/control/OperatorService.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/control/OperatorService.java
@@ -139,8 +139,7 @@
       return completed(versionResponse(existingVersion.get(), call.getChangeId()));
     }
     ControlState.FleetVersion base = state.fleet();
-    if (call.getKind() == OperatorCall.Kind.FLEET_APPLY
-        && call.getBaseVersion() != base.version()) {
+    if (namesBaseVersion(call, body) && call.getBaseVersion() != base.version()) {
       return completed(conflictResponse(call.getBaseVersion()));
     }
     Result<FleetDocument> target =
@@ -149,6 +148,12 @@
         this::failure, document -> checkAndPropose(call, body, base, document, remainingRetries));
   }
 
+  // Other changes may name the version that their operator has seen, so that a late one cannot undo
+  // what came after it.
+  private static boolean namesBaseVersion(OperatorCall call, JsonNode body) {
+    return call.getKind() == OperatorCall.Kind.FLEET_APPLY || body.has("baseVersion");
+  }
+
   private Result<FleetDocument> buildTarget(
       OperatorCall call, JsonNode body, FleetDocument current) {
     String reason = body.path("reason").asText("");
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/daemon/ClusterControlDaemon.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/daemon/ClusterControlDaemon.java
@@ -34,6 +34,7 @@
 import org.hickoryspar.node.control.ReplicatedLog;
 import org.hickoryspar.node.dispatch.CallIds;
 import org.hickoryspar.node.dispatch.CallTelemetry;
+import org.hickoryspar.node.dispatch.DataCentreSwitcher;
 import org.hickoryspar.node.dispatch.DecisionTelemetry;
 import org.hickoryspar.node.dispatch.DispatchLoop;
 import org.hickoryspar.node.dispatch.LeaderClient;
@@ -72,6 +73,7 @@
   private final ControlPeers peers;
   private final LeaderServices services;
   private final LeaderClient leaderClient;
+  private final DataCentreSwitcher dataCentreSwitcher;
   private final MinionRegistry registry;
   private final VoterPlanner voterPlanner;
   private final long startedMillis = ProcessResources.monotonicMillis();
@@ -142,6 +144,8 @@
             new CallTelemetry(metrics),
             ProcessResources::monotonicMillis,
             new CallIds(random));
+    dataCentreSwitcher =
+        new DataCentreSwitcher(leaderClient, timer, ProcessResources::monotonicMillis);
     registry = new MinionRegistry(leaderClient, ProcessResources::monotonicMillis);
     startRegistryPersistence(new CacheFile(faults.files(), dataFolder, "minions"));
     loop.addListener(
@@ -259,6 +263,15 @@
     return leaderClient;
   }
 
+  /**
+   * Returns what carries out orders of operators to data centres.
+   *
+   * @return the switcher
+   */
+  public DataCentreSwitcher dataCentreSwitcher() {
+    return dataCentreSwitcher;
+  }
+
   /**
    * Returns the registry that receives the reports of minions.
    *
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/CatalogService.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/CatalogService.java
@@ -46,8 +46,8 @@
   }
 
   /**
-   * Serves a call. A failure {@code "invalid-catalog"} is final; after any other failure the call
-   * may be retried.
+   * Serves a call. A failure {@code "invalid-catalog"} or {@code "conflict"} is final; after any
+   * other failure the call may be retried.
    */
   CompletableFuture<Result<CatalogReply>> serve(CatalogCall call) {
     switch (call.getKindCase()) {
@@ -60,6 +60,10 @@
       case DATA_CENTRE -> {
         return switchDataCentre(call.getDataCentre());
       }
+      case DATA_CENTRE_RECORD -> {
+        return log.readBarrier()
+            .thenApply(barrier -> barrier.map(index -> dataCentre(call.getDataCentreRecord())));
+      }
       default -> {
         return failure(Problem.of("malformed", "unknown kind of call"));
       }
@@ -100,16 +104,19 @@
   private CompletableFuture<Result<CatalogReply>> switchDataCentre(DataCentreSwitch change) {
     return proposer
         .propose(Command.newBuilder().setDataCentreSwitch(change))
-        .thenApply(
-            result ->
-                result.map(
-                    applied -> {
-                      EventLogger.log(
-                          DispatchLogEvent.DATA_CENTRE_SWITCHED,
-                          change.getDataCentre(),
-                          change.getOut());
-                      return CatalogReply.getDefaultInstance();
-                    }));
+        .thenApply(result -> result.flatMap(applied -> replyToSwitch(change, applied)));
+  }
+
+  private Result<CatalogReply> replyToSwitch(DataCentreSwitch change, CommandResult applied) {
+    if (applied instanceof CommandResult.Refused refused) {
+      return Result.failure(refused.problem());
+    }
+    EventLogger.log(DispatchLogEvent.DATA_CENTRE_SWITCHED, change.getDataCentre(), change.getOut());
+    return Result.success(dataCentre(change.getDataCentre()));
+  }
+
+  private CatalogReply dataCentre(String name) {
+    return CatalogReply.newBuilder().setDataCentre(state.catalog().dataCentre(name)).build();
   }
 
   private CatalogReply currentCatalog() {
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/DispatchLogEvent.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/DispatchLogEvent.java
@@ -22,7 +22,11 @@
   CALL_ENDED(5024, Level.INFO, "%s"),
   CATALOG_CHANGED(5030, Level.INFO, "catalog version %d is in force: %d queues, %d teams"),
   CATALOG_REFUSED(5031, Level.INFO, "catalog version %d is refused: %s"),
-  DATA_CENTRE_SWITCHED(5032, Level.INFO, "data centre %s: out of service is set to %s");
+  DATA_CENTRE_SWITCHED(5032, Level.INFO, "data centre %s: out of service is set to %s"),
+  ORDER_ABANDONED(
+      5033,
+      Level.WARNING,
+      "data centre %s: the order to set out of service to %s was dropped, its sender has left");
 
   private final int number;
   private final Level level;
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/entry/ControlForwarder.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/entry/ControlForwarder.java
@@ -10,6 +10,7 @@
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
 import org.hickoryspar.kernel.value.Problem;
+import org.hickoryspar.node.http.CallerConnection;
 import org.hickoryspar.node.settings.Settings.TokenSettings;
 import org.hickoryspar.protocol.JobCall;
 import org.hickoryspar.protocol.OperatorCall;
@@ -114,6 +115,12 @@
           "baseVersion or the JSON body is malformed");
       return;
     }
+    if (!isReadOnly(kind.get()) && !CallerConnection.of(request, response).isOpen()) {
+      // The operator may have sent it elsewhere and replaced it since.
+      Responses.sendError(
+          response, callback, 503, "not-run", "abandoned", "the operator no longer waits");
+      return;
+    }
     OperatorCall call =
         OperatorCall.newBuilder()
             .setKind(kind.get())
--- a/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/CatalogCall.java
+++ b/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/CatalogCall.java
@@ -52,6 +52,7 @@
     PUT(1),
     GET(2),
     DATA_CENTRE(3),
+    DATA_CENTRE_RECORD(4),
     KIND_NOT_SET(0);
     private final int value;
     private KindCase(int value) {
@@ -72,6 +73,7 @@
         case 1: return PUT;
         case 2: return GET;
         case 3: return DATA_CENTRE;
+        case 4: return DATA_CENTRE_RECORD;
         case 0: return KIND_NOT_SET;
         default: return null;
       }
@@ -180,6 +182,70 @@
     return org.hickoryspar.protocol.DataCentreSwitch.getDefaultInstance();
   }
 
+  public static final int DATA_CENTRE_RECORD_FIELD_NUMBER = 4;
+  /**
+   * <pre>
+   * Name of the data centre whose record is asked for.
+   * </pre>
+   *
+   * <code>string data_centre_record = 4;</code>
+   * @return Whether the dataCentreRecord field is set.
+   */
+  public boolean hasDataCentreRecord() {
+    return kindCase_ == 4;
+  }
+  /**
+   * <pre>
+   * Name of the data centre whose record is asked for.
+   * </pre>
+   *
+   * <code>string data_centre_record = 4;</code>
+   * @return The dataCentreRecord.
+   */
+  public java.lang.String getDataCentreRecord() {
+    java.lang.Object ref = "";
+    if (kindCase_ == 4) {
+      ref = kind_;
+    }
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      if (kindCase_ == 4) {
+        kind_ = s;
+      }
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * Name of the data centre whose record is asked for.
+   * </pre>
+   *
+   * <code>string data_centre_record = 4;</code>
+   * @return The bytes for dataCentreRecord.
+   */
+  public com.google.protobuf.ByteString
+      getDataCentreRecordBytes() {
+    java.lang.Object ref = "";
+    if (kindCase_ == 4) {
+      ref = kind_;
+    }
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      if (kindCase_ == 4) {
+        kind_ = b;
+      }
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -203,6 +269,9 @@
     if (kindCase_ == 3) {
       output.writeMessage(3, (org.hickoryspar.protocol.DataCentreSwitch) kind_);
     }
+    if (kindCase_ == 4) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 4, kind_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -224,6 +293,9 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(3, (org.hickoryspar.protocol.DataCentreSwitch) kind_);
     }
+    if (kindCase_ == 4) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(4, kind_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -253,6 +325,10 @@
         if (!getDataCentre()
             .equals(other.getDataCentre())) return false;
         break;
+      case 4:
+        if (!getDataCentreRecord()
+            .equals(other.getDataCentreRecord())) return false;
+        break;
       case 0:
       default:
     }
@@ -280,6 +356,10 @@
         hash = (37 * hash) + DATA_CENTRE_FIELD_NUMBER;
         hash = (53 * hash) + getDataCentre().hashCode();
         break;
+      case 4:
+        hash = (37 * hash) + DATA_CENTRE_RECORD_FIELD_NUMBER;
+        hash = (53 * hash) + getDataCentreRecord().hashCode();
+        break;
       case 0:
       default:
     }
@@ -503,6 +583,12 @@
           mergeDataCentre(other.getDataCentre());
           break;
         }
+        case DATA_CENTRE_RECORD: {
+          kindCase_ = 4;
+          kind_ = other.kind_;
+          onChanged();
+          break;
+        }
         case KIND_NOT_SET: {
           break;
         }
@@ -554,6 +640,12 @@
               kindCase_ = 3;
               break;
             } // case 26
+            case 34: {
+              java.lang.String s = input.readStringRequireUtf8();
+              kindCase_ = 4;
+              kind_ = s;
+              break;
+            } // case 34
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1012,6 +1104,123 @@
       return dataCentreBuilder_;
     }
 
+    /**
+     * <pre>
+     * Name of the data centre whose record is asked for.
+     * </pre>
+     *
+     * <code>string data_centre_record = 4;</code>
+     * @return Whether the dataCentreRecord field is set.
+     */
+    @java.lang.Override
+    public boolean hasDataCentreRecord() {
+      return kindCase_ == 4;
+    }
+    /**
+     * <pre>
+     * Name of the data centre whose record is asked for.
+     * </pre>
+     *
+     * <code>string data_centre_record = 4;</code>
+     * @return The dataCentreRecord.
+     */
+    @java.lang.Override
+    public java.lang.String getDataCentreRecord() {
+      java.lang.Object ref = "";
+      if (kindCase_ == 4) {
+        ref = kind_;
+      }
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        if (kindCase_ == 4) {
+          kind_ = s;
+        }
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Name of the data centre whose record is asked for.
+     * </pre>
+     *
+     * <code>string data_centre_record = 4;</code>
+     * @return The bytes for dataCentreRecord.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getDataCentreRecordBytes() {
+      java.lang.Object ref = "";
+      if (kindCase_ == 4) {
+        ref = kind_;
+      }
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        if (kindCase_ == 4) {
+          kind_ = b;
+        }
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Name of the data centre whose record is asked for.
+     * </pre>
+     *
+     * <code>string data_centre_record = 4;</code>
+     * @param value The dataCentreRecord to set.
+     * @return This builder for chaining.
+     */
+    public Builder setDataCentreRecord(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      kindCase_ = 4;
+      kind_ = value;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Name of the data centre whose record is asked for.
+     * </pre>
+     *
+     * <code>string data_centre_record = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearDataCentreRecord() {
+      if (kindCase_ == 4) {
+        kindCase_ = 0;
+        kind_ = null;
+        onChanged();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Name of the data centre whose record is asked for.
+     * </pre>
+     *
+     * <code>string data_centre_record = 4;</code>
+     * @param value The bytes for dataCentreRecord to set.
+     * @return This builder for chaining.
+     */
+    public Builder setDataCentreRecordBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      kindCase_ = 4;
+      kind_ = value;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:hickoryspar.CatalogCall)
   }
 
--- a/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/CatalogCallOrBuilder.java
+++ b/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/CatalogCallOrBuilder.java
@@ -55,5 +55,34 @@
    */
   org.hickoryspar.protocol.DataCentreSwitchOrBuilder getDataCentreOrBuilder();
 
+  /**
+   * <pre>
+   * Name of the data centre whose record is asked for.
+   * </pre>
+   *
+   * <code>string data_centre_record = 4;</code>
+   * @return Whether the dataCentreRecord field is set.
+   */
+  boolean hasDataCentreRecord();
+  /**
+   * <pre>
+   * Name of the data centre whose record is asked for.
+   * </pre>
+   *
+   * <code>string data_centre_record = 4;</code>
+   * @return The dataCentreRecord.
+   */
+  java.lang.String getDataCentreRecord();
+  /**
+   * <pre>
+   * Name of the data centre whose record is asked for.
+   * </pre>
+   *
+   * <code>string data_centre_record = 4;</code>
+   * @return The bytes for dataCentreRecord.
+   */
+  com.google.protobuf.ByteString
+      getDataCentreRecordBytes();
+
   org.hickoryspar.protocol.CatalogCall.KindCase getKindCase();
 }
--- a/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/CatalogReply.java
+++ b/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/CatalogReply.java
@@ -44,6 +44,7 @@
             org.hickoryspar.protocol.CatalogReply.class, org.hickoryspar.protocol.CatalogReply.Builder.class);
   }
 
+  private int bitField0_;
   public static final int VERSION_FIELD_NUMBER = 1;
   private long version_ = 0L;
   /**
@@ -66,6 +67,32 @@
     return document_;
   }
 
+  public static final int DATA_CENTRE_FIELD_NUMBER = 3;
+  private org.hickoryspar.protocol.DataCentreRecord dataCentre_;
+  /**
+   * <code>.hickoryspar.DataCentreRecord data_centre = 3;</code>
+   * @return Whether the dataCentre field is set.
+   */
+  @java.lang.Override
+  public boolean hasDataCentre() {
+    return ((bitField0_ & 0x00000001) != 0);
+  }
+  /**
+   * <code>.hickoryspar.DataCentreRecord data_centre = 3;</code>
+   * @return The dataCentre.
+   */
+  @java.lang.Override
+  public org.hickoryspar.protocol.DataCentreRecord getDataCentre() {
+    return dataCentre_ == null ? org.hickoryspar.protocol.DataCentreRecord.getDefaultInstance() : dataCentre_;
+  }
+  /**
+   * <code>.hickoryspar.DataCentreRecord data_centre = 3;</code>
+   */
+  @java.lang.Override
+  public org.hickoryspar.protocol.DataCentreRecordOrBuilder getDataCentreOrBuilder() {
+    return dataCentre_ == null ? org.hickoryspar.protocol.DataCentreRecord.getDefaultInstance() : dataCentre_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -86,6 +113,9 @@
     if (!document_.isEmpty()) {
       output.writeBytes(2, document_);
     }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      output.writeMessage(3, getDataCentre());
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -103,6 +133,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBytesSize(2, document_);
     }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(3, getDataCentre());
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -122,6 +156,11 @@
         != other.getVersion()) return false;
     if (!getDocument()
         .equals(other.getDocument())) return false;
+    if (hasDataCentre() != other.hasDataCentre()) return false;
+    if (hasDataCentre()) {
+      if (!getDataCentre()
+          .equals(other.getDataCentre())) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -138,6 +177,10 @@
         getVersion());
     hash = (37 * hash) + DOCUMENT_FIELD_NUMBER;
     hash = (53 * hash) + getDocument().hashCode();
+    if (hasDataCentre()) {
+      hash = (37 * hash) + DATA_CENTRE_FIELD_NUMBER;
+      hash = (53 * hash) + getDataCentre().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -257,13 +300,19 @@
 
     // Construct using org.hickoryspar.protocol.CatalogReply.newBuilder()
     private Builder() {
-
+      maybeForceBuilderInitialization();
     }
 
     private Builder(
         com.google.protobuf.GeneratedMessage.BuilderParent parent) {
       super(parent);
-
+      maybeForceBuilderInitialization();
+    }
+    private void maybeForceBuilderInitialization() {
+      if (com.google.protobuf.GeneratedMessage
+              .alwaysUseFieldBuilders) {
+        internalGetDataCentreFieldBuilder();
+      }
     }
     @java.lang.Override
     public Builder clear() {
@@ -271,6 +320,11 @@
       bitField0_ = 0;
       version_ = 0L;
       document_ = com.google.protobuf.ByteString.EMPTY;
+      dataCentre_ = null;
+      if (dataCentreBuilder_ != null) {
+        dataCentreBuilder_.dispose();
+        dataCentreBuilder_ = null;
+      }
       return this;
     }
 
@@ -310,6 +364,14 @@
       if (((from_bitField0_ & 0x00000002) != 0)) {
         result.document_ = document_;
       }
+      int to_bitField0_ = 0;
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.dataCentre_ = dataCentreBuilder_ == null
+            ? dataCentre_
+            : dataCentreBuilder_.build();
+        to_bitField0_ |= 0x00000001;
+      }
+      result.bitField0_ |= to_bitField0_;
     }
 
     @java.lang.Override
@@ -330,6 +392,9 @@
       if (!other.getDocument().isEmpty()) {
         setDocument(other.getDocument());
       }
+      if (other.hasDataCentre()) {
+        mergeDataCentre(other.getDataCentre());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -366,6 +431,13 @@
               bitField0_ |= 0x00000002;
               break;
             } // case 18
+            case 26: {
+              input.readMessage(
+                  internalGetDataCentreFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 26
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -447,6 +519,127 @@
       return this;
     }
 
+    private org.hickoryspar.protocol.DataCentreRecord dataCentre_;
+    private com.google.protobuf.SingleFieldBuilder<
+        org.hickoryspar.protocol.DataCentreRecord, org.hickoryspar.protocol.DataCentreRecord.Builder, org.hickoryspar.protocol.DataCentreRecordOrBuilder> dataCentreBuilder_;
+    /**
+     * <code>.hickoryspar.DataCentreRecord data_centre = 3;</code>
+     * @return Whether the dataCentre field is set.
+     */
+    public boolean hasDataCentre() {
+      return ((bitField0_ & 0x00000004) != 0);
+    }
+    /**
+     * <code>.hickoryspar.DataCentreRecord data_centre = 3;</code>
+     * @return The dataCentre.
+     */
+    public org.hickoryspar.protocol.DataCentreRecord getDataCentre() {
+      if (dataCentreBuilder_ == null) {
+        return dataCentre_ == null ? org.hickoryspar.protocol.DataCentreRecord.getDefaultInstance() : dataCentre_;
+      } else {
+        return dataCentreBuilder_.getMessage();
+      }
+    }
+    /**
+     * <code>.hickoryspar.DataCentreRecord data_centre = 3;</code>
+     */
+    public Builder setDataCentre(org.hickoryspar.protocol.DataCentreRecord value) {
+      if (dataCentreBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        dataCentre_ = value;
+      } else {
+        dataCentreBuilder_.setMessage(value);
+      }
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.hickoryspar.DataCentreRecord data_centre = 3;</code>
+     */
+    public Builder setDataCentre(
+        org.hickoryspar.protocol.DataCentreRecord.Builder builderForValue) {
+      if (dataCentreBuilder_ == null) {
+        dataCentre_ = builderForValue.build();
+      } else {
+        dataCentreBuilder_.setMessage(builderForValue.build());
+      }
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.hickoryspar.DataCentreRecord data_centre = 3;</code>
+     */
+    public Builder mergeDataCentre(org.hickoryspar.protocol.DataCentreRecord value) {
+      if (dataCentreBuilder_ == null) {
+        if (((bitField0_ & 0x00000004) != 0) &&
+          dataCentre_ != null &&
+          dataCentre_ != org.hickoryspar.protocol.DataCentreRecord.getDefaultInstance()) {
+          getDataCentreBuilder().mergeFrom(value);
+        } else {
+          dataCentre_ = value;
+        }
+      } else {
+        dataCentreBuilder_.mergeFrom(value);
+      }
+      if (dataCentre_ != null) {
+        bitField0_ |= 0x00000004;
+        onChanged();
+      }
+      return this;
+    }
+    /**
+     * <code>.hickoryspar.DataCentreRecord data_centre = 3;</code>
+     */
+    public Builder clearDataCentre() {
+      bitField0_ = (bitField0_ & ~0x00000004);
+      dataCentre_ = null;
+      if (dataCentreBuilder_ != null) {
+        dataCentreBuilder_.dispose();
+        dataCentreBuilder_ = null;
+      }
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.hickoryspar.DataCentreRecord data_centre = 3;</code>
+     */
+    public org.hickoryspar.protocol.DataCentreRecord.Builder getDataCentreBuilder() {
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return internalGetDataCentreFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.hickoryspar.DataCentreRecord data_centre = 3;</code>
+     */
+    public org.hickoryspar.protocol.DataCentreRecordOrBuilder getDataCentreOrBuilder() {
+      if (dataCentreBuilder_ != null) {
+        return dataCentreBuilder_.getMessageOrBuilder();
+      } else {
+        return dataCentre_ == null ?
+            org.hickoryspar.protocol.DataCentreRecord.getDefaultInstance() : dataCentre_;
+      }
+    }
+    /**
+     * <code>.hickoryspar.DataCentreRecord data_centre = 3;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.hickoryspar.protocol.DataCentreRecord, org.hickoryspar.protocol.DataCentreRecord.Builder, org.hickoryspar.protocol.DataCentreRecordOrBuilder> 
+        internalGetDataCentreFieldBuilder() {
+      if (dataCentreBuilder_ == null) {
+        dataCentreBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.hickoryspar.protocol.DataCentreRecord, org.hickoryspar.protocol.DataCentreRecord.Builder, org.hickoryspar.protocol.DataCentreRecordOrBuilder>(
+                getDataCentre(),
+                getParentForChildren(),
+                isClean());
+        dataCentre_ = null;
+      }
+      return dataCentreBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:hickoryspar.CatalogReply)
   }
 
--- a/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/CatalogReplyOrBuilder.java
+++ b/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/CatalogReplyOrBuilder.java
@@ -21,4 +21,19 @@
    * @return The document.
    */
   com.google.protobuf.ByteString getDocument();
+
+  /**
+   * <code>.hickoryspar.DataCentreRecord data_centre = 3;</code>
+   * @return Whether the dataCentre field is set.
+   */
+  boolean hasDataCentre();
+  /**
+   * <code>.hickoryspar.DataCentreRecord data_centre = 3;</code>
+   * @return The dataCentre.
+   */
+  org.hickoryspar.protocol.DataCentreRecord getDataCentre();
+  /**
+   * <code>.hickoryspar.DataCentreRecord data_centre = 3;</code>
+   */
+  org.hickoryspar.protocol.DataCentreRecordOrBuilder getDataCentreOrBuilder();
 }
--- a/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/ControlSnapshot.java
+++ b/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/ControlSnapshot.java
@@ -38,6 +38,7 @@
     dataCentresOut_ =
         com.google.protobuf.LazyStringArrayList.emptyList();
     workflows_ = java.util.Collections.emptyList();
+    dataCentres_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -437,6 +438,67 @@
     return workflows_.get(index);
   }
 
+  public static final int DATA_CENTRES_FIELD_NUMBER = 13;
+  @SuppressWarnings("serial")
+  private java.util.List<org.hickoryspar.protocol.DataCentreRecord> dataCentres_;
+  /**
+   * <pre>
+   * All data centres that were ever switched, those of data_centres_out among them.
+   * </pre>
+   *
+   * <code>repeated .hickoryspar.DataCentreRecord data_centres = 13;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.hickoryspar.protocol.DataCentreRecord> getDataCentresList() {
+    return dataCentres_;
+  }
+  /**
+   * <pre>
+   * All data centres that were ever switched, those of data_centres_out among them.
+   * </pre>
+   *
+   * <code>repeated .hickoryspar.DataCentreRecord data_centres = 13;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.hickoryspar.protocol.DataCentreRecordOrBuilder> 
+      getDataCentresOrBuilderList() {
+    return dataCentres_;
+  }
+  /**
+   * <pre>
+   * All data centres that were ever switched, those of data_centres_out among them.
+   * </pre>
+   *
+   * <code>repeated .hickoryspar.DataCentreRecord data_centres = 13;</code>
+   */
+  @java.lang.Override
+  public int getDataCentresCount() {
+    return dataCentres_.size();
+  }
+  /**
+   * <pre>
+   * All data centres that were ever switched, those of data_centres_out among them.
+   * </pre>
+   *
+   * <code>repeated .hickoryspar.DataCentreRecord data_centres = 13;</code>
+   */
+  @java.lang.Override
+  public org.hickoryspar.protocol.DataCentreRecord getDataCentres(int index) {
+    return dataCentres_.get(index);
+  }
+  /**
+   * <pre>
+   * All data centres that were ever switched, those of data_centres_out among them.
+   * </pre>
+   *
+   * <code>repeated .hickoryspar.DataCentreRecord data_centres = 13;</code>
+   */
+  @java.lang.Override
+  public org.hickoryspar.protocol.DataCentreRecordOrBuilder getDataCentresOrBuilder(
+      int index) {
+    return dataCentres_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -487,6 +549,9 @@
     for (int i = 0; i < workflows_.size(); i++) {
       output.writeMessage(12, workflows_.get(i));
     }
+    for (int i = 0; i < dataCentres_.size(); i++) {
+      output.writeMessage(13, dataCentres_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -548,6 +613,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(12, workflows_.get(i));
     }
+    for (int i = 0; i < dataCentres_.size(); i++) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(13, dataCentres_.get(i));
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -590,6 +659,8 @@
         .equals(other.getDataCentresOutList())) return false;
     if (!getWorkflowsList()
         .equals(other.getWorkflowsList())) return false;
+    if (!getDataCentresList()
+        .equals(other.getDataCentresList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -645,6 +716,10 @@
       hash = (37 * hash) + WORKFLOWS_FIELD_NUMBER;
       hash = (53 * hash) + getWorkflowsList().hashCode();
     }
+    if (getDataCentresCount() > 0) {
+      hash = (37 * hash) + DATA_CENTRES_FIELD_NUMBER;
+      hash = (53 * hash) + getDataCentresList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -783,6 +858,7 @@
         internalGetLostEntriesFieldBuilder();
         internalGetCatalogFieldBuilder();
         internalGetWorkflowsFieldBuilder();
+        internalGetDataCentresFieldBuilder();
       }
     }
     @java.lang.Override
@@ -848,6 +924,13 @@
         workflowsBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000800);
+      if (dataCentresBuilder_ == null) {
+        dataCentres_ = java.util.Collections.emptyList();
+      } else {
+        dataCentres_ = null;
+        dataCentresBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00001000);
       return this;
     }
 
@@ -944,6 +1027,15 @@
       } else {
         result.workflows_ = workflowsBuilder_.build();
       }
+      if (dataCentresBuilder_ == null) {
+        if (((bitField0_ & 0x00001000) != 0)) {
+          dataCentres_ = java.util.Collections.unmodifiableList(dataCentres_);
+          bitField0_ = (bitField0_ & ~0x00001000);
+        }
+        result.dataCentres_ = dataCentres_;
+      } else {
+        result.dataCentres_ = dataCentresBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.hickoryspar.protocol.ControlSnapshot result) {
@@ -1187,6 +1279,32 @@
           }
         }
       }
+      if (dataCentresBuilder_ == null) {
+        if (!other.dataCentres_.isEmpty()) {
+          if (dataCentres_.isEmpty()) {
+            dataCentres_ = other.dataCentres_;
+            bitField0_ = (bitField0_ & ~0x00001000);
+          } else {
+            ensureDataCentresIsMutable();
+            dataCentres_.addAll(other.dataCentres_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.dataCentres_.isEmpty()) {
+          if (dataCentresBuilder_.isEmpty()) {
+            dataCentresBuilder_.dispose();
+            dataCentresBuilder_ = null;
+            dataCentres_ = other.dataCentres_;
+            bitField0_ = (bitField0_ & ~0x00001000);
+            dataCentresBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetDataCentresFieldBuilder() : null;
+          } else {
+            dataCentresBuilder_.addAllMessages(other.dataCentres_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1332,6 +1450,19 @@
               }
               break;
             } // case 98
+            case 106: {
+              org.hickoryspar.protocol.DataCentreRecord m =
+                  input.readMessage(
+                      org.hickoryspar.protocol.DataCentreRecord.parser(),
+                      extensionRegistry);
+              if (dataCentresBuilder_ == null) {
+                ensureDataCentresIsMutable();
+                dataCentres_.add(m);
+              } else {
+                dataCentresBuilder_.addMessage(m);
+              }
+              break;
+            } // case 106
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -3357,6 +3488,318 @@
       return workflowsBuilder_;
     }
 
+    private java.util.List<org.hickoryspar.protocol.DataCentreRecord> dataCentres_ =
+      java.util.Collections.emptyList();
+    private void ensureDataCentresIsMutable() {
+      if (!((bitField0_ & 0x00001000) != 0)) {
+        dataCentres_ = new java.util.ArrayList<org.hickoryspar.protocol.DataCentreRecord>(dataCentres_);
+        bitField0_ |= 0x00001000;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.hickoryspar.protocol.DataCentreRecord, org.hickoryspar.protocol.DataCentreRecord.Builder, org.hickoryspar.protocol.DataCentreRecordOrBuilder> dataCentresBuilder_;
+
+    /**
+     * <pre>
+     * All data centres that were ever switched, those of data_centres_out among them.
+     * </pre>
+     *
+     * <code>repeated .hickoryspar.DataCentreRecord data_centres = 13;</code>
+     */
+    public java.util.List<org.hickoryspar.protocol.DataCentreRecord> getDataCentresList() {
+      if (dataCentresBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(dataCentres_);
+      } else {
+        return dataCentresBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * All data centres that were ever switched, those of data_centres_out among them.
+     * </pre>
+     *
+     * <code>repeated .hickoryspar.DataCentreRecord data_centres = 13;</code>
+     */
+    public int getDataCentresCount() {
+      if (dataCentresBuilder_ == null) {
+        return dataCentres_.size();
+      } else {
+        return dataCentresBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * All data centres that were ever switched, those of data_centres_out among them.
+     * </pre>
+     *
+     * <code>repeated .hickoryspar.DataCentreRecord data_centres = 13;</code>
+     */
+    public org.hickoryspar.protocol.DataCentreRecord getDataCentres(int index) {
+      if (dataCentresBuilder_ == null) {
+        return dataCentres_.get(index);
+      } else {
+        return dataCentresBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * All data centres that were ever switched, those of data_centres_out among them.
+     * </pre>
+     *
+     * <code>repeated .hickoryspar.DataCentreRecord data_centres = 13;</code>
+     */
+    public Builder setDataCentres(
+        int index, org.hickoryspar.protocol.DataCentreRecord value) {
+      if (dataCentresBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureDataCentresIsMutable();
+        dataCentres_.set(index, value);
+        onChanged();
+      } else {
+        dataCentresBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * All data centres that were ever switched, those of data_centres_out among them.
+     * </pre>
+     *
+     * <code>repeated .hickoryspar.DataCentreRecord data_centres = 13;</code>
+     */
+    public Builder setDataCentres(
+        int index, org.hickoryspar.protocol.DataCentreRecord.Builder builderForValue) {
+      if (dataCentresBuilder_ == null) {
+        ensureDataCentresIsMutable();
+        dataCentres_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        dataCentresBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * All data centres that were ever switched, those of data_centres_out among them.
+     * </pre>
+     *
+     * <code>repeated .hickoryspar.DataCentreRecord data_centres = 13;</code>
+     */
+    public Builder addDataCentres(org.hickoryspar.protocol.DataCentreRecord value) {
+      if (dataCentresBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureDataCentresIsMutable();
+        dataCentres_.add(value);
+        onChanged();
+      } else {
+        dataCentresBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * All data centres that were ever switched, those of data_centres_out among them.
+     * </pre>
+     *
+     * <code>repeated .hickoryspar.DataCentreRecord data_centres = 13;</code>
+     */
+    public Builder addDataCentres(
+        int index, org.hickoryspar.protocol.DataCentreRecord value) {
+      if (dataCentresBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureDataCentresIsMutable();
+        dataCentres_.add(index, value);
+        onChanged();
+      } else {
+        dataCentresBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * All data centres that were ever switched, those of data_centres_out among them.
+     * </pre>
+     *
+     * <code>repeated .hickoryspar.DataCentreRecord data_centres = 13;</code>
+     */
+    public Builder addDataCentres(
+        org.hickoryspar.protocol.DataCentreRecord.Builder builderForValue) {
+      if (dataCentresBuilder_ == null) {
+        ensureDataCentresIsMutable();
+        dataCentres_.add(builderForValue.build());
+        onChanged();
+      } else {
+        dataCentresBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * All data centres that were ever switched, those of data_centres_out among them.
+     * </pre>
+     *
+     * <code>repeated .hickoryspar.DataCentreRecord data_centres = 13;</code>
+     */
+    public Builder addDataCentres(
+        int index, org.hickoryspar.protocol.DataCentreRecord.Builder builderForValue) {
+      if (dataCentresBuilder_ == null) {
+        ensureDataCentresIsMutable();
+        dataCentres_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        dataCentresBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * All data centres that were ever switched, those of data_centres_out among them.
+     * </pre>
+     *
+     * <code>repeated .hickoryspar.DataCentreRecord data_centres = 13;</code>
+     */
+    public Builder addAllDataCentres(
+        java.lang.Iterable<? extends org.hickoryspar.protocol.DataCentreRecord> values) {
+      if (dataCentresBuilder_ == null) {
+        ensureDataCentresIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, dataCentres_);
+        onChanged();
+      } else {
+        dataCentresBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * All data centres that were ever switched, those of data_centres_out among them.
+     * </pre>
+     *
+     * <code>repeated .hickoryspar.DataCentreRecord data_centres = 13;</code>
+     */
+    public Builder clearDataCentres() {
+      if (dataCentresBuilder_ == null) {
+        dataCentres_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00001000);
+        onChanged();
+      } else {
+        dataCentresBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * All data centres that were ever switched, those of data_centres_out among them.
+     * </pre>
+     *
+     * <code>repeated .hickoryspar.DataCentreRecord data_centres = 13;</code>
+     */
+    public Builder removeDataCentres(int index) {
+      if (dataCentresBuilder_ == null) {
+        ensureDataCentresIsMutable();
+        dataCentres_.remove(index);
+        onChanged();
+      } else {
+        dataCentresBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * All data centres that were ever switched, those of data_centres_out among them.
+     * </pre>
+     *
+     * <code>repeated .hickoryspar.DataCentreRecord data_centres = 13;</code>
+     */
+    public org.hickoryspar.protocol.DataCentreRecord.Builder getDataCentresBuilder(
+        int index) {
+      return internalGetDataCentresFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * All data centres that were ever switched, those of data_centres_out among them.
+     * </pre>
+     *
+     * <code>repeated .hickoryspar.DataCentreRecord data_centres = 13;</code>
+     */
+    public org.hickoryspar.protocol.DataCentreRecordOrBuilder getDataCentresOrBuilder(
+        int index) {
+      if (dataCentresBuilder_ == null) {
+        return dataCentres_.get(index);  } else {
+        return dataCentresBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * All data centres that were ever switched, those of data_centres_out among them.
+     * </pre>
+     *
+     * <code>repeated .hickoryspar.DataCentreRecord data_centres = 13;</code>
+     */
+    public java.util.List<? extends org.hickoryspar.protocol.DataCentreRecordOrBuilder> 
+         getDataCentresOrBuilderList() {
+      if (dataCentresBuilder_ != null) {
+        return dataCentresBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(dataCentres_);
+      }
+    }
+    /**
+     * <pre>
+     * All data centres that were ever switched, those of data_centres_out among them.
+     * </pre>
+     *
+     * <code>repeated .hickoryspar.DataCentreRecord data_centres = 13;</code>
+     */
+    public org.hickoryspar.protocol.DataCentreRecord.Builder addDataCentresBuilder() {
+      return internalGetDataCentresFieldBuilder().addBuilder(
+          org.hickoryspar.protocol.DataCentreRecord.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * All data centres that were ever switched, those of data_centres_out among them.
+     * </pre>
+     *
+     * <code>repeated .hickoryspar.DataCentreRecord data_centres = 13;</code>
+     */
+    public org.hickoryspar.protocol.DataCentreRecord.Builder addDataCentresBuilder(
+        int index) {
+      return internalGetDataCentresFieldBuilder().addBuilder(
+          index, org.hickoryspar.protocol.DataCentreRecord.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * All data centres that were ever switched, those of data_centres_out among them.
+     * </pre>
+     *
+     * <code>repeated .hickoryspar.DataCentreRecord data_centres = 13;</code>
+     */
+    public java.util.List<org.hickoryspar.protocol.DataCentreRecord.Builder> 
+         getDataCentresBuilderList() {
+      return internalGetDataCentresFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.hickoryspar.protocol.DataCentreRecord, org.hickoryspar.protocol.DataCentreRecord.Builder, org.hickoryspar.protocol.DataCentreRecordOrBuilder> 
+        internalGetDataCentresFieldBuilder() {
+      if (dataCentresBuilder_ == null) {
+        dataCentresBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.hickoryspar.protocol.DataCentreRecord, org.hickoryspar.protocol.DataCentreRecord.Builder, org.hickoryspar.protocol.DataCentreRecordOrBuilder>(
+                dataCentres_,
+                ((bitField0_ & 0x00001000) != 0),
+                getParentForChildren(),
+                isClean());
+        dataCentres_ = null;
+      }
+      return dataCentresBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:hickoryspar.ControlSnapshot)
   }
 
--- a/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/ControlSnapshotOrBuilder.java
+++ b/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/ControlSnapshotOrBuilder.java
@@ -235,4 +235,48 @@
    */
   org.hickoryspar.protocol.WorkflowRecordOrBuilder getWorkflowsOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * All data centres that were ever switched, those of data_centres_out among them.
+   * </pre>
+   *
+   * <code>repeated .hickoryspar.DataCentreRecord data_centres = 13;</code>
+   */
+  java.util.List<org.hickoryspar.protocol.DataCentreRecord> 
+      getDataCentresList();
+  /**
+   * <pre>
+   * All data centres that were ever switched, those of data_centres_out among them.
+   * </pre>
+   *
+   * <code>repeated .hickoryspar.DataCentreRecord data_centres = 13;</code>
+   */
+  org.hickoryspar.protocol.DataCentreRecord getDataCentres(int index);
+  /**
+   * <pre>
+   * All data centres that were ever switched, those of data_centres_out among them.
+   * </pre>
+   *
+   * <code>repeated .hickoryspar.DataCentreRecord data_centres = 13;</code>
+   */
+  int getDataCentresCount();
+  /**
+   * <pre>
+   * All data centres that were ever switched, those of data_centres_out among them.
+   * </pre>
+   *
+   * <code>repeated .hickoryspar.DataCentreRecord data_centres = 13;</code>
+   */
+  java.util.List<? extends org.hickoryspar.protocol.DataCentreRecordOrBuilder> 
+      getDataCentresOrBuilderList();
+  /**
+   * <pre>
+   * All data centres that were ever switched, those of data_centres_out among them.
+   * </pre>
+   *
+   * <code>repeated .hickoryspar.DataCentreRecord data_centres = 13;</code>
+   */
+  org.hickoryspar.protocol.DataCentreRecordOrBuilder getDataCentresOrBuilder(
+      int index);
 }
--- a/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/DataCentreSwitch.java
+++ b/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/DataCentreSwitch.java
@@ -44,6 +44,7 @@
             org.hickoryspar.protocol.DataCentreSwitch.class, org.hickoryspar.protocol.DataCentreSwitch.Builder.class);
   }
 
+  private int bitField0_;
   public static final int DATA_CENTRE_FIELD_NUMBER = 1;
   @SuppressWarnings("serial")
   private volatile java.lang.Object dataCentre_ = "";
@@ -94,6 +95,35 @@
     return out_;
   }
 
+  public static final int EXPECTED_REVISION_FIELD_NUMBER = 3;
+  private long expectedRevision_ = 0L;
+  /**
+   * <pre>
+   * Revision that the switch was made from; it is refused if another switch came first. Absent in
+   * entries of earlier versions, which are applied in any case.
+   * </pre>
+   *
+   * <code>optional uint64 expected_revision = 3;</code>
+   * @return Whether the expectedRevision field is set.
+   */
+  @java.lang.Override
+  public boolean hasExpectedRevision() {
+    return ((bitField0_ & 0x00000001) != 0);
+  }
+  /**
+   * <pre>
+   * Revision that the switch was made from; it is refused if another switch came first. Absent in
+   * entries of earlier versions, which are applied in any case.
+   * </pre>
+   *
+   * <code>optional uint64 expected_revision = 3;</code>
+   * @return The expectedRevision.
+   */
+  @java.lang.Override
+  public long getExpectedRevision() {
+    return expectedRevision_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -114,6 +144,9 @@
     if (out_ != false) {
       output.writeBool(2, out_);
     }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      output.writeUInt64(3, expectedRevision_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -130,6 +163,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(2, out_);
     }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(3, expectedRevision_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -149,6 +186,11 @@
         .equals(other.getDataCentre())) return false;
     if (getOut()
         != other.getOut()) return false;
+    if (hasExpectedRevision() != other.hasExpectedRevision()) return false;
+    if (hasExpectedRevision()) {
+      if (getExpectedRevision()
+          != other.getExpectedRevision()) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -165,6 +207,11 @@
     hash = (37 * hash) + OUT_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getOut());
+    if (hasExpectedRevision()) {
+      hash = (37 * hash) + EXPECTED_REVISION_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getExpectedRevision());
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -298,6 +345,7 @@
       bitField0_ = 0;
       dataCentre_ = "";
       out_ = false;
+      expectedRevision_ = 0L;
       return this;
     }
 
@@ -337,6 +385,12 @@
       if (((from_bitField0_ & 0x00000002) != 0)) {
         result.out_ = out_;
       }
+      int to_bitField0_ = 0;
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.expectedRevision_ = expectedRevision_;
+        to_bitField0_ |= 0x00000001;
+      }
+      result.bitField0_ |= to_bitField0_;
     }
 
     @java.lang.Override
@@ -359,6 +413,9 @@
       if (other.getOut() != false) {
         setOut(other.getOut());
       }
+      if (other.hasExpectedRevision()) {
+        setExpectedRevision(other.getExpectedRevision());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -395,6 +452,11 @@
               bitField0_ |= 0x00000002;
               break;
             } // case 16
+            case 24: {
+              expectedRevision_ = input.readUInt64();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 24
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -516,6 +578,66 @@
       return this;
     }
 
+    private long expectedRevision_ ;
+    /**
+     * <pre>
+     * Revision that the switch was made from; it is refused if another switch came first. Absent in
+     * entries of earlier versions, which are applied in any case.
+     * </pre>
+     *
+     * <code>optional uint64 expected_revision = 3;</code>
+     * @return Whether the expectedRevision field is set.
+     */
+    @java.lang.Override
+    public boolean hasExpectedRevision() {
+      return ((bitField0_ & 0x00000004) != 0);
+    }
+    /**
+     * <pre>
+     * Revision that the switch was made from; it is refused if another switch came first. Absent in
+     * entries of earlier versions, which are applied in any case.
+     * </pre>
+     *
+     * <code>optional uint64 expected_revision = 3;</code>
+     * @return The expectedRevision.
+     */
+    @java.lang.Override
+    public long getExpectedRevision() {
+      return expectedRevision_;
+    }
+    /**
+     * <pre>
+     * Revision that the switch was made from; it is refused if another switch came first. Absent in
+     * entries of earlier versions, which are applied in any case.
+     * </pre>
+     *
+     * <code>optional uint64 expected_revision = 3;</code>
+     * @param value The expectedRevision to set.
+     * @return This builder for chaining.
+     */
+    public Builder setExpectedRevision(long value) {
+
+      expectedRevision_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Revision that the switch was made from; it is refused if another switch came first. Absent in
+     * entries of earlier versions, which are applied in any case.
+     * </pre>
+     *
+     * <code>optional uint64 expected_revision = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearExpectedRevision() {
+      bitField0_ = (bitField0_ & ~0x00000004);
+      expectedRevision_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:hickoryspar.DataCentreSwitch)
   }
 
--- a/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/DataCentreSwitchOrBuilder.java
+++ b/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/DataCentreSwitchOrBuilder.java
@@ -27,4 +27,25 @@
    * @return The out.
    */
   boolean getOut();
+
+  /**
+   * <pre>
+   * Revision that the switch was made from; it is refused if another switch came first. Absent in
+   * entries of earlier versions, which are applied in any case.
+   * </pre>
+   *
+   * <code>optional uint64 expected_revision = 3;</code>
+   * @return Whether the expectedRevision field is set.
+   */
+  boolean hasExpectedRevision();
+  /**
+   * <pre>
+   * Revision that the switch was made from; it is refused if another switch came first. Absent in
+   * entries of earlier versions, which are applied in any case.
+   * </pre>
+   *
+   * <code>optional uint64 expected_revision = 3;</code>
+   * @return The expectedRevision.
+   */
+  long getExpectedRevision();
 }
--- a/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/Hickoryspar.java
+++ b/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/Hickoryspar.java
@@ -341,6 +341,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_hickoryspar_DataCentreSwitch_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_hickoryspar_DataCentreRecord_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_hickoryspar_DataCentreRecord_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_hickoryspar_CatalogCall_descriptor;
   static final 
@@ -649,7 +654,7 @@
       "date\022(\n\007upserts\030\001 \003(\0132\027.hickoryspar.Work" +
       "erInfo\022\017\n\007removed\030\002 \003(\t\">\n\tEntryLost\022\026\n\016" +
       "entry_instance\030\001 \001(\t\022\031\n\021entry_incarnatio" +
-      "n\030\002 \001(\004\"\326\003\n\017ControlSnapshot\022\023\n\013time_mill" +
+      "n\030\002 \001(\004\"\213\004\n\017ControlSnapshot\022\023\n\013time_mill" +
       "is\030\001 \001(\004\022\025\n\rfleet_version\030\002 \001(\004\022\033\n\023fleet" +
       "_document_json\030\003 \001(\014\022/\n\007history\030\004 \003(\0132\036." +
       "hickoryspar.FleetHistoryEntry\022(\n\006claims\030" +
@@ -661,138 +666,145 @@
       "t\022+\n\007catalog\030\n \001(\0132\032.hickoryspar.Catalog" +
       "Change\022\030\n\020data_centres_out\030\013 \003(\t\022.\n\twork" +
       "flows\030\014 \003(\0132\033.hickoryspar.WorkflowRecord" +
-      "\"c\n\021FleetHistoryEntry\022\017\n\007version\030\001 \001(\004\022(" +
-      "\n\006change\030\002 \001(\0132\030.hickoryspar.FleetChange" +
-      "\022\023\n\013time_millis\030\003 \001(\004\"\276\001\n\013ClaimRecord\022\014\n" +
-      "\004team\030\001 \001(\t\022\013\n\003key\030\002 \001(\t\022\023\n\013fingerprint\030" +
-      "\003 \001(\014\022\026\n\016entry_instance\030\004 \001(\t\022\031\n\021entry_i" +
-      "ncarnation\030\005 \001(\004\022\023\n\013time_millis\030\006 \001(\004\022%\n" +
-      "\007outcome\030\007 \001(\0132\024.hickoryspar.Outcome\022\020\n\010" +
-      "claim_id\030\010 \001(\t\"2\n\014ChangeRecord\022\021\n\tchange" +
-      "_id\030\001 \001(\t\022\017\n\007version\030\002 \001(\004\"\370\002\n\tJobRecord" +
-      "\022\016\n\006job_id\030\001 \001(\t\022\027\n\017idempotency_key\030\002 \001(" +
-      "\t\022\"\n\004spec\030\003 \001(\0132\024.hickoryspar.JobSpec\022\030\n" +
-      "\020submitted_millis\030\004 \001(\004\022*\n\005phase\030\005 \001(\0162\033" +
-      ".hickoryspar.GangStep.Phase\022\017\n\007attempt\030\006" +
-      " \001(\r\022.\n\nplacements\030\007 \003(\0132\032.hickoryspar.T" +
-      "askPlacement\022\016\n\006result\030\010 \001(\t\022\016\n\006detail\030\t" +
-      " \001(\t\022\032\n\022phase_since_millis\030\n \001(\004\022)\n\004then" +
-      "\030\013 \001(\0162\033.hickoryspar.GangStep.Phase\022\030\n\020c" +
-      "ancel_requested\030\014 \001(\010\022\026\n\016faulty_workers\030" +
-      "\r \003(\t\"T\n\020ControlDirectory\022\031\n\021control_add" +
-      "resses\030\001 \003(\t\022\027\n\017leader_instance\030\002 \001(\t\022\014\n" +
-      "\004term\030\003 \001(\004\"\231\001\n\007Catalog\022\017\n\007version\030\001 \001(\004" +
-      "\022\"\n\006queues\030\002 \003(\0132\022.hickoryspar.Queue\022,\n\010" +
-      "services\030\003 \003(\0132\032.hickoryspar.ServicePoli" +
-      "cy\022+\n\005teams\030\004 \003(\0132\034.hickoryspar.TeamEnti" +
-      "tlement\"\365\001\n\005Queue\022\014\n\004name\030\001 \001(\t\022\014\n\004host\030" +
-      "\002 \001(\t\022\023\n\013path_prefix\030\003 \001(\t\022\017\n\007service\030\004 " +
-      "\001(\t\022\020\n\010priority\030\005 \001(\r\022\024\n\014max_attempts\030\006 " +
-      "\001(\r\022\017\n\007stretch\030\007 \001(\001\022 \n\030target_completio" +
-      "n_millis\030\010 \001(\004\022\014\n\004open\030\t \001(\010\022\026\n\016timeout_" +
-      "millis\030\n \001(\004\022)\n\006advice\030\013 \001(\0132\031.hickorysp" +
-      "ar.AdvicePolicy\"[\n\014AdvicePolicy\022\027\n\017decis" +
-      "ion_millis\030\001 \001(\004\022\031\n\021per_minion_millis\030\002 " +
-      "\001(\004\022\027\n\017validity_millis\030\003 \001(\004\"\\\n\rServiceP" +
-      "olicy\022\014\n\004name\030\001 \001(\t\022\027\n\017admission_check\030\002" +
-      " \001(\010\022\017\n\007standby\030\003 \001(\010\022\023\n\013health_path\030\004 \001" +
-      "(\t\"N\n\017TeamEntitlement\022\014\n\004name\030\001 \001(\t\022\014\n\004k" +
-      "eys\030\002 \003(\t\022\037\n\027guaranteed_accelerators\030\003 \001" +
-      "(\r\"H\n\rCatalogChange\022%\n\007catalog\030\001 \001(\0132\024.h" +
-      "ickoryspar.Catalog\022\020\n\010document\030\002 \001(\014\"4\n\020" +
-      "DataCentreSwitch\022\023\n\013data_centre\030\001 \001(\t\022\013\n" +
-      "\003out\030\002 \001(\010\"\243\001\n\013CatalogCall\022)\n\003put\030\001 \001(\0132" +
-      "\032.hickoryspar.CatalogChangeH\000\022+\n\003get\030\002 \001" +
-      "(\0132\034.hickoryspar.AcknowledgementH\000\0224\n\013da" +
-      "ta_centre\030\003 \001(\0132\035.hickoryspar.DataCentre" +
-      "SwitchH\000B\006\n\004kind\"1\n\014CatalogReply\022\017\n\007vers" +
-      "ion\030\001 \001(\004\022\020\n\010document\030\002 \001(\014\"T\n\nTaskDeman" +
-      "d\022\026\n\016cpu_millicores\030\001 \001(\004\022\030\n\020memory_mega" +
-      "bytes\030\002 \001(\004\022\024\n\014accelerators\030\003 \001(\r\"\367\002\n\014Wo" +
-      "rkflowStep\022\r\n\005tasks\030\001 \001(\r\022\'\n\006demand\030\002 \001(" +
-      "\0132\027.hickoryspar.TaskDemand\022\030\n\020estimated_" +
-      "millis\030\003 \001(\004\022\022\n\ndepends_on\030\004 \003(\r\022\025\n\rchec" +
-      "kpointing\030\005 \001(\010\022\014\n\004gang\030\006 \001(\010\022\021\n\tsame_ra" +
-      "ck\030\007 \001(\010\022\026\n\016required_label\030\010 \001(\t\022\021\n\tdata" +
-      "_rack\030\t \001(\t\022\034\n\024max_tasks_per_minion\030\n \001(" +
-      "\r\022\023\n\013speculative\030\013 \001(\010\022\024\n\014long_running\030\014" +
-      " \001(\010\022\r\n\005image\030\r \001(\t\022\036\n\026response_target_m" +
-      "illis\030\016 \001(\004\022\r\n\005fills\030\017 \001(\010\022\027\n\017max_unavai" +
-      "lable\030\020 \001(\r\"\221\001\n\014WorkflowSpec\022\017\n\007payload\030" +
-      "\001 \001(\t\022(\n\005steps\030\002 \003(\0132\031.hickoryspar.Workf" +
-      "lowStep\022\023\n\013occurrences\030\003 \001(\r\022\030\n\020first_du" +
-      "e_millis\030\004 \001(\022\022\027\n\017interval_millis\030\005 \001(\004\"" +
-      "\321\001\n\014WorkflowCall\022\014\n\004host\030\001 \001(\t\022\014\n\004path\030\002" +
-      " \001(\t\022\020\n\010team_key\030\003 \001(\t\022+\n\006submit\030\n \001(\0132\031" +
-      ".hickoryspar.WorkflowSpecH\000\022.\n\006status\030\013 " +
-      "\001(\0132\034.hickoryspar.AcknowledgementH\000\022.\n\006c" +
-      "ancel\030\014 \001(\0132\034.hickoryspar.Acknowledgemen" +
-      "tH\000B\006\n\004kind\"\311\002\n\rWorkflowReply\0223\n\007outcome" +
-      "\030\001 \001(\0162\".hickoryspar.WorkflowReply.Outco" +
-      "me\022)\n\005state\030\002 \001(\0162\032.hickoryspar.Workflow" +
-      "State\022\017\n\007pending\030\003 \001(\004\022\032\n\022retry_after_mi" +
-      "llis\030\004 \001(\004\022\016\n\006reason\030\005 \001(\t\022\026\n\016counts_pen" +
-      "ding\030\006 \001(\010\"\202\001\n\007Outcome\022\027\n\023OUTCOME_UNSPEC" +
-      "IFIED\020\000\022\006\n\002OK\020\001\022\013\n\007REFUSED\020\002\022\014\n\010NO_QUEUE" +
-      "\020\003\022\020\n\014UNAUTHORISED\020\004\022\017\n\013NO_WORKFLOW\020\005\022\013\n" +
-      "\007INVALID\020\006\022\013\n\007UNKNOWN\020\007\"T\n\rWorkflowBatch" +
-      "\022*\n\006events\030\001 \003(\0132\032.hickoryspar.WorkflowE" +
-      "vent\022\027\n\017dispatch_number\030\002 \001(\004\"\370\001\n\rWorkfl" +
-      "owEvent\022-\n\006submit\030\001 \001(\0132\033.hickoryspar.Su" +
-      "bmitWorkflowH\000\022-\n\006cancel\030\002 \001(\0132\033.hickory" +
-      "spar.CancelWorkflowH\000\022*\n\trun_start\030\003 \001(\013" +
-      "2\025.hickoryspar.RunStartH\000\022&\n\007run_end\030\004 \001" +
-      "(\0132\023.hickoryspar.RunEndH\000\022-\n\006forget\030\005 \001(" +
-      "\0132\033.hickoryspar.ForgetWorkflowH\000B\006\n\004kind" +
-      "\"\220\001\n\016SubmitWorkflow\022\023\n\013workflow_id\030\001 \001(\t" +
-      "\022\014\n\004team\030\002 \001(\t\022!\n\005queue\030\003 \001(\0132\022.hickorys" +
-      "par.Queue\022\'\n\004spec\030\004 \001(\0132\031.hickoryspar.Wo" +
-      "rkflowSpec\022\017\n\007call_id\030\005 \001(\014\"%\n\016CancelWor" +
-      "kflow\022\023\n\013workflow_id\030\001 \001(\t\"%\n\016ForgetWork" +
-      "flow\022\023\n\013workflow_id\030\001 \001(\t\"4\n\nMinionLife\022" +
-      "\021\n\tminion_id\030\001 \001(\t\022\023\n\013born_millis\030\002 \001(\004\"" +
-      "\214\001\n\010RunStart\022\023\n\013workflow_id\030\001 \001(\t\022\022\n\nocc" +
-      "urrence\030\002 \001(\r\022\014\n\004step\030\003 \001(\r\022\022\n\nfirst_tas" +
-      "k\030\004 \001(\r\022\013\n\003run\030\005 \001(\r\022(\n\007minions\030\006 \003(\0132\027." +
-      "hickoryspar.MinionLife\"\245\002\n\006RunEnd\022\023\n\013wor" +
+      "\0223\n\014data_centres\030\r \003(\0132\035.hickoryspar.Dat" +
+      "aCentreRecord\"c\n\021FleetHistoryEntry\022\017\n\007ve" +
+      "rsion\030\001 \001(\004\022(\n\006change\030\002 \001(\0132\030.hickoryspa" +
+      "r.FleetChange\022\023\n\013time_millis\030\003 \001(\004\"\276\001\n\013C" +
+      "laimRecord\022\014\n\004team\030\001 \001(\t\022\013\n\003key\030\002 \001(\t\022\023\n" +
+      "\013fingerprint\030\003 \001(\014\022\026\n\016entry_instance\030\004 \001" +
+      "(\t\022\031\n\021entry_incarnation\030\005 \001(\004\022\023\n\013time_mi" +
+      "llis\030\006 \001(\004\022%\n\007outcome\030\007 \001(\0132\024.hickoryspa" +
+      "r.Outcome\022\020\n\010claim_id\030\010 \001(\t\"2\n\014ChangeRec" +
+      "ord\022\021\n\tchange_id\030\001 \001(\t\022\017\n\007version\030\002 \001(\004\"" +
+      "\370\002\n\tJobRecord\022\016\n\006job_id\030\001 \001(\t\022\027\n\017idempot" +
+      "ency_key\030\002 \001(\t\022\"\n\004spec\030\003 \001(\0132\024.hickorysp" +
+      "ar.JobSpec\022\030\n\020submitted_millis\030\004 \001(\004\022*\n\005" +
+      "phase\030\005 \001(\0162\033.hickoryspar.GangStep.Phase" +
+      "\022\017\n\007attempt\030\006 \001(\r\022.\n\nplacements\030\007 \003(\0132\032." +
+      "hickoryspar.TaskPlacement\022\016\n\006result\030\010 \001(" +
+      "\t\022\016\n\006detail\030\t \001(\t\022\032\n\022phase_since_millis\030" +
+      "\n \001(\004\022)\n\004then\030\013 \001(\0162\033.hickoryspar.GangSt" +
+      "ep.Phase\022\030\n\020cancel_requested\030\014 \001(\010\022\026\n\016fa" +
+      "ulty_workers\030\r \003(\t\"T\n\020ControlDirectory\022\031" +
+      "\n\021control_addresses\030\001 \003(\t\022\027\n\017leader_inst" +
+      "ance\030\002 \001(\t\022\014\n\004term\030\003 \001(\004\"\231\001\n\007Catalog\022\017\n\007" +
+      "version\030\001 \001(\004\022\"\n\006queues\030\002 \003(\0132\022.hickorys" +
+      "par.Queue\022,\n\010services\030\003 \003(\0132\032.hickoryspa" +
+      "r.ServicePolicy\022+\n\005teams\030\004 \003(\0132\034.hickory" +
+      "spar.TeamEntitlement\"\365\001\n\005Queue\022\014\n\004name\030\001" +
+      " \001(\t\022\014\n\004host\030\002 \001(\t\022\023\n\013path_prefix\030\003 \001(\t\022" +
+      "\017\n\007service\030\004 \001(\t\022\020\n\010priority\030\005 \001(\r\022\024\n\014ma" +
+      "x_attempts\030\006 \001(\r\022\017\n\007stretch\030\007 \001(\001\022 \n\030tar" +
+      "get_completion_millis\030\010 \001(\004\022\014\n\004open\030\t \001(" +
+      "\010\022\026\n\016timeout_millis\030\n \001(\004\022)\n\006advice\030\013 \001(" +
+      "\0132\031.hickoryspar.AdvicePolicy\"[\n\014AdvicePo" +
+      "licy\022\027\n\017decision_millis\030\001 \001(\004\022\031\n\021per_min" +
+      "ion_millis\030\002 \001(\004\022\027\n\017validity_millis\030\003 \001(" +
+      "\004\"\\\n\rServicePolicy\022\014\n\004name\030\001 \001(\t\022\027\n\017admi" +
+      "ssion_check\030\002 \001(\010\022\017\n\007standby\030\003 \001(\010\022\023\n\013he" +
+      "alth_path\030\004 \001(\t\"N\n\017TeamEntitlement\022\014\n\004na" +
+      "me\030\001 \001(\t\022\014\n\004keys\030\002 \003(\t\022\037\n\027guaranteed_acc" +
+      "elerators\030\003 \001(\r\"H\n\rCatalogChange\022%\n\007cata" +
+      "log\030\001 \001(\0132\024.hickoryspar.Catalog\022\020\n\010docum" +
+      "ent\030\002 \001(\014\"j\n\020DataCentreSwitch\022\023\n\013data_ce" +
+      "ntre\030\001 \001(\t\022\013\n\003out\030\002 \001(\010\022\036\n\021expected_revi" +
+      "sion\030\003 \001(\004H\000\210\001\001B\024\n\022_expected_revision\"F\n" +
+      "\020DataCentreRecord\022\023\n\013data_centre\030\001 \001(\t\022\013" +
+      "\n\003out\030\002 \001(\010\022\020\n\010revision\030\003 \001(\004\"\301\001\n\013Catalo" +
+      "gCall\022)\n\003put\030\001 \001(\0132\032.hickoryspar.Catalog" +
+      "ChangeH\000\022+\n\003get\030\002 \001(\0132\034.hickoryspar.Ackn" +
+      "owledgementH\000\0224\n\013data_centre\030\003 \001(\0132\035.hic" +
+      "koryspar.DataCentreSwitchH\000\022\034\n\022data_cent" +
+      "re_record\030\004 \001(\tH\000B\006\n\004kind\"e\n\014CatalogRepl" +
+      "y\022\017\n\007version\030\001 \001(\004\022\020\n\010document\030\002 \001(\014\0222\n\013" +
+      "data_centre\030\003 \001(\0132\035.hickoryspar.DataCent" +
+      "reRecord\"T\n\nTaskDemand\022\026\n\016cpu_millicores" +
+      "\030\001 \001(\004\022\030\n\020memory_megabytes\030\002 \001(\004\022\024\n\014acce" +
+      "lerators\030\003 \001(\r\"\367\002\n\014WorkflowStep\022\r\n\005tasks" +
+      "\030\001 \001(\r\022\'\n\006demand\030\002 \001(\0132\027.hickoryspar.Tas" +
+      "kDemand\022\030\n\020estimated_millis\030\003 \001(\004\022\022\n\ndep" +
+      "ends_on\030\004 \003(\r\022\025\n\rcheckpointing\030\005 \001(\010\022\014\n\004" +
+      "gang\030\006 \001(\010\022\021\n\tsame_rack\030\007 \001(\010\022\026\n\016require" +
+      "d_label\030\010 \001(\t\022\021\n\tdata_rack\030\t \001(\t\022\034\n\024max_" +
+      "tasks_per_minion\030\n \001(\r\022\023\n\013speculative\030\013 " +
+      "\001(\010\022\024\n\014long_running\030\014 \001(\010\022\r\n\005image\030\r \001(\t" +
+      "\022\036\n\026response_target_millis\030\016 \001(\004\022\r\n\005fill" +
+      "s\030\017 \001(\010\022\027\n\017max_unavailable\030\020 \001(\r\"\221\001\n\014Wor" +
+      "kflowSpec\022\017\n\007payload\030\001 \001(\t\022(\n\005steps\030\002 \003(" +
+      "\0132\031.hickoryspar.WorkflowStep\022\023\n\013occurren" +
+      "ces\030\003 \001(\r\022\030\n\020first_due_millis\030\004 \001(\022\022\027\n\017i" +
+      "nterval_millis\030\005 \001(\004\"\321\001\n\014WorkflowCall\022\014\n" +
+      "\004host\030\001 \001(\t\022\014\n\004path\030\002 \001(\t\022\020\n\010team_key\030\003 " +
+      "\001(\t\022+\n\006submit\030\n \001(\0132\031.hickoryspar.Workfl" +
+      "owSpecH\000\022.\n\006status\030\013 \001(\0132\034.hickoryspar.A" +
+      "cknowledgementH\000\022.\n\006cancel\030\014 \001(\0132\034.hicko" +
+      "ryspar.AcknowledgementH\000B\006\n\004kind\"\311\002\n\rWor" +
+      "kflowReply\0223\n\007outcome\030\001 \001(\0162\".hickoryspa" +
+      "r.WorkflowReply.Outcome\022)\n\005state\030\002 \001(\0162\032" +
+      ".hickoryspar.WorkflowState\022\017\n\007pending\030\003 " +
+      "\001(\004\022\032\n\022retry_after_millis\030\004 \001(\004\022\016\n\006reaso" +
+      "n\030\005 \001(\t\022\026\n\016counts_pending\030\006 \001(\010\"\202\001\n\007Outc" +
+      "ome\022\027\n\023OUTCOME_UNSPECIFIED\020\000\022\006\n\002OK\020\001\022\013\n\007" +
+      "REFUSED\020\002\022\014\n\010NO_QUEUE\020\003\022\020\n\014UNAUTHORISED\020" +
+      "\004\022\017\n\013NO_WORKFLOW\020\005\022\013\n\007INVALID\020\006\022\013\n\007UNKNO" +
+      "WN\020\007\"T\n\rWorkflowBatch\022*\n\006events\030\001 \003(\0132\032." +
+      "hickoryspar.WorkflowEvent\022\027\n\017dispatch_nu" +
+      "mber\030\002 \001(\004\"\370\001\n\rWorkflowEvent\022-\n\006submit\030\001" +
+      " \001(\0132\033.hickoryspar.SubmitWorkflowH\000\022-\n\006c" +
+      "ancel\030\002 \001(\0132\033.hickoryspar.CancelWorkflow" +
+      "H\000\022*\n\trun_start\030\003 \001(\0132\025.hickoryspar.RunS" +
+      "tartH\000\022&\n\007run_end\030\004 \001(\0132\023.hickoryspar.Ru" +
+      "nEndH\000\022-\n\006forget\030\005 \001(\0132\033.hickoryspar.For" +
+      "getWorkflowH\000B\006\n\004kind\"\220\001\n\016SubmitWorkflow" +
+      "\022\023\n\013workflow_id\030\001 \001(\t\022\014\n\004team\030\002 \001(\t\022!\n\005q" +
+      "ueue\030\003 \001(\0132\022.hickoryspar.Queue\022\'\n\004spec\030\004" +
+      " \001(\0132\031.hickoryspar.WorkflowSpec\022\017\n\007call_" +
+      "id\030\005 \001(\014\"%\n\016CancelWorkflow\022\023\n\013workflow_i" +
+      "d\030\001 \001(\t\"%\n\016ForgetWorkflow\022\023\n\013workflow_id" +
+      "\030\001 \001(\t\"4\n\nMinionLife\022\021\n\tminion_id\030\001 \001(\t\022" +
+      "\023\n\013born_millis\030\002 \001(\004\"\214\001\n\010RunStart\022\023\n\013wor" +
       "kflow_id\030\001 \001(\t\022\022\n\noccurrence\030\002 \001(\r\022\014\n\004st" +
-      "ep\030\003 \001(\r\022\014\n\004task\030\004 \001(\r\022\013\n\003run\030\005 \001(\r\022(\n\005c" +
-      "ause\030\006 \001(\0162\031.hickoryspar.RunEnd.Cause\022\022\n" +
-      "\ncheckpoint\030\007 \001(\t\"\212\001\n\005Cause\022\025\n\021CAUSE_UNS" +
-      "PECIFIED\020\000\022\010\n\004DONE\020\001\022\017\n\013TASK_FAILED\020\002\022\013\n" +
-      "\007STOPPED\020\003\022\020\n\014LEASE_LAPSED\020\004\022\020\n\014GROUP_BR" +
-      "OKEN\020\005\022\024\n\020GROUP_INCOMPLETE\020\006\022\010\n\004LOST\020\007\"\347" +
-      "\001\n\016WorkflowRecord\022/\n\nsubmission\030\001 \001(\0132\033." +
-      "hickoryspar.SubmitWorkflow\022\027\n\017accepted_m" +
-      "illis\030\002 \001(\004\022\024\n\014ended_millis\030\003 \001(\004\022\021\n\tcan" +
-      "celled\030\004 \001(\010\022\017\n\007started\030\005 \001(\010\0222\n\013occurre" +
-      "nces\030\006 \003(\0132\035.hickoryspar.OccurrenceRecor" +
-      "d\022\035\n\025completed_occurrences\030\007 \003(\r\"N\n\020Occu" +
-      "rrenceRecord\022\022\n\noccurrence\030\001 \001(\r\022&\n\005step" +
-      "s\030\002 \003(\0132\027.hickoryspar.StepRecord\"6\n\nStep" +
-      "Record\022(\n\006groups\030\001 \003(\0132\030.hickoryspar.Gro" +
-      "upRecord\"{\n\013GroupRecord\022\020\n\010last_run\030\001 \001(" +
-      "\r\022\020\n\010failures\030\002 \001(\r\022\014\n\004done\030\003 \001(\010\022\022\n\nche" +
-      "ckpoint\030\004 \001(\t\022&\n\006active\030\005 \003(\0132\026.hickorys" +
-      "par.RunRecord\"k\n\tRunRecord\022\013\n\003run\030\001 \001(\r\022" +
-      "(\n\007minions\030\002 \003(\0132\027.hickoryspar.MinionLif" +
-      "e\022\'\n\004ends\030\003 \003(\0162\031.hickoryspar.RunEnd.Cau" +
-      "se\"\365\002\n\014MinionReport\022%\n\004life\030\001 \001(\0132\027.hick" +
-      "oryspar.MinionLife\022\020\n\010sequence\030\002 \001(\004\022\017\n\007" +
-      "service\030\003 \001(\t\022\017\n\007address\030\004 \001(\t\022\023\n\013data_c" +
-      "entre\030\005 \001(\t\022\020\n\010draining\030\006 \001(\010\022\017\n\007leaving" +
-      "\030\007 \001(\010\022)\n\010capacity\030\010 \001(\0132\027.hickoryspar.T" +
-      "askDemand\022\016\n\006labels\030\t \003(\t\022\035\n\025cold_remain" +
-      "ing_millis\030\n \001(\004\022\036\n\026drain_remaining_mill" +
-      "is\030\013 \001(\004\022\024\n\014clock_millis\030\014 \001(\004\022\022\n\nage_mi" +
-      "llis\030\r \001(\004\022\017\n\007machine\030\016 \001(\t\022\017\n\007version\030\017" +
-      " \001(\t\022\014\n\004rack\030\020 \001(\t\";\n\rMinionReports\022*\n\007r" +
-      "eports\030\001 \003(\0132\031.hickoryspar.MinionReport*" +
-      "\237\001\n\rWorkflowState\022\036\n\032WORKFLOW_STATE_UNSP" +
-      "ECIFIED\020\000\022\023\n\017WORKFLOW_QUEUED\020\001\022\024\n\020WORKFL" +
-      "OW_RUNNING\020\002\022\026\n\022WORKFLOW_COMPLETED\020\003\022\023\n\017" +
-      "WORKFLOW_FAILED\020\004\022\026\n\022WORKFLOW_CANCELLED\020" +
-      "\005B\034\n\030org.hickoryspar.protocolP\001b\006proto3"
+      "ep\030\003 \001(\r\022\022\n\nfirst_task\030\004 \001(\r\022\013\n\003run\030\005 \001(" +
+      "\r\022(\n\007minions\030\006 \003(\0132\027.hickoryspar.MinionL" +
+      "ife\"\245\002\n\006RunEnd\022\023\n\013workflow_id\030\001 \001(\t\022\022\n\no" +
+      "ccurrence\030\002 \001(\r\022\014\n\004step\030\003 \001(\r\022\014\n\004task\030\004 " +
+      "\001(\r\022\013\n\003run\030\005 \001(\r\022(\n\005cause\030\006 \001(\0162\031.hickor" +
+      "yspar.RunEnd.Cause\022\022\n\ncheckpoint\030\007 \001(\t\"\212" +
+      "\001\n\005Cause\022\025\n\021CAUSE_UNSPECIFIED\020\000\022\010\n\004DONE\020" +
+      "\001\022\017\n\013TASK_FAILED\020\002\022\013\n\007STOPPED\020\003\022\020\n\014LEASE" +
+      "_LAPSED\020\004\022\020\n\014GROUP_BROKEN\020\005\022\024\n\020GROUP_INC" +
+      "OMPLETE\020\006\022\010\n\004LOST\020\007\"\347\001\n\016WorkflowRecord\022/" +
+      "\n\nsubmission\030\001 \001(\0132\033.hickoryspar.SubmitW" +
+      "orkflow\022\027\n\017accepted_millis\030\002 \001(\004\022\024\n\014ende" +
+      "d_millis\030\003 \001(\004\022\021\n\tcancelled\030\004 \001(\010\022\017\n\007sta" +
+      "rted\030\005 \001(\010\0222\n\013occurrences\030\006 \003(\0132\035.hickor" +
+      "yspar.OccurrenceRecord\022\035\n\025completed_occu" +
+      "rrences\030\007 \003(\r\"N\n\020OccurrenceRecord\022\022\n\nocc" +
+      "urrence\030\001 \001(\r\022&\n\005steps\030\002 \003(\0132\027.hickorysp" +
+      "ar.StepRecord\"6\n\nStepRecord\022(\n\006groups\030\001 " +
+      "\003(\0132\030.hickoryspar.GroupRecord\"{\n\013GroupRe" +
+      "cord\022\020\n\010last_run\030\001 \001(\r\022\020\n\010failures\030\002 \001(\r" +
+      "\022\014\n\004done\030\003 \001(\010\022\022\n\ncheckpoint\030\004 \001(\t\022&\n\006ac" +
+      "tive\030\005 \003(\0132\026.hickoryspar.RunRecord\"k\n\tRu" +
+      "nRecord\022\013\n\003run\030\001 \001(\r\022(\n\007minions\030\002 \003(\0132\027." +
+      "hickoryspar.MinionLife\022\'\n\004ends\030\003 \003(\0162\031.h" +
+      "ickoryspar.RunEnd.Cause\"\365\002\n\014MinionReport" +
+      "\022%\n\004life\030\001 \001(\0132\027.hickoryspar.MinionLife\022" +
+      "\020\n\010sequence\030\002 \001(\004\022\017\n\007service\030\003 \001(\t\022\017\n\007ad" +
+      "dress\030\004 \001(\t\022\023\n\013data_centre\030\005 \001(\t\022\020\n\010drai" +
+      "ning\030\006 \001(\010\022\017\n\007leaving\030\007 \001(\010\022)\n\010capacity\030" +
+      "\010 \001(\0132\027.hickoryspar.TaskDemand\022\016\n\006labels" +
+      "\030\t \003(\t\022\035\n\025cold_remaining_millis\030\n \001(\004\022\036\n" +
+      "\026drain_remaining_millis\030\013 \001(\004\022\024\n\014clock_m" +
+      "illis\030\014 \001(\004\022\022\n\nage_millis\030\r \001(\004\022\017\n\007machi" +
+      "ne\030\016 \001(\t\022\017\n\007version\030\017 \001(\t\022\014\n\004rack\030\020 \001(\t\"" +
+      ";\n\rMinionReports\022*\n\007reports\030\001 \003(\0132\031.hick" +
+      "oryspar.MinionReport*\237\001\n\rWorkflowState\022\036" +
+      "\n\032WORKFLOW_STATE_UNSPECIFIED\020\000\022\023\n\017WORKFL" +
+      "OW_QUEUED\020\001\022\024\n\020WORKFLOW_RUNNING\020\002\022\026\n\022WOR" +
+      "KFLOW_COMPLETED\020\003\022\023\n\017WORKFLOW_FAILED\020\004\022\026" +
+      "\n\022WORKFLOW_CANCELLED\020\005B\034\n\030org.hickoryspa" +
+      "r.protocolP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -1103,7 +1115,7 @@
     internal_static_hickoryspar_ControlSnapshot_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_ControlSnapshot_descriptor,
-        new java.lang.String[] { "TimeMillis", "FleetVersion", "FleetDocumentJson", "History", "Claims", "Jobs", "Workers", "Changes", "LostEntries", "Catalog", "DataCentresOut", "Workflows", });
+        new java.lang.String[] { "TimeMillis", "FleetVersion", "FleetDocumentJson", "History", "Claims", "Jobs", "Workers", "Changes", "LostEntries", "Catalog", "DataCentresOut", "Workflows", "DataCentres", });
     internal_static_hickoryspar_FleetHistoryEntry_descriptor =
       getDescriptor().getMessageType(51);
     internal_static_hickoryspar_FleetHistoryEntry_fieldAccessorTable = new
@@ -1175,135 +1187,141 @@
     internal_static_hickoryspar_DataCentreSwitch_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_DataCentreSwitch_descriptor,
-        new java.lang.String[] { "DataCentre", "Out", });
-    internal_static_hickoryspar_CatalogCall_descriptor =
+        new java.lang.String[] { "DataCentre", "Out", "ExpectedRevision", });
+    internal_static_hickoryspar_DataCentreRecord_descriptor =
       getDescriptor().getMessageType(63);
+    internal_static_hickoryspar_DataCentreRecord_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_hickoryspar_DataCentreRecord_descriptor,
+        new java.lang.String[] { "DataCentre", "Out", "Revision", });
+    internal_static_hickoryspar_CatalogCall_descriptor =
+      getDescriptor().getMessageType(64);
     internal_static_hickoryspar_CatalogCall_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_CatalogCall_descriptor,
-        new java.lang.String[] { "Put", "Get", "DataCentre", "Kind", });
+        new java.lang.String[] { "Put", "Get", "DataCentre", "DataCentreRecord", "Kind", });
     internal_static_hickoryspar_CatalogReply_descriptor =
-      getDescriptor().getMessageType(64);
+      getDescriptor().getMessageType(65);
     internal_static_hickoryspar_CatalogReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_CatalogReply_descriptor,
-        new java.lang.String[] { "Version", "Document", });
+        new java.lang.String[] { "Version", "Document", "DataCentre", });
     internal_static_hickoryspar_TaskDemand_descriptor =
-      getDescriptor().getMessageType(65);
+      getDescriptor().getMessageType(66);
     internal_static_hickoryspar_TaskDemand_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_TaskDemand_descriptor,
         new java.lang.String[] { "CpuMillicores", "MemoryMegabytes", "Accelerators", });
     internal_static_hickoryspar_WorkflowStep_descriptor =
-      getDescriptor().getMessageType(66);
+      getDescriptor().getMessageType(67);
     internal_static_hickoryspar_WorkflowStep_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_WorkflowStep_descriptor,
         new java.lang.String[] { "Tasks", "Demand", "EstimatedMillis", "DependsOn", "Checkpointing", "Gang", "SameRack", "RequiredLabel", "DataRack", "MaxTasksPerMinion", "Speculative", "LongRunning", "Image", "ResponseTargetMillis", "Fills", "MaxUnavailable", });
     internal_static_hickoryspar_WorkflowSpec_descriptor =
-      getDescriptor().getMessageType(67);
+      getDescriptor().getMessageType(68);
     internal_static_hickoryspar_WorkflowSpec_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_WorkflowSpec_descriptor,
         new java.lang.String[] { "Payload", "Steps", "Occurrences", "FirstDueMillis", "IntervalMillis", });
     internal_static_hickoryspar_WorkflowCall_descriptor =
-      getDescriptor().getMessageType(68);
+      getDescriptor().getMessageType(69);
     internal_static_hickoryspar_WorkflowCall_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_WorkflowCall_descriptor,
         new java.lang.String[] { "Host", "Path", "TeamKey", "Submit", "Status", "Cancel", "Kind", });
     internal_static_hickoryspar_WorkflowReply_descriptor =
-      getDescriptor().getMessageType(69);
+      getDescriptor().getMessageType(70);
     internal_static_hickoryspar_WorkflowReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_WorkflowReply_descriptor,
         new java.lang.String[] { "Outcome", "State", "Pending", "RetryAfterMillis", "Reason", "CountsPending", });
     internal_static_hickoryspar_WorkflowBatch_descriptor =
-      getDescriptor().getMessageType(70);
+      getDescriptor().getMessageType(71);
     internal_static_hickoryspar_WorkflowBatch_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_WorkflowBatch_descriptor,
         new java.lang.String[] { "Events", "DispatchNumber", });
     internal_static_hickoryspar_WorkflowEvent_descriptor =
-      getDescriptor().getMessageType(71);
+      getDescriptor().getMessageType(72);
     internal_static_hickoryspar_WorkflowEvent_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_WorkflowEvent_descriptor,
         new java.lang.String[] { "Submit", "Cancel", "RunStart", "RunEnd", "Forget", "Kind", });
     internal_static_hickoryspar_SubmitWorkflow_descriptor =
-      getDescriptor().getMessageType(72);
+      getDescriptor().getMessageType(73);
     internal_static_hickoryspar_SubmitWorkflow_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_SubmitWorkflow_descriptor,
         new java.lang.String[] { "WorkflowId", "Team", "Queue", "Spec", "CallId", });
     internal_static_hickoryspar_CancelWorkflow_descriptor =
-      getDescriptor().getMessageType(73);
+      getDescriptor().getMessageType(74);
     internal_static_hickoryspar_CancelWorkflow_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_CancelWorkflow_descriptor,
         new java.lang.String[] { "WorkflowId", });
     internal_static_hickoryspar_ForgetWorkflow_descriptor =
-      getDescriptor().getMessageType(74);
+      getDescriptor().getMessageType(75);
     internal_static_hickoryspar_ForgetWorkflow_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_ForgetWorkflow_descriptor,
         new java.lang.String[] { "WorkflowId", });
     internal_static_hickoryspar_MinionLife_descriptor =
-      getDescriptor().getMessageType(75);
+      getDescriptor().getMessageType(76);
     internal_static_hickoryspar_MinionLife_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_MinionLife_descriptor,
         new java.lang.String[] { "MinionId", "BornMillis", });
     internal_static_hickoryspar_RunStart_descriptor =
-      getDescriptor().getMessageType(76);
+      getDescriptor().getMessageType(77);
     internal_static_hickoryspar_RunStart_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_RunStart_descriptor,
         new java.lang.String[] { "WorkflowId", "Occurrence", "Step", "FirstTask", "Run", "Minions", });
     internal_static_hickoryspar_RunEnd_descriptor =
-      getDescriptor().getMessageType(77);
+      getDescriptor().getMessageType(78);
     internal_static_hickoryspar_RunEnd_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_RunEnd_descriptor,
         new java.lang.String[] { "WorkflowId", "Occurrence", "Step", "Task", "Run", "Cause", "Checkpoint", });
     internal_static_hickoryspar_WorkflowRecord_descriptor =
-      getDescriptor().getMessageType(78);
+      getDescriptor().getMessageType(79);
     internal_static_hickoryspar_WorkflowRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_WorkflowRecord_descriptor,
         new java.lang.String[] { "Submission", "AcceptedMillis", "EndedMillis", "Cancelled", "Started", "Occurrences", "CompletedOccurrences", });
     internal_static_hickoryspar_OccurrenceRecord_descriptor =
-      getDescriptor().getMessageType(79);
+      getDescriptor().getMessageType(80);
     internal_static_hickoryspar_OccurrenceRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_OccurrenceRecord_descriptor,
         new java.lang.String[] { "Occurrence", "Steps", });
     internal_static_hickoryspar_StepRecord_descriptor =
-      getDescriptor().getMessageType(80);
+      getDescriptor().getMessageType(81);
     internal_static_hickoryspar_StepRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_StepRecord_descriptor,
         new java.lang.String[] { "Groups", });
     internal_static_hickoryspar_GroupRecord_descriptor =
-      getDescriptor().getMessageType(81);
+      getDescriptor().getMessageType(82);
     internal_static_hickoryspar_GroupRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_GroupRecord_descriptor,
         new java.lang.String[] { "LastRun", "Failures", "Done", "Checkpoint", "Active", });
     internal_static_hickoryspar_RunRecord_descriptor =
-      getDescriptor().getMessageType(82);
+      getDescriptor().getMessageType(83);
     internal_static_hickoryspar_RunRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_RunRecord_descriptor,
         new java.lang.String[] { "Run", "Minions", "Ends", });
     internal_static_hickoryspar_MinionReport_descriptor =
-      getDescriptor().getMessageType(83);
+      getDescriptor().getMessageType(84);
     internal_static_hickoryspar_MinionReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_MinionReport_descriptor,
         new java.lang.String[] { "Life", "Sequence", "Service", "Address", "DataCentre", "Draining", "Leaving", "Capacity", "Labels", "ColdRemainingMillis", "DrainRemainingMillis", "ClockMillis", "AgeMillis", "Machine", "Version", "Rack", });
     internal_static_hickoryspar_MinionReports_descriptor =
-      getDescriptor().getMessageType(84);
+      getDescriptor().getMessageType(85);
     internal_static_hickoryspar_MinionReports_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_MinionReports_descriptor,
--- a/hickoryspar-standins/src/test/java/org/hickoryspar/standins/scenario/ClusterSteps.java
+++ b/hickoryspar-standins/src/test/java/org/hickoryspar/standins/scenario/ClusterSteps.java
@@ -2,6 +2,7 @@
 
 import static org.awaitility.Awaitility.await;
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -64,6 +65,37 @@
     acceptedVersions.put("first", 1L);
   }
 
+  @When("data centre {word} is taken out, taken in, and an older order to take it out arrives")
+  public void sendOlderOrder(String dataCentre) {
+    long olderVersion =
+        operator("maela", "e1", "GET", "/v1/fleet", "").json().path("version").asLong();
+    assertEquals(changeDataCentre(dataCentre, "out", "order 1", olderVersion).status(), 200);
+    assertEquals(changeDataCentre(dataCentre, "in", "order 2", olderVersion + 1).status(), 200);
+    responses.add(changeDataCentre(dataCentre, "out", "order 3", olderVersion));
+  }
+
+  private Response changeDataCentre(
+      String dataCentre, String direction, String changeId, long baseVersion) {
+    ObjectNode change =
+        TestCluster.JSON
+            .createObjectNode()
+            .put("changeId", changeId)
+            .put("reason", "cooling")
+            .put("baseVersion", baseVersion);
+    String path = "/v1/data-centres/" + dataCentre + '/' + direction;
+    return operator("maela", "e2", "POST", path, change.toString());
+  }
+
+  @Then("the older order is refused and data centre {word} is in service")
+  public void checkOlderOrder(String dataCentre) {
+    Response refused = responses.get(responses.size() - 1);
+    assertEquals(refused.status(), 409, refused.toString());
+    assertEquals(refused.json().path("code").asText(), "version-conflict");
+    JsonNode document = operator("maela", "e1", "GET", "/v1/fleet", "").json().path("document");
+    boolean out = document.path("dataCentres").path(dataCentre).path("out").asBoolean();
+    assertFalse(out, document.toString());
+  }
+
   @Given("operator {word} has added {int} exceptions")
   public void addExceptions(String operator, int count) {
     for (int i = 0; i < count; i++) {
--- a/hickoryspar-standins/src/test/resources/org/hickoryspar/standins/scenario/control.feature
+++ b/hickoryspar-standins/src/test/resources/org/hickoryspar/standins/scenario/control.feature
@@ -46,3 +46,8 @@
     And operator yann has added 3 exceptions
     Then every accepted change is in the history once
     And the cluster has 3 voters and none lags
+
+  Scenario: An order that was made from an older version does not undo a later one
+    Given a cluster of 3 control and 2 entry instances with 8 workers
+    When data centre brest-a is taken out, taken in, and an older order to take it out arrives
+    Then the older order is refused and data centre brest-a is in service
