Leave large log entries on the disk at a start

Cause: FileLogStorage.load kept the contents of all entries in memory.

Change: StoredEntry stands for an entry in memory or on the disk; entries of 16 KiB and more that are loaded at a start are read from their segment when they are applied or sent. Entries that are appended later stay in memory until they are compacted, as before.

--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/replication/EntryLog.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/replication/EntryLog.java
@@ -9,13 +9,13 @@
 import org.hickoryspar.protocol.Membership;
 
 /**
- * The entries of the log that a replica holds in memory, and the index up to which it is synced.
+ * The entries of the log that a replica has not compacted, and the index up to which it is synced.
  */
 final class EntryLog {
 
   private long baseIndex;
   private long baseTerm;
-  private final ArrayList<LogEntry> entries = new ArrayList<>();
+  private final ArrayList<StoredEntry> entries = new ArrayList<>();
 
   /** Position after each entry, in bytes of serialized entries since this object was created. */
   private final ArrayList<Long> endOffsets = new ArrayList<>();
@@ -27,7 +27,7 @@
 
   EntryLog(RecoveredState recovered) {
     memberships.put(0L, Membership.getDefaultInstance());
-    List<LogEntry> recoveredEntries = recovered.entries();
+    List<StoredEntry> recoveredEntries = recovered.entries();
     recovered
         .snapshot()
         .ifPresent(
@@ -36,13 +36,13 @@
               baseTerm = snapshot.lastTerm();
               memberships.put(snapshot.lastIndex(), snapshot.membership());
             });
-    if (!recoveredEntries.isEmpty() && recoveredEntries.get(0).getIndex() <= baseIndex) {
+    if (!recoveredEntries.isEmpty() && recoveredEntries.get(0).index() <= baseIndex) {
       // Entries before the snapshot are retained for replicas that lag; the first one is the base.
-      baseIndex = recoveredEntries.get(0).getIndex();
-      baseTerm = recoveredEntries.get(0).getTerm();
+      baseIndex = recoveredEntries.get(0).index();
+      baseTerm = recoveredEntries.get(0).term();
       recoveredEntries = recoveredEntries.subList(1, recoveredEntries.size());
     }
-    for (LogEntry entry : recoveredEntries) {
+    for (StoredEntry entry : recoveredEntries) {
       append(entry);
     }
     syncedIndex = lastIndex();
@@ -57,7 +57,7 @@
   }
 
   long lastTerm() {
-    return entries.isEmpty() ? baseTerm : entries.get(entries.size() - 1).getTerm();
+    return entries.isEmpty() ? baseTerm : entries.get(entries.size() - 1).term();
   }
 
   long syncedIndex() {
@@ -69,10 +69,10 @@
     if (index == baseIndex) {
       return baseTerm;
     }
-    return index < baseIndex || index > lastIndex() ? -1 : entry(index).getTerm();
+    return index < baseIndex || index > lastIndex() ? -1 : entry(index).term();
   }
 
-  LogEntry entry(long index) {
+  StoredEntry entry(long index) {
     return entries.get((int) (index - baseIndex - 1));
   }
 
@@ -104,25 +104,27 @@
     List<LogEntry> slice = new ArrayList<>();
     long sizeBytes = 0;
     for (long i = fromIndex; i <= lastIndex() && slice.size() < maxEntries; i++) {
-      sizeBytes += entry(i).getSerializedSize();
+      sizeBytes += entry(i).sizeBytes();
       if (!slice.isEmpty() && sizeBytes > maxBytes) {
         break;
       }
-      slice.add(entry(i));
+      slice.add(entry(i).read());
     }
     return slice;
   }
 
   void append(LogEntry entry) {
-    if (entry.getIndex() != lastIndex() + 1) {
+    append(StoredEntry.of(entry));
+  }
+
+  private void append(StoredEntry entry) {
+    if (entry.index() != lastIndex() + 1) {
       throw new IllegalStateException(
-          "expected entry " + (lastIndex() + 1) + ", found " + entry.getIndex());
+          "expected entry " + (lastIndex() + 1) + ", found " + entry.index());
     }
-    endOffsets.add(endOffset(lastIndex()) + entry.getSerializedSize());
+    endOffsets.add(endOffset(lastIndex()) + entry.sizeBytes());
     entries.add(entry);
-    if (entry.hasMembership()) {
-      memberships.put(entry.getIndex(), entry.getMembership());
-    }
+    entry.membership().ifPresent(membership -> memberships.put(entry.index(), membership));
   }
 
   void truncateFrom(long index) {
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/replication/RecoveredState.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/replication/RecoveredState.java
@@ -15,7 +15,7 @@
  *     lower index
  */
 public record RecoveredState(
-    HardState hardState, Optional<Snapshot> snapshot, List<LogEntry> entries) {
+    HardState hardState, Optional<Snapshot> snapshot, List<StoredEntry> entries) {
 
   /**
    * Copies the entries.
@@ -28,6 +28,28 @@
     entries = List.copyOf(entries);
   }
 
+  /**
+   * Returns a state whose entries are in memory.
+   *
+   * @param hardState term and vote
+   * @param snapshot the latest snapshot, if any
+   * @param entries the log entries
+   * @return the state
+   */
+  public static RecoveredState of(
+      HardState hardState, Optional<Snapshot> snapshot, List<LogEntry> entries) {
+    return new RecoveredState(hardState, snapshot, entries.stream().map(StoredEntry::of).toList());
+  }
+
+  /**
+   * Reads all entries.
+   *
+   * @return the entries, all of them in memory
+   */
+  public List<LogEntry> readEntries() {
+    return entries.stream().map(StoredEntry::read).toList();
+  }
+
   /**
    * Returns the state of a replica with an empty disk.
    *
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/replication/ReplicaAction.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/replication/ReplicaAction.java
@@ -2,7 +2,6 @@
 
 import java.util.List;
 import org.hickoryspar.kernel.value.Problem;
-import org.hickoryspar.protocol.LogEntry;
 import org.hickoryspar.protocol.ReplicationMessage;
 
 /** An action that the owner of a {@link ReplicaCore} must execute, in the order returned. */
@@ -28,7 +27,7 @@
    *
    * @param entries consecutive entries
    */
-  record Apply(List<LogEntry> entries) implements ReplicaAction {
+  record Apply(List<StoredEntry> entries) implements ReplicaAction {
 
     /** Makes an immutable copy of the entries. */
     public Apply {
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/replication/ReplicaContext.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/replication/ReplicaContext.java
@@ -263,7 +263,7 @@
       actions.add(new ReplicaAction.Restore(pendingRestore));
     }
     if (lastIndex > deliveredIndex) {
-      List<LogEntry> entries = new ArrayList<>();
+      List<StoredEntry> entries = new ArrayList<>();
       for (long i = deliveredIndex + 1; i <= lastIndex; i++) {
         entries.add(log.entry(i));
       }
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/replication/ReplicaView.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/replication/ReplicaView.java
@@ -18,7 +18,7 @@
  *     the leader acts on its state; 0 unless this replica leads
  * @param commitIndex highest committed index
  * @param lastIndex highest index in the log
- * @param logBytes size of the entries that the log holds in memory
+ * @param logBytes size of the entries that the log has not compacted
  * @param voters the voters
  * @param learners the learners
  * @param matchIndexes highest index known to be synced on each replica, empty unless this replica
--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/replication/ReplicaCoreTest.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/replication/ReplicaCoreTest.java
@@ -229,7 +229,7 @@
         "a",
         OPTIONS,
         new SplittableRandom(1),
-        new RecoveredState(new HardState(1, ""), Optional.empty(), List.of(firstEntry)),
+        RecoveredState.of(new HardState(1, ""), Optional.empty(), List.of(firstEntry)),
         lastContactNanos,
         nowNanos);
   }
--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/replication/SimulatedDisk.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/replication/SimulatedDisk.java
@@ -56,7 +56,7 @@
   }
 
   RecoveredState recover() {
-    return new RecoveredState(hardState, snapshot, entries);
+    return RecoveredState.of(hardState, snapshot, entries);
   }
 
   private void apply(StorageWrite write, int maxEntries) {
--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/replication/SimulatedReplica.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/replication/SimulatedReplica.java
@@ -160,7 +160,7 @@
       bytesSinceSnapshot = 0;
       safetyChecker.checkState(appliedIndex, stateHash);
     } else if (action instanceof ReplicaAction.Apply apply) {
-      apply.entries().forEach(this::apply);
+      apply.entries().forEach(entry -> apply(entry.read()));
     }
     completeReads();
     if (appliedIndex - snapshotIndex >= Simulation.OPTIONS.snapshotIntervalEntries()
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/control/ControlMetrics.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/control/ControlMetrics.java
@@ -39,7 +39,7 @@
     gauge("commit_index", "Highest committed index.", registry, () -> log.status().commitIndex());
     gauge(
         "log_bytes",
-        "Size of the log entries in memory, in bytes.",
+        "Size of the log entries that are not compacted, in bytes.",
         registry,
         () -> log.status().logBytes());
     gauge("applied_index", "Highest applied index.", registry, () -> log.status().appliedIndex());
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/control/ReplicatedLog.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/control/ReplicatedLog.java
@@ -85,7 +85,7 @@
    * @param holdsLease whether this replica is the leader and holds the leader lease; false as soon
    *     as the lease has expired, and until the leader has applied an entry of its own term
    * @param commitIndex highest committed index
-   * @param logBytes size of the entries that the replica holds in memory
+   * @param logBytes size of the log entries that the replica has not compacted
    * @param appliedIndex highest applied index
    * @param voters the voters
    * @param learners the learners
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/replication/Applier.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/replication/Applier.java
@@ -9,6 +9,7 @@
 import java.util.function.ObjLongConsumer;
 import org.hickoryspar.kernel.replication.ReplicaAction;
 import org.hickoryspar.kernel.replication.Snapshot;
+import org.hickoryspar.kernel.replication.StoredEntry;
 import org.hickoryspar.node.control.StateMachine;
 import org.hickoryspar.protocol.LogEntry;
 
@@ -53,7 +54,8 @@
   }
 
   void apply(ReplicaAction.Apply apply) {
-    for (LogEntry entry : apply.entries()) {
+    for (StoredEntry stored : apply.entries()) {
+      LogEntry entry = stored.read();
       if (entry.hasCommand()) {
         R result = stateMachine.apply(entry.getIndex(), entry.getCommand());
         advanceTo(entry.getIndex());
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/storage/FileLogStorage.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/storage/FileLogStorage.java
@@ -13,6 +13,7 @@
 import org.hickoryspar.kernel.replication.RecoveredState;
 import org.hickoryspar.kernel.replication.Snapshot;
 import org.hickoryspar.kernel.replication.StorageWrite;
+import org.hickoryspar.kernel.replication.StoredEntry;
 import org.hickoryspar.node.observability.EventLogger;
 import org.hickoryspar.protocol.LogEntry;
 
@@ -69,12 +70,12 @@
       throw missingLog();
     }
     long snapshotIndex = snapshot.map(Snapshot::lastIndex).orElse(0L);
-    List<LogEntry> storedEntries = log.load(segments, snapshotIndex);
+    List<StoredEntry> storedEntries = log.load(segments, snapshotIndex);
     boolean isInitialVoter = identity.replicaId().endsWith(ReplicaFolder.INITIAL_VOTER_SUFFIX);
     if (isInitialVoter && snapshotIndex == 0 && storedEntries.isEmpty()) {
       throw missingLog();
     }
-    List<LogEntry> entries = reconcile(snapshot, storedEntries);
+    List<StoredEntry> entries = reconcile(snapshot, storedEntries);
     EventLogger.log(
         StorageEvent.LOADED,
         hardState.term(),
@@ -147,15 +148,15 @@
     EventLogger.log(StorageEvent.SNAPSHOT_WRITTEN, snapshot.lastIndex(), snapshot.data().size());
   }
 
-  private List<LogEntry> reconcile(Optional<Snapshot> snapshot, List<LogEntry> entries)
+  private List<StoredEntry> reconcile(Optional<Snapshot> snapshot, List<StoredEntry> entries)
       throws IOException {
     long snapshotIndex = snapshot.map(Snapshot::lastIndex).orElse(0L);
-    long lastLogIndex = entries.isEmpty() ? 0 : entries.get(entries.size() - 1).getIndex();
+    long lastLogIndex = entries.isEmpty() ? 0 : entries.get(entries.size() - 1).index();
     boolean continuesSnapshot =
         snapshot.isEmpty()
             || (lastLogIndex >= snapshotIndex
-                && (entries.get(0).getIndex() > snapshotIndex
-                    || entries.get((int) (snapshotIndex - entries.get(0).getIndex())).getTerm()
+                && (entries.get(0).index() > snapshotIndex
+                    || entries.get((int) (snapshotIndex - entries.get(0).index())).term()
                         == snapshot.get().lastTerm()));
     if (!entries.isEmpty() && continuesSnapshot) {
       return entries;
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/storage/FileOperations.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/storage/FileOperations.java
@@ -35,6 +35,17 @@
    */
   byte[] read(Path file) throws IOException;
 
+  /**
+   * Reads a part of a file.
+   *
+   * @param file the file
+   * @param offsetBytes offset of the first byte
+   * @param lengthBytes number of bytes
+   * @return the bytes
+   * @throws IOException if the file cannot be read or is shorter
+   */
+  byte[] read(Path file, long offsetBytes, int lengthBytes) throws IOException;
+
   /**
    * Opens a file for appending; creates it if it does not exist.
    *
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/storage/SegmentedLog.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/storage/SegmentedLog.java
@@ -6,6 +6,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import org.hickoryspar.kernel.replication.StoredEntry;
 import org.hickoryspar.protocol.LogEntry;
 import org.jspecify.annotations.Nullable;
 
@@ -44,18 +45,19 @@
   }
 
   /**
-   * Reads all segments and rewrites the last one without an incomplete record at its end.
+   * Reads all segments and rewrites the last one without an incomplete record at its end. Large
+   * entries are not kept in memory.
    *
    * @param segmentFiles the segment files, sorted by index
    * @param snapshotIndex index of the last entry that the snapshot includes, 0 without a snapshot;
    *     the log must start at the next index or earlier
    * @throws DamagedFileException if a segment is damaged or missing
    */
-  List<LogEntry> load(List<Path> segmentFiles, long snapshotIndex) throws IOException {
+  List<StoredEntry> load(List<Path> segmentFiles, long snapshotIndex) throws IOException {
     if (parseFirstIndex(segmentFiles.get(0)) > snapshotIndex + 1) {
       throw new DamagedFileException(segmentFiles.get(0), 0, "the preceding entries are missing");
     }
-    List<LogEntry> entries = new ArrayList<>();
+    List<StoredEntry> entries = new ArrayList<>();
     for (int i = 0; i < segmentFiles.size(); i++) {
       Path file = segmentFiles.get(i);
       boolean isLast = i == segmentFiles.size() - 1;
@@ -73,7 +75,7 @@
       if (isLast) {
         rewrite(file, bytes, decoded.validBytes());
       }
-      entries.addAll(decoded.entries());
+      entries.addAll(SegmentEntry.listOf(files, file, decoded));
       segments.add(new Segment(file, firstIndex, decoded.offsets(), decoded.validBytes()));
     }
     return entries;
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/storage/SystemFileOperations.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/storage/SystemFileOperations.java
@@ -2,6 +2,7 @@
 
 import java.io.Closeable;
 import java.io.IOException;
+import java.io.RandomAccessFile;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
 import java.nio.channels.FileLock;
@@ -34,6 +35,16 @@
     return Files.readAllBytes(file);
   }
 
+  @Override
+  public byte[] read(Path file, long offsetBytes, int lengthBytes) throws IOException {
+    byte[] bytes = new byte[lengthBytes];
+    try (RandomAccessFile input = new RandomAccessFile(file.toFile(), "r")) {
+      input.seek(offsetBytes);
+      input.readFully(bytes);
+    }
+    return bytes;
+  }
+
   @Override
   public OutputFile openForAppend(Path file) throws IOException {
     return new ChannelFile(
--- a/hickoryspar-node/src/test/java/org/hickoryspar/node/storage/FaultyFileOperations.java
+++ b/hickoryspar-node/src/test/java/org/hickoryspar/node/storage/FaultyFileOperations.java
@@ -70,6 +70,11 @@
     return files.read(file);
   }
 
+  @Override
+  public byte[] read(Path file, long offsetBytes, int lengthBytes) throws IOException {
+    return files.read(file, offsetBytes, lengthBytes);
+  }
+
   @Override
   public OutputFile openForAppend(Path file) throws IOException {
     checkFault(false, false);
--- a/hickoryspar-node/src/test/java/org/hickoryspar/node/storage/FileLogStorageTest.java
+++ b/hickoryspar-node/src/test/java/org/hickoryspar/node/storage/FileLogStorageTest.java
@@ -20,6 +20,7 @@
 import org.hickoryspar.kernel.replication.RecoveredState;
 import org.hickoryspar.kernel.replication.Snapshot;
 import org.hickoryspar.kernel.replication.StorageWrite;
+import org.hickoryspar.kernel.replication.StoredEntry;
 import org.hickoryspar.kernel.value.Result;
 import org.hickoryspar.node.storage.FaultyFileOperations.Fault;
 import org.hickoryspar.protocol.LogEntry;
@@ -128,6 +129,37 @@
     }
   }
 
+  /** Guards against a restart that runs out of memory because the log exceeds it. */
+  @Test
+  public void shouldReadLargeEntriesFromDiskWhenTheyAreNeeded() throws IOException {
+    List<LogEntry> entries = new ArrayList<>();
+    for (int index = 2; index < 40; index++) {
+      byte[] command = new byte[index % 2 == 0 ? SegmentEntry.LARGE_ENTRY_BYTES : 10];
+      Arrays.fill(command, (byte) index);
+      entries.add(
+          LogEntry.newBuilder()
+              .setIndex(index)
+              .setTerm(2)
+              .setCommand(ByteString.copyFrom(command))
+              .build());
+    }
+    try (FileLogStorage storage = open()) {
+      storage.load();
+      storage.write(List.of(append(1, entries.toArray(LogEntry[]::new))));
+    }
+    RecoveredState state = load();
+    assertEquals(
+        state.entries().stream().filter(SegmentEntry.class::isInstance).count(),
+        entries.stream().filter(entry -> entry.getIndex() % 2 == 0).count());
+    assertEquals(state.readEntries().subList(1, 39), entries);
+    for (int i = 1; i < 39; i++) {
+      StoredEntry stored = state.entries().get(i);
+      assertEquals(stored.index(), i + 1);
+      assertEquals(stored.term(), 2);
+      assertEquals(stored.sizeBytes(), entries.get(i - 1).getSerializedSize());
+    }
+  }
+
   // -- write
 
   /** Guards against a segment that exceeds its limit because many large entries come at once. */
@@ -146,7 +178,7 @@
       long limitBytes = SegmentedLog.SEGMENT_BYTES + (2 << 20);
       assertTrue(Files.size(file) <= limitBytes, file + " has " + Files.size(file) + " bytes");
     }
-    assertEquals(load().entries().subList(1, 21), entries);
+    assertEquals(load().readEntries().subList(1, 21), entries);
   }
 
   @DataProvider
@@ -194,13 +226,13 @@
   private static void checkRetained(
       String where, RecoveredState state, StorageWrite write, int keptEntries) {
     long snapshot = state.snapshot().map(Snapshot::lastIndex).orElse(0L);
-    long last = state.entries().stream().mapToLong(LogEntry::getIndex).max().orElse(0);
+    long last = state.readEntries().stream().mapToLong(LogEntry::getIndex).max().orElse(0);
     assertTrue(Math.max(last, snapshot) >= keptEntries, where);
     assertTrue(
         List.of(new HardState(1, ""), write.hardState().orElse(new HardState(1, "")))
             .contains(state.hardState()),
         where);
-    for (LogEntry entry : state.entries()) {
+    for (LogEntry entry : state.readEntries()) {
       long term = entry.getIndex() == 1 ? 1 : 2;
       assertTrue(entry.getTerm() == term || write.entries().contains(entry), where);
     }
@@ -273,7 +305,7 @@
       RecoveredState state = load();
       assertEquals(state.hardState(), new HardState(1, ""));
       assertEquals(
-          state.entries().get(0).getMembership().getVotersList(), List.of("a/1", "b/1", "c/1"));
+          state.readEntries().get(0).getMembership().getVotersList(), List.of("a/1", "b/1", "c/1"));
     }
   }
 
