Send a submission to the leader only while its caller waits

What callers could see: a job runs although it was cancelled. An entry that is frozen with a submission in its socket hands it in when it wakes; its caller has given it up and cancelled the job elsewhere, which was answered with "no such workflow".

--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/LeaderClient.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/LeaderClient.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
@@ -89,8 +90,26 @@
    *     which the leader responded
    */
   public CompletableFuture<Result<Envelope>> call(Envelope.Builder call, long timeoutMillis) {
+    return call(call, timeoutMillis, () -> true);
+  }
+
+  /**
+   * Sends a call while its caller waits. A call that was read after a pause of this process, when
+   * its caller had left, is not sent: the caller may have replaced it since.
+   *
+   * @param call the call; must not be modified afterwards
+   * @param timeoutMillis time after which the call is not retried any more
+   * @param callerWaits returns whether the caller still waits for the response; asked before each
+   *     attempt, must not block
+   * @return the result as of {@link #call(Envelope.Builder, long)}; or a failure {@code "unknown"}
+   *     or {@code "abandoned"} if the caller has left after or before the first attempt
+   */
+  public CompletableFuture<Result<Envelope>> call(
+      Envelope.Builder call, long timeoutMillis, BooleanSupplier callerWaits) {
     requireNonNull(call, "call is null");
-    PendingCall pending = new PendingCall(call.setCallId(callIds.get()), timeoutMillis);
+    requireNonNull(callerWaits, "callerWaits is null");
+    PendingCall pending =
+        new PendingCall(call.setCallId(callIds.get()), timeoutMillis, callerWaits);
     pendingCalls.add(pending);
     pending.startAttempt();
     return pending.future;
@@ -102,21 +121,29 @@
     private final Envelope.Builder call;
     private final long startMillis = monotonicMillis.getAsLong();
     private final long deadlineMillis;
+    private final BooleanSupplier callerWaits;
     private final CompletableFuture<Result<Envelope>> future = new CompletableFuture<>();
     private final AtomicInteger attemptCount = new AtomicInteger();
     private volatile String lastProblem = "";
     private volatile ControlPeers.Leader leader = peers.leader();
     private volatile CompletableFuture<Result<Envelope>> currentAttempt = new CompletableFuture<>();
 
-    PendingCall(Envelope.Builder call, long timeoutMillis) {
+    PendingCall(Envelope.Builder call, long timeoutMillis, BooleanSupplier callerWaits) {
       this.call = call;
+      this.callerWaits = callerWaits;
       this.deadlineMillis = startMillis + timeoutMillis;
     }
 
     void startAttempt() {
       long remainingMillis = deadlineMillis - monotonicMillis.getAsLong();
       if (remainingMillis <= 0) {
-        complete(Result.failure("unknown", "no leader responded in time"));
+        complete(Result.failure(UNKNOWN, "no leader responded in time"));
+        return;
+      }
+      if (!callerWaits.getAsBoolean()) {
+        complete(
+            Result.failure(
+                attemptCount.get() == 0 ? "abandoned" : UNKNOWN, "the caller no longer waits"));
         return;
       }
       leader = peers.leader();
--- a/hickoryspar-node/src/test/java/org/hickoryspar/node/dispatch/LeaderClientTest.java
+++ b/hickoryspar-node/src/test/java/org/hickoryspar/node/dispatch/LeaderClientTest.java
@@ -242,6 +242,37 @@
     assertTrue(result.isSuccess(), result.toString());
   }
 
+  @DataProvider
+  Object[][] departures() {
+    return new Object[][] {{0, "abandoned"}, {1, "unknown"}};
+  }
+
+  /**
+   * Guards against a submission that is sent after a pause of the process, when its caller has
+   * already cancelled it elsewhere.
+   */
+  @Test(dataProvider = "departures")
+  void shouldNotSendWhenCallerHasLeft(int attempts, String code) throws Exception {
+    AtomicInteger received = new AtomicInteger();
+    String leader =
+        startControl(
+            (from, message, reply) -> {
+              received.incrementAndGet();
+              reply.accept(
+                  Envelope.newBuilder().setFailure(Failure.newBuilder().setCode("unknown")));
+            });
+    peers.recordLeader(leader, 1);
+    AtomicInteger checks = new AtomicInteger();
+
+    Result<Envelope> result =
+        client
+            .call(call(), TIMEOUT_MILLIS, () -> checks.getAndIncrement() < attempts)
+            .get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+
+    assertEquals(result.problem().orElseThrow().code(), code);
+    assertEquals(received.get(), attempts);
+  }
+
   /** Guards against a call that may have taken effect and is reported as not run. */
   @Test
   void shouldFailWithUnknownWhenNoLeaderRespondsInTime() throws Exception {
