Bound the history of the fleet and the recorded bodies in bytes

Cause: the replicated state kept 1,000 changes of up to 2 MiB each, and 50,000 claims a team with a body of up to 64 KiB each. An entry that lags could also be sent more than a frame of 4 MiB holds.

Change: the history is limited to 2 MiB, an entry that needs more gets the document; the bodies of the oldest claims are dropped beyond 16 MiB in all, with status and outcome kept, as for a body over 64 KiB. The order is that of the claims in the log, so that all replicas drop the same ones.

--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/control/ClaimTable.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/control/ClaimTable.java
@@ -39,6 +39,9 @@
   /** Maximum number of claims per team; bounds the replicated state under unlimited load. */
   static final int MAX_CLAIMS_PER_TEAM = 50_000;
 
+  /** Maximum size of all recorded response bodies; the bodies of the oldest claims are dropped. */
+  static final long MAX_BODY_BYTES = 16L << 20;
+
   /** Maximum number of lost entry processes kept; about five days at 359 restarts a day. */
   static final int MAX_LOST_ENTRIES = 2_000;
 
@@ -47,6 +50,11 @@
   private final Map<String, Integer> claimCountByTeam = new HashMap<>();
   private final Set<Holder> lostHolders = new LinkedHashSet<>();
 
+  /** Claims with a recorded body, in an order that does not depend on when this replica started. */
+  private final TreeSet<RecordedBody> recordedBodies = new TreeSet<>(RecordedBody.OLDEST_FIRST);
+
+  private long recordedBodyBytes;
+
   synchronized ClaimBatchResult claim(ClaimBatch batch, long nowMillis) {
     removeExpired(nowMillis);
     ClaimBatchResult.Builder result = ClaimBatchResult.newBuilder();
@@ -81,7 +89,7 @@
     }
     boolean notRun = existing.getOutcome().getKind() == Outcome.Kind.NOT_RUN;
     if (notRun && !sameClaim) {
-      records.put(key, newRecord(key, claim, holder, nowMillis));
+      put(key, newRecord(key, claim, holder, nowMillis));
       return newResult(ClaimResult.Status.GRANTED);
     }
     return newResult(ClaimResult.Status.COMPLETED).toBuilder()
@@ -104,7 +112,7 @@
   }
 
   private void insert(ClaimKey key, long creationMillis, ClaimRecord claimRecord) {
-    records.put(key, claimRecord);
+    put(key, claimRecord);
     keysByCreationMillis.computeIfAbsent(creationMillis, k -> new ArrayList<>(1)).add(key);
     claimCountByTeam.merge(key.team(), 1, Integer::sum);
   }
@@ -114,8 +122,39 @@
       ClaimKey key = new ClaimKey(outcome.getTeam(), outcome.getKey());
       ClaimRecord existing = records.get(key);
       if (existing != null && isHeldBy(existing, batch) && mayReplaceOutcome(existing)) {
-        records.put(key, existing.toBuilder().setOutcome(outcome.getOutcome()).build());
+        put(key, existing.toBuilder().setOutcome(outcome.getOutcome()).build());
+        dropOldestBodies();
+      }
+    }
+  }
+
+  private void put(ClaimKey key, ClaimRecord claimRecord) {
+    remove(key);
+    records.put(key, claimRecord);
+    int bodyBytes = claimRecord.getOutcome().getBody().size();
+    if (bodyBytes > 0) {
+      recordedBodies.add(new RecordedBody(claimRecord.getTimeMillis(), key));
+      recordedBodyBytes += bodyBytes;
+    }
+  }
+
+  private void remove(ClaimKey key) {
+    ClaimRecord removed = records.remove(key);
+    if (removed != null && recordedBodies.remove(new RecordedBody(removed.getTimeMillis(), key))) {
+      recordedBodyBytes -= removed.getOutcome().getBody().size();
+    }
+  }
+
+  private void dropOldestBodies() {
+    while (recordedBodyBytes > MAX_BODY_BYTES) {
+      ClaimKey oldest = recordedBodies.first().key();
+      ClaimRecord claimRecord = records.get(oldest);
+      if (claimRecord == null) {
+        throw new IllegalStateException("no claim for a recorded body");
       }
+      Outcome withoutBody =
+          claimRecord.getOutcome().toBuilder().clearBody().setBodyDropped(true).build();
+      put(oldest, claimRecord.toBuilder().setOutcome(withoutBody).build());
     }
   }
 
@@ -169,7 +208,7 @@
         keysByCreationMillis.headMap(nowMillis - RETENTION_MILLIS, true);
     for (List<ClaimKey> keys : expired.values()) {
       for (ClaimKey key : keys) {
-        records.remove(key);
+        remove(key);
         claimCountByTeam.merge(key.team(), -1, ClaimTable::sumOrRemove);
       }
     }
@@ -204,6 +243,8 @@
     keysByCreationMillis.clear();
     claimCountByTeam.clear();
     lostHolders.clear();
+    recordedBodies.clear();
+    recordedBodyBytes = 0;
     for (EntryLost lost : lostEntries) {
       lostHolders.add(new Holder(lost.getEntryInstance(), lost.getEntryIncarnation()));
     }
@@ -239,6 +280,15 @@
     }
   }
 
+  /** A claim with a recorded body, by the time of the claim. */
+  private record RecordedBody(long claimMillis, ClaimKey key) {
+
+    static final Comparator<RecordedBody> OLDEST_FIRST =
+        Comparator.comparingLong(RecordedBody::claimMillis)
+            .thenComparing(body -> body.key().team())
+            .thenComparing(body -> body.key().key());
+  }
+
   private record Holder(String instance, long incarnation) {
 
     boolean holds(ClaimRecord claimRecord) {
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/control/FleetState.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/control/FleetState.java
@@ -27,6 +27,9 @@
 
   static final int MAX_HISTORY_ENTRIES = 1_000;
 
+  /** One change may replace a large part of the document. Half of a frame between processes. */
+  static final long MAX_HISTORY_BYTES = 2L << 20;
+
   /** Covers about four days at 2,400 changes a day; clients resend a change within minutes. */
   static final int MAX_CHANGE_IDS = 10_000;
 
@@ -35,6 +38,7 @@
   private JsonNode document = JsonNodeFactory.instance.objectNode();
   private long version;
   private final Deque<FleetHistoryEntry> history = new ArrayDeque<>();
+  private long historyBytes;
   private final LinkedHashMap<String, Long> versionByChangeId = new LinkedHashMap<>();
 
   synchronized CommandResult apply(FleetChange change, long nowMillis) {
@@ -69,14 +73,21 @@
       changeIds.next();
       changeIds.remove();
     }
-    history.add(
+    addToHistory(
         FleetHistoryEntry.newBuilder()
             .setVersion(version)
             .setChange(change)
             .setTimeMillis(nowMillis)
             .build());
-    if (history.size() > MAX_HISTORY_ENTRIES) {
-      history.remove();
+  }
+
+  // Keeps the latest change, whatever its size, because a conflict names it.
+  private void addToHistory(FleetHistoryEntry entry) {
+    history.add(entry);
+    historyBytes += entry.getSerializedSize();
+    while (history.size() > MAX_HISTORY_ENTRIES
+        || (historyBytes > MAX_HISTORY_BYTES && history.size() > 1)) {
+      historyBytes -= history.remove().getSerializedSize();
     }
   }
 
@@ -152,7 +163,8 @@
     }
     version = newVersion;
     history.clear();
-    history.addAll(entries);
+    historyBytes = 0;
+    entries.forEach(this::addToHistory);
     versionByChangeId.clear();
     Map<String, Long> restored = versionByChangeId;
     for (ChangeRecord change : changes) {
