Pass the life of a leaving minion in the workflow benchmark

Cause: Dispatcher.handleLeave takes the life since; WorkflowSimulation of the benchmark still passed the id, so that its module did not compile.

Change: the life is read before the minion ends. Nothing else that is built for the platform changed.

--- a/hickoryspar-bench/src/main/java/org/hickoryspar/bench/workflow/WorkflowSimulation.java
+++ b/hickoryspar-bench/src/main/java/org/hickoryspar/bench/workflow/WorkflowSimulation.java
@@ -21,6 +21,7 @@
 import org.hickoryspar.kernel.workflow.Workflow;
 import org.hickoryspar.kernel.workflow.WorkflowTable;
 import org.hickoryspar.protocol.CancelWorkflow;
+import org.hickoryspar.protocol.MinionLife;
 import org.hickoryspar.protocol.RunEnd;
 import org.hickoryspar.protocol.WorkflowBatch;
 import org.hickoryspar.protocol.WorkflowEvent;
@@ -163,8 +164,9 @@
             nowMillis + 4_000,
             () -> {
               if (minion.isUp()) {
+                MinionLife life = minion.life();
                 minion.crash(nowMillis);
-                leader.dispatcher().handleLeave(minion.id(), nowMillis);
+                leader.dispatcher().handleLeave(life, nowMillis);
               }
             });
       }
