Log and count minions whose current state the leader does not know

Events told only when a minion joins, drains, is suspected or goes.

Change: 5120 when a minion is known only from a saved report, from its runs or from a renewal response; 5121 when it reports its state; the gauge hickoryspar_dispatch_minions has the state provisional.

--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/DispatchEventKind.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/DispatchEventKind.java
@@ -39,5 +39,9 @@
   /** A minion, or an earlier life of it, has announced that its process is about to end. */
   MINION_LEAVING,
   /** A minion has responded to a renewal that was sent after its announced end. */
-  MINION_STAYED
+  MINION_STAYED,
+  /** A minion is known only from an old report or from its runs, and receives no work. */
+  MINION_PROVISIONAL,
+  /** A provisional minion has reported its current state. */
+  MINION_CONFIRMED
 }
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/DispatcherStatus.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/DispatcherStatus.java
@@ -10,6 +10,7 @@
  * @param suspectMinions minions whose last lease renewal failed
  * @param isolatedMinions minions that receive no work because of failures
  * @param drainingMinions minions that drain or are about to end
+ * @param provisionalMinions minions known only from an old report or from their runs
  * @param waitingGroups groups of tasks that are ready and not placed
  * @param runningGroups groups of tasks to which resources are allocated
  * @param accelerators accelerators of the usable minions
@@ -21,6 +22,7 @@
     int suspectMinions,
     int isolatedMinions,
     int drainingMinions,
+    int provisionalMinions,
     int waitingGroups,
     int runningGroups,
     long accelerators,
@@ -35,6 +37,7 @@
     int suspect = 0;
     int isolated = 0;
     int draining = 0;
+    int provisional = 0;
     long accelerators = 0;
     long free = 0;
     for (Minion minion : minions) {
@@ -42,6 +45,8 @@
         draining++;
       } else if (minion.lease().isSuspect()) {
         suspect++;
+      } else if (minion.isProvisional()) {
+        provisional++;
       } else if (minion.health().isIsolated(nowMillis)) {
         isolated++;
       } else if (minion.acceptsWork()) {
@@ -52,6 +57,14 @@
     }
     int waitingGroups = waitingSteps.stream().mapToInt(step -> step.groups().size()).sum();
     return new DispatcherStatus(
-        usable, suspect, isolated, draining, waitingGroups, runningGroups, accelerators, free);
+        usable,
+        suspect,
+        isolated,
+        draining,
+        provisional,
+        waitingGroups,
+        runningGroups,
+        accelerators,
+        free);
   }
 }
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Minion.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Minion.java
@@ -156,6 +156,11 @@
     return lastReportMillis;
   }
 
+  /** Returns whether the current state is unknown, because no report of it has arrived. */
+  boolean isProvisional() {
+    return provisional;
+  }
+
   /** Returns whether the state of the minion permits new work; failures are not considered. */
   boolean acceptsWork() {
     return !provisional
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/MinionTable.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/MinionTable.java
@@ -58,7 +58,7 @@
       return known;
     }
     Minion added = Minion.provisional(MinionReport.getDefaultInstance(), life, nowMillis);
-    byId.put(life.getMinionId(), added);
+    addProvisional(added, "recorded run");
     return added;
   }
 
@@ -78,8 +78,12 @@
     } else if (bornMillis == known.life().getBornMillis()
         && report.getSequence() > known.report().getSequence()) {
       boolean startsDraining = report.getDraining() && !known.report().getDraining();
+      boolean wasProvisional = known.isProvisional();
       known.update(report, nowMillis);
       updateClock(known, nowMillis);
+      if (wasProvisional) {
+        listener.onEvent(DispatchEventKind.MINION_CONFIRMED, known.id(), "bornMillis", bornMillis);
+      }
       if (startsDraining) {
         listener.onEvent(
             DispatchEventKind.MINION_DRAINING,
@@ -122,12 +126,27 @@
   private void handleStaleReport(MinionReport report, long nowMillis) {
     Minion known = byId.get(report.getLife().getMinionId());
     if (known == null) {
-      byId.put(report.getLife().getMinionId(), Minion.provisional(report, nowMillis));
+      addProvisional(Minion.provisional(report, nowMillis), "stale report");
     } else if (!known.isAddressKnown() && known.life().equals(report.getLife())) {
       known.updateLocation(report);
     }
   }
 
+  private void addProvisional(Minion minion, String source) {
+    byId.put(minion.id(), minion);
+    announceProvisional(minion, source);
+  }
+
+  private void announceProvisional(Minion minion, String source) {
+    listener.onEvent(
+        DispatchEventKind.MINION_PROVISIONAL,
+        minion.id(),
+        "bornMillis",
+        minion.life().getBornMillis(),
+        "source",
+        source);
+  }
+
   private void add(MinionReport report, long nowMillis) {
     Minion minion = new Minion(report, nowMillis);
     for (Minion other : List.copyOf(byId.values())) {
@@ -157,7 +176,9 @@
       return;
     }
     MinionLife life = known.life().toBuilder().setBornMillis(bornMillis).build();
-    replace(known, Minion.provisional(known.report(), life, nowMillis), nowMillis);
+    Minion newLife = Minion.provisional(known.report(), life, nowMillis);
+    replace(known, newLife, nowMillis);
+    announceProvisional(newLife, "renewal response");
   }
 
   private void replace(Minion previous, Minion newLife, long nowMillis) {
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/DecisionEvent.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/DecisionEvent.java
@@ -26,7 +26,9 @@
   MINION_SUSPECTED(5114),
   MINION_RETURNED(5115),
   MINION_LEAVING(5118),
-  MINION_STAYED(5119);
+  MINION_STAYED(5119),
+  MINION_PROVISIONAL(5120),
+  MINION_CONFIRMED(5121);
 
   private static final Map<DispatchEventKind, DecisionEvent> BY_KIND =
       new EnumMap<>(DispatchEventKind.class);
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/DecisionTelemetry.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/DecisionTelemetry.java
@@ -111,6 +111,7 @@
     minions.labelValues("suspect").set(status.suspectMinions());
     minions.labelValues("isolated").set(status.isolatedMinions());
     minions.labelValues("draining").set(status.drainingMinions());
+    minions.labelValues("provisional").set(status.provisionalMinions());
     groups.labelValues("waiting").set(status.waitingGroups());
     groups.labelValues("running").set(status.runningGroups());
     accelerators.labelValues("free").set((double) status.freeAccelerators());
