--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Dispatcher.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Dispatcher.java
@@ -11,6 +11,8 @@
 import org.hickoryspar.kernel.workflow.WorkflowTable;
 import org.hickoryspar.protocol.MinionLife;
 import org.hickoryspar.protocol.MinionReport;
+import org.hickoryspar.protocol.MinionReports;
+import org.hickoryspar.protocol.MinionReportsReply;
 import org.hickoryspar.protocol.Queue;
 import org.hickoryspar.protocol.WorkflowBatch;
 import org.hickoryspar.protocol.WorkflowState;
@@ -124,6 +126,25 @@
     planDue = true;
   }
 
+  /**
+   * Handles a message of a control daemon: reports and announcements that it has received, and the
+   * question whether reports that were confirmed earlier are still held.
+   *
+   * @param message the message
+   * @param nowMillis monotonic time in milliseconds
+   * @return the reports that are not held as the current state of a minion
+   */
+  public MinionReportsReply handleReports(MinionReports message, long nowMillis) {
+    for (MinionReport report : requireNonNull(message, "message is null").getReportsList()) {
+      if (report.getLeaving()) {
+        handleLeave(report.getLife(), nowMillis);
+      } else {
+        handleReport(report, nowMillis);
+      }
+    }
+    return MinionReportsReply.newBuilder().addAllMissing(minions.findMissing(message)).build();
+  }
+
   /**
    * Handles the announcement of a minion that its process is about to end. Ignored for an unknown
    * minion and for a life that is not the current one.
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Minion.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Minion.java
@@ -13,6 +13,7 @@
   private static final long NEVER_MILLIS = Long.MIN_VALUE / 2;
 
   private MinionReport report;
+  private long fingerprint;
   private final MinionClock clock = new MinionClock();
   private final Set<Member> members = new LinkedHashSet<>();
   private final LeaseState lease;
@@ -29,6 +30,7 @@
 
   Minion(MinionReport report, long nowMillis) {
     this.report = report;
+    this.fingerprint = ReportFingerprint.of(report);
     this.capacity = Resources.of(report.getCapacity());
     this.lastReportMillis = nowMillis;
     this.lease = new LeaseState(nowMillis);
@@ -59,6 +61,7 @@
   void update(MinionReport newReport, long nowMillis) {
     clearLeaving();
     report = newReport;
+    fingerprint = ReportFingerprint.of(newReport);
     capacity = Resources.of(newReport.getCapacity());
     provisional = false;
     lastReportMillis = nowMillis;
@@ -156,6 +159,16 @@
     return lastReportMillis;
   }
 
+  /** Returns the fingerprint of the latest report, from which a provisional life may differ. */
+  long fingerprint() {
+    return fingerprint;
+  }
+
+  /** Returns whether a report with this fingerprint describes the current state. */
+  boolean isCurrentState(long reportFingerprint) {
+    return !provisional && fingerprint == reportFingerprint;
+  }
+
   /** Returns whether the current state is unknown, because no report of it has arrived. */
   boolean isProvisional() {
     return provisional;
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/MinionTable.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/MinionTable.java
@@ -3,11 +3,14 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Collections;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.hickoryspar.protocol.MinionLife;
 import org.hickoryspar.protocol.MinionReport;
+import org.hickoryspar.protocol.MinionReports;
 import org.jspecify.annotations.Nullable;
 
 /** The known minions, each with its newest life. */
@@ -22,7 +25,7 @@
   private static final long REMOVAL_MILLIS = 15_000;
 
   /** A report that is several heartbeats old no longer shows the current state of its minion. */
-  private static final long MAX_REPORT_AGE_MILLIS = 5_000;
+  static final long MAX_REPORT_AGE_MILLIS = 5_000;
 
   private final Map<String, Minion> byId = new LinkedHashMap<>();
   private final DispatchListener listener;
@@ -94,6 +97,31 @@
     }
   }
 
+  /**
+   * Returns the fingerprints of those reports in a message, and of those confirmed earlier, that
+   * are not held as the current state of a minion.
+   */
+  List<Long> findMissing(MinionReports message) {
+    List<Long> missing = new ArrayList<>();
+    for (MinionReport report : message.getReportsList()) {
+      long fingerprint = ReportFingerprint.of(report);
+      Minion known = byId.get(report.getLife().getMinionId());
+      if (!report.getLeaving() && (known == null || !known.isCurrentState(fingerprint))) {
+        missing.add(fingerprint);
+      }
+    }
+    if (message.getConfirmedCount() > 0) {
+      Set<Long> held = new HashSet<>();
+      byId.values().stream()
+          .filter(minion -> !minion.isProvisional())
+          .forEach(minion -> held.add(minion.fingerprint()));
+      message.getConfirmedList().stream()
+          .filter(fingerprint -> !held.contains(fingerprint))
+          .forEach(missing::add);
+    }
+    return missing;
+  }
+
   /**
    * Handles the announcement of a minion that its process is about to end. It may arrive late, when
    * the minion has a newer life.
--- /dev/null
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/ReceivedReports.java
@@ -0,0 +1,248 @@
+package org.hickoryspar.kernel.dispatch;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.hickoryspar.protocol.MinionLife;
+import org.hickoryspar.protocol.MinionReport;
+import org.hickoryspar.protocol.MinionReports;
+import org.hickoryspar.protocol.MinionReportsReply;
+
+/**
+ * The latest report of each minion that a control daemon has received, and whether the leader has
+ * confirmed it. Reads no clock and performs no I/O. Not thread-safe.
+ *
+ * <p>A report that does not differ from a confirmed one is not sent to the leader. The leader may
+ * no longer hold what it has confirmed, because another leader or another session has started or
+ * because it has removed the minion. The daemon therefore asks regularly whether the leader still
+ * holds the confirmed reports, and sends those that it does not hold.
+ *
+ * <pre>{@code
+ * reports.add(report, nowMillis).ifPresent(this::sendToLeader);
+ * reports.confirmationRequest(nowMillis).ifPresent(this::sendToLeader);
+ * reports.handleReply(message, reply, nowMillis).ifPresent(this::sendToLeader);
+ * }</pre>
+ */
+public final class ReceivedReports {
+
+  /** A minion that has been silent for this long is not reported to a new leader. */
+  private static final long RETENTION_MILLIS = 15_000;
+
+  /** Age assigned to restored reports, which were received before this process started. */
+  private static final long RESTORED_AGE_MILLIS = 60_000;
+
+  private final Map<String, Entry> byId = new HashMap<>();
+  private boolean changedSinceSnapshot;
+
+  /** Creates an empty collection. */
+  public ReceivedReports() {}
+
+  /**
+   * Adds a report of a minion. Reports may arrive late, twice or out of order.
+   *
+   * @param report the report
+   * @param nowMillis monotonic time in milliseconds
+   * @return the message to send to the leader; empty if the leader has confirmed this state, or if
+   *     the report is outdated
+   */
+  public Optional<MinionReports> add(MinionReport report, long nowMillis) {
+    requireNonNull(report, "report is null");
+    Entry entry = new Entry(report, nowMillis);
+    Entry previous = byId.get(entry.minionId());
+    if (previous != null && previous.isNewerThan(report)) {
+      return Optional.empty();
+    }
+    byId.put(entry.minionId(), entry);
+    if (previous == null || previous.fingerprint != entry.fingerprint) {
+      changedSinceSnapshot = true;
+    } else if (previous.confirmed) {
+      entry.confirmed = true;
+      return Optional.empty();
+    }
+    return Optional.of(message(List.of(entry), nowMillis));
+  }
+
+  /**
+   * Removes a minion that announces that its process is about to end. The life that it speaks of is
+   * the one that has reported here last; it is unknown if none has.
+   *
+   * @param minionId identifier of the minion
+   * @return the message to send to the leader
+   */
+  public MinionReports remove(String minionId) {
+    Entry previous = byId.remove(requireNonNull(minionId, "minionId is null"));
+    changedSinceSnapshot = true;
+    MinionLife life =
+        previous == null
+            ? MinionLife.newBuilder().setMinionId(minionId).build()
+            : previous.report.getLife();
+    return MinionReports.newBuilder()
+        .addReports(MinionReport.newBuilder().setLife(life).setLeaving(true))
+        .build();
+  }
+
+  /**
+   * Handles the start of another leader, which has confirmed nothing yet. Removes the minions that
+   * have long been silent.
+   *
+   * @param nowMillis monotonic time in milliseconds
+   * @return the message to send to the leader; empty if there are no reports
+   */
+  public Optional<MinionReports> handleLeaderChange(long nowMillis) {
+    byId.values()
+        .removeIf(entry -> entry.ageMillis(nowMillis) > RETENTION_MILLIS + RESTORED_AGE_MILLIS);
+    byId.values().forEach(entry -> entry.confirmed = false);
+    return messageUnlessEmpty(byId.values(), nowMillis);
+  }
+
+  /**
+   * Returns the question whether the leader still holds what it has confirmed.
+   *
+   * @param nowMillis monotonic time in milliseconds
+   * @return the message to send to the leader; empty if no minion with a confirmed report has
+   *     reported recently
+   */
+  public Optional<MinionReports> confirmationRequest(long nowMillis) {
+    List<Long> fingerprints =
+        byId.values().stream()
+            .filter(entry -> entry.confirmed && entry.isRecent(nowMillis))
+            .map(entry -> entry.fingerprint)
+            .toList();
+    return fingerprints.isEmpty()
+        ? Optional.empty()
+        : Optional.of(MinionReports.newBuilder().addAllConfirmed(fingerprints).build());
+  }
+
+  /**
+   * Handles the reply of the leader to a message.
+   *
+   * @param request the message
+   * @param reply the reply of the leader
+   * @param nowMillis monotonic time in milliseconds
+   * @return the reports that the leader has confirmed earlier and no longer holds, to be sent to
+   *     it; empty if there are none
+   */
+  public Optional<MinionReports> handleReply(
+      MinionReports request, MinionReportsReply reply, long nowMillis) {
+    requireNonNull(request, "request is null");
+    Set<Long> missing = new HashSet<>(requireNonNull(reply, "reply is null").getMissingList());
+    for (MinionReport report : request.getReportsList()) {
+      Entry entry = byId.get(report.getLife().getMinionId());
+      if (entry != null && entry.fingerprint == ReportFingerprint.of(report)) {
+        entry.confirmed = !missing.contains(entry.fingerprint);
+      }
+    }
+    missing.retainAll(Set.copyOf(request.getConfirmedList()));
+    List<Entry> forgotten = new ArrayList<>();
+    for (Entry entry : byId.values()) {
+      if (missing.contains(entry.fingerprint)) {
+        entry.confirmed = false;
+        if (entry.isRecent(nowMillis)) {
+          forgotten.add(entry);
+        }
+      }
+    }
+    return messageUnlessEmpty(forgotten, nowMillis);
+  }
+
+  /**
+   * Returns the latest report of each minion, for a leader in this process.
+   *
+   * @param nowMillis monotonic time in milliseconds
+   * @return the reports with their ages
+   */
+  public List<MinionReport> all(long nowMillis) {
+    return byId.values().stream().map(entry -> entry.withAge(nowMillis)).toList();
+  }
+
+  /**
+   * Adds reports that an earlier process of this instance saved. They provide the addresses of
+   * minions; their age shows the leader that they do not describe the current state.
+   *
+   * @param reports reports that {@link #snapshotIfChanged} returned
+   * @param nowMillis monotonic time in milliseconds
+   */
+  public void restore(MinionReports reports, long nowMillis) {
+    requireNonNull(reports, "reports is null");
+    for (MinionReport report : reports.getReportsList()) {
+      byId.putIfAbsent(
+          report.getLife().getMinionId(), new Entry(report, nowMillis - RESTORED_AGE_MILLIS));
+    }
+  }
+
+  /**
+   * Returns the reports to save for a restart, if they have changed since the last call.
+   *
+   * @return the reports without their times, or empty if they are unchanged
+   */
+  public Optional<MinionReports> snapshotIfChanged() {
+    if (!changedSinceSnapshot) {
+      return Optional.empty();
+    }
+    changedSinceSnapshot = false;
+    MinionReports.Builder reports = MinionReports.newBuilder();
+    byId.values().forEach(entry -> reports.addReports(withoutTimes(entry.report)));
+    return Optional.of(reports.build());
+  }
+
+  private static MinionReport withoutTimes(MinionReport report) {
+    return report.toBuilder().clearSequence().clearClockMillis().clearAgeMillis().build();
+  }
+
+  private static Optional<MinionReports> messageUnlessEmpty(
+      Collection<Entry> entries, long nowMillis) {
+    return entries.isEmpty() ? Optional.empty() : Optional.of(message(entries, nowMillis));
+  }
+
+  private static MinionReports message(Collection<Entry> entries, long nowMillis) {
+    MinionReports.Builder message = MinionReports.newBuilder();
+    entries.forEach(entry -> message.addReports(entry.withAge(nowMillis)));
+    return message.build();
+  }
+
+  /** The latest report of one minion. */
+  private static final class Entry {
+
+    private final MinionReport report;
+    private final long fingerprint;
+    private final long receivedMillis;
+    private boolean confirmed;
+
+    Entry(MinionReport report, long receivedMillis) {
+      this.report = report;
+      this.fingerprint = ReportFingerprint.of(report);
+      this.receivedMillis = receivedMillis;
+    }
+
+    String minionId() {
+      return report.getLife().getMinionId();
+    }
+
+    boolean isNewerThan(MinionReport other) {
+      long bornMillis = report.getLife().getBornMillis();
+      long otherBornMillis = other.getLife().getBornMillis();
+      return bornMillis > otherBornMillis
+          || (bornMillis == otherBornMillis && report.getSequence() >= other.getSequence());
+    }
+
+    long ageMillis(long nowMillis) {
+      return nowMillis - receivedMillis;
+    }
+
+    /** Returns whether the leader would accept the report as the current state. */
+    boolean isRecent(long nowMillis) {
+      return ageMillis(nowMillis) <= MinionTable.MAX_REPORT_AGE_MILLIS;
+    }
+
+    MinionReport withAge(long nowMillis) {
+      return report.toBuilder().setAgeMillis(ageMillis(nowMillis)).build();
+    }
+  }
+}
--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/DispatcherHarness.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/DispatcherHarness.java
@@ -15,6 +15,8 @@
 import org.hickoryspar.protocol.DataCentreSwitch;
 import org.hickoryspar.protocol.MinionLife;
 import org.hickoryspar.protocol.MinionReport;
+import org.hickoryspar.protocol.MinionReports;
+import org.hickoryspar.protocol.MinionReportsReply;
 import org.hickoryspar.protocol.Queue;
 import org.hickoryspar.protocol.RunEnd;
 import org.hickoryspar.protocol.ServicePolicy;
@@ -115,6 +117,25 @@
     return minion;
   }
 
+  /** Adds a minion that carries out orders and has not reported to the dispatcher. */
+  void connect(FakeMinion minion) {
+    minions.put(minion.id, minion);
+  }
+
+  /** Passes a message of a control daemon to the dispatcher. */
+  MinionReportsReply handleReports(MinionReports message) {
+    return dispatcher.handleReports(message, nowMillis);
+  }
+
+  /** Replaces the dispatcher by one to which no minion has reported. */
+  void startSession() {
+    dispatcher = newDispatcher();
+  }
+
+  int usableMinions() {
+    return dispatcher.status(nowMillis).usableMinions();
+  }
+
   void addMinions(int count, String rack) {
     for (int i = 0; i < count; i++) {
       addMinion(rack + "-" + i, rack);
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/daemon/ClusterControlDaemon.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/daemon/ClusterControlDaemon.java
@@ -28,6 +28,7 @@
 import org.hickoryspar.node.cluster.ClusterSettings;
 import org.hickoryspar.node.cluster.ControlPeers;
 import org.hickoryspar.node.cluster.InstanceIds;
+import org.hickoryspar.node.concurrent.PeriodicTask;
 import org.hickoryspar.node.control.ControlMetrics;
 import org.hickoryspar.node.control.ControlStateMachine;
 import org.hickoryspar.node.control.Proposer;
@@ -147,7 +148,7 @@
     dataCentreSwitcher =
         new DataCentreSwitcher(leaderClient, timer, ProcessResources::monotonicMillis);
     registry = new MinionRegistry(leaderClient, ProcessResources::monotonicMillis);
-    startRegistryPersistence(new CacheFile(faults.files(), dataFolder, "minions"));
+    startRegistryTasks(new CacheFile(faults.files(), dataFolder, "minions"));
     loop.addListener(
         dispatcher ->
             registry
@@ -163,10 +164,14 @@
     loop.start();
   }
 
-  private void startRegistryPersistence(CacheFile file) {
+  private void startRegistryTasks(CacheFile file) {
     MinionRegistryStore store = new MinionRegistryStore(registry, file);
     closer.register(store::close);
     store.start();
+    PeriodicTask confirmation =
+        new PeriodicTask("confirmation", MinionRegistry.CONFIRM_INTERVAL_MILLIS, registry::confirm);
+    closer.register(confirmation::close);
+    confirmation.start();
   }
 
   private void startClusterMaintenance(PeerServer server, String dataCentre) {
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/DispatchLogEvent.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/DispatchLogEvent.java
@@ -15,6 +15,10 @@
   REGISTRY_NOT_READ(5005, Level.INFO, "the saved registry of minions cannot be read: %s"),
   REGISTRY_NOT_WRITTEN(5006, Level.WARNING, "the registry of minions cannot be saved: %s"),
   ORDER_FAILED(5007, Level.WARNING, "an order to minion %s failed"),
+  REPORTS_FORGOTTEN(
+      5008,
+      Level.INFO,
+      "the leader no longer holds the reports of %d minions; they are sent again"),
   WORKFLOW_ACCEPTED(5020, Level.INFO, "%s"),
   WORKFLOW_REFUSED(5021, Level.INFO, "%s"),
   WORKFLOW_CANCELLED(5022, Level.INFO, "%s"),
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/LeaderServices.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/LeaderServices.java
@@ -10,9 +10,7 @@
 import org.hickoryspar.kernel.value.Result;
 import org.hickoryspar.node.control.Proposer;
 import org.hickoryspar.node.control.ReplicatedLog;
-import org.hickoryspar.protocol.Acknowledgement;
 import org.hickoryspar.protocol.Envelope;
-import org.hickoryspar.protocol.MinionReport;
 import org.hickoryspar.protocol.MinionReports;
 
 /** Serves the calls that entries and control daemons send to the leader. Thread-safe. */
@@ -85,17 +83,10 @@
 
   private CompletableFuture<Result<Envelope.Builder>> handleReports(MinionReports reports) {
     return loop.submit(
-        dispatcher -> {
-          long nowMillis = monotonicMillis.getAsLong();
-          for (MinionReport report : reports.getReportsList()) {
-            if (report.getLeaving()) {
-              dispatcher.handleLeave(report.getLife(), nowMillis);
-            } else {
-              dispatcher.handleReport(report, nowMillis);
-            }
-          }
-          return Result.success(
-              Envelope.newBuilder().setAcknowledgement(Acknowledgement.getDefaultInstance()));
-        });
+        dispatcher ->
+            Result.success(
+                Envelope.newBuilder()
+                    .setMinionReportsReply(
+                        dispatcher.handleReports(reports, monotonicMillis.getAsLong()))));
   }
 }
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/MinionRegistry.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/MinionRegistry.java
@@ -2,38 +2,32 @@
 
 import static java.util.Objects.requireNonNull;
 
-import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.LongSupplier;
+import org.hickoryspar.kernel.dispatch.ReceivedReports;
+import org.hickoryspar.node.observability.EventLogger;
 import org.hickoryspar.protocol.Envelope;
-import org.hickoryspar.protocol.MinionLife;
 import org.hickoryspar.protocol.MinionReport;
 import org.hickoryspar.protocol.MinionReports;
+import org.hickoryspar.protocol.MinionReportsReply;
 
 /**
- * Stores the latest report of each minion on a control daemon and forwards changes to the leader. A
- * report is acknowledged once the leader has received its changes. Thread-safe.
+ * Receives the reports of minions on a control daemon and forwards to the leader what it does not
+ * hold. A report is acknowledged once the leader has received its changes. Thread-safe.
  */
 public final class MinionRegistry {
 
+  /** Interval at which the owner calls {@link #confirm}. */
+  public static final long CONFIRM_INTERVAL_MILLIS = 2_000;
+
   /** Less than the 1 s after which a minion gives up and tries the next control daemon. */
   private static final long FORWARD_TIMEOUT_MILLIS = 800;
 
-  private static final long RETENTION_MILLIS = 15_000;
-
   private final LeaderClient leaderClient;
   private final LongSupplier monotonicMillis;
-
-  /** Age assigned to restored reports, which were received before this process started. */
-  private static final long RESTORED_AGE_MILLIS = 60_000;
-
-  private final Map<String, Registration> byId = new ConcurrentHashMap<>();
-  private final AtomicBoolean changedSinceSnapshot = new AtomicBoolean();
+  private final ReceivedReports received = new ReceivedReports();
 
   /**
    * Creates an empty registry.
@@ -55,20 +49,11 @@
    */
   public CompletableFuture<Boolean> handleReport(MinionReport report) {
     requireNonNull(report, "report is null");
-    Registration registration = new Registration(report, monotonicMillis.getAsLong());
-    Registration previous = byId.get(report.getLife().getMinionId());
-    if (previous != null && previous.isNewerThan(report)) {
-      return CompletableFuture.completedFuture(true);
-    }
-    byId.put(report.getLife().getMinionId(), registration);
-    if (previous == null || !isEquivalent(previous.report, report)) {
-      changedSinceSnapshot.set(true);
-    }
-    if (previous != null && previous.isAcknowledged && isEquivalent(previous.report, report)) {
-      registration.isAcknowledged = true;
-      return CompletableFuture.completedFuture(true);
+    Optional<MinionReports> message;
+    synchronized (received) {
+      message = received.add(report, monotonicMillis.getAsLong());
     }
-    return forward(List.of(registration));
+    return message.map(this::forward).orElseGet(() -> CompletableFuture.completedFuture(true));
   }
 
   /**
@@ -80,28 +65,29 @@
    */
   public CompletableFuture<Boolean> handleLeave(String minionId) {
     requireNonNull(minionId, "minionId is null");
-    Registration previous = byId.remove(minionId);
-    changedSinceSnapshot.set(true);
-    MinionLife life =
-        previous == null
-            ? MinionLife.newBuilder().setMinionId(minionId).build()
-            : previous.report.getLife();
-    MinionReport leaving = MinionReport.newBuilder().setLife(life).setLeaving(true).build();
-    return forward(List.of(new Registration(leaving, monotonicMillis.getAsLong())));
+    MinionReports message;
+    synchronized (received) {
+      message = received.remove(minionId);
+    }
+    return forward(message);
   }
 
   /** Forwards all reports to a new leader, except those of minions that have long been silent. */
   public void handleLeaderChange() {
-    long nowMillis = monotonicMillis.getAsLong();
-    byId.values()
-        .removeIf(
-            registration ->
-                nowMillis - registration.receivedMillis > RETENTION_MILLIS + RESTORED_AGE_MILLIS);
-    List<Registration> registrations = new ArrayList<>(byId.values());
-    registrations.forEach(registration -> registration.isAcknowledged = false);
-    if (!registrations.isEmpty()) {
-      forward(registrations);
+    Optional<MinionReports> message;
+    synchronized (received) {
+      message = received.handleLeaderChange(monotonicMillis.getAsLong());
+    }
+    message.ifPresent(this::forward);
+  }
+
+  /** Asks the leader whether it still holds what it has confirmed; forwards what it does not. */
+  public void confirm() {
+    Optional<MinionReports> message;
+    synchronized (received) {
+      message = received.confirmationRequest(monotonicMillis.getAsLong());
     }
+    message.ifPresent(this::forward);
   }
 
   /**
@@ -110,8 +96,9 @@
    * @return the latest report of each minion, with its age
    */
   public List<MinionReport> reports() {
-    long nowMillis = monotonicMillis.getAsLong();
-    return byId.values().stream().map(registration -> registration.withAge(nowMillis)).toList();
+    synchronized (received) {
+      return received.all(monotonicMillis.getAsLong());
+    }
   }
 
   /**
@@ -122,9 +109,8 @@
    */
   public void restore(MinionReports reports) {
     requireNonNull(reports, "reports is null");
-    long receivedMillis = monotonicMillis.getAsLong() - RESTORED_AGE_MILLIS;
-    for (MinionReport report : reports.getReportsList()) {
-      byId.putIfAbsent(report.getLife().getMinionId(), new Registration(report, receivedMillis));
+    synchronized (received) {
+      received.restore(reports, monotonicMillis.getAsLong());
     }
   }
 
@@ -134,69 +120,33 @@
    * @return the reports without their times, or empty if they are unchanged
    */
   public Optional<MinionReports> snapshotIfChanged() {
-    if (!changedSinceSnapshot.getAndSet(false)) {
-      return Optional.empty();
+    synchronized (received) {
+      return received.snapshotIfChanged();
     }
-    MinionReports.Builder reports = MinionReports.newBuilder();
-    byId.values()
-        .forEach(registration -> reports.addReports(withoutVolatileFields(registration.report)));
-    return Optional.of(reports.build());
   }
 
-  private static MinionReport withoutVolatileFields(MinionReport report) {
-    return report.toBuilder().clearSequence().clearClockMillis().clearAgeMillis().build();
-  }
-
-  private CompletableFuture<Boolean> forward(List<Registration> registrations) {
-    long nowMillis = monotonicMillis.getAsLong();
-    MinionReports.Builder reports = MinionReports.newBuilder();
-    registrations.forEach(registration -> reports.addReports(registration.withAge(nowMillis)));
+  private CompletableFuture<Boolean> forward(MinionReports message) {
     return leaderClient
-        .call(Envelope.newBuilder().setMinionReports(reports), FORWARD_TIMEOUT_MILLIS)
+        .call(Envelope.newBuilder().setMinionReports(message), FORWARD_TIMEOUT_MILLIS)
         .thenApply(
-            result -> {
-              if (result.isSuccess()) {
-                registrations.forEach(registration -> registration.isAcknowledged = true);
-              }
-              return result.isSuccess();
-            });
-  }
-
-  private static boolean isEquivalent(MinionReport before, MinionReport after) {
-    return normalize(before).equals(normalize(after));
+            result ->
+                result.fold(
+                    problem -> false,
+                    response -> {
+                      handleReply(message, response.getMinionReportsReply());
+                      return true;
+                    }));
   }
 
-  // Clears the fields that differ in each report and that the leader does not need.
-  private static MinionReport normalize(MinionReport report) {
-    return report.toBuilder()
-        .clearSequence()
-        .clearClockMillis()
-        .clearAgeMillis()
-        .clearDrainRemainingMillis()
-        .setColdRemainingMillis(report.getColdRemainingMillis() > 0 ? 1 : 0)
-        .build();
-  }
-
-  private static final class Registration {
-
-    private final MinionReport report;
-    private final long receivedMillis;
-    private volatile boolean isAcknowledged;
-
-    Registration(MinionReport report, long receivedMillis) {
-      this.report = report;
-      this.receivedMillis = receivedMillis;
-    }
-
-    boolean isNewerThan(MinionReport other) {
-      long bornMillis = report.getLife().getBornMillis();
-      long otherBornMillis = other.getLife().getBornMillis();
-      return bornMillis > otherBornMillis
-          || (bornMillis == otherBornMillis && report.getSequence() >= other.getSequence());
-    }
-
-    MinionReport withAge(long nowMillis) {
-      return report.toBuilder().setAgeMillis(nowMillis - receivedMillis).build();
+  private void handleReply(MinionReports message, MinionReportsReply reply) {
+    Optional<MinionReports> forgotten;
+    synchronized (received) {
+      forgotten = received.handleReply(message, reply, monotonicMillis.getAsLong());
     }
+    forgotten.ifPresent(
+        reports -> {
+          EventLogger.log(DispatchLogEvent.REPORTS_FORGOTTEN, reports.getReportsCount());
+          forward(reports);
+        });
   }
 }
--- a/hickoryspar-node/src/test/java/org/hickoryspar/node/dispatch/MinionRegistryTest.java
+++ b/hickoryspar-node/src/test/java/org/hickoryspar/node/dispatch/MinionRegistryTest.java
@@ -16,14 +16,18 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import org.hickoryspar.kernel.catalog.CatalogState;
+import org.hickoryspar.kernel.dispatch.DispatchSettings;
+import org.hickoryspar.kernel.dispatch.Dispatcher;
 import org.hickoryspar.kernel.value.Result;
+import org.hickoryspar.kernel.workflow.WorkflowTable;
 import org.hickoryspar.node.cluster.ControlPeers;
 import org.hickoryspar.node.cluster.InstanceIds;
 import org.hickoryspar.node.transport.PeerIdentity;
-import org.hickoryspar.protocol.Acknowledgement;
 import org.hickoryspar.protocol.Envelope;
 import org.hickoryspar.protocol.MinionLife;
 import org.hickoryspar.protocol.MinionReport;
+import org.hickoryspar.protocol.MinionReports;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -33,6 +37,7 @@
   private final List<MinionReport> forwarded = new CopyOnWriteArrayList<>();
   private final AtomicLong nowMillis = new AtomicLong();
   private Closer closer = Closer.create();
+  private Dispatcher leader = newDispatcher();
   private MinionRegistry registry;
 
   @BeforeMethod
@@ -40,6 +45,7 @@
     closer = Closer.create();
     forwarded.clear();
     nowMillis.set(1_000_000);
+    leader = newDispatcher();
     EventLoopGroup eventLoops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     closer.register(() -> eventLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS));
     ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
@@ -67,11 +73,23 @@
     closer.close();
   }
 
+  private Dispatcher newDispatcher() {
+    return new Dispatcher(
+        new DispatchSettings(4_500, 6_000, 1_000, 300, 1_500, 400, 4_000, 3, 2_900, 120_000, 100),
+        new CatalogState(),
+        new WorkflowTable(),
+        (kind, subject, details) -> {},
+        nowMillis.get(),
+        nowMillis.get());
+  }
+
   private CompletableFuture<Result<Envelope.Builder>> receive(Envelope call) {
     forwarded.addAll(call.getMinionReports().getReportsList());
     return CompletableFuture.completedFuture(
         Result.success(
-            Envelope.newBuilder().setAcknowledgement(Acknowledgement.getDefaultInstance())));
+            Envelope.newBuilder()
+                .setMinionReportsReply(
+                    leader.handleReports(call.getMinionReports(), nowMillis.get()))));
   }
 
   private static MinionReport report(long bornMillis, long sequence) {
@@ -86,6 +104,36 @@
     return MinionLife.newBuilder().setMinionId("m1").setBornMillis(bornMillis).build();
   }
 
+  // -- handleReport
+
+  /** Guards against a minion without work after a restart of all control daemons. */
+  @Test
+  public void shouldForwardReportWhenLeaderKnowsOnlyARestoredOne() {
+    registry.restore(MinionReports.newBuilder().addReports(report(5, 0)).build());
+    registry.handleLeaderChange();
+    registry.handleReport(report(5, 1)).join();
+    assertEquals(forwarded.get(forwarded.size() - 1), report(5, 1));
+  }
+
+  @Test
+  public void shouldNotForwardReportWhenLeaderHoldsItsState() {
+    registry.handleReport(report(5, 1)).join();
+    assertTrue(registry.handleReport(report(5, 2)).join());
+    registry.confirm();
+    assertEquals(forwarded, List.of(report(5, 1)));
+  }
+
+  // -- confirm
+
+  /** Guards against minions without work after a new session of the same leader. */
+  @Test
+  public void shouldForwardReportWhenSessionOfLeaderIsNew() {
+    registry.handleReport(report(5, 1)).join();
+    leader = newDispatcher();
+    registry.confirm();
+    assertEquals(forwarded, List.of(report(5, 1), report(5, 1)));
+  }
+
   // -- handleLeave
 
   /** Guards against a leave that is applied to a later life than the one that announced it. */
--- a/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/Envelope.java
+++ b/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/Envelope.java
@@ -81,6 +81,7 @@
     CATALOG_REPLY(44),
     MINION_REPORTS(45),
     ACKNOWLEDGEMENT(46),
+    MINION_REPORTS_REPLY(47),
     PAYLOAD_NOT_SET(0);
     private final int value;
     private PayloadCase(int value) {
@@ -124,6 +125,7 @@
         case 44: return CATALOG_REPLY;
         case 45: return MINION_REPORTS;
         case 46: return ACKNOWLEDGEMENT;
+        case 47: return MINION_REPORTS_REPLY;
         case 0: return PAYLOAD_NOT_SET;
         default: return null;
       }
@@ -1048,6 +1050,37 @@
     return org.hickoryspar.protocol.Acknowledgement.getDefaultInstance();
   }
 
+  public static final int MINION_REPORTS_REPLY_FIELD_NUMBER = 47;
+  /**
+   * <code>.hickoryspar.MinionReportsReply minion_reports_reply = 47;</code>
+   * @return Whether the minionReportsReply field is set.
+   */
+  @java.lang.Override
+  public boolean hasMinionReportsReply() {
+    return payloadCase_ == 47;
+  }
+  /**
+   * <code>.hickoryspar.MinionReportsReply minion_reports_reply = 47;</code>
+   * @return The minionReportsReply.
+   */
+  @java.lang.Override
+  public org.hickoryspar.protocol.MinionReportsReply getMinionReportsReply() {
+    if (payloadCase_ == 47) {
+       return (org.hickoryspar.protocol.MinionReportsReply) payload_;
+    }
+    return org.hickoryspar.protocol.MinionReportsReply.getDefaultInstance();
+  }
+  /**
+   * <code>.hickoryspar.MinionReportsReply minion_reports_reply = 47;</code>
+   */
+  @java.lang.Override
+  public org.hickoryspar.protocol.MinionReportsReplyOrBuilder getMinionReportsReplyOrBuilder() {
+    if (payloadCase_ == 47) {
+       return (org.hickoryspar.protocol.MinionReportsReply) payload_;
+    }
+    return org.hickoryspar.protocol.MinionReportsReply.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -1155,6 +1188,9 @@
     if (payloadCase_ == 46) {
       output.writeMessage(46, (org.hickoryspar.protocol.Acknowledgement) payload_);
     }
+    if (payloadCase_ == 47) {
+      output.writeMessage(47, (org.hickoryspar.protocol.MinionReportsReply) payload_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -1287,6 +1323,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(46, (org.hickoryspar.protocol.Acknowledgement) payload_);
     }
+    if (payloadCase_ == 47) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(47, (org.hickoryspar.protocol.MinionReportsReply) payload_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -1418,6 +1458,10 @@
         if (!getAcknowledgement()
             .equals(other.getAcknowledgement())) return false;
         break;
+      case 47:
+        if (!getMinionReportsReply()
+            .equals(other.getMinionReportsReply())) return false;
+        break;
       case 0:
       default:
     }
@@ -1550,6 +1594,10 @@
         hash = (37 * hash) + ACKNOWLEDGEMENT_FIELD_NUMBER;
         hash = (53 * hash) + getAcknowledgement().hashCode();
         break;
+      case 47:
+        hash = (37 * hash) + MINION_REPORTS_REPLY_FIELD_NUMBER;
+        hash = (53 * hash) + getMinionReportsReply().hashCode();
+        break;
       case 0:
       default:
     }
@@ -1771,6 +1819,9 @@
       if (acknowledgementBuilder_ != null) {
         acknowledgementBuilder_.clear();
       }
+      if (minionReportsReplyBuilder_ != null) {
+        minionReportsReplyBuilder_.clear();
+      }
       payloadCase_ = 0;
       payload_ = null;
       return this;
@@ -1931,6 +1982,10 @@
           acknowledgementBuilder_ != null) {
         result.payload_ = acknowledgementBuilder_.build();
       }
+      if (payloadCase_ == 47 &&
+          minionReportsReplyBuilder_ != null) {
+        result.payload_ = minionReportsReplyBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -2067,6 +2122,10 @@
           mergeAcknowledgement(other.getAcknowledgement());
           break;
         }
+        case MINION_REPORTS_REPLY: {
+          mergeMinionReportsReply(other.getMinionReportsReply());
+          break;
+        }
         case PAYLOAD_NOT_SET: {
           break;
         }
@@ -2304,6 +2363,13 @@
               payloadCase_ = 46;
               break;
             } // case 370
+            case 378: {
+              input.readMessage(
+                  internalGetMinionReportsReplyFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              payloadCase_ = 47;
+              break;
+            } // case 378
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -6284,6 +6350,148 @@
       return acknowledgementBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        org.hickoryspar.protocol.MinionReportsReply, org.hickoryspar.protocol.MinionReportsReply.Builder, org.hickoryspar.protocol.MinionReportsReplyOrBuilder> minionReportsReplyBuilder_;
+    /**
+     * <code>.hickoryspar.MinionReportsReply minion_reports_reply = 47;</code>
+     * @return Whether the minionReportsReply field is set.
+     */
+    @java.lang.Override
+    public boolean hasMinionReportsReply() {
+      return payloadCase_ == 47;
+    }
+    /**
+     * <code>.hickoryspar.MinionReportsReply minion_reports_reply = 47;</code>
+     * @return The minionReportsReply.
+     */
+    @java.lang.Override
+    public org.hickoryspar.protocol.MinionReportsReply getMinionReportsReply() {
+      if (minionReportsReplyBuilder_ == null) {
+        if (payloadCase_ == 47) {
+          return (org.hickoryspar.protocol.MinionReportsReply) payload_;
+        }
+        return org.hickoryspar.protocol.MinionReportsReply.getDefaultInstance();
+      } else {
+        if (payloadCase_ == 47) {
+          return minionReportsReplyBuilder_.getMessage();
+        }
+        return org.hickoryspar.protocol.MinionReportsReply.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.hickoryspar.MinionReportsReply minion_reports_reply = 47;</code>
+     */
+    public Builder setMinionReportsReply(org.hickoryspar.protocol.MinionReportsReply value) {
+      if (minionReportsReplyBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        payload_ = value;
+        onChanged();
+      } else {
+        minionReportsReplyBuilder_.setMessage(value);
+      }
+      payloadCase_ = 47;
+      return this;
+    }
+    /**
+     * <code>.hickoryspar.MinionReportsReply minion_reports_reply = 47;</code>
+     */
+    public Builder setMinionReportsReply(
+        org.hickoryspar.protocol.MinionReportsReply.Builder builderForValue) {
+      if (minionReportsReplyBuilder_ == null) {
+        payload_ = builderForValue.build();
+        onChanged();
+      } else {
+        minionReportsReplyBuilder_.setMessage(builderForValue.build());
+      }
+      payloadCase_ = 47;
+      return this;
+    }
+    /**
+     * <code>.hickoryspar.MinionReportsReply minion_reports_reply = 47;</code>
+     */
+    public Builder mergeMinionReportsReply(org.hickoryspar.protocol.MinionReportsReply value) {
+      if (minionReportsReplyBuilder_ == null) {
+        if (payloadCase_ == 47 &&
+            payload_ != org.hickoryspar.protocol.MinionReportsReply.getDefaultInstance()) {
+          payload_ = org.hickoryspar.protocol.MinionReportsReply.newBuilder((org.hickoryspar.protocol.MinionReportsReply) payload_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          payload_ = value;
+        }
+        onChanged();
+      } else {
+        if (payloadCase_ == 47) {
+          minionReportsReplyBuilder_.mergeFrom(value);
+        } else {
+          minionReportsReplyBuilder_.setMessage(value);
+        }
+      }
+      payloadCase_ = 47;
+      return this;
+    }
+    /**
+     * <code>.hickoryspar.MinionReportsReply minion_reports_reply = 47;</code>
+     */
+    public Builder clearMinionReportsReply() {
+      if (minionReportsReplyBuilder_ == null) {
+        if (payloadCase_ == 47) {
+          payloadCase_ = 0;
+          payload_ = null;
+          onChanged();
+        }
+      } else {
+        if (payloadCase_ == 47) {
+          payloadCase_ = 0;
+          payload_ = null;
+        }
+        minionReportsReplyBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.hickoryspar.MinionReportsReply minion_reports_reply = 47;</code>
+     */
+    public org.hickoryspar.protocol.MinionReportsReply.Builder getMinionReportsReplyBuilder() {
+      return internalGetMinionReportsReplyFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.hickoryspar.MinionReportsReply minion_reports_reply = 47;</code>
+     */
+    @java.lang.Override
+    public org.hickoryspar.protocol.MinionReportsReplyOrBuilder getMinionReportsReplyOrBuilder() {
+      if ((payloadCase_ == 47) && (minionReportsReplyBuilder_ != null)) {
+        return minionReportsReplyBuilder_.getMessageOrBuilder();
+      } else {
+        if (payloadCase_ == 47) {
+          return (org.hickoryspar.protocol.MinionReportsReply) payload_;
+        }
+        return org.hickoryspar.protocol.MinionReportsReply.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.hickoryspar.MinionReportsReply minion_reports_reply = 47;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.hickoryspar.protocol.MinionReportsReply, org.hickoryspar.protocol.MinionReportsReply.Builder, org.hickoryspar.protocol.MinionReportsReplyOrBuilder> 
+        internalGetMinionReportsReplyFieldBuilder() {
+      if (minionReportsReplyBuilder_ == null) {
+        if (!(payloadCase_ == 47)) {
+          payload_ = org.hickoryspar.protocol.MinionReportsReply.getDefaultInstance();
+        }
+        minionReportsReplyBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.hickoryspar.protocol.MinionReportsReply, org.hickoryspar.protocol.MinionReportsReply.Builder, org.hickoryspar.protocol.MinionReportsReplyOrBuilder>(
+                (org.hickoryspar.protocol.MinionReportsReply) payload_,
+                getParentForChildren(),
+                isClean());
+        payload_ = null;
+      }
+      payloadCase_ = 47;
+      onChanged();
+      return minionReportsReplyBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:hickoryspar.Envelope)
   }
 
--- a/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/EnvelopeOrBuilder.java
+++ b/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/EnvelopeOrBuilder.java
@@ -456,5 +456,20 @@
    */
   org.hickoryspar.protocol.AcknowledgementOrBuilder getAcknowledgementOrBuilder();
 
+  /**
+   * <code>.hickoryspar.MinionReportsReply minion_reports_reply = 47;</code>
+   * @return Whether the minionReportsReply field is set.
+   */
+  boolean hasMinionReportsReply();
+  /**
+   * <code>.hickoryspar.MinionReportsReply minion_reports_reply = 47;</code>
+   * @return The minionReportsReply.
+   */
+  org.hickoryspar.protocol.MinionReportsReply getMinionReportsReply();
+  /**
+   * <code>.hickoryspar.MinionReportsReply minion_reports_reply = 47;</code>
+   */
+  org.hickoryspar.protocol.MinionReportsReplyOrBuilder getMinionReportsReplyOrBuilder();
+
   org.hickoryspar.protocol.Envelope.PayloadCase getPayloadCase();
 }
--- a/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/MinionReports.java
+++ b/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/MinionReports.java
@@ -29,6 +29,7 @@
   }
   private MinionReports() {
     reports_ = java.util.Collections.emptyList();
+    confirmed_ = emptyLongList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -85,6 +86,51 @@
     return reports_.get(index);
   }
 
+  public static final int CONFIRMED_FIELD_NUMBER = 2;
+  @SuppressWarnings("serial")
+  private com.google.protobuf.Internal.LongList confirmed_ =
+      emptyLongList();
+  /**
+   * <pre>
+   * Fingerprints of reports that the leader has confirmed earlier; the sender asks whether the
+   * leader still holds them.
+   * </pre>
+   *
+   * <code>repeated fixed64 confirmed = 2;</code>
+   * @return A list containing the confirmed.
+   */
+  @java.lang.Override
+  public java.util.List<java.lang.Long>
+      getConfirmedList() {
+    return confirmed_;
+  }
+  /**
+   * <pre>
+   * Fingerprints of reports that the leader has confirmed earlier; the sender asks whether the
+   * leader still holds them.
+   * </pre>
+   *
+   * <code>repeated fixed64 confirmed = 2;</code>
+   * @return The count of confirmed.
+   */
+  public int getConfirmedCount() {
+    return confirmed_.size();
+  }
+  /**
+   * <pre>
+   * Fingerprints of reports that the leader has confirmed earlier; the sender asks whether the
+   * leader still holds them.
+   * </pre>
+   *
+   * <code>repeated fixed64 confirmed = 2;</code>
+   * @param index The index of the element to return.
+   * @return The confirmed at the given index.
+   */
+  public long getConfirmed(int index) {
+    return confirmed_.getLong(index);
+  }
+  private int confirmedMemoizedSerializedSize = -1;
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -99,9 +145,17 @@
   @java.lang.Override
   public void writeTo(com.google.protobuf.CodedOutputStream output)
                       throws java.io.IOException {
+    getSerializedSize();
     for (int i = 0; i < reports_.size(); i++) {
       output.writeMessage(1, reports_.get(i));
     }
+    if (getConfirmedList().size() > 0) {
+      output.writeUInt32NoTag(18);
+      output.writeUInt32NoTag(confirmedMemoizedSerializedSize);
+    }
+    for (int i = 0; i < confirmed_.size(); i++) {
+      output.writeFixed64NoTag(confirmed_.getLong(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -115,6 +169,17 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(1, reports_.get(i));
     }
+    {
+      int dataSize = 0;
+      dataSize = 8 * getConfirmedList().size();
+      size += dataSize;
+      if (!getConfirmedList().isEmpty()) {
+        size += 1;
+        size += com.google.protobuf.CodedOutputStream
+            .computeInt32SizeNoTag(dataSize);
+      }
+      confirmedMemoizedSerializedSize = dataSize;
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -132,6 +197,8 @@
 
     if (!getReportsList()
         .equals(other.getReportsList())) return false;
+    if (!getConfirmedList()
+        .equals(other.getConfirmedList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -147,6 +214,10 @@
       hash = (37 * hash) + REPORTS_FIELD_NUMBER;
       hash = (53 * hash) + getReportsList().hashCode();
     }
+    if (getConfirmedCount() > 0) {
+      hash = (37 * hash) + CONFIRMED_FIELD_NUMBER;
+      hash = (53 * hash) + getConfirmedList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -285,6 +356,7 @@
         reportsBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000001);
+      confirmed_ = emptyLongList();
       return this;
     }
 
@@ -331,6 +403,10 @@
 
     private void buildPartial0(org.hickoryspar.protocol.MinionReports result) {
       int from_bitField0_ = bitField0_;
+      if (((from_bitField0_ & 0x00000002) != 0)) {
+        confirmed_.makeImmutable();
+        result.confirmed_ = confirmed_;
+      }
     }
 
     @java.lang.Override
@@ -371,6 +447,17 @@
           }
         }
       }
+      if (!other.confirmed_.isEmpty()) {
+        if (confirmed_.isEmpty()) {
+          confirmed_ = other.confirmed_;
+          confirmed_.makeImmutable();
+          bitField0_ |= 0x00000002;
+        } else {
+          ensureConfirmedIsMutable();
+          confirmed_.addAll(other.confirmed_);
+        }
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -410,6 +497,23 @@
               }
               break;
             } // case 10
+            case 17: {
+              long v = input.readFixed64();
+              ensureConfirmedIsMutable();
+              confirmed_.addLong(v);
+              break;
+            } // case 17
+            case 18: {
+              int length = input.readRawVarint32();
+              int limit = input.pushLimit(length);
+              int alloc = length > 4096 ? 4096 : length;
+              ensureConfirmedIsMutable(alloc / 8);
+              while (input.getBytesUntilLimit() > 0) {
+                confirmed_.addLong(input.readFixed64());
+              }
+              input.popLimit(limit);
+              break;
+            } // case 18
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -667,6 +771,131 @@
       return reportsBuilder_;
     }
 
+    private com.google.protobuf.Internal.LongList confirmed_ = emptyLongList();
+    private void ensureConfirmedIsMutable() {
+      if (!confirmed_.isModifiable()) {
+        confirmed_ = makeMutableCopy(confirmed_);
+      }
+      bitField0_ |= 0x00000002;
+    }
+    private void ensureConfirmedIsMutable(int capacity) {
+      if (!confirmed_.isModifiable()) {
+        confirmed_ = makeMutableCopy(confirmed_, capacity);
+      }
+      bitField0_ |= 0x00000002;
+    }
+    /**
+     * <pre>
+     * Fingerprints of reports that the leader has confirmed earlier; the sender asks whether the
+     * leader still holds them.
+     * </pre>
+     *
+     * <code>repeated fixed64 confirmed = 2;</code>
+     * @return A list containing the confirmed.
+     */
+    public java.util.List<java.lang.Long>
+        getConfirmedList() {
+      confirmed_.makeImmutable();
+      return confirmed_;
+    }
+    /**
+     * <pre>
+     * Fingerprints of reports that the leader has confirmed earlier; the sender asks whether the
+     * leader still holds them.
+     * </pre>
+     *
+     * <code>repeated fixed64 confirmed = 2;</code>
+     * @return The count of confirmed.
+     */
+    public int getConfirmedCount() {
+      return confirmed_.size();
+    }
+    /**
+     * <pre>
+     * Fingerprints of reports that the leader has confirmed earlier; the sender asks whether the
+     * leader still holds them.
+     * </pre>
+     *
+     * <code>repeated fixed64 confirmed = 2;</code>
+     * @param index The index of the element to return.
+     * @return The confirmed at the given index.
+     */
+    public long getConfirmed(int index) {
+      return confirmed_.getLong(index);
+    }
+    /**
+     * <pre>
+     * Fingerprints of reports that the leader has confirmed earlier; the sender asks whether the
+     * leader still holds them.
+     * </pre>
+     *
+     * <code>repeated fixed64 confirmed = 2;</code>
+     * @param index The index to set the value at.
+     * @param value The confirmed to set.
+     * @return This builder for chaining.
+     */
+    public Builder setConfirmed(
+        int index, long value) {
+
+      ensureConfirmedIsMutable();
+      confirmed_.setLong(index, value);
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Fingerprints of reports that the leader has confirmed earlier; the sender asks whether the
+     * leader still holds them.
+     * </pre>
+     *
+     * <code>repeated fixed64 confirmed = 2;</code>
+     * @param value The confirmed to add.
+     * @return This builder for chaining.
+     */
+    public Builder addConfirmed(long value) {
+
+      ensureConfirmedIsMutable();
+      confirmed_.addLong(value);
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Fingerprints of reports that the leader has confirmed earlier; the sender asks whether the
+     * leader still holds them.
+     * </pre>
+     *
+     * <code>repeated fixed64 confirmed = 2;</code>
+     * @param values The confirmed to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllConfirmed(
+        java.lang.Iterable<? extends java.lang.Long> values) {
+      ensureConfirmedIsMutable();
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(
+          values, confirmed_);
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Fingerprints of reports that the leader has confirmed earlier; the sender asks whether the
+     * leader still holds them.
+     * </pre>
+     *
+     * <code>repeated fixed64 confirmed = 2;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearConfirmed() {
+      confirmed_ = emptyLongList();
+      bitField0_ = (bitField0_ & ~0x00000002);
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:hickoryspar.MinionReports)
   }
 
--- a/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/MinionReportsOrBuilder.java
+++ b/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/MinionReportsOrBuilder.java
@@ -33,4 +33,36 @@
    */
   org.hickoryspar.protocol.MinionReportOrBuilder getReportsOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * Fingerprints of reports that the leader has confirmed earlier; the sender asks whether the
+   * leader still holds them.
+   * </pre>
+   *
+   * <code>repeated fixed64 confirmed = 2;</code>
+   * @return A list containing the confirmed.
+   */
+  java.util.List<java.lang.Long> getConfirmedList();
+  /**
+   * <pre>
+   * Fingerprints of reports that the leader has confirmed earlier; the sender asks whether the
+   * leader still holds them.
+   * </pre>
+   *
+   * <code>repeated fixed64 confirmed = 2;</code>
+   * @return The count of confirmed.
+   */
+  int getConfirmedCount();
+  /**
+   * <pre>
+   * Fingerprints of reports that the leader has confirmed earlier; the sender asks whether the
+   * leader still holds them.
+   * </pre>
+   *
+   * <code>repeated fixed64 confirmed = 2;</code>
+   * @param index The index of the element to return.
+   * @return The confirmed at the given index.
+   */
+  long getConfirmed(int index);
 }
