Pass every applied command to the scheduling session, also without a lease

What callers could see, on the product's own interface: an accepted job stays queued, although there is room, until another replica leads.

Cause: the session of the leader is built from the replicated state once and follows the applied commands. SchedulingLoop dropped a command that was applied while the lease had lapsed. A lease that was renewed in the same term before the loop looked at it, every 250 ms, left the session without that command.

Change: a command is passed on as long as there may be a session, as DispatchLoop does. The fake log of DispatchLoopTest becomes LeaderLog, which both tests use.

--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/control/SchedulingLoop.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/control/SchedulingLoop.java
@@ -44,6 +44,10 @@
       Executors.newSingleThreadScheduledExecutor(task -> new Thread(task, "scheduling"));
   private final ExecutorService platformPool =
       Executors.newFixedThreadPool(PLATFORM_THREADS, task -> new Thread(task, "platform-calls"));
+
+  /** Whether there may be a session, which must then receive each command that is applied. */
+  private volatile boolean leading;
+
   private @Nullable SchedulingSession session;
 
   /**
@@ -81,7 +85,7 @@
    */
   public void handleApplied(Command command) {
     requireNonNull(command, "command is null");
-    if (!proposer.holdsLease()) {
+    if (!leading) {
       return;
     }
     try {
@@ -186,9 +190,12 @@
     if (current != null && (!holdsLease || current.term() != term)) {
       EventLogger.log(ControlEvent.NOT_LEADING, current.term());
       session = null;
+      leading = false;
       current = null;
     }
     if (current == null && holdsLease) {
+      // Set before the state is read, so that no command applied after that is missed.
+      leading = true;
       current =
           new SchedulingSession(
               state,
--- a/hickoryspar-node/src/test/java/org/hickoryspar/node/dispatch/DispatchLoopTest.java
+++ b/hickoryspar-node/src/test/java/org/hickoryspar/node/dispatch/DispatchLoopTest.java
@@ -4,28 +4,23 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
-import com.google.protobuf.ByteString;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.time.Duration;
 import java.util.List;
-import java.util.Map;
-import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
-import org.hickoryspar.kernel.control.CommandResult;
 import org.hickoryspar.kernel.control.ControlState;
 import org.hickoryspar.kernel.dispatch.DispatchSettings;
 import org.hickoryspar.kernel.dispatch.Order;
 import org.hickoryspar.kernel.dispatch.OrderOutcome;
 import org.hickoryspar.kernel.dispatch.RenewalResponse;
 import org.hickoryspar.kernel.value.Result;
+import org.hickoryspar.node.control.LeaderLog;
 import org.hickoryspar.node.control.Proposer;
-import org.hickoryspar.node.control.ReplicatedLog;
 import org.hickoryspar.protocol.MinionLife;
 import org.hickoryspar.protocol.MinionReport;
-import org.hickoryspar.protocol.ReplicationMessage;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -40,12 +35,12 @@
   private final LinkedBlockingQueue<Long> renewalTokens = new LinkedBlockingQueue<>();
   private final AtomicInteger sessions = new AtomicInteger();
   private volatile List<CompletableFuture<Result<String>>> results = List.of();
-  private FakeLog log;
+  private LeaderLog log;
   private DispatchLoop loop;
 
   @BeforeMethod
   void start() {
-    log = new FakeLog();
+    log = new LeaderLog();
     renewalTokens.clear();
     sessions.set(0);
     results = List.of();
@@ -73,13 +68,13 @@
    */
   @Test
   public void shouldUseAHigherFencingTokenWhenANewSessionStarts() throws Exception {
-    log.status = statusOf(3, true);
+    log.status = LeaderLog.statusOf(3, true);
     long first = awaitRenewalToken();
-    log.status = statusOf(3, false);
+    log.status = LeaderLog.statusOf(3, false);
     await().atMost(TIMEOUT).until(() -> !hasSession());
-    log.status = statusOf(3, true);
+    log.status = LeaderLog.statusOf(3, true);
     long second = awaitRenewalToken();
-    log.status = statusOf(4, true);
+    log.status = LeaderLog.statusOf(4, true);
     await().atMost(TIMEOUT).until(() -> sessions.get() == 3);
     long third = awaitRenewalToken();
 
@@ -90,7 +85,7 @@
   /** Guards against a task whose result never completes because it or an earlier task throws. */
   @Test
   public void shouldCompleteAllTasksWhenOneFails() throws Exception {
-    log.status = statusOf(3, true);
+    log.status = LeaderLog.statusOf(3, true);
     await().atMost(TIMEOUT).until(this::hasSession);
     loop.execute(
         () -> {
@@ -115,7 +110,7 @@
   /** Guards against an error, which is no exception, that ends the thread of the decisions. */
   @Test
   public void shouldStartANewSessionWhenATaskFailsWithAnError() throws Exception {
-    log.status = statusOf(3, true);
+    log.status = LeaderLog.statusOf(3, true);
     await().atMost(TIMEOUT).until(this::hasSession);
 
     CompletableFuture<Result<String>> failing =
@@ -133,7 +128,7 @@
   /** Guards against one minion that no order can be sent to and that ends session after session. */
   @Test
   public void shouldKeepItsSessionWhenAnOrderCannotBeSent() throws Exception {
-    log.status = statusOf(3, true);
+    log.status = LeaderLog.statusOf(3, true);
     await().atMost(TIMEOUT).until(this::hasSession);
 
     report("unusable");
@@ -172,21 +167,6 @@
         .get();
   }
 
-  private static ReplicatedLog.Status statusOf(long term, boolean holdsLease) {
-    return new ReplicatedLog.Status(
-        "c1/1",
-        "leader",
-        term,
-        Optional.of("c1/1"),
-        holdsLease,
-        0,
-        0,
-        0,
-        List.of("c1/1"),
-        List.of(),
-        Map.of());
-  }
-
   /** Records the fencing tokens of renewals and never responds; throws for one address. */
   private final class UnresponsiveMinionClient implements MinionClient {
 
@@ -209,48 +189,4 @@
       return new CompletableFuture<>();
     }
   }
-
-  /** A log whose status the test sets; it accepts no proposals. */
-  private static final class FakeLog implements ReplicatedLog<CommandResult> {
-
-    private volatile Status status = statusOf(0, false);
-
-    @Override
-    public Status status() {
-      return status;
-    }
-
-    @Override
-    public CompletableFuture<Result<CommandResult>> propose(ByteString command) {
-      throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public CompletableFuture<Result<Long>> readBarrier() {
-      throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public void receive(ReplicationMessage message) {
-      throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public CompletableFuture<Result<String>> transferLeadership() {
-      throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public CompletableFuture<Result<String>> addVoter(String replicaId, Optional<String> replaces) {
-      throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public CompletableFuture<Result<String>> removeReplica(String replicaId) {
-      throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public void close() {}
-  }
 }
