Move the reports of minions to a package of their own, and the fake minion to a file

What a control daemon keeps and forwards is now kernel.reports (ReceivedReports, ReportFingerprint); FakeMinion answers orders itself instead of letting the harness change its fields. MinionTable.findMissing is split.

Behaviour is the same; the tests of kernel.dispatch, kernel.reports and MinionRegistryTest pass.

--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Minion.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Minion.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import org.hickoryspar.kernel.reports.ReportFingerprint;
 import org.hickoryspar.protocol.MinionLife;
 import org.hickoryspar.protocol.MinionReport;
 
@@ -159,16 +160,11 @@
     return lastReportMillis;
   }
 
-  /** Returns the fingerprint of the latest report, from which a provisional life may differ. */
+  /** Returns the fingerprint of the latest report; that of a provisional life means nothing. */
   long fingerprint() {
     return fingerprint;
   }
 
-  /** Returns whether a report with this fingerprint describes the current state. */
-  boolean isCurrentState(long reportFingerprint) {
-    return !provisional && fingerprint == reportFingerprint;
-  }
-
   /** Returns whether the current state is unknown, because no report of it has arrived. */
   boolean isProvisional() {
     return provisional;
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/MinionTable.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/MinionTable.java
@@ -3,11 +3,13 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Collections;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Collectors;
+import org.hickoryspar.kernel.reports.ReceivedReports;
+import org.hickoryspar.kernel.reports.ReportFingerprint;
 import org.hickoryspar.protocol.MinionLife;
 import org.hickoryspar.protocol.MinionReport;
 import org.hickoryspar.protocol.MinionReports;
@@ -24,9 +26,6 @@
   /** An idle minion that has neither reported nor responded for this long is removed. */
   private static final long REMOVAL_MILLIS = 15_000;
 
-  /** A report that is several heartbeats old no longer shows the current state of its minion. */
-  static final long MAX_REPORT_AGE_MILLIS = 5_000;
-
   private final Map<String, Minion> byId = new LinkedHashMap<>();
   private final DispatchListener listener;
   private final NewLifeListener newLifeListener;
@@ -66,7 +65,7 @@
   }
 
   void handleReport(MinionReport report, long nowMillis) {
-    if (report.getAgeMillis() > MAX_REPORT_AGE_MILLIS) {
+    if (report.getAgeMillis() > ReceivedReports.MAX_AGE_MILLIS) {
       handleStaleReport(report, nowMillis);
       return;
     }
@@ -103,18 +102,12 @@
    */
   List<Long> findMissing(MinionReports message) {
     List<Long> missing = new ArrayList<>();
-    for (MinionReport report : message.getReportsList()) {
-      long fingerprint = ReportFingerprint.of(report);
-      Minion known = byId.get(report.getLife().getMinionId());
-      if (!report.getLeaving() && (known == null || !known.isCurrentState(fingerprint))) {
-        missing.add(fingerprint);
-      }
-    }
+    message.getReportsList().stream()
+        .filter(report -> !report.getLeaving() && !isCurrent(report))
+        .map(ReportFingerprint::of)
+        .forEach(missing::add);
     if (message.getConfirmedCount() > 0) {
-      Set<Long> held = new HashSet<>();
-      byId.values().stream()
-          .filter(minion -> !minion.isProvisional())
-          .forEach(minion -> held.add(minion.fingerprint()));
+      Set<Long> held = heldFingerprints();
       message.getConfirmedList().stream()
           .filter(fingerprint -> !held.contains(fingerprint))
           .forEach(missing::add);
@@ -122,6 +115,20 @@
     return missing;
   }
 
+  private boolean isCurrent(MinionReport report) {
+    Minion known = byId.get(report.getLife().getMinionId());
+    return known != null
+        && !known.isProvisional()
+        && known.fingerprint() == ReportFingerprint.of(report);
+  }
+
+  private Set<Long> heldFingerprints() {
+    return byId.values().stream()
+        .filter(minion -> !minion.isProvisional())
+        .map(Minion::fingerprint)
+        .collect(Collectors.toSet());
+  }
+
   /**
    * Handles the announcement of a minion that its process is about to end. It may arrive late, when
    * the minion has a newer life.
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/ReceivedReports.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/reports/ReceivedReports.java
@@ -1,4 +1,4 @@
-package org.hickoryspar.kernel.dispatch;
+package org.hickoryspar.kernel.reports;
 
 import static java.util.Objects.requireNonNull;
 
@@ -32,6 +32,9 @@
  */
 public final class ReceivedReports {
 
+  /** A report that is several heartbeats old no longer shows the current state of its minion. */
+  public static final long MAX_AGE_MILLIS = 5_000;
+
   /** A minion that has been silent for this long is not reported to a new leader. */
   private static final long RETENTION_MILLIS = 15_000;
 
@@ -238,7 +241,7 @@
 
     /** Returns whether the leader would accept the report as the current state. */
     boolean isRecent(long nowMillis) {
-      return ageMillis(nowMillis) <= MinionTable.MAX_REPORT_AGE_MILLIS;
+      return ageMillis(nowMillis) <= MAX_AGE_MILLIS;
     }
 
     MinionReport withAge(long nowMillis) {
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/ReportFingerprint.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/reports/ReportFingerprint.java
@@ -1,4 +1,4 @@
-package org.hickoryspar.kernel.dispatch;
+package org.hickoryspar.kernel.reports;
 
 import static java.util.Objects.requireNonNull;
 
@@ -9,12 +9,17 @@
  * Identifies the state that a report describes: reports of one life that differ only in what
  * changes from report to report have the same fingerprint.
  */
-final class ReportFingerprint {
+public final class ReportFingerprint {
 
   private ReportFingerprint() {}
 
-  /** Returns a hash of the life and the state in a report. */
-  static long of(MinionReport report) {
+  /**
+   * Returns a hash of the life and the state in a report.
+   *
+   * @param report the report
+   * @return 64 bits, the same in all processes
+   */
+  public static long of(MinionReport report) {
     return Hashing.farmHashFingerprint64()
         .hashBytes(normalize(requireNonNull(report, "report is null")).toByteArray())
         .asLong();
--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/DispatcherHarness.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/DispatcherHarness.java
@@ -119,7 +119,7 @@
 
   /** Adds a minion that carries out orders and has not reported to the dispatcher. */
   void connect(FakeMinion minion) {
-    minions.put(minion.id, minion);
+    minions.put(minion.id(), minion);
   }
 
   /** Passes a message of a control daemon to the dispatcher. */
@@ -188,7 +188,7 @@
       for (TaskRun run : minion.running()) {
         if (run.workflowId().equals(workflowId) && run.task() == task) {
           minion.endTask(run, cause);
-          return minion.id;
+          return minion.id();
         }
       }
     }
@@ -206,7 +206,7 @@
   /** Replaces the dispatcher by that of a new leader, to which all reachable minions report. */
   void changeLeader() {
     dispatcher = newDispatcher();
-    minions.values().stream().filter(minion -> minion.reachable).forEach(this::report);
+    minions.values().stream().filter(FakeMinion::isReachable).forEach(this::report);
   }
 
   /** Replaces the dispatcher by that of a new leader that receives only stale reports. */
@@ -253,25 +253,14 @@
 
   private void execute(Order order) {
     FakeMinion minion = minions.get(order.target().life().getMinionId());
-    if (minion == null || !minion.reachable) {
+    if (minion == null || !minion.isReachable()) {
       failOrder(order);
     } else if (order instanceof Order.Renew renew) {
-      minion.lastRenewal = renew;
-      minion.pendingRenewal = renew;
-      minion.responseDueMillis = nowMillis + renew.waitMillis();
+      minion.renew(renew, nowMillis);
     } else if (order instanceof Order.Start start) {
-      minion.starts.add(start);
-      if (minion.respondsToStarts) {
-        minion.running.add(start.taskRun());
-        dispatcher.handleStartOutcome(start.taskRun(), OrderOutcome.DONE, nowMillis);
-      } else {
-        dispatcher.handleStartOutcome(start.taskRun(), OrderOutcome.UNKNOWN, nowMillis);
-      }
+      dispatcher.handleStartOutcome(start.taskRun(), minion.start(start), nowMillis);
     } else if (order instanceof Order.Stop stop) {
-      minion.stops.add(stop.taskRun());
-      if (minion.running.remove(stop.taskRun())) {
-        minion.addEnd(stop.taskRun(), RunEnd.Cause.STOPPED);
-      }
+      minion.stop(stop.taskRun());
       dispatcher.handleStopOutcome(stop.taskRun(), OrderOutcome.DONE, nowMillis);
     }
   }
@@ -287,28 +276,13 @@
   }
 
   private void respondToRenewal(FakeMinion minion) {
-    Order.Renew renewal = minion.pendingRenewal;
-    if (renewal == null) {
-      return;
-    }
-    if (!minion.reachable) {
-      minion.pendingRenewal = null;
-      failOrder(renewal);
-    } else if (nowMillis >= minion.responseDueMillis || !minion.unrecordedEnds(renewal).isEmpty()) {
-      minion.pendingRenewal = null;
-      List<RenewalResponse.RunningTask> running =
-          minion.running.stream()
-              .map(run -> new RenewalResponse.RunningTask(run, "", minion.percent, -1))
-              .toList();
-      dispatcher.handleRenewal(
-          renewal.target().life(),
-          new RenewalResponse(
-              minion.clockMillis(nowMillis),
-              minion.bornMillis,
-              running,
-              minion.unrecordedEnds(renewal)),
-          nowMillis);
-    }
+    minion.takeLostRenewal().ifPresent(this::failOrder);
+    minion
+        .takeDueRenewal(nowMillis)
+        .ifPresent(
+            renewal ->
+                dispatcher.handleRenewal(
+                    renewal.target().life(), minion.response(renewal, nowMillis), nowMillis));
   }
 
   // -- queries
@@ -329,122 +303,10 @@
   List<String> minionsOf(String workflowId) {
     List<String> minionIds = new ArrayList<>();
     for (FakeMinion minion : minions.values()) {
-      minion.running.stream()
+      minion.running().stream()
           .filter(run -> run.workflowId().equals(workflowId))
-          .forEach(run -> minionIds.add(minion.id));
+          .forEach(run -> minionIds.add(minion.id()));
     }
     return minionIds;
   }
-
-  /** A minion with 8 accelerators that carries out orders while it is reachable. */
-  static final class FakeMinion {
-
-    private final String id;
-    private final String rack;
-    private long bornMillis;
-    private long sequence;
-    private boolean draining;
-    private boolean reachable = true;
-    private boolean respondsToStarts = true;
-    private int percent;
-    private final List<TaskRun> running = new ArrayList<>();
-    private final List<RenewalResponse.EndedTask> ended = new ArrayList<>();
-    private final List<TaskRun> stops = new ArrayList<>();
-    private final List<Order.Start> starts = new ArrayList<>();
-    private Order.Renew pendingRenewal;
-    private Order.Renew lastRenewal;
-    private long responseDueMillis;
-
-    FakeMinion(String id, String rack, long bornMillis) {
-      this.id = id;
-      this.rack = rack;
-      this.bornMillis = bornMillis;
-    }
-
-    long clockMillis(long nowMillis) {
-      return nowMillis - bornMillis + 1;
-    }
-
-    MinionReport report(long nowMillis) {
-      return MinionReport.newBuilder()
-          .setLife(MinionLife.newBuilder().setMinionId(id).setBornMillis(bornMillis))
-          .setSequence(++sequence)
-          .setService(SERVICE)
-          .setAddress(id)
-          .setDataCentre("dc-" + rack)
-          .setRack(rack)
-          .setDraining(draining)
-          .setClockMillis(clockMillis(nowMillis))
-          .setCapacity(
-              TaskDemand.newBuilder()
-                  .setCpuMillicores(64_000)
-                  .setMemoryMegabytes(256_000)
-                  .setAccelerators(8))
-          .build();
-    }
-
-    private List<RenewalResponse.EndedTask> unrecordedEnds(Order.Renew order) {
-      return ended.stream().filter(end -> end.number() > order.recordedEndNumber()).toList();
-    }
-
-    private void addEnd(TaskRun run, RunEnd.Cause cause) {
-      ended.add(new RenewalResponse.EndedTask(ended.size() + 1, run, cause, ""));
-    }
-
-    /** Makes the minion unreachable and discards its running tasks. */
-    void crash() {
-      reachable = false;
-      running.clear();
-    }
-
-    /** Starts the minion again under its identifier, without any of its earlier state. */
-    void restart(long nowMillis) {
-      bornMillis = nowMillis;
-      sequence = 0;
-      draining = false;
-      reachable = true;
-      running.clear();
-      ended.clear();
-      starts.clear();
-      pendingRenewal = null;
-    }
-
-    /** Sets whether orders reach the minion; what runs on it goes on. */
-    void setReachable(boolean reachable) {
-      this.reachable = reachable;
-    }
-
-    MinionLife life() {
-      return MinionLife.newBuilder().setMinionId(id).setBornMillis(bornMillis).build();
-    }
-
-    void startDraining() {
-      draining = true;
-    }
-
-    void ignoreStarts() {
-      respondsToStarts = false;
-    }
-
-    void endTask(TaskRun run, RunEnd.Cause cause) {
-      running.remove(run);
-      addEnd(run, cause);
-    }
-
-    List<TaskRun> running() {
-      return List.copyOf(running);
-    }
-
-    List<Order.Start> starts() {
-      return starts;
-    }
-
-    List<TaskRun> stops() {
-      return stops;
-    }
-
-    Order.Renew lastRenewal() {
-      return lastRenewal;
-    }
-  }
 }
--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/DispatcherTest.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/DispatcherTest.java
@@ -16,7 +16,7 @@
 public class DispatcherTest {
 
   private DispatcherHarness harness;
-  private DispatcherHarness.FakeMinion minion;
+  private FakeMinion minion;
 
   @BeforeMethod
   void startWithOneMinion() {
--- /dev/null
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/FakeMinion.java
@@ -0,0 +1,182 @@
+package org.hickoryspar.kernel.dispatch;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.hickoryspar.protocol.MinionLife;
+import org.hickoryspar.protocol.MinionReport;
+import org.hickoryspar.protocol.RunEnd;
+import org.hickoryspar.protocol.TaskDemand;
+
+/** A minion with 8 accelerators that carries out orders while it is reachable. */
+final class FakeMinion {
+
+  private final String id;
+  private final String rack;
+  private long bornMillis;
+  private long sequence;
+  private boolean draining;
+  private boolean reachable = true;
+  private boolean respondsToStarts = true;
+  private final List<TaskRun> running = new ArrayList<>();
+  private final List<RenewalResponse.EndedTask> ended = new ArrayList<>();
+  private final List<TaskRun> stops = new ArrayList<>();
+  private final List<Order.Start> starts = new ArrayList<>();
+  private Order.Renew pendingRenewal;
+  private Order.Renew lastRenewal;
+  private long responseDueMillis;
+
+  FakeMinion(String id, String rack, long bornMillis) {
+    this.id = id;
+    this.rack = rack;
+    this.bornMillis = bornMillis;
+  }
+
+  long clockMillis(long nowMillis) {
+    return nowMillis - bornMillis + 1;
+  }
+
+  MinionReport report(long nowMillis) {
+    return MinionReport.newBuilder()
+        .setLife(MinionLife.newBuilder().setMinionId(id).setBornMillis(bornMillis))
+        .setSequence(++sequence)
+        .setService(DispatcherHarness.SERVICE)
+        .setAddress(id)
+        .setDataCentre("dc-" + rack)
+        .setRack(rack)
+        .setDraining(draining)
+        .setClockMillis(clockMillis(nowMillis))
+        .setCapacity(
+            TaskDemand.newBuilder()
+                .setCpuMillicores(64_000)
+                .setMemoryMegabytes(256_000)
+                .setAccelerators(8))
+        .build();
+  }
+
+  // -- orders
+
+  /** Accepts a renewal, whose response may wait for the end of a task. */
+  void renew(Order.Renew order, long nowMillis) {
+    lastRenewal = order;
+    pendingRenewal = order;
+    responseDueMillis = nowMillis + order.waitMillis();
+  }
+
+  /** Removes and returns the renewal that is lost because the minion has become unreachable. */
+  Optional<Order.Renew> takeLostRenewal() {
+    return reachable ? Optional.empty() : takeRenewal();
+  }
+
+  /** Removes and returns the renewal to which the minion now responds. */
+  Optional<Order.Renew> takeDueRenewal(long nowMillis) {
+    boolean due =
+        pendingRenewal != null
+            && (nowMillis >= responseDueMillis || !unrecordedEnds(pendingRenewal).isEmpty());
+    return due ? takeRenewal() : Optional.empty();
+  }
+
+  private Optional<Order.Renew> takeRenewal() {
+    Optional<Order.Renew> renewal = Optional.ofNullable(pendingRenewal);
+    pendingRenewal = null;
+    return renewal;
+  }
+
+  RenewalResponse response(Order.Renew renewal, long nowMillis) {
+    List<RenewalResponse.RunningTask> runningTasks =
+        running.stream().map(run -> new RenewalResponse.RunningTask(run, "", 0, -1)).toList();
+    return new RenewalResponse(
+        clockMillis(nowMillis), bornMillis, runningTasks, unrecordedEnds(renewal));
+  }
+
+  /** Starts a task unless starts are ignored. */
+  OrderOutcome start(Order.Start order) {
+    starts.add(order);
+    if (!respondsToStarts) {
+      return OrderOutcome.UNKNOWN;
+    }
+    running.add(order.taskRun());
+    return OrderOutcome.DONE;
+  }
+
+  void stop(TaskRun taskRun) {
+    stops.add(taskRun);
+    if (running.remove(taskRun)) {
+      addEnd(taskRun, RunEnd.Cause.STOPPED);
+    }
+  }
+
+  // -- state
+
+  private List<RenewalResponse.EndedTask> unrecordedEnds(Order.Renew order) {
+    return ended.stream().filter(end -> end.number() > order.recordedEndNumber()).toList();
+  }
+
+  private void addEnd(TaskRun run, RunEnd.Cause cause) {
+    ended.add(new RenewalResponse.EndedTask(ended.size() + 1, run, cause, ""));
+  }
+
+  /** Makes the minion unreachable and discards its running tasks. */
+  void crash() {
+    reachable = false;
+    running.clear();
+  }
+
+  /** Starts the minion again under its identifier, without any of its earlier state. */
+  void restart(long nowMillis) {
+    bornMillis = nowMillis;
+    sequence = 0;
+    draining = false;
+    reachable = true;
+    running.clear();
+    ended.clear();
+    starts.clear();
+    pendingRenewal = null;
+  }
+
+  /** Sets whether orders reach the minion; what runs on it goes on. */
+  void setReachable(boolean reachable) {
+    this.reachable = reachable;
+  }
+
+  MinionLife life() {
+    return MinionLife.newBuilder().setMinionId(id).setBornMillis(bornMillis).build();
+  }
+
+  void startDraining() {
+    draining = true;
+  }
+
+  void ignoreStarts() {
+    respondsToStarts = false;
+  }
+
+  void endTask(TaskRun run, RunEnd.Cause cause) {
+    running.remove(run);
+    addEnd(run, cause);
+  }
+
+  List<TaskRun> running() {
+    return List.copyOf(running);
+  }
+
+  List<Order.Start> starts() {
+    return starts;
+  }
+
+  List<TaskRun> stops() {
+    return stops;
+  }
+
+  Order.Renew lastRenewal() {
+    return lastRenewal;
+  }
+
+  String id() {
+    return id;
+  }
+
+  boolean isReachable() {
+    return reachable;
+  }
+}
--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/MinionFailureTrackerTest.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/MinionFailureTrackerTest.java
@@ -19,7 +19,7 @@
   @Test
   void shouldIsolateAMinionWhenATaskFailsImmediately() {
     DispatcherHarness harness = new DispatcherHarness();
-    DispatcherHarness.FakeMinion bad = harness.addMinion("bad", "r1");
+    FakeMinion bad = harness.addMinion("bad", "r1");
     harness.advanceTime(100);
     harness.submit("a", 1, DispatcherHarness.step(1, 1));
     harness.advanceTime(50);
@@ -147,7 +147,7 @@
     assertTrue(proven.containsAll(harness.minionsOf("a")), harness.minionsOf("a").toString());
   }
 
-  private static void failAll(DispatcherHarness.FakeMinion minion) {
+  private static void failAll(FakeMinion minion) {
     minion.running().forEach(run -> minion.endTask(run, RunEnd.Cause.TASK_FAILED));
   }
 
--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/MinionLeaveTest.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/MinionLeaveTest.java
@@ -14,7 +14,7 @@
   private static final long LEASE_EXPIRY_MILLIS = DispatcherHarness.SETTINGS.leaseExpiryMillis();
 
   private DispatcherHarness harness;
-  private DispatcherHarness.FakeMinion minion;
+  private FakeMinion minion;
 
   /** A minion has drained, ended and started again, and runs a task in its second life. */
   @BeforeMethod
--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/MinionRediscoveryTest.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/MinionRediscoveryTest.java
@@ -7,7 +7,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.stream.IntStream;
-import org.hickoryspar.kernel.dispatch.DispatcherHarness.FakeMinion;
+import org.hickoryspar.kernel.reports.ReceivedReports;
 import org.hickoryspar.protocol.MinionReports;
 import org.hickoryspar.protocol.MinionReportsReply;
 import org.testng.annotations.DataProvider;
--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/ReceivedReportsTest.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/reports/ReceivedReportsTest.java
@@ -1,4 +1,4 @@
-package org.hickoryspar.kernel.dispatch;
+package org.hickoryspar.kernel.reports;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
@@ -18,7 +18,7 @@
 public class ReceivedReportsTest {
 
   private static final long NOW_MILLIS = 1_000_000;
-  private static final long STALE_MILLIS = NOW_MILLIS + MinionTable.MAX_REPORT_AGE_MILLIS + 1;
+  private static final long STALE_MILLIS = NOW_MILLIS + ReceivedReports.MAX_AGE_MILLIS + 1;
 
   private ReceivedReports reports;
 
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/MinionRegistry.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/MinionRegistry.java
@@ -6,7 +6,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.LongSupplier;
-import org.hickoryspar.kernel.dispatch.ReceivedReports;
+import org.hickoryspar.kernel.reports.ReceivedReports;
 import org.hickoryspar.node.observability.EventLogger;
 import org.hickoryspar.protocol.Envelope;
 import org.hickoryspar.protocol.MinionReport;
