Explain provisional minions in the timeline, and split the reply handling

`hickoryspar explain` prints the new events 5120 and 5121 as sentences. ReceivedReports.handleReply did two things, which are now two methods; entries keep the order in which their minions first reported.

--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/reports/ReceivedReports.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/reports/ReceivedReports.java
@@ -4,8 +4,8 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -41,7 +41,7 @@
   /** Age assigned to restored reports, which were received before this process started. */
   private static final long RESTORED_AGE_MILLIS = 60_000;
 
-  private final Map<String, Entry> byId = new HashMap<>();
+  private final Map<String, Entry> byId = new LinkedHashMap<>();
   private boolean changedSinceSnapshot;
 
   /** Creates an empty collection. */
@@ -106,11 +106,11 @@
   }
 
   /**
-   * Returns the question whether the leader still holds what it has confirmed.
+   * Returns the message that asks whether the leader still holds what it has confirmed.
    *
    * @param nowMillis monotonic time in milliseconds
-   * @return the message to send to the leader; empty if no minion with a confirmed report has
-   *     reported recently
+   * @return the message to send to the leader; empty if there is no recent report that the leader
+   *     has confirmed
    */
   public Optional<MinionReports> confirmationRequest(long nowMillis) {
     List<Long> fingerprints =
@@ -135,24 +135,32 @@
   public Optional<MinionReports> handleReply(
       MinionReports request, MinionReportsReply reply, long nowMillis) {
     requireNonNull(request, "request is null");
-    Set<Long> missing = new HashSet<>(requireNonNull(reply, "reply is null").getMissingList());
-    for (MinionReport report : request.getReportsList()) {
-      Entry entry = byId.get(report.getLife().getMinionId());
-      if (entry != null && entry.fingerprint == ReportFingerprint.of(report)) {
-        entry.confirmed = !missing.contains(entry.fingerprint);
-      }
+    Set<Long> missing = Set.copyOf(requireNonNull(reply, "reply is null").getMissingList());
+    request.getReportsList().forEach(report -> recordReply(report, missing));
+    List<Entry> forgotten = withdrawConfirmations(request, missing);
+    forgotten.removeIf(entry -> !entry.isRecent(nowMillis));
+    return messageUnlessEmpty(forgotten, nowMillis);
+  }
+
+  // The state may have changed since the report was sent.
+  private void recordReply(MinionReport report, Set<Long> missing) {
+    Entry entry = byId.get(report.getLife().getMinionId());
+    if (entry != null && entry.fingerprint == ReportFingerprint.of(report)) {
+      entry.confirmed = !missing.contains(entry.fingerprint);
     }
-    missing.retainAll(Set.copyOf(request.getConfirmedList()));
-    List<Entry> forgotten = new ArrayList<>();
+  }
+
+  private List<Entry> withdrawConfirmations(MinionReports request, Set<Long> missing) {
+    Set<Long> withdrawn = new HashSet<>(request.getConfirmedList());
+    withdrawn.retainAll(missing);
+    List<Entry> entries = new ArrayList<>();
     for (Entry entry : byId.values()) {
-      if (missing.contains(entry.fingerprint)) {
+      if (withdrawn.contains(entry.fingerprint)) {
         entry.confirmed = false;
-        if (entry.isRecent(nowMillis)) {
-          forgotten.add(entry);
-        }
+        entries.add(entry);
       }
     }
-    return messageUnlessEmpty(forgotten, nowMillis);
+    return entries;
   }
 
   /**
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/explain/EventDescriptions.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/explain/EventDescriptions.java
@@ -59,6 +59,10 @@
         "the life of the minion that started at {bornMillis} says that it ends now (known life:"
             + " {knownBornMillis}, draining: {draining})");
     TEMPLATES.put("MINION_STAYED", "the minion responds after its announced end");
+    TEMPLATES.put(
+        "MINION_PROVISIONAL",
+        "the current state of the minion is unknown, it is known from a {source} only");
+    TEMPLATES.put("MINION_CONFIRMED", "the minion has reported its current state");
     TEMPLATES.put("MINION_GONE", "the minion, started at {bornMillis}, has ended");
   }
 
