Log and measure what keeps a group from idle capacity

The gauge hickoryspar_dispatch_longest_idle_wait_seconds shows the longest such wait. Waits are examined every 100 ms. The selection of minions moves from Planner to MinionSelector, which tells requirements from preferences.

--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/BackfillReservations.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/BackfillReservations.java
@@ -1,6 +1,7 @@
 package org.hickoryspar.kernel.dispatch;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -26,8 +27,12 @@
     return groupCount;
   }
 
-  /** Reserves the resources of a forecast placement for its group. */
-  void add(Forecast forecast, Resources demand) {
+  /**
+   * Reserves the resources of a forecast placement for its group.
+   *
+   * @param holder the group and the age of its reservation, for the log
+   */
+  void add(Forecast forecast, Resources demand, String holder) {
     groupCount++;
     Map<Minion, Resources> resourcesByMinion = new HashMap<>();
     forecast.minions().forEach(minion -> resourcesByMinion.merge(minion, demand, Resources::plus));
@@ -37,6 +42,7 @@
                 .computeIfAbsent(minion, m -> new ArrayList<>(1))
                 .add(
                     new BackfillReservation(
+                        holder,
                         forecast.startMillis(),
                         resources,
                         spareAfterStart(minion, forecast, resources))));
@@ -87,6 +93,15 @@
     return free;
   }
 
+  /** Returns the holders of the reservations on some minions. */
+  List<String> holdersOn(Collection<Minion> minions) {
+    return minions.stream()
+        .flatMap(minion -> reservationsByMinion.getOrDefault(minion, List.of()).stream())
+        .map(reservation -> reservation.holder)
+        .distinct()
+        .toList();
+  }
+
   /** Deducts a started task from the spare resources of the reservations that it outlasts. */
   void recordStart(Minion minion, Resources demand, long endMillis) {
     for (BackfillReservation reservation : reservationsByMinion.getOrDefault(minion, List.of())) {
@@ -98,11 +113,13 @@
 
   private static final class BackfillReservation {
 
+    private final String holder;
     private final long startMillis;
     private final Resources resources;
     private Resources spare;
 
-    BackfillReservation(long startMillis, Resources resources, Resources spare) {
+    BackfillReservation(String holder, long startMillis, Resources resources, Resources spare) {
+      this.holder = holder;
       this.startMillis = startMillis;
       this.resources = resources;
       this.spare = spare;
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Dispatcher.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Dispatcher.java
@@ -327,7 +327,12 @@
    * @return the status at that time
    */
   public DispatcherStatus status(long nowMillis) {
-    return DispatcherStatus.of(minions.all(), waitingSteps.steps(), runs.runs().size(), nowMillis);
+    return DispatcherStatus.of(
+        minions.all(),
+        waitingSteps.steps(),
+        runs.runs().size(),
+        planner.longestIdleWaitMillis(nowMillis),
+        nowMillis);
   }
 
   /**
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/DispatcherStatus.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/DispatcherStatus.java
@@ -16,6 +16,8 @@
  * @param accelerators accelerators of the usable minions
  * @param freeAccelerators accelerators of the usable minions that are neither allocated nor
  *     reserved for pending placements
+ * @param longestIdleWaitMillis the longest time for which a workflow without a running task has
+ *     been waiting although idle capacity meets its requirements
  */
 public record DispatcherStatus(
     int usableMinions,
@@ -26,12 +28,14 @@
     int waitingGroups,
     int runningGroups,
     long accelerators,
-    long freeAccelerators) {
+    long freeAccelerators,
+    long longestIdleWaitMillis) {
 
   static DispatcherStatus of(
       Collection<Minion> minions,
       List<WaitingStep> waitingSteps,
       int runningGroups,
+      long longestIdleWaitMillis,
       long nowMillis) {
     int usable = 0;
     int suspect = 0;
@@ -65,6 +69,7 @@
         waitingGroups,
         runningGroups,
         accelerators,
-        free);
+        free,
+        longestIdleWaitMillis);
   }
 }
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Minion.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Minion.java
@@ -191,6 +191,11 @@
     return capacity.minus(allocated).minus(reserved);
   }
 
+  /** Returns the resources that are allocated to tasks. */
+  Resources allocated() {
+    return allocated;
+  }
+
   /** Returns the resources that are reserved for pending placements. */
   Resources reserved() {
     return reserved;
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/MinionPools.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/MinionPools.java
@@ -11,16 +11,15 @@
 final class MinionPools {
 
   private final List<Minion> usable = new ArrayList<>();
+  private final List<Minion> isolated = new ArrayList<>();
   private final long nowMillis;
   private final Map<Key, Pool> pools = new HashMap<>();
 
   MinionPools(Collection<Minion> minions, Set<String> dataCentresOut, long nowMillis) {
     this.nowMillis = nowMillis;
     for (Minion minion : minions) {
-      if (minion.acceptsWork()
-          && !dataCentresOut.contains(minion.dataCentre())
-          && !minion.health().isIsolated(nowMillis)) {
-        usable.add(minion);
+      if (minion.acceptsWork() && !dataCentresOut.contains(minion.dataCentre())) {
+        (minion.health().isIsolated(nowMillis) ? isolated : usable).add(minion);
       }
     }
   }
@@ -38,8 +37,9 @@
 
   private Pool newPool(Key key) {
     Pool pool = new Pool();
+    isolated.stream().filter(key::matches).forEach(pool.isolated::add);
     for (Minion minion : usable) {
-      if (minion.service().equals(key.service) && minion.hasLabel(key.label)) {
+      if (key.matches(minion)) {
         if (minion.health().isAwaitingProbe(nowMillis)) {
           pool.awaitingProbe.add(minion);
         } else if (minion.health().hasRecentFailure(nowMillis)) {
@@ -58,6 +58,7 @@
     private final List<Minion> healthy = new ArrayList<>();
     private final List<Minion> recentlyFailed = new ArrayList<>();
     private final List<Minion> awaitingProbe = new ArrayList<>();
+    private final List<Minion> isolated = new ArrayList<>();
 
     /** Returns the minions without a recent failure. */
     List<Minion> healthy() {
@@ -73,7 +74,17 @@
     List<Minion> awaitingProbe() {
       return awaitingProbe;
     }
+
+    /** Returns the minions that receive no work for some time because of failures. */
+    List<Minion> isolated() {
+      return isolated;
+    }
   }
 
-  private record Key(String service, String label) {}
+  private record Key(String service, String label) {
+
+    boolean matches(Minion minion) {
+      return minion.service().equals(service) && minion.hasLabel(label);
+    }
+  }
 }
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Planner.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Planner.java
@@ -1,11 +1,9 @@
 package org.hickoryspar.kernel.dispatch;
 
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import org.hickoryspar.kernel.catalog.CatalogState;
 import org.hickoryspar.kernel.workflow.TaskGroup;
 import org.jspecify.annotations.Nullable;
@@ -29,6 +27,12 @@
    */
   private static final int MAX_FORECAST_SLACK_PERCENT = 40;
 
+  /** Interval at which the waits of groups are examined and reported. */
+  private static final long IDLE_CHECK_INTERVAL_MILLIS = 100;
+
+  /** A service of which more is in use is not regarded as idle. */
+  private static final int MAX_IDLE_LOAD_PERCENT = 60;
+
   private final DispatchSettings settings;
   private final CatalogState catalog;
   private final MinionTable minions;
@@ -40,6 +44,9 @@
   private final WaitReporter waitReporter;
   private final PlanExecutor executor;
   private final Map<TaskGroup, PendingPlacement> pendingPlacements = new LinkedHashMap<>();
+  private final DurationTracker idleWaits = new DurationTracker();
+  private final DurationTracker reservedGroups = new DurationTracker();
+  private long nextIdleCheckMillis;
 
   /**
    * Carries out decisions. Each call updates the allocated resources immediately, so that the next
@@ -76,11 +83,25 @@
 
   /** Runs one planning round over the waiting steps. */
   void plan(List<WaitingStep> waitingSteps, long nowMillis, long wallMillis) {
-    PlanningRound round = new PlanningRound(nowMillis, wallMillis);
+    boolean checksIdleCapacity = nowMillis >= nextIdleCheckMillis;
+    PlanningRound round = new PlanningRound(checksIdleCapacity, nowMillis, wallMillis);
     round.startPendingPlacements();
     for (RankedStep step : ranking.rank(waitingSteps, wallMillis)) {
       round.placeGroups(step);
     }
+    reservedGroups.endRound();
+    if (checksIdleCapacity) {
+      nextIdleCheckMillis = nowMillis + IDLE_CHECK_INTERVAL_MILLIS;
+      idleWaits.endRound();
+    }
+  }
+
+  /**
+   * Returns the longest time in milliseconds for which a workflow without a running task has been
+   * waiting although idle capacity meets its requirements.
+   */
+  long longestIdleWaitMillis(long nowMillis) {
+    return idleWaits.longestMillis(nowMillis);
   }
 
   /** Removes the state of groups that no longer wait. */
@@ -90,20 +111,26 @@
 
   private final class PlanningRound {
 
+    private final boolean checksIdleCapacity;
     private final long nowMillis;
     private final long wallMillis;
+    private final ServiceLoad serviceLoad;
     private final MinionPools pools;
     private final RemainingTimes remainingTimes;
     private final BackfillReservations backfillReservations;
+    private final MinionSelector minionSelector;
     private final UnsatisfiedDemands unsatisfiedDemands = new UnsatisfiedDemands();
 
-    PlanningRound(long nowMillis, long wallMillis) {
+    PlanningRound(boolean checksIdleCapacity, long nowMillis, long wallMillis) {
+      this.checksIdleCapacity = checksIdleCapacity;
       this.nowMillis = nowMillis;
       this.wallMillis = wallMillis;
+      this.serviceLoad = new ServiceLoad(checksIdleCapacity ? minions.all() : List.of());
       this.pools = new MinionPools(minions.all(), catalog.dataCentresOut(), nowMillis);
       this.remainingTimes =
           new RemainingTimes(runTimeEstimates, settings.stopTimeoutMillis(), nowMillis);
       this.backfillReservations = new BackfillReservations(remainingTimes, nowMillis);
+      this.minionSelector = new MinionSelector(failureTracker, backfillReservations, nowMillis);
     }
 
     // A pending placement is dropped when its group starts or ends, when one of its minions becomes
@@ -135,11 +162,16 @@
         if (pendingPlacements.containsKey(group) || runs.hasRun(group)) {
           continue;
         }
-        if (unsatisfiedDemands.isUnsatisfiable(
-            waitingStep, group.size(), ranked.urgency().estimatedRunMillis())) {
+        String similarGroup =
+            unsatisfiedDemands.findSimilar(
+                waitingStep, group, ranked.urgency().estimatedRunMillis());
+        if (similarGroup != null) {
+          reportSkip(waitingStep, group, pool, taskLimit, similarGroup);
           return;
         }
-        List<Minion> selected = selectMinions(ranked, group, pool, taskLimit);
+        List<Minion> selected =
+            minionSelector.selectPreferred(
+                waitingStep, group, pool, taskLimit, expectedEndMillis(ranked));
         if (selected != null) {
           start(new Placement(waitingStep, group, selected), taskLimit, expectedEndMillis(ranked));
         } else if (!preemptOrReserve(ranked, group, pool, taskLimit)) {
@@ -148,91 +180,68 @@
       }
     }
 
-    private long expectedEndMillis(RankedStep ranked) {
-      return nowMillis + ranked.urgency().estimatedRunMillis();
-    }
-
-    private void start(Placement placement, MinionTaskLimit taskLimit, long endMillis) {
-      Resources demand = placement.waitingStep().demand();
-      for (Minion minion : placement.minions()) {
-        taskLimit.add(minion);
-        backfillReservations.recordStart(minion, demand, endMillis);
-      }
-      waitReporter.remove(placement.group());
-      executor.start(placement, nowMillis, wallMillis);
+    private void reportSkip(
+        WaitingStep waitingStep,
+        TaskGroup group,
+        MinionPools.Pool pool,
+        MinionTaskLimit taskLimit,
+        String similarGroup) {
+      int suitableMinions = minionSelector.preferredMinions(group, pool).size();
+      WaitCause cause = WaitCause.skipped(suitableMinions, similarGroup);
+      reportWait(waitingStep, group, pool, taskLimit, cause);
     }
 
-    private @Nullable List<Minion> selectMinions(
-        RankedStep ranked, TaskGroup group, MinionPools.Pool pool, MinionTaskLimit taskLimit) {
-      WaitingStep waitingStep = ranked.waitingStep();
-      List<Minion> selected = null;
-      if (!pool.awaitingProbe().isEmpty() && mayProbe(waitingStep, group)) {
-        selected =
-            findMinions(
-                ranked,
-                group,
-                pool.awaitingProbe().stream().filter(Minion::isIdle).toList(),
-                taskLimit);
-      }
-      if (selected == null && isLastAttempt(waitingStep, group)) {
-        selected =
-            findMinions(ranked, group, withoutFailureOf(group, withRecentSuccess(pool)), taskLimit);
-      }
-      if (selected == null) {
-        selected = findMinions(ranked, group, withoutFailureOf(group, pool.healthy()), taskLimit);
-      }
-      if (selected == null && !pool.recentlyFailed().isEmpty()) {
-        List<Minion> fallback = new ArrayList<>(pool.healthy());
-        fallback.addAll(pool.recentlyFailed());
-        selected = findMinions(ranked, group, withoutFailureOf(group, fallback), taskLimit);
+    private void reportWait(
+        WaitingStep waitingStep,
+        TaskGroup group,
+        MinionPools.Pool pool,
+        MinionTaskLimit taskLimit,
+        WaitCause cause) {
+      if (!checksIdleCapacity) {
+        return;
       }
-      return selected;
+      MinionSelector.Selection idle = findIdleCapacity(waitingStep, group, pool, taskLimit);
+      WaitCause reported =
+          idle == null
+              ? cause
+              : cause.besideIdleCapacity(idleWaits.record(group, nowMillis), obstacle(idle));
+      waitReporter.reportWait(waitingStep, group, reported, nowMillis, wallMillis);
     }
 
-    // A minion is probed with a single task that may not preempt and is retried if it fails.
-    private boolean mayProbe(WaitingStep waitingStep, TaskGroup group) {
-      return group.size() == 1
-          && group.failures() == 0
-          && waitingStep.workflow().maxAttempts() > 1
-          && !PreemptionPlanner.mayPreempt(waitingStep.queue());
-    }
-
-    private static boolean isLastAttempt(WaitingStep waitingStep, TaskGroup group) {
-      return group.failures() > 0 && group.failures() + 1 >= waitingStep.workflow().maxAttempts();
+    // Returns idle capacity for a group whose workflow has no other task running.
+    private MinionSelector.@Nullable Selection findIdleCapacity(
+        WaitingStep waitingStep,
+        TaskGroup group,
+        MinionPools.Pool pool,
+        MinionTaskLimit taskLimit) {
+      boolean mostlyIdle =
+          serviceLoad.usedPercent(waitingStep.queue().getService()) <= MAX_IDLE_LOAD_PERCENT;
+      boolean nothingRuns =
+          waitingStep.step().getLongRunning() || !runs.hasRun(waitingStep.workflow());
+      return mostlyIdle && nothingRuns
+          ? minionSelector.selectRequired(waitingStep, group, pool, taskLimit)
+          : null;
     }
 
-    private List<Minion> withRecentSuccess(MinionPools.Pool pool) {
-      return pool.healthy().stream()
-          .filter(minion -> minion.health().hasRecentSuccess(nowMillis))
-          .toList();
+    private String obstacle(MinionSelector.Selection idle) {
+      List<String> holders = backfillReservations.holdersOn(idle.minions());
+      return holders.isEmpty()
+          ? idle.givenUp().obstacle()
+          : idle.givenUp().obstacle() + ", reserved for " + holders;
     }
 
-    private List<Minion> withoutFailureOf(TaskGroup group, List<Minion> pool) {
-      if (group.failures() == 0) {
-        return pool;
-      }
-      Set<String> failedMinionIds = failureTracker.failedMinionIds(group);
-      return pool.stream().filter(minion -> !failedMinionIds.contains(minion.id())).toList();
+    private long expectedEndMillis(RankedStep ranked) {
+      return nowMillis + ranked.urgency().estimatedRunMillis();
     }
 
-    private @Nullable List<Minion> findMinions(
-        RankedStep ranked, TaskGroup group, List<Minion> pool, MinionTaskLimit taskLimit) {
-      long endMillis = expectedEndMillis(ranked);
-      if (group.size() > 1) {
-        return PlacementFinder.bestFitGang(
-            ranked.waitingStep(),
-            group.size(),
-            pool,
-            minion -> backfillReservations.availableUntil(minion, endMillis),
-            taskLimit);
+    private void start(Placement placement, MinionTaskLimit taskLimit, long endMillis) {
+      Resources demand = placement.waitingStep().demand();
+      for (Minion minion : placement.minions()) {
+        taskLimit.add(minion);
+        backfillReservations.recordStart(minion, demand, endMillis);
       }
-      Minion minion =
-          PlacementFinder.bestFit(
-              ranked.waitingStep(),
-              pool,
-              m -> backfillReservations.availableUntil(m, endMillis),
-              taskLimit);
-      return minion == null ? null : List.of(minion);
+      waitReporter.remove(placement.group());
+      executor.start(placement, nowMillis, wallMillis);
     }
 
     /**
@@ -243,13 +252,14 @@
         RankedStep ranked, TaskGroup group, MinionPools.Pool pool, MinionTaskLimit taskLimit) {
       Urgency urgency = ranked.urgency();
       WaitingStep waitingStep = ranked.waitingStep();
-      List<Minion> eligible = withoutFailureOf(group, pool.healthy());
+      List<Minion> eligible = minionSelector.preferredMinions(group, pool);
       Collection<List<Minion>> candidates =
           PlacementFinder.candidateSets(waitingStep, group.size(), eligible, taskLimit);
       boolean mayPreempt = PreemptionPlanner.mayPreempt(waitingStep.queue());
       if (!mayPreempt && backfillReservations.groupCount() >= MAX_BACKFILL_RESERVATIONS) {
-        unsatisfiedDemands.add(waitingStep, group.size(), urgency.estimatedRunMillis());
-        waitReporter.reportWait(waitingStep, group, eligible.size(), null, nowMillis, wallMillis);
+        unsatisfiedDemands.add(waitingStep, group, urgency.estimatedRunMillis());
+        WaitCause cause = WaitCause.noPlace(eligible.size(), null);
+        reportWait(waitingStep, group, pool, taskLimit, cause);
         return false;
       }
       Forecast forecast =
@@ -260,15 +270,22 @@
           && preemptFor(ranked, group, candidates, taskLimit)) {
         return true;
       }
-      waitReporter.reportWait(waitingStep, group, eligible.size(), forecast, nowMillis, wallMillis);
+      WaitCause cause = WaitCause.noPlace(eligible.size(), forecast);
+      reportWait(waitingStep, group, pool, taskLimit, cause);
       if (forecast != null && backfillReservations.groupCount() < MAX_BACKFILL_RESERVATIONS) {
-        backfillReservations.add(forecast, waitingStep.demand());
+        reserve(waitingStep, group, forecast);
       } else {
-        unsatisfiedDemands.add(waitingStep, group.size(), urgency.estimatedRunMillis());
+        unsatisfiedDemands.add(waitingStep, group, urgency.estimatedRunMillis());
       }
       return false;
     }
 
+    private void reserve(WaitingStep waitingStep, TaskGroup group, Forecast forecast) {
+      long reservedMillis = reservedGroups.record(group, nowMillis);
+      String holder = waitingStep.nextRunOf(group) + " for " + reservedMillis + " ms";
+      backfillReservations.add(forecast, waitingStep.demand(), holder);
+    }
+
     private boolean isTooLate(@Nullable Forecast forecast, Urgency urgency) {
       long allowedMillis =
           (urgency.latestStartMillis() - wallMillis) * MAX_FORECAST_SLACK_PERCENT / 100;
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/RunTable.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/RunTable.java
@@ -54,6 +54,11 @@
     return List.copyOf(runsByWorkflow.getOrDefault(workflow, Set.of()));
   }
 
+  /** Returns whether a workflow has a run, even if the log has not recorded its start yet. */
+  boolean hasRun(Workflow workflow) {
+    return runsByWorkflow.containsKey(workflow);
+  }
+
   /** Releases the resources of a member. */
   void release(Member member) {
     members.remove(member.taskRun());
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/UnsatisfiedDemands.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/UnsatisfiedDemands.java
@@ -2,6 +2,8 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import org.hickoryspar.kernel.workflow.TaskGroup;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Demands that could not be placed in the current planning round. A demand that is at least as
@@ -11,24 +13,27 @@
 
   private final List<GroupDemand> demands = new ArrayList<>();
 
-  void add(WaitingStep waitingStep, int size, long estimatedRunMillis) {
-    demands.add(new GroupDemand(waitingStep, size, estimatedRunMillis));
+  void add(WaitingStep waitingStep, TaskGroup group, long estimatedRunMillis) {
+    demands.add(new GroupDemand(waitingStep, group, estimatedRunMillis));
   }
 
-  /** Returns whether a demand that is no larger than the given one could not be placed. */
-  boolean isUnsatisfiable(WaitingStep waitingStep, int size, long estimatedRunMillis) {
+  /**
+   * Returns the next run of a group that could not be placed and whose demand is no larger than
+   * that of the given one, or null if there is none.
+   */
+  @Nullable String findSimilar(WaitingStep waitingStep, TaskGroup group, long estimatedRunMillis) {
     for (GroupDemand demand : demands) {
-      if (demand.isAtMost(waitingStep, size, estimatedRunMillis)) {
-        return true;
+      if (demand.isAtMost(waitingStep, group, estimatedRunMillis)) {
+        return demand.waitingStep.nextRunOf(demand.group).toString();
       }
     }
-    return false;
+    return null;
   }
 
-  private record GroupDemand(WaitingStep waitingStep, int size, long estimatedRunMillis) {
+  private record GroupDemand(WaitingStep waitingStep, TaskGroup group, long estimatedRunMillis) {
 
-    boolean isAtMost(WaitingStep other, int otherSize, long otherRunMillis) {
-      return size <= otherSize
+    boolean isAtMost(WaitingStep other, TaskGroup otherGroup, long otherRunMillis) {
+      return group.size() <= otherGroup.size()
           && estimatedRunMillis <= otherRunMillis
           && !waitingStep.step().getSameRack()
           && waitingStep.step().getMaxTasksPerMinion() == 0
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/WaitReporter.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/WaitReporter.java
@@ -3,7 +3,6 @@
 import java.util.HashMap;
 import java.util.Map;
 import org.hickoryspar.kernel.workflow.TaskGroup;
-import org.jspecify.annotations.Nullable;
 
 /** Periodically reports to the listener why groups wait. */
 final class WaitReporter {
@@ -19,19 +18,9 @@
     this.listener = listener;
   }
 
-  /**
-   * Reports that a group waits, unless it has not waited for long or was reported recently.
-   *
-   * @param suitableMinions number of minions that may run the group, regardless of free resources
-   * @param forecast the expected start, null if it is unknown
-   */
+  /** Reports that a group waits, unless it has not waited for long or was reported recently. */
   void reportWait(
-      WaitingStep waitingStep,
-      TaskGroup group,
-      int suitableMinions,
-      @Nullable Forecast forecast,
-      long nowMillis,
-      long wallMillis) {
+      WaitingStep waitingStep, TaskGroup group, WaitCause cause, long nowMillis, long wallMillis) {
     long waitedMillis = wallMillis - waitingStep.dueMillis();
     Long lastMillis = lastReportMillis.get(group);
     boolean due =
@@ -42,11 +31,12 @@
       return;
     }
     lastReportMillis.put(group, nowMillis);
+    Forecast forecast = cause.forecast();
     listener.onEvent(
         DispatchEventKind.GROUP_WAITS,
-        firstTaskOf(waitingStep, group),
+        waitingStep.nextRunOf(group).toString(),
         "reason",
-        reason(suitableMinions, forecast),
+        cause.reason(),
         "waitedMillis",
         waitedMillis,
         "tasks",
@@ -54,26 +44,13 @@
         "demand",
         waitingStep.demand(),
         "suitableMinions",
-        suitableMinions,
+        cause.suitableMinions(),
         "expectedInMillis",
-        forecast == null ? -1 : forecast.startMillis() - nowMillis);
-  }
-
-  private static String firstTaskOf(WaitingStep waitingStep, TaskGroup group) {
-    return new TaskRun(
-            waitingStep.workflow().id(),
-            waitingStep.occurrence(),
-            waitingStep.stepIndex(),
-            group.firstTask(),
-            group.lastRun() + 1)
-        .toString();
-  }
-
-  private static String reason(int suitableMinions, @Nullable Forecast forecast) {
-    if (suitableMinions == 0) {
-      return "no suitable minion";
-    }
-    return forecast == null ? "groups of higher rank have precedence" : "the resources are in use";
+        forecast == null ? -1 : forecast.startMillis() - nowMillis,
+        "idleCapacityMillis",
+        cause.idleMillis(),
+        "obstacle",
+        cause.obstacle());
   }
 
   /** Removes a group that has been placed. */
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/WaitingStep.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/WaitingStep.java
@@ -44,4 +44,10 @@
         ? new Resources(0, demand.getMemoryMegabytes(), demand.getAccelerators())
         : Resources.of(demand);
   }
+
+  /** Returns the run that the first task of a group will have next. */
+  TaskRun nextRunOf(TaskGroup group) {
+    return new TaskRun(
+        workflow.id(), occurrence, stepIndex, group.firstTask(), group.lastRun() + 1);
+  }
 }
--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/DispatcherHarness.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/DispatcherHarness.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Stream;
 import org.hickoryspar.kernel.catalog.CatalogState;
 import org.hickoryspar.kernel.value.Problem;
 import org.hickoryspar.kernel.workflow.Workflow;
@@ -155,6 +156,11 @@
   }
 
   Workflow submit(String id, int priority, WorkflowStep.Builder... steps) {
+    return submitFor("team", id, priority, steps);
+  }
+
+  /** Submits a workflow of a team; only "team" has a guarantee. */
+  Workflow submitFor(String team, String id, int priority, WorkflowStep.Builder... steps) {
     WorkflowSpec.Builder spec = WorkflowSpec.newBuilder().setPayload("payload");
     for (WorkflowStep.Builder step : steps) {
       spec.addSteps(step);
@@ -166,7 +172,7 @@
                     .setSubmit(
                         SubmitWorkflow.newBuilder()
                             .setWorkflowId(id)
-                            .setTeam("team")
+                            .setTeam(team)
                             .setQueue(queue(priority))
                             .setSpec(spec)))
             .build());
@@ -295,8 +301,16 @@
     return events;
   }
 
-  long countEvents(String text) {
-    return events.stream().filter(event -> event.contains(text)).count();
+  /** Counts the events that contain all of some texts. */
+  long countEvents(String... texts) {
+    return events.stream().filter(event -> Stream.of(texts).allMatch(event::contains)).count();
+  }
+
+  /** Returns whether a task of a workflow runs on a minion. */
+  boolean isRunning(String workflowId, int task) {
+    return minions.values().stream()
+        .flatMap(minion -> minion.running().stream())
+        .anyMatch(run -> run.workflowId().equals(workflowId) && run.task() == task);
   }
 
   /** Returns the identifier of the minion of each running task of a workflow. */
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/DecisionTelemetry.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/DecisionTelemetry.java
@@ -26,6 +26,7 @@
   private final Gauge minions;
   private final Gauge groups;
   private final Gauge accelerators;
+  private final Gauge longestIdleWaitSeconds;
 
   /**
    * Creates the telemetry of a process and registers its metrics.
@@ -60,6 +61,11 @@
     groups = gauge(registry, "groups", "Groups of tasks, by state", "state");
     accelerators =
         gauge(registry, "accelerators", "Accelerators of usable minions, by state", "state");
+    longestIdleWaitSeconds =
+        Gauge.builder()
+            .name("hickoryspar_dispatch_longest_idle_wait_seconds")
+            .help("Longest wait of a workflow without a running task beside idle capacity")
+            .register(registry);
   }
 
   private static Histogram histogram(PrometheusRegistry registry, String name, String help) {
@@ -116,5 +122,6 @@
     groups.labelValues("running").set(status.runningGroups());
     accelerators.labelValues("free").set((double) status.freeAccelerators());
     accelerators.labelValues("all").set((double) status.accelerators());
+    longestIdleWaitSeconds.set(status.longestIdleWaitMillis() / MILLIS_PER_SECOND);
   }
 }
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/explain/EventDescriptions.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/explain/EventDescriptions.java
@@ -30,7 +30,8 @@
     TEMPLATES.put(
         "GROUP_WAITS",
         "has waited for {waitedMillis} ms: {reason}; {tasks} task(s) of {demand}, {suitableMinions}"
-            + " suitable minion(s), resources expected in {expectedInMillis} ms");
+            + " suitable minion(s), resources expected in {expectedInMillis} ms, beside idle capacity"
+            + " for {idleCapacityMillis} ms [{obstacle}]");
     TEMPLATES.put(
         "RUN_PLACED", "{tasks} task(s) placed on {minions} after waiting for {waitedMillis} ms");
     TEMPLATES.put("RUN_REFUSED", "the start was neither recorded nor sent: {reason}");
