Expect no end of long-running work, and a later end of overdue work

Cause: a forecast that has proved wrong was made again unchanged. A run past its estimate was expected to end within 500 ms, a long-running one after its estimate, and the limit of tasks per minion was not asked.

Change: a run that is overdue by some time is expected to take as long again; a long-running run keeps its resources; a forecast keeps to the limit per minion. A reservation thus moves away from a run that does not end, and shorter work is backfilled before it.

--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/MinionTaskLimit.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/MinionTaskLimit.java
@@ -6,16 +6,9 @@
 /** Enforces the limit of a step on its number of tasks per minion. */
 final class MinionTaskLimit {
 
-  /** The limit of a step that allows any number of tasks per minion. */
-  static final MinionTaskLimit UNLIMITED = new MinionTaskLimit();
-
   private final int maxTasksPerMinion;
   private final Map<Minion, Integer> tasksByMinion = new HashMap<>();
 
-  private MinionTaskLimit() {
-    maxTasksPerMinion = Integer.MAX_VALUE;
-  }
-
   MinionTaskLimit(WaitingStep waitingStep, RunTable runs) {
     int maxTasks = waitingStep.step().getMaxTasksPerMinion();
     maxTasksPerMinion = maxTasks == 0 ? Integer.MAX_VALUE : maxTasks;
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Planner.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Planner.java
@@ -264,7 +264,7 @@
       }
       Forecast forecast =
           new StartForecaster(remainingTimes, backfillReservations::unreserved, nowMillis)
-              .earliest(waitingStep.demand(), group.size(), candidates);
+              .earliest(waitingStep.demand(), group.size(), candidates, taskLimit);
       if (mayPreempt
           && isTooLate(forecast, urgency)
           && preemptFor(ranked, group, candidates, taskLimit)) {
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/RemainingTimes.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/RemainingTimes.java
@@ -2,11 +2,15 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.OptionalLong;
 
 /** Estimates the remaining time of active runs. Valid for one planning round. */
 final class RemainingTimes {
 
-  /** Lower bound of an estimate; applies to a run that has exceeded its estimated run time. */
+  /** The remaining time of a run that does not end by itself. */
+  static final long NEVER_MILLIS = Long.MAX_VALUE / 4;
+
+  /** Lower bound of an estimate. */
   private static final long MIN_REMAINING_MILLIS = 500;
 
   private final RunTimeEstimates runTimeEstimates;
@@ -25,7 +29,10 @@
     this.nowMillis = nowMillis;
   }
 
-  /** Returns the estimated time until a run ends, in milliseconds. */
+  /**
+   * Returns the estimated time until a run ends, in milliseconds. A run that is overdue is expected
+   * to take as long again as it is overdue.
+   */
   long remainingMillis(ActiveRun run) {
     Long remaining = remainingMillisByRun.get(run);
     if (remaining == null) {
@@ -39,16 +46,20 @@
     if (run.isStopRequested()) {
       return stopMillis;
     }
-    long byProgressMillis = -1;
-    for (Member member : run.members()) {
-      if (!member.isEnded()) {
-        byProgressMillis = Math.max(byProgressMillis, member.progress().remainingMillis(nowMillis));
-      }
+    if (run.step().getLongRunning()) {
+      return NEVER_MILLIS;
     }
     long remainingMillis =
-        byProgressMillis >= 0
-            ? byProgressMillis
-            : runTimeEstimates.estimateMillis(run) - run.runningMillis(nowMillis);
-    return Math.max(MIN_REMAINING_MILLIS, remainingMillis);
+        remainingMillisByProgress(run)
+            .orElseGet(() -> runTimeEstimates.estimateMillis(run) - run.runningMillis(nowMillis));
+    return Math.max(MIN_REMAINING_MILLIS, Math.abs(remainingMillis));
+  }
+
+  // A gang ends together, so the slowest member decides.
+  private OptionalLong remainingMillisByProgress(ActiveRun run) {
+    return run.members().stream()
+        .filter(member -> !member.isEnded() && member.progress().hasRate())
+        .mapToLong(member -> member.progress().remainingMillis(nowMillis))
+        .max();
   }
 }
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/StartForecaster.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/StartForecaster.java
@@ -30,11 +30,16 @@
 
   /**
    * Returns the forecast with the earliest start, or null if the group fits on no candidate set.
+   * Runs that do not end by themselves keep their resources.
    */
-  @Nullable Forecast earliest(Resources demand, int size, Collection<List<Minion>> candidateSets) {
+  @Nullable Forecast earliest(
+      Resources demand,
+      int size,
+      Collection<List<Minion>> candidateSets,
+      MinionTaskLimit taskLimit) {
     Forecast best = null;
     for (List<Minion> candidates : candidateSets) {
-      Forecast forecast = forecastOn(demand, size, candidates);
+      Forecast forecast = forecastOn(demand, size, candidates, taskLimit);
       if (forecast != null && (best == null || forecast.startMillis() < best.startMillis())) {
         best = forecast;
       }
@@ -42,18 +47,16 @@
     return best;
   }
 
-  private @Nullable Forecast forecastOn(Resources demand, int size, List<Minion> minions) {
+  private @Nullable Forecast forecastOn(
+      Resources demand, int size, List<Minion> minions, MinionTaskLimit taskLimit) {
     Map<Minion, Resources> freeByMinion = new HashMap<>();
     List<Release> releases = new ArrayList<>();
     int fittingTasks = 0;
     for (Minion minion : minions) {
       Resources freeNow = freeOf.apply(minion);
       freeByMinion.put(minion, freeNow);
-      fittingTasks += freeNow.countFitting(demand, size);
-      for (Member member : minion.members()) {
-        releases.add(
-            new Release(remainingTimes.remainingMillis(member.run()), minion, member.demand()));
-      }
+      fittingTasks += countFitting(minion, freeNow, demand, size, taskLimit);
+      addReleases(minion, releases);
     }
     releases.sort(Comparator.comparingLong(Release::delayMillis));
     long delayMillis = 0;
@@ -63,7 +66,9 @@
       }
       Resources freeBefore = freeByMinion.getOrDefault(release.minion, Resources.NONE);
       Resources freeAfter = freeBefore.plus(release.resources);
-      fittingTasks += freeAfter.countFitting(demand, size) - freeBefore.countFitting(demand, size);
+      fittingTasks +=
+          countFitting(release.minion, freeAfter, demand, size, taskLimit)
+              - countFitting(release.minion, freeBefore, demand, size, taskLimit);
       freeByMinion.put(release.minion, freeAfter);
       delayMillis = release.delayMillis;
     }
@@ -72,13 +77,23 @@
     }
     List<Minion> chosen =
         PlacementFinder.assignTasks(
-            demand,
-            size,
-            minions,
-            m -> freeByMinion.getOrDefault(m, Resources.NONE),
-            MinionTaskLimit.UNLIMITED);
+            demand, size, minions, m -> freeByMinion.getOrDefault(m, Resources.NONE), taskLimit);
     return new Forecast(chosen, nowMillis + delayMillis);
   }
 
+  private void addReleases(Minion minion, List<Release> releases) {
+    for (Member member : minion.members()) {
+      long delayMillis = remainingTimes.remainingMillis(member.run());
+      if (delayMillis < RemainingTimes.NEVER_MILLIS) {
+        releases.add(new Release(delayMillis, minion, member.demand()));
+      }
+    }
+  }
+
+  private static int countFitting(
+      Minion minion, Resources free, Resources demand, int size, MinionTaskLimit taskLimit) {
+    return Math.min(free.countFitting(demand, size), taskLimit.remaining(minion));
+  }
+
   private record Release(long delayMillis, Minion minion, Resources resources) {}
 }
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/TaskProgress.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/TaskProgress.java
@@ -41,22 +41,29 @@
     return lastUpdateMillis;
   }
 
-  /** Returns the remaining time at the observed rate in milliseconds, or -1 if it is unknown. */
+  /** Returns whether the task has advanced enough for its rate to be reliable. */
+  boolean hasRate() {
+    return donePercent() >= MIN_PROGRESS_PERCENT;
+  }
+
+  private int donePercent() {
+    return percent - Math.max(0, firstPercent);
+  }
+
+  /**
+   * Returns the remaining time at the observed rate in milliseconds, negative if the task should
+   * have ended. The rate must be known.
+   */
   long remainingMillis(long nowMillis) {
-    int donePercent = percent - Math.max(0, firstPercent);
-    if (donePercent < MIN_PROGRESS_PERCENT) {
-      return -1;
-    }
     long elapsedMillis = Math.max(1, lastAdvanceMillis - firstMillis);
-    long remainingAtAdvanceMillis = elapsedMillis * (COMPLETE_PERCENT - percent) / donePercent;
-    return Math.max(0, remainingAtAdvanceMillis - (nowMillis - lastAdvanceMillis));
+    long remainingAtAdvanceMillis = elapsedMillis * (COMPLETE_PERCENT - percent) / donePercent();
+    return remainingAtAdvanceMillis - (nowMillis - lastAdvanceMillis);
   }
 
   /** Returns the total run time at the observed rate in milliseconds, or -1 if it is unknown. */
   long totalMillis() {
-    int donePercent = percent - Math.max(0, firstPercent);
-    return donePercent < MIN_PROGRESS_PERCENT
-        ? -1
-        : Math.max(1, lastAdvanceMillis - firstMillis) * COMPLETE_PERCENT / donePercent;
+    return hasRate()
+        ? Math.max(1, lastAdvanceMillis - firstMillis) * COMPLETE_PERCENT / donePercent()
+        : -1;
   }
 }
