Skip the search for a group only if it has no choice that a failed one lacked

Cause: a failed search stood for all later ones of the round. It does not if the group that failed avoids minions on which it had failed, may not probe a minion where the other may, or has no guarantee where the other has. Likewise, the other groups of a step were given up with the first that found no place.

Change: a search with fewer minions is not recorded; a group that may probe or is guaranteed is searched for unless the failed one was too; a group with failures does not stop its step.

--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Planner.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Planner.java
@@ -162,24 +162,32 @@
         if (pendingPlacements.containsKey(group) || runs.hasRun(group)) {
           continue;
         }
-        String similarGroup =
-            unsatisfiedDemands.findSimilar(
-                waitingStep, group, ranked.urgency().estimatedRunMillis());
-        if (similarGroup != null) {
-          reportSkip(waitingStep, group, pool, taskLimit, similarGroup);
-          return;
-        }
-        List<Minion> selected =
-            minionSelector.selectPreferred(
-                waitingStep, group, pool, taskLimit, expectedEndMillis(ranked));
-        if (selected != null) {
-          start(new Placement(waitingStep, group, selected), taskLimit, expectedEndMillis(ranked));
-        } else if (!preemptOrReserve(ranked, group, pool, taskLimit)) {
+        // The other groups of the step have no more choice than a group without failures.
+        if (!placeGroup(ranked, group, pool, taskLimit) && group.failures() == 0) {
           return;
         }
       }
     }
 
+    /** Returns whether a group is placed now, or will be once the victims of a preemption end. */
+    private boolean placeGroup(
+        RankedStep ranked, TaskGroup group, MinionPools.Pool pool, MinionTaskLimit taskLimit) {
+      WaitingStep waitingStep = ranked.waitingStep();
+      String similarGroup = unsatisfiedDemands.findSimilar(waitingStep, group, ranked.urgency());
+      if (similarGroup != null) {
+        reportSkip(waitingStep, group, pool, taskLimit, similarGroup);
+        return false;
+      }
+      long endMillis = expectedEndMillis(ranked);
+      List<Minion> selected =
+          minionSelector.selectPreferred(waitingStep, group, pool, taskLimit, endMillis);
+      if (selected == null) {
+        return preemptOrReserve(ranked, group, pool, taskLimit);
+      }
+      start(new Placement(waitingStep, group, selected), taskLimit, endMillis);
+      return true;
+    }
+
     private void reportSkip(
         WaitingStep waitingStep,
         TaskGroup group,
@@ -257,7 +265,7 @@
           PlacementFinder.candidateSets(waitingStep, group.size(), eligible, taskLimit);
       boolean mayPreempt = PreemptionPlanner.mayPreempt(waitingStep.queue());
       if (!mayPreempt && backfillReservations.groupCount() >= MAX_BACKFILL_RESERVATIONS) {
-        unsatisfiedDemands.add(waitingStep, group, urgency.estimatedRunMillis());
+        unsatisfiedDemands.add(waitingStep, group, urgency, false);
         WaitCause cause = WaitCause.noPlace(eligible.size(), null);
         reportWait(waitingStep, group, pool, taskLimit, cause);
         return false;
@@ -265,9 +273,8 @@
       Forecast forecast =
           new StartForecaster(remainingTimes, backfillReservations::unreserved, nowMillis)
               .earliest(waitingStep.demand(), group.size(), candidates, taskLimit);
-      if (mayPreempt
-          && isTooLate(forecast, urgency)
-          && preemptFor(ranked, group, candidates, taskLimit)) {
+      boolean triesPreemption = mayPreempt && isTooLate(forecast, urgency);
+      if (triesPreemption && preemptFor(ranked, group, candidates, taskLimit)) {
         return true;
       }
       WaitCause cause = WaitCause.noPlace(eligible.size(), forecast);
@@ -275,7 +282,7 @@
       if (forecast != null && backfillReservations.groupCount() < MAX_BACKFILL_RESERVATIONS) {
         reserve(waitingStep, group, forecast);
       } else {
-        unsatisfiedDemands.add(waitingStep, group, urgency.estimatedRunMillis());
+        unsatisfiedDemands.add(waitingStep, group, urgency, triesPreemption);
       }
       return false;
     }
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/UnsatisfiedDemands.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/UnsatisfiedDemands.java
@@ -6,40 +6,66 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Demands that could not be placed in the current planning round. A demand that is at least as
- * large cannot be placed either, so its search is skipped.
+ * Groups that found no place in the current planning round. The search for another group is skipped
+ * only if it has no choice that the failed search did not have: the same minions and no smaller
+ * demand, no right to probe and no guarantee that the other group lacks.
  */
 final class UnsatisfiedDemands {
 
-  private final List<GroupDemand> demands = new ArrayList<>();
+  private final List<FailedSearch> failedSearches = new ArrayList<>();
 
-  void add(WaitingStep waitingStep, TaskGroup group, long estimatedRunMillis) {
-    demands.add(new GroupDemand(waitingStep, group, estimatedRunMillis));
+  /**
+   * Records a failed search.
+   *
+   * @param preemptionTried whether runs to preempt were looked for
+   */
+  void add(WaitingStep waitingStep, TaskGroup group, Urgency urgency, boolean preemptionTried) {
+    // A group with failures, within one rack or with a limit per minion searches fewer minions.
+    if (group.failures() == 0
+        && !waitingStep.step().getSameRack()
+        && waitingStep.step().getMaxTasksPerMinion() == 0) {
+      failedSearches.add(new FailedSearch(waitingStep, group, urgency, preemptionTried));
+    }
   }
 
   /**
-   * Returns the next run of a group that could not be placed and whose demand is no larger than
-   * that of the given one, or null if there is none.
+   * Returns the next run of a group whose search has failed with at least the choice that a group
+   * has, or null if there is none.
    */
-  @Nullable String findSimilar(WaitingStep waitingStep, TaskGroup group, long estimatedRunMillis) {
-    for (GroupDemand demand : demands) {
-      if (demand.isAtMost(waitingStep, group, estimatedRunMillis)) {
-        return demand.waitingStep.nextRunOf(demand.group).toString();
+  @Nullable String findSimilar(WaitingStep waitingStep, TaskGroup group, Urgency urgency) {
+    for (FailedSearch failed : failedSearches) {
+      if (failed.hadSameMinions(waitingStep)
+          && failed.demandedAtMost(waitingStep, group, urgency)
+          && failed.mightProbe(waitingStep, group)
+          && failed.mightPreemptFor(urgency)) {
+        return failed.waitingStep.nextRunOf(failed.group).toString();
       }
     }
     return null;
   }
 
-  private record GroupDemand(WaitingStep waitingStep, TaskGroup group, long estimatedRunMillis) {
+  private record FailedSearch(
+      WaitingStep waitingStep, TaskGroup group, Urgency urgency, boolean preemptionTried) {
+
+    boolean hadSameMinions(WaitingStep other) {
+      return waitingStep.queue().getService().equals(other.queue().getService())
+          && waitingStep.step().getRequiredLabel().equals(other.step().getRequiredLabel());
+    }
 
-    boolean isAtMost(WaitingStep other, TaskGroup otherGroup, long otherRunMillis) {
+    boolean demandedAtMost(WaitingStep other, TaskGroup otherGroup, Urgency otherUrgency) {
       return group.size() <= otherGroup.size()
-          && estimatedRunMillis <= otherRunMillis
-          && !waitingStep.step().getSameRack()
-          && waitingStep.step().getMaxTasksPerMinion() == 0
-          && waitingStep.queue().getService().equals(other.queue().getService())
-          && waitingStep.step().getRequiredLabel().equals(other.step().getRequiredLabel())
+          && urgency.estimatedRunMillis() <= otherUrgency.estimatedRunMillis()
           && waitingStep.demand().fitsIn(other.demand());
     }
+
+    boolean mightProbe(WaitingStep other, TaskGroup otherGroup) {
+      return MinionSelector.mayProbe(waitingStep, group)
+          || !MinionSelector.mayProbe(other, otherGroup);
+    }
+
+    // Only guaranteed work is promised a preemption.
+    boolean mightPreemptFor(Urgency otherUrgency) {
+      return !otherUrgency.isGuaranteed() || (preemptionTried && urgency.isGuaranteed());
+    }
   }
 }
