Write the log in pieces that one write takes, and count lines of a failed write

Cause: up to 256 records were written with one call, and an IOException was swallowed with them.

Change: lines are written in pieces of at most 8,192 bytes; lines of a failed write count as dropped, so that 6101 reports them.

--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/observability/AsyncLogHandler.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/observability/AsyncLogHandler.java
@@ -2,6 +2,7 @@
 
 import static java.util.Objects.requireNonNull;
 
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
@@ -21,6 +22,10 @@
 
   private static final int MAX_QUEUED_RECORDS = 4_096;
   private static final int MAX_BATCH_RECORDS = 256;
+
+  /** A longer write may be carried out in part, and a failure would lose all of its lines. */
+  private static final int MAX_WRITE_BYTES = 8_192;
+
   private static final long POLL_MILLIS = 1_000;
   private static final long CLOSE_TIMEOUT_MILLIS = 500;
 
@@ -43,7 +48,7 @@
   @Override
   public void publish(LogRecord logRecord) {
     if (isLoggable(logRecord) && !queue.offer(logRecord)) {
-      rateLimiter.recordDropped();
+      rateLimiter.recordDropped(1);
     }
   }
 
@@ -62,9 +67,6 @@
       } catch (InterruptedException e) {
         Thread.currentThread().interrupt();
         return;
-      } catch (IOException e) {
-        // A failure to write the log cannot be reported anywhere.
-        batch.clear();
       }
     }
   }
@@ -78,16 +80,32 @@
     }
   }
 
-  private void write(List<LogRecord> batch) throws IOException {
-    if (batch.isEmpty()) {
-      return;
-    }
-    StringBuilder text = new StringBuilder();
+  private void write(List<LogRecord> batch) {
+    ByteArrayOutputStream lines = new ByteArrayOutputStream();
+    int lineCount = 0;
     for (LogRecord logRecord : batch) {
-      text.append(getFormatter().format(logRecord));
+      byte[] line = getFormatter().format(logRecord).getBytes(StandardCharsets.UTF_8);
+      if (lineCount > 0 && lines.size() + line.length > MAX_WRITE_BYTES) {
+        writeLines(lines, lineCount);
+        lineCount = 0;
+      }
+      lines.writeBytes(line);
+      lineCount++;
+    }
+    if (lineCount > 0) {
+      writeLines(lines, lineCount);
+    }
+  }
+
+  private void writeLines(ByteArrayOutputStream lines, int lineCount) {
+    try {
+      lines.writeTo(out);
+      out.flush();
+    } catch (IOException e) {
+      // The count is logged once the output works again.
+      rateLimiter.recordDropped(lineCount);
     }
-    out.write(text.toString().getBytes(StandardCharsets.UTF_8));
-    out.flush();
+    lines.reset();
   }
 
   @Override
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/observability/LogRateLimiter.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/observability/LogRateLimiter.java
@@ -46,9 +46,9 @@
     return acquired;
   }
 
-  /** Counts a line that was dropped for another reason. */
-  void recordDropped() {
-    dropped.incrementAndGet();
+  /** Counts lines that were dropped for another reason. */
+  void recordDropped(int lines) {
+    dropped.addAndGet(lines);
   }
 
   /** Returns the number of lines that were dropped since the last call. */
