Recover the run that an earlier session recorded under the same number

Callers saw a task that was never placed again while all minions were idle, or that ran twice. A session that took over within a term may have proposed run n of a group before run n of the earlier session was recorded, on another minion. Its handler took the recorded start for its own and sent the order; its own start was then refused and its run removed. The recorded run had no member, so nothing ended it and the group was neither waiting nor running until the next session, and the task that had been started was stopped as a stray, or was done and started again.

A run counts as recorded only if the recorded minions are its own. Otherwise it is removed, which is safe because its start was never sent, and the recorded run is recovered: its minion does not list it, so it is lost and the group is placed again. A refusal removes no run whose start is recorded.

--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/ActiveRun.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/ActiveRun.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import org.hickoryspar.kernel.workflow.TaskGroup;
 import org.hickoryspar.kernel.workflow.Workflow;
+import org.hickoryspar.protocol.MinionLife;
 import org.hickoryspar.protocol.RunEnd;
 import org.hickoryspar.protocol.WorkflowEvent;
 import org.hickoryspar.protocol.WorkflowStep;
@@ -79,6 +80,16 @@
     return new TaskRun(workflow.id(), occurrence, stepIndex, group.firstTask() + member, number);
   }
 
+  /** Returns whether the members are placed on the given minions, in any life of these. */
+  boolean isPlacedOn(List<MinionLife> minions) {
+    List<String> minionIds = minions.stream().map(MinionLife::getMinionId).toList();
+    return members.stream().map(member -> member.minion().id()).toList().equals(minionIds);
+  }
+
+  boolean isStartRecorded() {
+    return members.stream().anyMatch(Member::isStartRecorded);
+  }
+
   boolean isStopRequested() {
     return members.stream().anyMatch(Member::isStopRequested);
   }
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/AppliedEventHandler.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/AppliedEventHandler.java
@@ -8,6 +8,7 @@
 import org.hickoryspar.kernel.workflow.WorkflowTable;
 import org.hickoryspar.protocol.RunStart;
 import org.hickoryspar.protocol.WorkflowEvent;
+import org.jspecify.annotations.Nullable;
 
 /** Updates the state of the dispatcher after events that the replicated log has applied. */
 final class AppliedEventHandler {
@@ -74,21 +75,28 @@
   private void handleStart(
       Workflow workflow, RunStart start, Optional<Problem> problem, long nowMillis) {
     ActiveRun run = runs.find(start);
-    if (run == null) {
-      if (problem.isEmpty()) {
-        // An earlier dispatcher of this term proposed the start before it was replaced.
-        recovery.recover(workflow, start, nowMillis);
-      }
-    } else if (problem.isPresent()) {
-      listener.onEvent(
-          DispatchEventKind.RUN_REFUSED,
-          run.taskRun(0).toString(),
-          "reason",
-          problem.get().message());
-      runs.remove(run);
-    } else {
+    if (problem.isPresent()) {
+      removeRefusedRun(run, problem.get());
+    } else if (run != null && run.isPlacedOn(start.getMinionsList())) {
       run.members().forEach(Member::markStartRecorded);
+    } else {
+      // An earlier dispatcher of this term proposed the start before it was replaced. The start of
+      // the same run that this dispatcher has proposed will be refused.
+      if (run != null) {
+        runs.remove(run);
+      }
+      recovery.recover(workflow, start, nowMillis);
+    }
+  }
+
+  // A refused start may have the number of a run that an earlier dispatcher started.
+  private void removeRefusedRun(@Nullable ActiveRun run, Problem problem) {
+    if (run == null || run.isStartRecorded()) {
+      return;
     }
+    listener.onEvent(
+        DispatchEventKind.RUN_REFUSED, run.taskRun(0).toString(), "reason", problem.message());
+    runs.remove(run);
   }
 
   private void removeEndedRuns(Workflow workflow) {
