Tell the batches of a session from those of an earlier one

Callers saw a task run again after it was done. Each session numbered its batches from 1, so that a batch of an earlier session of the same term, recorded late, passed for one of the new session. The ends that waited for their own batch were acknowledged before it was recorded. If that batch was then dropped with the term, the minion no longer listed the end, and the next leader took the run for lost.

The test fails without the change.

The numbers of a session begin at the time of its start, in steps that leave room for more batches than it can propose, so they are higher than those of earlier sessions of the process. A batch of another process is recorded before the session starts or not at all. The test of the outbox passes the first number, 1 as before.

--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Dispatcher.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Dispatcher.java
@@ -40,9 +40,12 @@
   /** Events that arrive within this interval share one planning round. */
   private static final long PLAN_INTERVAL_MILLIS = 10;
 
+  /** More batches than a dispatcher proposes in a millisecond. */
+  private static final long BATCH_NUMBERS_PER_MILLI = 1L << 20;
+
   private final WorkflowTable table;
   private final RunTable runs = new RunTable();
-  private final Outbox outbox = new Outbox();
+  private final Outbox outbox;
   private final RunEndRecorder endRecorder;
   private final MinionTable minions;
   private final StopRetransmitter stopRetransmitter;
@@ -79,6 +82,7 @@
     requireNonNull(catalog, "catalog is null");
     this.table = requireNonNull(table, "table is null");
     requireNonNull(listener, "listener is null");
+    this.outbox = new Outbox(firstBatchNumber(nowMillis));
     MinionFailureTracker failureTracker = new MinionFailureTracker(listener);
     RunTimeEstimates runTimeEstimates = new RunTimeEstimates();
     this.endRecorder = new RunEndRecorder(runs, outbox, failureTracker, runTimeEstimates, listener);
@@ -112,6 +116,12 @@
     }
   }
 
+  // Batches of an earlier dispatcher of this term may still be recorded, and must not be taken for
+  // batches of this one.
+  private static long firstBatchNumber(long nowMillis) {
+    return Math.max(0, nowMillis) * BATCH_NUMBERS_PER_MILLI + 1;
+  }
+
   // -- events from minions
 
   /**
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Outbox.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Outbox.java
@@ -20,7 +20,17 @@
   private final List<WorkflowEvent> proposals = new ArrayList<>();
   private int proposalsBytes;
   private final Deque<WorkflowBatch> closedBatches = new ArrayDeque<>();
-  private long batchNumber = 1;
+  private long batchNumber;
+
+  /**
+   * Creates an empty outbox.
+   *
+   * @param firstBatchNumber number of the first batch, positive and higher than those of all
+   *     earlier dispatchers whose batches may still be recorded
+   */
+  Outbox(long firstBatchNumber) {
+    batchNumber = firstBatchNumber;
+  }
 
   void send(Order order) {
     orders.add(order);
--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/OutboxTest.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/OutboxTest.java
@@ -23,7 +23,7 @@
   /** Guards against a batch of events that exceeds the largest command and is never recorded. */
   @Test(dataProvider = "eventSizes")
   public void shouldDivideBatchesWhenEventsAreLarge(int idBytes, int events) {
-    Outbox outbox = new Outbox();
+    Outbox outbox = new Outbox(1);
     List<String> proposed = new ArrayList<>();
     List<Long> batchNumbers = new ArrayList<>();
     for (int i = 0; i < events; i++) {
--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/SessionTakeoverTest.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/SessionTakeoverTest.java
@@ -11,6 +11,7 @@
 import org.hickoryspar.kernel.workflow.WorkflowTable;
 import org.hickoryspar.protocol.Catalog;
 import org.hickoryspar.protocol.CatalogChange;
+import org.hickoryspar.protocol.RunEnd;
 import org.hickoryspar.protocol.ServicePolicy;
 import org.hickoryspar.protocol.SubmitWorkflow;
 import org.hickoryspar.protocol.WorkflowBatch;
@@ -68,6 +69,34 @@
     assertEquals(nextStart.getEvents(0).getRunStart().getRun(), 2);
   }
 
+  /** Guards against a task that runs again after its end was acknowledged and then forgotten. */
+  @Test
+  void shouldNotAcknowledgeEndWhenBatchOfEarlierSessionIsRecorded() {
+    WorkflowBatch start = placeOn(first);
+    record(start);
+    Order.Start order = startsOf(advance()).get(0);
+    first.start(order);
+    startSession();
+    first.endTask(order.taskRun(), RunEnd.Cause.DONE);
+    report(first);
+    respondToRenewals(first, advance());
+    WorkflowBatch end = proposals();
+
+    dispatcher.handleApplied(
+        WorkflowBatch.newBuilder().setDispatchNumber(start.getDispatchNumber()).build(),
+        List.of(),
+        nowMillis,
+        nowMillis,
+        nowMillis);
+    List<Order> beforeRecord = advance();
+    record(end);
+    List<Order> afterRecord = advance();
+
+    assertEquals(end.getEvents(0).getRunEnd().getCause(), RunEnd.Cause.DONE);
+    assertTrue(beforeRecord.isEmpty(), beforeRecord.toString());
+    assertEquals(((Order.Renew) afterRecord.get(0)).recordedEndNumber(), 1);
+  }
+
   private static WorkflowBatch submission() {
     return WorkflowBatch.newBuilder()
         .addEvents(
