Send no start to a minion whose clock is unknown

A run whose start is being recorded while its minion restarts moves to the new life. Its order was then sent before the first response of that life, with a deadline on the leader's clock: the minion took a lease that is longer than intended, and the leader noted a grant that the minion's clock may not reach for as long as the leader's has run. The leader would then never see the lease expire if the minion was lost, so the runs stayed in the tables and the tasks waited.

The test fails without the change.

The start waits for the response to the first renewal, which is sent at once and is not held back. A minion that never responds is still given up when every earlier lease has expired.

--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/TaskOrderSender.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/TaskOrderSender.java
@@ -48,9 +48,14 @@
     }
   }
 
-  // A start extends the lease of its minion, so none is sent to a minion that does not respond.
+  // A start extends the lease of its minion, so none is sent to a minion that does not respond, nor
+  // to one whose clock is unknown.
   private static boolean mayStart(Member member) {
-    return !member.isInherited() && !member.isConfirmed() && !member.minion().lease().isSuspect();
+    Minion minion = member.minion();
+    return !member.isInherited()
+        && !member.isConfirmed()
+        && !minion.lease().isSuspect()
+        && minion.clock().isKnown();
   }
 
   private boolean isDue(OrderState order, long nowMillis) {
--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/SessionTakeoverTest.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/SessionTakeoverTest.java
@@ -97,6 +97,24 @@
     assertEquals(((Order.Renew) afterRecord.get(0)).recordedEndNumber(), 1);
   }
 
+  /** Guards against a lease that is never known to have expired, on a clock that was unknown. */
+  @Test
+  void shouldNotSendStartWhenClockOfNewLifeIsUnknown() {
+    WorkflowBatch start = placeOn(first);
+    List<Order> renewals = advance();
+    first.restart(nowMillis);
+    respondToRenewals(first, renewals);
+    record(start);
+    List<Order> clockUnknown = advance();
+    respondToRenewals(first, clockUnknown);
+    List<Order> clockKnown = advance();
+
+    assertTrue(startsOf(clockUnknown).isEmpty(), clockUnknown.toString());
+    long latestMillis =
+        first.clockMillis(nowMillis) + DispatcherHarness.SETTINGS.startValidityMillis();
+    assertTrue(startsOf(clockKnown).get(0).deadlineMillis() <= latestMillis);
+  }
+
   private static WorkflowBatch submission() {
     return WorkflowBatch.newBuilder()
         .addEvents(
