--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/FakeMinion.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/FakeMinion.java
@@ -11,11 +11,14 @@
 /** A minion with 8 accelerators that carries out orders while it is reachable. */
 final class FakeMinion {
 
+  static final Resources CAPACITY = new Resources(64_000, 256_000, 8);
+
   private final String id;
   private final String rack;
   private long bornMillis;
   private long sequence;
   private boolean draining;
+  private final List<String> labels = new ArrayList<>();
   private boolean reachable = true;
   private boolean respondsToStarts = true;
   private final List<TaskRun> running = new ArrayList<>();
@@ -25,6 +28,7 @@
   private Order.Renew pendingRenewal;
   private Order.Renew lastRenewal;
   private long responseDueMillis;
+  private long leaseDeadlineMillis;
 
   FakeMinion(String id, String rack, long bornMillis) {
     this.id = id;
@@ -48,9 +52,10 @@
         .setClockMillis(clockMillis(nowMillis))
         .setCapacity(
             TaskDemand.newBuilder()
-                .setCpuMillicores(64_000)
-                .setMemoryMegabytes(256_000)
-                .setAccelerators(8))
+                .setCpuMillicores(CAPACITY.cpuMillicores())
+                .setMemoryMegabytes(CAPACITY.memoryMegabytes())
+                .setAccelerators((int) CAPACITY.accelerators()))
+        .addAllLabels(labels)
         .build();
   }
 
@@ -60,6 +65,7 @@
   void renew(Order.Renew order, long nowMillis) {
     lastRenewal = order;
     pendingRenewal = order;
+    leaseDeadlineMillis = Math.max(leaseDeadlineMillis, order.deadlineMillis());
     responseDueMillis = nowMillis + order.waitMillis();
   }
 
@@ -95,6 +101,7 @@
     if (!respondsToStarts) {
       return OrderOutcome.UNKNOWN;
     }
+    leaseDeadlineMillis = Math.max(leaseDeadlineMillis, order.deadlineMillis());
     running.add(order.taskRun());
     return OrderOutcome.DONE;
   }
@@ -116,6 +123,13 @@
     ended.add(new RenewalResponse.EndedTask(ended.size() + 1, run, cause, ""));
   }
 
+  /** Ends all running tasks if the lease has expired. */
+  void endExpiredLease(long nowMillis) {
+    if (clockMillis(nowMillis) > leaseDeadlineMillis) {
+      running().forEach(run -> endTask(run, RunEnd.Cause.LEASE_LAPSED));
+    }
+  }
+
   /** Makes the minion unreachable and discards its running tasks. */
   void crash() {
     reachable = false;
@@ -126,6 +140,7 @@
   void restart(long nowMillis) {
     bornMillis = nowMillis;
     sequence = 0;
+    leaseDeadlineMillis = 0;
     draining = false;
     reachable = true;
     running.clear();
@@ -143,6 +158,18 @@
     return MinionLife.newBuilder().setMinionId(id).setBornMillis(bornMillis).build();
   }
 
+  void addLabel(String label) {
+    labels.add(label);
+  }
+
+  List<String> labels() {
+    return labels;
+  }
+
+  boolean isDraining() {
+    return draining;
+  }
+
   void startDraining() {
     draining = true;
   }
@@ -176,6 +203,10 @@
     return id;
   }
 
+  String rack() {
+    return rack;
+  }
+
   boolean isReachable() {
     return reachable;
   }
--- /dev/null
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/IdleCapacityModelTest.java
@@ -0,0 +1,32 @@
+package org.hickoryspar.kernel.dispatch;
+
+import static org.testng.Assert.assertEquals;
+
+import java.util.Optional;
+import java.util.stream.IntStream;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/**
+ * Plays random schedules of workflows and failures on fake minions. The invariant: no workflow
+ * waits beside idle capacity, and no large gang waits forever behind small tasks.
+ */
+public class IdleCapacityModelTest {
+
+  private static final int SEEDS = 100;
+
+  @DataProvider
+  Object[][] seeds() {
+    Integer replayed = Integer.getInteger("hickoryspar.seed");
+    int count = Integer.getInteger("hickoryspar.seeds", SEEDS);
+    IntStream seeds = replayed == null ? IntStream.range(0, count) : IntStream.of(replayed);
+    return seeds.mapToObj(seed -> new Object[] {seed}).toArray(Object[][]::new);
+  }
+
+  /** Guards against a workflow that nobody starts although the capacity for it is idle. */
+  @Test(dataProvider = "seeds")
+  void shouldStartWorkflowWhenCapacityIsIdle(int seed) {
+    Optional<String> violation = new IdleCapacityModel(seed).findViolation();
+    assertEquals(violation, Optional.empty(), "seed " + seed + ": " + violation.orElse(""));
+  }
+}
