--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/IdleCapacityModelTest.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/IdleCapacityModelTest.java
@@ -29,4 +29,11 @@
     Optional<String> violation = new IdleCapacityModel(seed).findViolation();
     assertEquals(violation, Optional.empty(), "seed " + seed + ": " + violation.orElse(""));
   }
+
+  /** Guards against a large gang that waits for ever behind small tasks of lower rank. */
+  @Test(dataProvider = "seeds")
+  void shouldStartLargeGangWhenLoadLeavesRoom(int seed) {
+    Optional<String> violation = new LargeGangModel(seed).findViolation();
+    assertEquals(violation, Optional.empty(), "seed " + seed + ": " + violation.orElse(""));
+  }
 }
