Model test of gangs: a task that is bound to each minion keeps every rack busy

With small tasks that can run anywhere a rack became free by chance: the test passed without any backfill reservation. Now each minion has a task of its own, runs last up to 2 s, and half of the gangs take whole minions.

--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/LargeGangModel.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/LargeGangModel.java
@@ -1,7 +1,8 @@
 package org.hickoryspar.kernel.dispatch;
 
-import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
 import org.hickoryspar.kernel.dispatch.ModelWorkflow.Behaviour;
@@ -11,14 +12,15 @@
 import org.hickoryspar.protocol.WorkflowStep;
 
 /**
- * A random stream of small tasks and, one at a time, gangs of higher rank that want one rack. All
- * that is submitted and has not ended stays below half of the capacity.
+ * A stream of small tasks of random run times on each minion and, one at a time, gangs of higher
+ * rank that want one rack. A gang of whole minions never fits by chance. All that is submitted and
+ * has not ended stays below half of the capacity.
  */
 final class LargeGangModel {
 
-  private static final int DURATION_MILLIS = 40_000;
+  private static final int DURATION_MILLIS = 20_000;
   private static final int MIN_RUN_MILLIS = 200;
-  private static final int MAX_RUN_MILLIS = 4_000;
+  private static final int MAX_RUN_MILLIS = 2_000;
 
   /** Time after its submission within which a gang must run: the longest run and a margin. */
   private static final int MAX_START_MILLIS = MAX_RUN_MILLIS + 3_000;
@@ -26,16 +28,12 @@
   /** Share of the accelerators that a gang occupies at most. */
   private static final int MAX_GANG_PERCENT = 28;
 
-  /** Share of the accelerators that the small tasks occupy at most. */
-  private static final int MAX_STREAM_PERCENT = 20;
-
-  private static final int MAX_TASK_ACCELERATORS = 4;
-  private static final int MAX_PAUSE_MILLIS = 6_000;
+  private static final int MAX_PAUSE_MILLIS = 3_000;
 
   private final Random random;
   private final int rackSize;
   private final ModelFleet fleet;
-  private final List<Workflow> stream = new ArrayList<>();
+  private final Map<ModelMinion, Workflow> stream = new LinkedHashMap<>();
   private Workflow gang;
   private long gangSubmittedMillis;
   private long nextGangMillis;
@@ -45,8 +43,8 @@
     random = new Random(seed);
     rackSize = 2 + random.nextInt(3);
     fleet = new ModelFleet(random, 2 + random.nextInt(3), rackSize);
+    fleet.minions().forEach(minion -> minion.fake().addLabel(minion.fake().id()));
     nextGangMillis = fleet.nowMillis() + random.nextInt(MAX_PAUSE_MILLIS);
-    submitGangIfDue();
   }
 
   /** Plays the schedule until the end or the first gang that waits for too long. */
@@ -74,23 +72,15 @@
   }
 
   private void submitStream() {
-    stream.removeIf(Workflow::isEnded);
-    int accelerators = 1 + random.nextInt(MAX_TASK_ACCELERATORS);
-    if (streamAccelerators() + accelerators <= percentOfFleet(MAX_STREAM_PERCENT)) {
-      stream.add(fleet.submit(newWorkflow(2, step(1, accelerators))));
+    for (ModelMinion minion : fleet.minions()) {
+      Workflow previous = stream.get(minion);
+      if (previous == null || previous.isEnded()) {
+        WorkflowStep.Builder step = step(1, 1).setRequiredLabel(minion.fake().id());
+        stream.put(minion, fleet.submit(newWorkflow(2, step)));
+      }
     }
   }
 
-  private int streamAccelerators() {
-    return stream.stream()
-        .mapToInt(workflow -> workflow.spec().getSteps(0).getDemand().getAccelerators())
-        .sum();
-  }
-
-  private int percentOfFleet(int percent) {
-    return fleet.accelerators() * percent / 100;
-  }
-
   private void submitGangIfDue() {
     if (gang != null && gang.isEnded()) {
       gang = null;
@@ -104,13 +94,18 @@
 
   private WorkflowStep.Builder gangStep() {
     int minionAccelerators = (int) FakeMinion.CAPACITY.accelerators();
-    int accelerators = 1 + random.nextInt(minionAccelerators);
+    int accelerators =
+        random.nextBoolean() ? minionAccelerators : 1 + random.nextInt(minionAccelerators);
     int rackTasks = rackSize * (minionAccelerators / accelerators);
-    int maxTasks = Math.min(rackTasks, percentOfFleet(MAX_GANG_PERCENT) / accelerators);
+    int maxTasks = Math.min(rackTasks, maxGangAccelerators() / accelerators);
     int tasks = Math.max(1, maxTasks - random.nextInt(2));
     return step(tasks, accelerators).setGang(true).setSameRack(true);
   }
 
+  private int maxGangAccelerators() {
+    return fleet.accelerators() * MAX_GANG_PERCENT / 100;
+  }
+
   private static WorkflowStep.Builder step(int tasks, int accelerators) {
     return WorkflowStep.newBuilder()
         .setTasks(tasks)
