--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/DispatcherHarness.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/DispatcherHarness.java
@@ -155,6 +155,10 @@
     catalog.apply(DataCentreSwitch.newBuilder().setDataCentre(dataCentre).setOut(true).build());
   }
 
+  void returnDataCentre(String dataCentre) {
+    catalog.apply(DataCentreSwitch.newBuilder().setDataCentre(dataCentre).build());
+  }
+
   Workflow submit(String id, int priority, WorkflowStep.Builder... steps) {
     return submitFor("team", id, priority, steps);
   }
--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/IdleCapacityChecker.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/IdleCapacityChecker.java
@@ -175,6 +175,7 @@
       String label = step.getRequiredLabel();
       return fake.isReachable()
           && !fake.isDraining()
+          && fleet.isInService(fake.rack())
           && minion.isHealthy(nowMillis)
           && (label.isEmpty() || fake.labels().contains(label));
     }
--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/IdleCapacityModel.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/IdleCapacityModel.java
@@ -128,7 +128,7 @@
     }
     ModelMinion minion = fleet.minions().get(random.nextInt(fleet.minions().size()));
     long untilMillis = fleet.nowMillis() + 1_000 + random.nextInt(10_000);
-    switch (random.nextInt(7)) {
+    switch (random.nextInt(8)) {
       case 0 -> {
         disturb("new leader");
         fleet.harness().changeLeader();
@@ -142,7 +142,8 @@
         fleet.history().record("all tasks fail on " + minion.fake().id() + " until " + untilMillis);
         minion.failAllTasks(untilMillis);
       }
-      default -> restart(minion);
+      case 6 -> restart(minion);
+      default -> takeRackOut(minion.fake().rack(), untilMillis);
     }
   }
 
@@ -174,7 +175,15 @@
     }
   }
 
+  private void takeRackOut(String rack, long untilMillis) {
+    disturb("data centre of " + rack + " out until " + untilMillis);
+    fleet.takeRackOut(rack, untilMillis);
+  }
+
   private void endFailures() {
+    if (fleet.returnRacksIfDue()) {
+      disturb("return of a data centre");
+    }
     for (ModelMinion minion : fleet.minions()) {
       if (minion.returnIfDue(fleet.nowMillis())) {
         disturb("return of " + minion.fake().id());
--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/LargeGangModel.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/LargeGangModel.java
@@ -30,6 +30,8 @@
 
   private static final int MAX_PAUSE_MILLIS = 3_000;
 
+  private static final String TEAM = "team";
+
   private final Random random;
   private final int rackSize;
   private final ModelFleet fleet;
@@ -121,6 +123,7 @@
     step.setEstimatedMillis(RandomWorkflows.inaccurate(random, runMillis));
     return new ModelWorkflow(
         "w" + count++,
+        TEAM,
         priority,
         List.of(step.build()),
         List.of(new Behaviour(runMillis, 0, false)));
--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/ModelFleet.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/ModelFleet.java
@@ -1,6 +1,7 @@
 package org.hickoryspar.kernel.dispatch;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -17,6 +18,7 @@
   private final List<String> racks = new ArrayList<>();
   private final List<ModelMinion> minions = new ArrayList<>();
   private final Map<String, ModelWorkflow> workflows = new LinkedHashMap<>();
+  private final Map<String, Long> returnMillisByRack = new HashMap<>();
   private final ModelTasks tasks;
 
   ModelFleet(Random random, int rackCount, int rackSize) {
@@ -38,7 +40,33 @@
   Workflow submit(ModelWorkflow workflow) {
     workflows.put(workflow.id(), workflow);
     history.record("submission of " + workflow.id());
-    return harness.submit(workflow.id(), workflow.priority(), workflow.stepBuilders());
+    return harness.submitFor(
+        workflow.team(), workflow.id(), workflow.priority(), workflow.stepBuilders());
+  }
+
+  /** Takes the data centre of a rack out of service, unless it is out. */
+  void takeRackOut(String rack, long untilMillis) {
+    if (returnMillisByRack.putIfAbsent(rack, untilMillis) == null) {
+      harness.takeDataCentreOut(dataCentreOf(rack));
+    }
+  }
+
+  /** Returns racks whose time is over to service; returns whether there was one. */
+  boolean returnRacksIfDue() {
+    List<String> due =
+        racks.stream()
+            .filter(rack -> returnMillisByRack.getOrDefault(rack, Long.MAX_VALUE) <= nowMillis())
+            .toList();
+    due.forEach(rack -> harness.returnDataCentre(dataCentreOf(rack)));
+    return returnMillisByRack.keySet().removeAll(due);
+  }
+
+  private static String dataCentreOf(String rack) {
+    return "dc-" + rack;
+  }
+
+  boolean isInService(String rack) {
+    return !returnMillisByRack.containsKey(rack);
   }
 
   /** Advances the time by one step; returns the events of the dispatcher. */
--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/ModelWorkflow.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/ModelWorkflow.java
@@ -7,12 +7,13 @@
  * A workflow of a model schedule with the behaviour of its tasks.
  *
  * @param id identifier of the workflow
+ * @param team its team
  * @param priority priority of its queue
  * @param steps its steps
  * @param behaviours the behaviour of the tasks of each step
  */
 record ModelWorkflow(
-    String id, int priority, List<WorkflowStep> steps, List<Behaviour> behaviours) {
+    String id, String team, int priority, List<WorkflowStep> steps, List<Behaviour> behaviours) {
 
   WorkflowStep step(TaskRun run) {
     return steps.get(run.step());
--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/RandomWorkflows.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/RandomWorkflows.java
@@ -13,6 +13,9 @@
   /** A label that some minions of the fleet have. */
   static final String LABEL = "special";
 
+  /** A team with a guarantee and one without. */
+  private static final List<String> TEAMS = List.of("team", "other-team");
+
   private static final int MIN_RUN_MILLIS = 200;
   private static final int MAX_RUN_MILLIS = 4_000;
   private static final int MIN_OVERDUE_RUN_MILLIS = 20_000;
@@ -37,8 +40,10 @@
   }
 
   ModelWorkflow next() {
+    String team = TEAMS.get(random.nextInt(TEAMS.size()));
     ModelWorkflow workflow =
-        new ModelWorkflow("w" + count++, random.nextInt(3), new ArrayList<>(), new ArrayList<>());
+        new ModelWorkflow(
+            "w" + count++, team, random.nextInt(3), new ArrayList<>(), new ArrayList<>());
     switch (random.nextInt(24)) {
       case 0 -> addLongRunning(workflow);
       case 1 -> addOverdue(workflow);
