--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Dispatcher.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Dispatcher.java
@@ -42,6 +42,7 @@
 
   /** Groups that wait are planned this often without an event: isolations and waits expire. */
   private static final long MAX_PLAN_PAUSE_MILLIS = 200;
+
   /** More batches than a dispatcher proposes in a millisecond. */
   private static final long BATCH_NUMBERS_PER_MILLI = 1L << 20;
 
