Send waiting jobs to the service that their queue uses now

What callers saw: a job that waited for room while its queue was sent to another service stayed queued for the 30 s watched, although twelve minions of the new service were idle. A later job of the queue ran at once.

Cause: WaitingSteps kept a copy of the queue from the last event of the workflow, and a change of the catalog refreshes nothing. Service, priority, stretch and target were outdated; a pending placement held the same copy and started on the old service. Planning rounds were due only after events, so that a change of the catalog or the return of a data centre waited for the next one.

Why the fix works: all waiting steps refer to one version of the catalog. Each call of Dispatcher.advance compares it with the current one (by identity), updates the queues of the steps after a change, and plans. RunStarter ignores a placement outside the service of the queue.

--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/catalog/CatalogView.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/catalog/CatalogView.java
@@ -27,6 +27,7 @@
 
   private final Catalog catalog;
   private final Map<String, List<Queue>> queuesByHost = new HashMap<>();
+  private final Map<QueueAddress, Queue> queuesByAddress = new HashMap<>();
   private final Map<String, ServicePolicy> servicesByName = new HashMap<>();
   private final Map<String, TeamEntitlement> teamsByName = new HashMap<>();
   private final Map<String, String> teamNamesByKey = new HashMap<>();
@@ -37,6 +38,7 @@
       queuesByHost
           .computeIfAbsent(normalizeHost(queue.getHost()), host -> new ArrayList<>())
           .add(queue);
+      queuesByAddress.put(QueueAddress.of(queue), queue);
     }
     Comparator<Queue> longestPrefixFirst =
         Comparator.comparingInt((Queue queue) -> queue.getPathPrefix().length()).reversed();
@@ -134,13 +136,7 @@
    */
   public Queue currentQueue(Queue acceptedQueue) {
     requireNonNull(acceptedQueue, "acceptedQueue is null");
-    for (Queue queue :
-        queuesByHost.getOrDefault(normalizeHost(acceptedQueue.getHost()), List.of())) {
-      if (queue.getPathPrefix().equals(acceptedQueue.getPathPrefix())) {
-        return queue;
-      }
-    }
-    return acceptedQueue;
+    return queuesByAddress.getOrDefault(QueueAddress.of(acceptedQueue), acceptedQueue);
   }
 
   /** Returns a host in lower case without its port. */
@@ -150,4 +146,12 @@
     String hostname = colon > 0 && host.indexOf(']') < colon ? host.substring(0, colon) : host;
     return hostname.toLowerCase(Locale.ROOT);
   }
+
+  /** Where the calls of a queue arrive. No two queues of a catalog have the same address. */
+  private record QueueAddress(String normalizedHost, String pathPrefix) {
+
+    static QueueAddress of(Queue queue) {
+      return new QueueAddress(normalizeHost(queue.getHost()), queue.getPathPrefix());
+    }
+  }
 }
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Dispatcher.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Dispatcher.java
@@ -5,6 +5,7 @@
 import com.google.protobuf.ByteString;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.hickoryspar.kernel.catalog.CatalogState;
 import org.hickoryspar.kernel.value.Problem;
 import org.hickoryspar.kernel.workflow.Workflow;
@@ -40,6 +41,7 @@
   /** Events that arrive within this interval share one planning round. */
   private static final long PLAN_INTERVAL_MILLIS = 10;
 
+  private final CatalogState catalog;
   private final WorkflowTable table;
   private final RunTable runs = new RunTable();
   private final Outbox outbox = new Outbox();
@@ -53,6 +55,7 @@
   private final TeamDemand teamDemand;
   private final Planner planner;
   private final Retention retention;
+  private Set<String> dataCentresOut;
   private boolean planDue = true;
   private long nextPlanMillis;
   private long nextSweepMillis;
@@ -76,7 +79,8 @@
       long nowMillis,
       long wallMillis) {
     requireNonNull(settings, "settings is null");
-    requireNonNull(catalog, "catalog is null");
+    this.catalog = requireNonNull(catalog, "catalog is null");
+    this.dataCentresOut = catalog.dataCentresOut();
     this.table = requireNonNull(table, "table is null");
     requireNonNull(listener, "listener is null");
     MinionFailureTracker failureTracker = new MinionFailureTracker(listener);
@@ -252,14 +256,16 @@
   // -- decisions
 
   /**
-   * Sends due renewals, starts and stops, runs a planning round if one is due, and removes expired
-   * state. The results are available from {@link #takeOrders} and {@link #takeProposals}.
+   * Sends due renewals, starts and stops, runs a planning round if one is due, as after a change of
+   * the catalog, and removes expired state. The results are available from {@link #takeOrders} and
+   * {@link #takeProposals}.
    *
    * @param nowMillis monotonic time in milliseconds
    * @param wallMillis wall-clock time in milliseconds since the epoch
    */
   public void advance(long nowMillis, long wallMillis) {
     leaseManager.advance(nowMillis);
+    followCatalog();
     if (wallMillis >= waitingSteps.nextStartMillis()) {
       waitingSteps.advance(wallMillis);
       planDue = true;
@@ -277,6 +283,18 @@
     }
   }
 
+  // The log applies changes of the catalog on another thread and sends no event for them.
+  private void followCatalog() {
+    Set<String> currentlyOut = catalog.dataCentresOut();
+    if (!currentlyOut.equals(dataCentresOut)) {
+      dataCentresOut = currentlyOut;
+      planDue = true;
+    }
+    if (waitingSteps.updateCatalog()) {
+      planDue = true;
+    }
+  }
+
   private void sweep(long nowMillis, long wallMillis) {
     minions.sweep(nowMillis);
     leaseManager.sweep(nowMillis);
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Placement.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Placement.java
@@ -10,4 +10,10 @@
  * @param group the group
  * @param minions the minion of each task
  */
-record Placement(WaitingStep waitingStep, TaskGroup group, List<Minion> minions) {}
+record Placement(WaitingStep waitingStep, TaskGroup group, List<Minion> minions) {
+
+  /** Returns whether all minions provide a service. */
+  boolean isWithin(String service) {
+    return minions.stream().allMatch(minion -> minion.service().equals(service));
+  }
+}
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/RunStarter.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/RunStarter.java
@@ -6,8 +6,8 @@
 
 /**
  * Carries out the decisions of the planner. A start is proposed to the replicated log, and its
- * resources are allocated immediately. A victim is marked, and {@link TaskOrderSender} sends the
- * stop.
+ * resources are allocated immediately; it is ignored if the queue has been sent to another service
+ * since the placement was chosen. A victim is marked, and {@link TaskOrderSender} sends the stop.
  */
 final class RunStarter implements Planner.PlanExecutor {
 
@@ -26,6 +26,9 @@
   @Override
   public void start(Placement placement, long nowMillis, long wallMillis) {
     WaitingStep waitingStep = placement.waitingStep();
+    if (!placement.isWithin(waitingSteps.queueOf(waitingStep.workflow()).getService())) {
+      return;
+    }
     ActiveRun run = newRun(placement, nowMillis);
     RunStart.Builder start =
         RunStart.newBuilder()
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/WaitingStep.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/WaitingStep.java
@@ -11,7 +11,7 @@
  * A step whose dependencies are done and some of whose groups wait for a placement.
  *
  * @param workflow the workflow
- * @param queue the queue of the workflow as in the current catalog
+ * @param queue the queue of the workflow as in the catalog of the planning round
  * @param occurrence number of the occurrence
  * @param stepIndex index of the step
  * @param dueMillis due time of the occurrence, or time of acceptance for a workflow that runs at
@@ -26,6 +26,11 @@
     long dueMillis,
     List<TaskGroup> groups) {
 
+  /** Returns this step with another version of its queue. */
+  WaitingStep withQueue(Queue newQueue) {
+    return new WaitingStep(workflow, newQueue, occurrence, stepIndex, dueMillis, groups);
+  }
+
   WorkflowStep step() {
     return workflow.spec().getSteps(stepIndex);
   }
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/WaitingSteps.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/WaitingSteps.java
@@ -6,13 +6,17 @@
 import java.util.Map;
 import java.util.TreeMap;
 import org.hickoryspar.kernel.catalog.CatalogState;
+import org.hickoryspar.kernel.catalog.CatalogView;
 import org.hickoryspar.kernel.workflow.Occurrence;
 import org.hickoryspar.kernel.workflow.TaskGroup;
 import org.hickoryspar.kernel.workflow.Workflow;
 import org.hickoryspar.protocol.Queue;
 import org.hickoryspar.protocol.WorkflowStep;
 
-/** The steps that wait for a placement. Must be refreshed after each change of a workflow. */
+/**
+ * The steps that wait for a placement. Must be refreshed after each change of a workflow and
+ * updated after each change of the catalog. All steps refer to the same version of the catalog.
+ */
 final class WaitingSteps {
 
   private final CatalogState catalog;
@@ -20,11 +24,38 @@
   private final long earlyStartMillis;
   private final Map<String, List<WaitingStep>> stepsByWorkflow = new HashMap<>();
   private final TreeMap<Long, List<Workflow>> workflowsByStartMillis = new TreeMap<>();
+  private CatalogView view;
 
   WaitingSteps(CatalogState catalog, RunTable runs, long earlyStartMillis) {
     this.catalog = catalog;
     this.runs = runs;
     this.earlyStartMillis = earlyStartMillis;
+    this.view = catalog.view();
+  }
+
+  /**
+   * Updates the queues of the waiting steps to the current catalog.
+   *
+   * @return whether the catalog has changed since the last update
+   */
+  boolean updateCatalog() {
+    CatalogView current = catalog.view();
+    if (current == view) {
+      return false;
+    }
+    view = current;
+    stepsByWorkflow.values().forEach(this::updateQueues);
+    return true;
+  }
+
+  private void updateQueues(List<WaitingStep> steps) {
+    Queue queue = queueOf(steps.get(0).workflow());
+    steps.replaceAll(step -> step.withQueue(queue));
+  }
+
+  /** Returns the queue of a workflow in the version of the catalog that the steps refer to. */
+  Queue queueOf(Workflow workflow) {
+    return view.currentQueue(workflow.queue());
   }
 
   /** Recomputes the waiting steps of a workflow. */
@@ -56,7 +87,7 @@
 
   private void addSteps(
       Workflow workflow, Occurrence occurrence, long dueMillis, List<WaitingStep> steps) {
-    Queue queue = catalog.view().currentQueue(workflow.queue());
+    Queue queue = queueOf(workflow);
     for (int index = 0; index < workflow.spec().getStepsCount(); index++) {
       WorkflowStep step = workflow.spec().getSteps(index);
       if (!step.getDependsOnList().stream().allMatch(occurrence::isStepDone)) {
--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/DispatcherHarness.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/DispatcherHarness.java
@@ -35,6 +35,10 @@
 final class DispatcherHarness {
 
   static final String SERVICE = "service";
+
+  /** A service to which no queue is sent at first. */
+  static final String OTHER_SERVICE = "other-service";
+
   static final int TICK_MILLIS = 10;
 
   static final DispatchSettings SETTINGS =
@@ -52,6 +56,7 @@
         Catalog.newBuilder()
             .setVersion(1)
             .addServices(ServicePolicy.newBuilder().setName(SERVICE))
+            .addServices(ServicePolicy.newBuilder().setName(OTHER_SERVICE))
             .addTeams(TeamEntitlement.newBuilder().setName("team").setGuaranteedAccelerators(16));
     for (int priority = 0; priority < 3; priority++) {
       initialCatalog.addQueues(queue(priority));
@@ -117,6 +122,14 @@
     return minion;
   }
 
+  FakeMinion addMinion(String id, String rack, String service) {
+    FakeMinion minion = new FakeMinion(id, rack, nowMillis);
+    minion.setService(service);
+    minions.put(id, minion);
+    report(minion);
+    return minion;
+  }
+
   /** Adds a minion that carries out orders and has not reported to the dispatcher. */
   void connect(FakeMinion minion) {
     minions.put(minion.id(), minion);
@@ -154,6 +167,22 @@
     catalog.apply(DataCentreSwitch.newBuilder().setDataCentre(dataCentre).setOut(true).build());
   }
 
+  void returnDataCentre(String dataCentre) {
+    catalog.apply(DataCentreSwitch.newBuilder().setDataCentre(dataCentre).setOut(false).build());
+  }
+
+  /** Applies a catalog with other queues; the dispatcher gets no event of it. */
+  void replaceQueues(Queue... queues) {
+    Catalog.Builder changed = catalog.lastChange().getCatalog().toBuilder();
+    changed.setVersion(changed.getVersion() + 1).clearQueues().addAllQueues(List.of(queues));
+    Optional<Problem> problem =
+        catalog.apply(CatalogChange.newBuilder().setCatalog(changed).build());
+    problem.ifPresent(
+        reason -> {
+          throw new AssertionError(reason);
+        });
+  }
+
   Workflow submit(String id, int priority, WorkflowStep.Builder... steps) {
     WorkflowSpec.Builder spec = WorkflowSpec.newBuilder().setPayload("payload");
     for (WorkflowStep.Builder step : steps) {
@@ -225,6 +254,11 @@
     return dispatcher.takeProposals();
   }
 
+  /** Advances the clock without any event. */
+  void passTime(long millis) {
+    nowMillis += millis;
+  }
+
   Workflow find(String workflowId) {
     return dispatcher.find(workflowId).orElseThrow();
   }
--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/FakeMinion.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/FakeMinion.java
@@ -13,6 +13,7 @@
 
   private final String id;
   private final String rack;
+  private String service = DispatcherHarness.SERVICE;
   private long bornMillis;
   private long sequence;
   private boolean draining;
@@ -40,7 +41,7 @@
     return MinionReport.newBuilder()
         .setLife(MinionLife.newBuilder().setMinionId(id).setBornMillis(bornMillis))
         .setSequence(++sequence)
-        .setService(DispatcherHarness.SERVICE)
+        .setService(service)
         .setAddress(id)
         .setDataCentre("dc-" + rack)
         .setRack(rack)
@@ -134,6 +135,10 @@
     pendingRenewal = null;
   }
 
+  void setService(String service) {
+    this.service = service;
+  }
+
   /** Sets whether orders reach the minion; what runs on it goes on. */
   void setReachable(boolean reachable) {
     this.reachable = reachable;
