Bound what giving up a preference may cost others

Further: long-running work does not wait beside idle capacity at any load; the gauge of the longest wait no longer grows after the last group is placed; a pending placement is dropped when its queue moves.

--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Dispatcher.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Dispatcher.java
@@ -365,7 +365,7 @@
         minions.all(),
         waitingSteps.steps(),
         runs.runs().size(),
-        planner.longestIdleWaitMillis(nowMillis),
+        planner.longestIdleWaitMillis(),
         nowMillis);
   }
 
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/MinionSelector.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/MinionSelector.java
@@ -68,10 +68,8 @@
    */
   @Nullable Selection selectRequired(
       WaitingStep waitingStep, TaskGroup group, MinionPools.Pool pool, MinionTaskLimit taskLimit) {
-    List<Minion> all = new ArrayList<>(healthyOrRecentlyFailed(pool));
-    all.addAll(pool.awaitingProbe());
-    List<Minion> withIsolated = new ArrayList<>(all);
-    withIsolated.addAll(pool.isolated());
+    List<Minion> all = withProbed(pool);
+    List<Minion> withIsolated = withIsolated(pool);
     if (!fits(waitingStep, group, withIsolated, taskLimit)) {
       return null;
     }
@@ -96,29 +94,36 @@
   }
 
   /**
-   * Returns the minion of each task of a group according to all preferences but the one for minions
-   * without failures, or null if there are none.
+   * Returns the minion of each task of a group that has failed on all minions that may run it,
+   * according to all other preferences, or null if there are none.
    *
    * @param endMillis monotonic time at which the group is expected to end
    */
-  @Nullable Selection selectDespiteFailures(
+  @Nullable Selection selectAfterFailureOnAll(
       WaitingStep waitingStep,
       TaskGroup group,
       MinionPools.Pool pool,
       MinionTaskLimit taskLimit,
       long endMillis) {
-    List<Minion> minions = new ArrayList<>(healthyOrRecentlyFailed(pool));
-    minions.addAll(pool.awaitingProbe());
+    if (group.failures() == 0 || !withoutFailureOf(group, withIsolated(pool)).isEmpty()) {
+      return null;
+    }
     List<Minion> selected =
         find(
             waitingStep,
             group,
-            minions,
+            withProbed(pool),
             minion -> reservations.availableUntil(minion, endMillis),
             taskLimit);
     return selected == null ? null : new Selection(selected, Preference.NO_FAILURE);
   }
 
+  /** Returns whether a group would fit on idle capacity if it were new. */
+  static boolean fitsWithoutPreferences(
+      WaitingStep waitingStep, TaskGroup group, MinionPools.Pool pool, MinionTaskLimit taskLimit) {
+    return fits(waitingStep, group, withIsolated(pool), taskLimit);
+  }
+
   private static boolean fits(
       WaitingStep waitingStep, TaskGroup group, List<Minion> minions, MinionTaskLimit taskLimit) {
     return PlacementFinder.countFittingTasks(
@@ -182,6 +187,18 @@
     return minions;
   }
 
+  private static List<Minion> withProbed(MinionPools.Pool pool) {
+    List<Minion> minions = healthyOrRecentlyFailed(pool);
+    minions.addAll(pool.awaitingProbe());
+    return minions;
+  }
+
+  private static List<Minion> withIsolated(MinionPools.Pool pool) {
+    List<Minion> minions = withProbed(pool);
+    minions.addAll(pool.isolated());
+    return minions;
+  }
+
   private List<Minion> withoutFailureOf(TaskGroup group, List<Minion> minions) {
     if (group.failures() == 0) {
       return minions;
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Planner.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Planner.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import org.hickoryspar.kernel.catalog.CatalogState;
 import org.hickoryspar.kernel.workflow.TaskGroup;
+import org.hickoryspar.protocol.Queue;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -42,6 +43,15 @@
    */
   private static final long MAX_IDLE_WAIT_MILLIS = 2_000;
 
+  /**
+   * Smaller work that may not wait for longer takes resources that are reserved for a gang. A gang
+   * for which a mostly idle service has reserved resources for this long may preempt such work.
+   */
+  private static final long MAX_RESERVED_MILLIS = 8_000;
+
+  /** Maximum number of groups of a step that find no place before the step is left. */
+  private static final int MAX_UNPLACED_GROUPS = 16;
+
   private final DispatchSettings settings;
   private final CatalogState catalog;
   private final MinionTable minions;
@@ -109,8 +119,8 @@
    * Returns the longest time in milliseconds for which a workflow without a running task has been
    * waiting although idle capacity meets its requirements.
    */
-  long longestIdleWaitMillis(long nowMillis) {
-    return idleWaits.longestMillis(nowMillis);
+  long longestIdleWaitMillis() {
+    return idleWaits.longestMillis();
   }
 
   /** Removes the state of groups that no longer wait. */
@@ -143,14 +153,15 @@
     }
 
     // A pending placement is dropped when its group starts or ends, when one of its minions becomes
-    // unusable, or when its reservation expires.
+    // unusable, when its queue is sent to another service, or when its reservation expires.
     void startPendingPlacements() {
       for (PendingPlacement pending : List.copyOf(pendingPlacements.values())) {
         Placement placement = pending.placement();
         TaskGroup group = placement.group();
         boolean obsolete =
             placement.waitingStep().workflow().isEnded() || group.isDone() || runs.hasRun(group);
-        boolean unusable = !pools.areUsable(placement.minions());
+        boolean unusable =
+            !pools.areUsable(placement.minions()) || !placement.isWithin(currentService(placement));
         pending.release();
         if (obsolete || unusable || nowMillis >= pending.untilMillis()) {
           pendingPlacements.remove(group);
@@ -163,21 +174,40 @@
       }
     }
 
+    private String currentService(Placement placement) {
+      Queue acceptedQueue = placement.waitingStep().workflow().queue();
+      return catalog.view().currentQueue(acceptedQueue).getService();
+    }
+
     void placeGroups(RankedStep ranked) {
       WaitingStep waitingStep = ranked.waitingStep();
       MinionPools.Pool pool = pools.poolFor(waitingStep);
       MinionTaskLimit taskLimit = new MinionTaskLimit(waitingStep, runs);
+      int unplacedGroups = 0;
       for (TaskGroup group : waitingStep.groups()) {
         if (pendingPlacements.containsKey(group) || runs.hasRun(group)) {
           continue;
         }
-        // The other groups of the step have no more choice than a group without failures.
-        if (!placeGroup(ranked, group, pool, taskLimit) && group.failures() == 0) {
-          return;
+        if (!placeGroup(ranked, group, pool, taskLimit)) {
+          unplacedGroups++;
+          if (unplacedGroups >= MAX_UNPLACED_GROUPS
+              || !othersMayFit(waitingStep, group, pool, taskLimit)) {
+            return;
+          }
         }
       }
     }
 
+    // A group that avoids minions on which it has failed leaves them to the others of its step.
+    private boolean othersMayFit(
+        WaitingStep waitingStep,
+        TaskGroup group,
+        MinionPools.Pool pool,
+        MinionTaskLimit taskLimit) {
+      return group.failures() > 0
+          && MinionSelector.fitsWithoutPreferences(waitingStep, group, pool, taskLimit);
+    }
+
     /** Returns whether a group is placed now, or will be once the victims of a preemption end. */
     private boolean placeGroup(
         RankedStep ranked, TaskGroup group, MinionPools.Pool pool, MinionTaskLimit taskLimit) {
@@ -230,21 +260,21 @@
     }
 
     // A mostly idle service has room for all, so no preference may keep work waiting there. In a
-    // busy one, reservations and racks are kept, and only failed tasks are tried anywhere again.
+    // busy one, reservations and racks are kept but for long-running work, whose users wait at any
+    // load, and a task is tried again once it has failed on all minions.
     private MinionSelector.@Nullable Selection findIdleCapacity(
         RankedStep ranked, TaskGroup group, MinionPools.Pool pool, MinionTaskLimit taskLimit) {
       WaitingStep waitingStep = ranked.waitingStep();
-      boolean mostlyIdle =
-          serviceLoad.usedPercent(waitingStep.queue().getService()) <= MAX_IDLE_LOAD_PERCENT;
-      boolean nothingRuns =
-          waitingStep.step().getLongRunning() || !runs.hasRun(waitingStep.workflow());
-      if (mostlyIdle && nothingRuns) {
+      boolean nothingRuns = !runs.hasRun(waitingStep.workflow());
+      if (waitingStep.step().getLongRunning() || (nothingRuns && isMostlyIdle(waitingStep))) {
         return minionSelector.selectRequired(waitingStep, group, pool, taskLimit);
       }
-      return group.failures() == 0
-          ? null
-          : minionSelector.selectDespiteFailures(
-              waitingStep, group, pool, taskLimit, expectedEndMillis(ranked));
+      return minionSelector.selectAfterFailureOnAll(
+          waitingStep, group, pool, taskLimit, expectedEndMillis(ranked));
+    }
+
+    private boolean isMostlyIdle(WaitingStep waitingStep) {
+      return serviceLoad.usedPercent(waitingStep.queue().getService()) <= MAX_IDLE_LOAD_PERCENT;
     }
 
     private String obstacle(MinionSelector.Selection idle) {
@@ -286,6 +316,10 @@
       if (triesPreemption && preemptFor(ranked, group, candidates, taskLimit)) {
         return true;
       }
+      if (isOvertakenBySmallerWork(waitingStep, group)
+          && preemptSmallerWork(waitingStep, group, candidates, taskLimit)) {
+        return true;
+      }
       WaitCause cause = WaitCause.noPlace(eligible.size(), forecast);
       if (startOnIdleCapacity(ranked, group, pool, taskLimit, cause)) {
         return true;
@@ -331,10 +365,51 @@
       WaitingStep waitingStep = ranked.waitingStep();
       PreemptionPlanner.Plan plan =
           preemptionPlanner.plan(
-              waitingStep.demand(), group.size(), candidates, taskLimit, nowMillis);
+              waitingStep.demand(),
+              group.size(),
+              candidates,
+              taskLimit,
+              PreemptionPlanner::isPreemptible,
+              nowMillis);
       if (plan == null || !isWorthwhile(plan, ranked, group)) {
         return false;
       }
+      preempt(plan, waitingStep, group, taskLimit);
+      return true;
+    }
+
+    private boolean isOvertakenBySmallerWork(WaitingStep waitingStep, TaskGroup group) {
+      return checksIdleCapacity
+          && group.size() > 1
+          && reservedGroups.durationMillis(group) >= MAX_RESERVED_MILLIS
+          && isMostlyIdle(waitingStep);
+    }
+
+    private boolean preemptSmallerWork(
+        WaitingStep waitingStep,
+        TaskGroup group,
+        Collection<List<Minion>> candidates,
+        MinionTaskLimit taskLimit) {
+      PreemptionPlanner.Plan plan =
+          preemptionPlanner.plan(
+              waitingStep.demand(),
+              group.size(),
+              candidates,
+              taskLimit,
+              run -> PreemptionPlanner.isSmaller(run, waitingStep, group),
+              nowMillis);
+      if (plan == null) {
+        return false;
+      }
+      preempt(plan, waitingStep, group, taskLimit);
+      return true;
+    }
+
+    private void preempt(
+        PreemptionPlanner.Plan plan,
+        WaitingStep waitingStep,
+        TaskGroup group,
+        MinionTaskLimit taskLimit) {
       Placement placement = new Placement(waitingStep, group, plan.minions());
       PendingPlacement pending =
           new PendingPlacement(
@@ -345,7 +420,6 @@
       plan.minions().forEach(taskLimit::add);
       pending.reserve();
       pendingPlacements.put(group, pending);
-      return true;
     }
 
     // Guaranteed work may preempt at any cost. Other work may preempt only if it can still be in
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/PreemptionPlanner.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/PreemptionPlanner.java
@@ -8,6 +8,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
+import org.hickoryspar.kernel.workflow.TaskGroup;
 import org.hickoryspar.protocol.Queue;
 import org.jspecify.annotations.Nullable;
 
@@ -30,19 +32,35 @@
     return queue.getPriority() == PREEMPTING_PRIORITY;
   }
 
+  /** Returns whether a run may be preempted for work that may preempt. */
+  static boolean isPreemptible(ActiveRun run) {
+    return run.workflow().queue().getPriority() > PREEMPTING_PRIORITY
+        && !run.step().getLongRunning();
+  }
+
+  /** Returns whether a run may be preempted for a group that smaller work has kept waiting. */
+  static boolean isSmaller(ActiveRun run, WaitingStep waitingStep, TaskGroup group) {
+    return isPreemptible(run)
+        && run.workflow().queue().getPriority() >= waitingStep.queue().getPriority()
+        && run.members().size() < group.size();
+  }
+
   /**
    * Returns the cheapest plan over all candidate sets, or null if preemption cannot release enough
    * resources.
+   *
+   * @param mayStop whether a run may be a victim
    */
   @Nullable Plan plan(
       Resources demand,
       int size,
       Collection<List<Minion>> candidateSets,
       MinionTaskLimit taskLimit,
+      Predicate<ActiveRun> mayStop,
       long nowMillis) {
     Plan best = null;
     for (List<Minion> candidates : candidateSets) {
-      Search search = new Search(demand, size, candidates, taskLimit, nowMillis);
+      Search search = new Search(demand, size, candidates, taskLimit, mayStop, nowMillis);
       Plan plan = search.plan(best == null ? Double.MAX_VALUE : best.cost);
       if (plan != null) {
         best = plan;
@@ -58,6 +76,7 @@
     private final int size;
     private final List<Minion> minions;
     private final MinionTaskLimit taskLimit;
+    private final Predicate<ActiveRun> mayStop;
     private final long nowMillis;
     private final Map<Minion, Resources> freeByMinion = new HashMap<>();
     private final Set<ActiveRun> victims = new LinkedHashSet<>();
@@ -68,11 +87,13 @@
         int size,
         List<Minion> minions,
         MinionTaskLimit taskLimit,
+        Predicate<ActiveRun> mayStop,
         long nowMillis) {
       this.demand = demand;
       this.size = size;
       this.minions = minions;
       this.taskLimit = taskLimit;
+      this.mayStop = mayStop;
       this.nowMillis = nowMillis;
       minions.forEach(minion -> freeByMinion.put(minion, minion.free()));
     }
@@ -147,9 +168,7 @@
       Set<ActiveRun> runs = new LinkedHashSet<>();
       for (Member member : minion.members()) {
         ActiveRun run = member.run();
-        if (run.workflow().queue().getPriority() > PREEMPTING_PRIORITY
-            && !run.step().getLongRunning()
-            && !victims.contains(run)) {
+        if (mayStop.test(run) && !victims.contains(run)) {
           runs.add(run);
         }
       }
--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/DispatcherHarness.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/DispatcherHarness.java
@@ -150,6 +150,10 @@
     return dispatcher.status(nowMillis).usableMinions();
   }
 
+  long longestIdleWaitMillis() {
+    return dispatcher.status(nowMillis).longestIdleWaitMillis();
+  }
+
   void addMinions(int count, String rack) {
     for (int i = 0; i < count; i++) {
       addMinion(rack + "-" + i, rack);
