Place a task elsewhere at once when a minion rejects its start

Callers saw a job with nothing running while other minions were idle. A rejected start was stopped, and its run ended only with the second renewal after that, up to 2 s later.

A run ends at once if each transmission of its start was answered and none took effect, because no order is left that could start it. The members of its gang are stopped as before. A minion that rejects a start as unhealthy gets no work for 2 s. Other rejections do not count against it, because they may be due to the order.

--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/MinionHealth.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/MinionHealth.java
@@ -51,6 +51,11 @@
     return true;
   }
 
+  /** Isolates the minion for a short time because it has rejected a start as unhealthy. */
+  void recordRejection(long nowMillis) {
+    isolatedUntilMillis = Math.max(isolatedUntilMillis, nowMillis + INITIAL_ISOLATION_MILLIS);
+  }
+
   /** Clears the failures after a success, or after they are attributed to a workflow. */
   void clearFailures() {
     failedWorkflows.clear();
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/TaskOrderSender.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/TaskOrderSender.java
@@ -109,11 +109,21 @@
             outcome,
             "minion",
             member.minion().id());
-        member.run().requestStop();
+        handleRejection(member, outcome, nowMillis);
       }
     }
   }
 
+  private void handleRejection(Member member, OrderOutcome outcome, long nowMillis) {
+    if (outcome == OrderOutcome.UNHEALTHY) {
+      member.minion().health().recordRejection(nowMillis);
+    }
+    member.run().requestStop();
+    if (!member.isConfirmed() && !member.start().mayStillTakeEffect()) {
+      endRecorder.recordLoss(member, "its start was rejected");
+    }
+  }
+
   void handleStopOutcome(Member member, OrderOutcome outcome, long nowMillis) {
     if (outcome == OrderOutcome.DONE) {
       member.stop().markDone(nowMillis);
--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/FakeMinion.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/FakeMinion.java
@@ -18,6 +18,7 @@
   private boolean draining;
   private boolean reachable = true;
   private boolean respondsToStarts = true;
+  private boolean unhealthy;
   private final List<TaskRun> running = new ArrayList<>();
   private final List<RenewalResponse.EndedTask> ended = new ArrayList<>();
   private final List<TaskRun> stops = new ArrayList<>();
@@ -95,6 +96,9 @@
     if (!respondsToStarts) {
       return OrderOutcome.UNKNOWN;
     }
+    if (unhealthy) {
+      return OrderOutcome.UNHEALTHY;
+    }
     running.add(order.taskRun());
     return OrderOutcome.DONE;
   }
@@ -147,6 +151,11 @@
     draining = true;
   }
 
+  /** Makes the minion reject all starts. */
+  void becomeUnhealthy() {
+    unhealthy = true;
+  }
+
   void ignoreStarts() {
     respondsToStarts = false;
   }
