--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/FakeMinion.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/FakeMinion.java
@@ -22,6 +22,7 @@
   private final List<String> labels = new ArrayList<>();
   private boolean reachable = true;
   private boolean respondsToStarts = true;
+  private boolean unhealthy;
   private final List<TaskRun> running = new ArrayList<>();
   private final List<RenewalResponse.EndedTask> ended = new ArrayList<>();
   private final List<TaskRun> stops = new ArrayList<>();
@@ -102,7 +103,13 @@
     if (!respondsToStarts) {
       return OrderOutcome.UNKNOWN;
     }
+<<<<<<< HEAD
     leaseDeadlineMillis = Math.max(leaseDeadlineMillis, order.deadlineMillis());
+=======
+    if (unhealthy) {
+      return OrderOutcome.UNHEALTHY;
+    }
+>>>>>>> tables
     running.add(order.taskRun());
     return OrderOutcome.DONE;
   }
@@ -179,6 +186,11 @@
     draining = true;
   }
 
+  /** Makes the minion reject all starts. */
+  void becomeUnhealthy() {
+    unhealthy = true;
+  }
+
   void ignoreStarts() {
     respondsToStarts = false;
   }
