--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/FakeMinion.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/FakeMinion.java
@@ -103,13 +103,10 @@
     if (!respondsToStarts) {
       return OrderOutcome.UNKNOWN;
     }
-<<<<<<< HEAD
-    leaseDeadlineMillis = Math.max(leaseDeadlineMillis, order.deadlineMillis());
-=======
     if (unhealthy) {
       return OrderOutcome.UNHEALTHY;
     }
->>>>>>> tables
+    leaseDeadlineMillis = Math.max(leaseDeadlineMillis, order.deadlineMillis());
     running.add(order.taskRun());
     return OrderOutcome.DONE;
   }
--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/LossyCluster.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/LossyCluster.java
@@ -320,7 +320,11 @@
   }
 
   private void respond(
-      Order.Renew order, RecoveryMinion minion, MinionLife life, Dispatcher sender, long untilMillis) {
+      Order.Renew order,
+      RecoveryMinion minion,
+      MinionLife life,
+      Dispatcher sender,
+      long untilMillis) {
     if (!isReachable(minion) || !minion.life().equals(life)) {
       failRenewal(order, sender);
     } else if (nowMillis >= untilMillis || !minion.ended().isEmpty()) {
--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/RunRecoveryModelTest.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/RunRecoveryModelTest.java
@@ -228,7 +228,9 @@
 
     void checkTasksRun() {
       Set<String> running = new HashSet<>();
-      cluster.minions().forEach(m -> m.running().forEach(r -> running.add(RecoveryMinion.taskOf(r))));
+      cluster
+          .minions()
+          .forEach(m -> m.running().forEach(r -> running.add(RecoveryMinion.taskOf(r))));
       for (Workflow workflow : openWorkflows()) {
         for (int number = 0; number < workflow.occurrenceCount(); number++) {
           if (!workflow.isOccurrenceCompleted(number)) {
