--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/FakeMinion.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/FakeMinion.java
@@ -15,12 +15,14 @@
 
   private final String id;
   private final String rack;
+  private String service = DispatcherHarness.SERVICE;
   private long bornMillis;
   private long sequence;
   private boolean draining;
   private final List<String> labels = new ArrayList<>();
   private boolean reachable = true;
   private boolean respondsToStarts = true;
+  private boolean unhealthy;
   private final List<TaskRun> running = new ArrayList<>();
   private final List<RenewalResponse.EndedTask> ended = new ArrayList<>();
   private final List<TaskRun> stops = new ArrayList<>();
@@ -44,7 +46,7 @@
     return MinionReport.newBuilder()
         .setLife(MinionLife.newBuilder().setMinionId(id).setBornMillis(bornMillis))
         .setSequence(++sequence)
-        .setService(DispatcherHarness.SERVICE)
+        .setService(service)
         .setAddress(id)
         .setDataCentre("dc-" + rack)
         .setRack(rack)
@@ -101,7 +103,13 @@
     if (!respondsToStarts) {
       return OrderOutcome.UNKNOWN;
     }
+<<<<<<< HEAD
     leaseDeadlineMillis = Math.max(leaseDeadlineMillis, order.deadlineMillis());
+=======
+    if (unhealthy) {
+      return OrderOutcome.UNHEALTHY;
+    }
+>>>>>>> tables
     running.add(order.taskRun());
     return OrderOutcome.DONE;
   }
@@ -149,6 +157,10 @@
     pendingRenewal = null;
   }
 
+  void setService(String service) {
+    this.service = service;
+  }
+
   /** Sets whether orders reach the minion; what runs on it goes on. */
   void setReachable(boolean reachable) {
     this.reachable = reachable;
@@ -174,6 +186,11 @@
     draining = true;
   }
 
+  /** Makes the minion reject all starts. */
+  void becomeUnhealthy() {
+    unhealthy = true;
+  }
+
   void ignoreStarts() {
     respondsToStarts = false;
   }
