--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/ModelFleet.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/ModelFleet.java
@@ -39,7 +39,7 @@
 
   Workflow submit(ModelWorkflow workflow) {
     workflows.put(workflow.id(), workflow);
-    history.record("submission of " + workflow.id());
+    history.recordSubmission(workflow.id());
     return harness.submitFor(
         workflow.team(), workflow.id(), workflow.priority(), workflow.stepBuilders());
   }
--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/ModelHistory.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/ModelHistory.java
@@ -10,6 +10,7 @@
   /** Time before the end for which the waits and disturbances of the whole fleet are listed. */
   private static final int CONTEXT_MILLIS = 6_000;
 
+  private static final String SUBMISSION = "submission of ";
   private static final int MAX_WORKFLOW_LINES = 15;
   private static final int MAX_CONTEXT_LINES = 25;
 
@@ -34,6 +35,10 @@
     lines.add(new Line(harness.nowMillis(), text, true));
   }
 
+  void recordSubmission(String workflowId) {
+    record(SUBMISSION + workflowId);
+  }
+
   /** Copies the latest events of the dispatcher; returns them. */
   List<String> copyEvents() {
     List<String> events = harness.events();
@@ -63,8 +68,9 @@
 
   private boolean isContext(Line line) {
     return line.millis >= harness.nowMillis() - CONTEXT_MILLIS
-        && (line.ofModel
+        && ((line.ofModel && !line.text.startsWith(SUBMISSION))
             || line.text.startsWith(DispatchEventKind.GROUP_WAITS.name())
+            || line.text.startsWith(DispatchEventKind.PREFERENCES_DROPPED.name())
             || line.text.startsWith("MINION"));
   }
 }
