Place work of a lost minion again even if an earlier life was up for long

Its task was placed again after 103.7 s beside an idle minion, without a line in the log; a minion that was lost without a new life costs 3.7 s.

Cause: the run moves to the new life with the deadline of its start on the clock of the old one, and counted as about to start until the clock of the new life would have reached it: for as long as the old life was up.

Change: a start can take effect only while a transmission of it is without an answer, and for at most 15 s after the last one, as UnansweredStarts has it.

--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/LeaseManager.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/LeaseManager.java
@@ -89,14 +89,23 @@
   }
 
   private void recordLossIfExpired(Member member, long nowMillis) {
-    boolean mayStillStart =
-        member.minion().clock().lowerBoundMillis(nowMillis) <= member.startDeadlineMillis()
-            && !member.minion().hasAnnouncedEnd();
-    if (member.isStartRecorded() && !mayStillStart) {
+    if (member.isStartRecorded() && !mayStillStart(member, nowMillis)) {
       endRecorder.recordLoss(member, "lease expired");
     }
   }
 
+  // The deadline of a start is on the clock of the life that it was sent to. The clock of a later
+  // life may reach it much later, so only a start that may still be on its way counts.
+  private static boolean mayStillStart(Member member, long nowMillis) {
+    OrderState start = member.start();
+    boolean onItsWay =
+        start.mayStillTakeEffect()
+            && nowMillis - start.lastSentMillis() <= UnansweredStarts.MAX_DELIVERY_DELAY_MILLIS;
+    return onItsWay
+        && member.minion().clock().lowerBoundMillis(nowMillis) <= member.startDeadlineMillis()
+        && !member.minion().hasAnnouncedEnd();
+  }
+
   void handleResponse(Minion minion, RenewalResponse response, long nowMillis) {
     LeaseState lease = minion.lease();
     long sentMillis = lease.lastSentMillis();
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/UnansweredStarts.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/UnansweredStarts.java
@@ -12,7 +12,7 @@
 final class UnansweredStarts {
 
   /** An order that has not taken effect after this time never will. */
-  private static final long MAX_DELIVERY_DELAY_MILLIS = 15_000;
+  static final long MAX_DELIVERY_DELAY_MILLIS = 15_000;
 
   private final Map<TaskRun, PendingStart> pendingByRun = new HashMap<>();
 
