--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/explain/EventDescriptions.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/explain/EventDescriptions.java
@@ -30,8 +30,8 @@
     TEMPLATES.put(
         "GROUP_WAITS",
         "has waited for {waitedMillis} ms: {reason}; {tasks} task(s) of {demand}, {suitableMinions}"
-            + " suitable minion(s), resources expected in {expectedInMillis} ms; idle capacity for it"
-            + " since {idleCapacityMillis} ms [{obstacle}]");
+            + " suitable minion(s), resources expected in {expectedInMillis} ms; beside idle"
+            + " capacity for {idleCapacityMillis} ms [{obstacle}]");
     TEMPLATES.put(
         "PREFERENCES_DROPPED",
         "starts on capacity that has been idle for {idleCapacityMillis} ms and was avoided until"
