--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Dispatcher.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Dispatcher.java
@@ -5,7 +5,6 @@
 import com.google.protobuf.ByteString;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import org.hickoryspar.kernel.catalog.CatalogState;
 import org.hickoryspar.kernel.value.Problem;
 import org.hickoryspar.kernel.workflow.Workflow;
@@ -47,7 +46,6 @@
   /** More batches than a dispatcher proposes in a millisecond. */
   private static final long BATCH_NUMBERS_PER_MILLI = 1L << 20;
 
-  private final CatalogState catalog;
   private final WorkflowTable table;
   private final RunTable runs = new RunTable();
   private final Outbox outbox;
@@ -57,11 +55,11 @@
   private final LeaseManager leaseManager;
   private final TaskOrderSender taskOrderSender;
   private final WaitingSteps waitingSteps;
+  private final CatalogChanges catalogChanges;
   private final AppliedEventHandler appliedEventHandler;
   private final TeamDemand teamDemand;
   private final Planner planner;
   private final Retention retention;
-  private Set<String> dataCentresOut;
   private boolean planDue = true;
   private long nextPlanMillis;
   private long lastPlanMillis;
@@ -86,8 +84,7 @@
       long nowMillis,
       long wallMillis) {
     requireNonNull(settings, "settings is null");
-    this.catalog = requireNonNull(catalog, "catalog is null");
-    this.dataCentresOut = catalog.dataCentresOut();
+    requireNonNull(catalog, "catalog is null");
     this.table = requireNonNull(table, "table is null");
     requireNonNull(listener, "listener is null");
     this.outbox = new Outbox(firstBatchNumber(nowMillis));
@@ -100,6 +97,7 @@
         new LeaseManager(settings, minions, runs, outbox, endRecorder, stopRetransmitter, listener);
     this.taskOrderSender = new TaskOrderSender(settings, runs, outbox, endRecorder, listener);
     this.waitingSteps = new WaitingSteps(catalog, runs, settings.earlyStartMillis());
+    this.catalogChanges = new CatalogChanges(catalog, waitingSteps);
     this.teamDemand = new TeamDemand(catalog);
     this.planner =
         new Planner(
@@ -279,7 +277,7 @@
    */
   public void advance(long nowMillis, long wallMillis) {
     leaseManager.advance(nowMillis);
-    followCatalog();
+    planDue |= catalogChanges.apply();
     if (wallMillis >= waitingSteps.nextStartMillis()) {
       waitingSteps.advance(wallMillis);
       planDue = true;
@@ -299,18 +297,6 @@
     }
   }
 
-  // The log applies changes of the catalog on another thread and sends no event for them.
-  private void followCatalog() {
-    Set<String> currentlyOut = catalog.dataCentresOut();
-    if (!currentlyOut.equals(dataCentresOut)) {
-      dataCentresOut = currentlyOut;
-      planDue = true;
-    }
-    if (waitingSteps.updateCatalog()) {
-      planDue = true;
-    }
-  }
-
   private void sweep(long nowMillis, long wallMillis) {
     minions.sweep(nowMillis);
     leaseManager.sweep(nowMillis);
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Planner.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Planner.java
@@ -3,13 +3,11 @@
 import java.util.Collection;
 import java.util.Collections;
 import java.util.IdentityHashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.hickoryspar.kernel.catalog.CatalogState;
 import org.hickoryspar.kernel.workflow.TaskGroup;
-import org.hickoryspar.protocol.Queue;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -34,12 +32,6 @@
   /** Interval at which the waits of groups are examined and reported. */
   private static final long IDLE_CHECK_INTERVAL_MILLIS = 100;
 
-  /**
-   * A service of which more is in use is not regarded as idle. No accepted work may wait beside a
-   * service of which less than half is in use; the rest allows for ends that are not known yet.
-   */
-  private static final int MAX_IDLE_LOAD_PERCENT = 60;
-
   /**
    * Longest wait for preferred minions while idle capacity meets the requirements. Accepted work
    * must not wait beside it for 3 s; the rest is for the delivery of the start order.
@@ -65,7 +57,7 @@
   private final PreemptionPlanner preemptionPlanner;
   private final WaitReporter waitReporter;
   private final PlanExecutor executor;
-  private final Map<TaskGroup, PendingPlacement> pendingPlacements = new LinkedHashMap<>();
+  private final PendingPlacements pendingPlacements;
   private final DurationTracker<WaitingStep.WaitId> idleWaits = new DurationTracker<>();
   private final DurationTracker<TaskGroup> reservedGroups = new DurationTracker<>();
   private long nextIdleCheckMillis;
@@ -101,13 +93,14 @@
     this.preemptionPlanner = new PreemptionPlanner(new PreemptionCost.WorkLost());
     this.waitReporter = waitReporter;
     this.executor = executor;
+    this.pendingPlacements = new PendingPlacements(catalog, runs, executor);
   }
 
   /** Runs one planning round over the waiting steps. */
   void plan(List<WaitingStep> waitingSteps, long nowMillis, long wallMillis) {
     boolean checksIdleCapacity = nowMillis >= nextIdleCheckMillis;
     PlanningRound round = new PlanningRound(checksIdleCapacity, nowMillis, wallMillis);
-    round.startPendingPlacements();
+    pendingPlacements.startReady(round.pools, nowMillis, wallMillis);
     for (RankedStep step : ranking.rank(waitingSteps, wallMillis)) {
       round.placeGroups(step);
     }
@@ -141,6 +134,7 @@
     private final RemainingTimes remainingTimes;
     private final BackfillReservations backfillReservations;
     private final MinionSelector minionSelector;
+    private final IdleCapacityFinder idleCapacityFinder;
     private final UnsatisfiedDemands unsatisfiedDemands = new UnsatisfiedDemands();
     private final Set<WaitingStep> stepsWithReservation =
         Collections.newSetFromMap(new IdentityHashMap<>());
@@ -155,33 +149,7 @@
           new RemainingTimes(runTimeEstimates, settings.stopTimeoutMillis(), nowMillis);
       this.backfillReservations = new BackfillReservations(remainingTimes, nowMillis);
       this.minionSelector = new MinionSelector(failureTracker, backfillReservations, nowMillis);
-    }
-
-    // A pending placement is dropped when its group starts or ends, when one of its minions becomes
-    // unusable, when its queue is sent to another service, or when its reservation expires.
-    void startPendingPlacements() {
-      for (PendingPlacement pending : List.copyOf(pendingPlacements.values())) {
-        Placement placement = pending.placement();
-        TaskGroup group = placement.group();
-        boolean obsolete =
-            placement.waitingStep().workflow().isEnded() || group.isDone() || runs.hasRun(group);
-        boolean unusable =
-            !pools.areUsable(placement.minions()) || !placement.isWithin(currentService(placement));
-        pending.release();
-        if (obsolete || unusable || nowMillis >= pending.untilMillis()) {
-          pendingPlacements.remove(group);
-        } else if (pending.hasFreeResources()) {
-          pendingPlacements.remove(group);
-          executor.start(placement, nowMillis, wallMillis);
-        } else {
-          pending.reserve();
-        }
-      }
-    }
-
-    private String currentService(Placement placement) {
-      Queue acceptedQueue = placement.waitingStep().workflow().queue();
-      return catalog.view().currentQueue(acceptedQueue).getService();
+      this.idleCapacityFinder = new IdleCapacityFinder(serviceLoad, runs, minionSelector);
     }
 
     void placeGroups(RankedStep ranked) {
@@ -190,7 +158,7 @@
       MinionTaskLimit taskLimit = new MinionTaskLimit(waitingStep, runs);
       int unplacedGroups = 0;
       for (TaskGroup group : waitingStep.groups()) {
-        if (pendingPlacements.containsKey(group) || runs.hasRun(group)) {
+        if (pendingPlacements.contains(group) || runs.hasRun(group)) {
           continue;
         }
         if (!placeGroup(ranked, group, pool, taskLimit)) {
@@ -247,7 +215,9 @@
         return false;
       }
       WaitingStep waitingStep = ranked.waitingStep();
-      MinionSelector.Selection idle = findIdleCapacity(ranked, group, pool, taskLimit);
+      long endMillis = expectedEndMillis(ranked);
+      MinionSelector.Selection idle =
+          idleCapacityFinder.find(waitingStep, group, pool, taskLimit, endMillis);
       if (idle == null) {
         waitReporter.reportWait(waitingStep, group, cause, nowMillis, wallMillis);
         return false;
@@ -260,28 +230,10 @@
       }
       waitReporter.reportPreferencesDropped(waitingStep, group, idleCause);
       Placement placement = new Placement(waitingStep, group, idle.minions());
-      start(placement, taskLimit, expectedEndMillis(ranked));
+      start(placement, taskLimit, endMillis);
       return true;
     }
 
-    // A mostly idle service has room for all, so no preference may keep work waiting there. In a
-    // busy one, reservations and racks are kept but for long-running work, whose users wait at any
-    // load, and a task is tried again once it has failed on all minions.
-    private MinionSelector.@Nullable Selection findIdleCapacity(
-        RankedStep ranked, TaskGroup group, MinionPools.Pool pool, MinionTaskLimit taskLimit) {
-      WaitingStep waitingStep = ranked.waitingStep();
-      boolean nothingRuns = !runs.hasRun(waitingStep.workflow());
-      if (waitingStep.step().getLongRunning() || (nothingRuns && isMostlyIdle(waitingStep))) {
-        return minionSelector.selectRequired(waitingStep, group, pool, taskLimit);
-      }
-      return minionSelector.selectAfterFailureOnAll(
-          waitingStep, group, pool, taskLimit, expectedEndMillis(ranked));
-    }
-
-    private boolean isMostlyIdle(WaitingStep waitingStep) {
-      return serviceLoad.usedPercent(waitingStep.queue().getService()) <= MAX_IDLE_LOAD_PERCENT;
-    }
-
     private String obstacle(MinionSelector.Selection idle) {
       List<String> holders = backfillReservations.holdersOn(idle.minions());
       return holders.isEmpty()
@@ -376,13 +328,8 @@
         MinionTaskLimit taskLimit) {
       WaitingStep waitingStep = ranked.waitingStep();
       PreemptionPlanner.Plan plan =
-          preemptionPlanner.plan(
-              waitingStep.demand(),
-              group.size(),
-              candidates,
-              taskLimit,
-              PreemptionPlanner::isPreemptible,
-              nowMillis);
+          planPreemption(
+              waitingStep, group, candidates, taskLimit, PreemptionPlanner::isPreemptible);
       if (plan == null || !isWorthwhile(plan, ranked, group)) {
         return false;
       }
@@ -394,7 +341,7 @@
       return checksIdleCapacity
           && group.size() > 1
           && reservedGroups.durationMillis(group) >= MAX_RESERVED_MILLIS
-          && isMostlyIdle(waitingStep);
+          && idleCapacityFinder.isMostlyIdle(waitingStep);
     }
 
     private boolean preemptSmallerWork(
@@ -403,13 +350,12 @@
         Collection<List<Minion>> candidates,
         MinionTaskLimit taskLimit) {
       PreemptionPlanner.Plan plan =
-          preemptionPlanner.plan(
-              waitingStep.demand(),
-              group.size(),
+          planPreemption(
+              waitingStep,
+              group,
               candidates,
               taskLimit,
-              run -> PreemptionPlanner.isSmaller(run, waitingStep, group),
-              nowMillis);
+              run -> PreemptionPlanner.isSmaller(run, waitingStep, group));
       if (plan == null) {
         return false;
       }
@@ -417,6 +363,16 @@
       return true;
     }
 
+    private PreemptionPlanner.@Nullable Plan planPreemption(
+        WaitingStep waitingStep,
+        TaskGroup group,
+        Collection<List<Minion>> candidates,
+        MinionTaskLimit taskLimit,
+        Predicate<ActiveRun> mayStop) {
+      return preemptionPlanner.plan(
+          waitingStep.demand(), group.size(), candidates, taskLimit, mayStop, nowMillis);
+    }
+
     private void preempt(
         PreemptionPlanner.Plan plan,
         WaitingStep waitingStep,
@@ -430,8 +386,7 @@
               nowMillis + settings.stopTimeoutMillis() + STOP_MARGIN_MILLIS);
       plan.victims().forEach(victim -> executor.preempt(victim, placement, nowMillis));
       plan.minions().forEach(taskLimit::add);
-      pending.reserve();
-      pendingPlacements.put(group, pending);
+      pendingPlacements.add(pending);
     }
 
     // Guaranteed work may preempt at any cost. Other work may preempt only if it can still be in
