Let the queue of a service go on while a retried call waits for another minion

What callers saw: after one call had failed at a minion and was retried, all calls of its service waited at that entry although the minion had free slots, for as long as the minions that the call had not tried were full or had an open circuit, at most until the deadline of the call. The call itself waited for as long. Found by an independent review from the code; no user has reported it.

Cause: ServiceDispatcher.chooseMinion took an untried minion as a requirement as soon as one was eligible, whether or not it could receive a call. assignQueued returned such a call to the front of the queue and stopped, so that its failure stood for all calls behind it.

Evidence: ServiceDispatcherTest, with the dispatcher of before: 11 of 12 failed.

Why the fix works: the dispatcher looks for free minions first and ends only if there are none. FairQueue.poll takes the next item that can be served; items that cannot be served keep their places, and their teams keep their turns. A call that has tried nothing may use every free minion, so only retries are passed over. A retry prefers minions that it has not tried; it takes a tried one after 1 s or half of its remaining time, whichever is less. An immediate attempt at the minion that has just failed would use up the three attempts within milliseconds if it refuses connections. Which calls are retried, the number of attempts, the retry budget, slots, connections and the shares of teams in the queue are as before.

Measured: ServiceDispatcherTest 12 of 12 passed, FairQueueTest 8, RoutingRulesTest 23, SlotShareTest 11, ControlClientTest 6, DependencyTest and PurityTest 1 each. No run with processes, no figure of latency.

Known limit, from the code: a call whose minion refuses connections, while the others stay full for over 2 s, may use its attempts at that minion and fail as unreachable, unless the circuit opens before. Until now it waited for the others, and held up the queue.

--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/requests/FairQueue.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/requests/FairQueue.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Predicate;
 
 /**
  * A bounded queue that serves urgent items first and teams in round-robin order.
@@ -99,9 +100,24 @@
    * @return the item, or empty if the queue has no unexpired item
    */
   public Optional<Item<T>> poll(long nowMillis, List<Item<T>> expired) {
+    return poll(nowMillis, expired, value -> true);
+  }
+
+  /**
+   * Removes the next item that has not expired and that can be served, and releases its
+   * reservation. Items that cannot be served keep their places, and their teams keep their turns.
+   *
+   * @param nowMillis monotonic time in milliseconds
+   * @param expired receives the expired items that were removed on the way
+   * @param servable whether an item can be served now, by its value
+   * @return the item, or empty if the queue has no such item
+   */
+  public Optional<Item<T>> poll(
+      long nowMillis, List<Item<T>> expired, Predicate<? super T> servable) {
     requireNonNull(expired, "expired is null");
-    Optional<Item<T>> found = poll(urgent, nowMillis, expired);
-    return found.isPresent() ? found : poll(normal, nowMillis, expired);
+    requireNonNull(servable, "servable is null");
+    Optional<Item<T>> found = poll(urgent, nowMillis, expired, servable);
+    return found.isPresent() ? found : poll(normal, nowMillis, expired, servable);
   }
 
   /**
@@ -157,21 +173,56 @@
     return reserved;
   }
 
+  /**
+   * Returns whether no item is queued.
+   *
+   * @return true if there is no item; reservations do not count
+   */
+  public boolean isEmpty() {
+    return urgent.isEmpty() && normal.isEmpty();
+  }
+
   private Deque<Item<T>> itemsOf(Item<T> item) {
     return (item.urgent ? urgent : normal).computeIfAbsent(item.team, t -> new ArrayDeque<>());
   }
 
   private Optional<Item<T>> poll(
-      Map<String, Deque<Item<T>>> itemsByTeam, long nowMillis, List<Item<T>> expired) {
-    while (!itemsByTeam.isEmpty()) {
-      String team = itemsByTeam.keySet().iterator().next();
-      Deque<Item<T>> items = requireNonNull(itemsByTeam.remove(team), "no items for the team");
-      Item<T> item = items.removeFirst();
-      if (!items.isEmpty()) {
-        itemsByTeam.put(team, items); // moves the team behind the others
+      Map<String, Deque<Item<T>>> itemsByTeam,
+      long nowMillis,
+      List<Item<T>> expired,
+      Predicate<? super T> servable) {
+    Iterator<Map.Entry<String, Deque<Item<T>>>> teams = itemsByTeam.entrySet().iterator();
+    while (teams.hasNext()) {
+      Map.Entry<String, Deque<Item<T>>> entry = teams.next();
+      String team = entry.getKey();
+      Deque<Item<T>> items = entry.getValue();
+      Optional<Item<T>> found = removeFirst(items, nowMillis, expired, servable);
+      if (found.isPresent() || items.isEmpty()) {
+        teams.remove();
+      }
+      if (found.isPresent()) {
+        if (!items.isEmpty()) {
+          itemsByTeam.put(team, items); // moves the team behind the others
+        }
+        return found;
+      }
+    }
+    return Optional.empty();
+  }
+
+  /** Removes the first item of a team that can be served, and the expired items before it. */
+  private Optional<Item<T>> removeFirst(
+      Deque<Item<T>> items, long nowMillis, List<Item<T>> expired, Predicate<? super T> servable) {
+    Iterator<Item<T>> iterator = items.iterator();
+    while (iterator.hasNext()) {
+      Item<T> item = iterator.next();
+      boolean hasExpired = item.deadlineMillis <= nowMillis;
+      if (!hasExpired && !servable.test(item.value)) {
+        continue;
       }
-      release(team);
-      if (item.deadlineMillis > nowMillis) {
+      iterator.remove();
+      release(item.team);
+      if (!hasExpired) {
         return Optional.of(item);
       }
       expired.add(item);
--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/requests/FairQueueTest.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/requests/FairQueueTest.java
@@ -74,6 +74,36 @@
     assertEquals(order, List.of("c0", "a0", "b0", "a1"));
   }
 
+  /** Guards against an item that cannot be served and delays others, or loses its place. */
+  @Test
+  public void shouldPassOverItemsThatCannotBeServedAndKeepTheirPlaces() {
+    FairQueue<String> queue = new FairQueue<>(100);
+    add(queue, "a", true, "held0");
+    add(queue, "a", false, "held1");
+    for (String value : List.of("a0", "a1")) {
+      add(queue, "a", false, value);
+    }
+    for (String value : List.of("b0", "b1")) {
+      add(queue, "b", false, value);
+    }
+    List<String> order = new ArrayList<>();
+    for (int i = 0; i < 3; i++) {
+      order.add(pollServable(queue).orElseThrow().value());
+    }
+    assertEquals(order, List.of("a0", "b0", "a1"));
+    assertEquals(queue.size(), 3);
+    assertEquals(queue.poll(0, new ArrayList<>()).orElseThrow().value(), "held0");
+    assertEquals(pollServable(queue).orElseThrow().value(), "b1");
+    assertEquals(pollServable(queue), Optional.empty());
+    assertEquals(queue.poll(0, new ArrayList<>()).orElseThrow().value(), "held1");
+    assertTrue(queue.isEmpty());
+    assertEquals(queue.size(), 0);
+  }
+
+  private static Optional<FairQueue.Item<String>> pollServable(FairQueue<String> queue) {
+    return queue.poll(0, new ArrayList<>(), value -> !value.startsWith("held"));
+  }
+
   // -- reserve
 
   /** Guards against a team that fills the queue, so that items of other teams are rejected. */
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/entry/ServiceCall.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/entry/ServiceCall.java
@@ -51,6 +51,7 @@
   private final AtomicBoolean completed = new AtomicBoolean();
   private final Set<String> triedMinions = new HashSet<>();
   private int attemptCount;
+  private long retryElsewhereUntilMillis = Long.MIN_VALUE;
   private boolean holdsKey;
   private boolean claimed;
   private boolean mayHaveRun;
@@ -112,6 +113,15 @@
     return attemptCount;
   }
 
+  /** Sets the monotonic time until which the next attempt waits for a minion not yet tried. */
+  synchronized void retryElsewhereUntil(long untilMillis) {
+    retryElsewhereUntilMillis = untilMillis;
+  }
+
+  synchronized long retryElsewhereUntilMillis() {
+    return retryElsewhereUntilMillis;
+  }
+
   synchronized void markKeyHeld() {
     holdsKey = true;
   }
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/entry/ServiceDispatcher.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/entry/ServiceDispatcher.java
@@ -67,6 +67,12 @@
     NEUTRAL
   }
 
+  /**
+   * Maximum time for which a retry waits for a minion that the request has not tried, beside free
+   * slots of tried ones. A circuit that has just opened permits a trial within this time.
+   */
+  private static final long RETRY_ELSEWHERE_MILLIS = 1_000;
+
   private final String service;
   private final SharedDependencies shared;
   private final BiConsumer<ServiceCall, MinionState> attemptStarter;
@@ -114,9 +120,7 @@
   synchronized boolean hasUntriedMinion(ServiceCall call) {
     refreshMinions();
     Optional<FleetView> view = shared.configLease.current();
-    return view.isPresent()
-        && minions.values().stream()
-            .anyMatch(minion -> !call.hasTried(minion.id()) && isEligible(minion, view.get()));
+    return view.isPresent() && hasEligibleUntriedMinion(call, view.get());
   }
 
   /** Appends a request for which capacity was reserved, and dispatches. */
@@ -129,6 +133,9 @@
 
   /** Returns a request whose attempt has ended to the front of the queue, and dispatches. */
   void requeue(ServiceCall call) {
+    long nowMillis = shared.monotonicMillis.getAsLong();
+    long remainingMillis = call.parameters().deadlineMillis() - nowMillis;
+    call.retryElsewhereUntil(nowMillis + Math.min(RETRY_ELSEWHERE_MILLIS, remainingMillis / 2));
     synchronized (this) {
       queue.requeue(queueItem(call));
     }
@@ -158,48 +165,66 @@
 
   private void assignQueued(FleetView view, long nowMillis, List<Assignment> assignments) {
     List<FairQueue.Item<ServiceCall>> expired = new ArrayList<>();
-    while (true) {
-      Optional<FairQueue.Item<ServiceCall>> next = queue.poll(nowMillis, expired);
-      if (next.isEmpty()) {
+    while (!queue.isEmpty()) {
+      List<MinionChooser.Candidate<MinionState>> free = freeMinions(view, nowMillis);
+      if (free.isEmpty()) {
         return;
       }
-      ServiceCall call = next.get().value();
-      Optional<MinionState> minion = chooseMinion(call, view, nowMillis);
-      if (minion.isEmpty()) {
-        queue.requeue(next.get());
+      Optional<FairQueue.Item<ServiceCall>> next =
+          queue.poll(
+              nowMillis, expired, call -> !candidates(call, free, view, nowMillis).isEmpty());
+      if (next.isEmpty()) {
         return;
       }
-      minion.get().acquireSlot();
-      minion.get().breaker().onSend(nowMillis);
-      call.recordAttempt(minion.get().id());
-      assignments.add(new Assignment(call, minion.get()));
+      ServiceCall call = next.get().value();
+      MinionState minion =
+          MinionChooser.choose(candidates(call, free, view, nowMillis), ThreadLocalRandom.current())
+              .orElseThrow();
+      minion.acquireSlot();
+      minion.breaker().onSend(nowMillis);
+      call.recordAttempt(minion.id());
+      assignments.add(new Assignment(call, minion));
     }
   }
 
-  /** Chooses a minion with a free slot; one that was tried only if all eligible ones were. */
-  private Optional<MinionState> chooseMinion(ServiceCall call, FleetView view, long nowMillis) {
-    List<MinionState> eligible = new ArrayList<>();
-    List<MinionState> untried = new ArrayList<>();
+  /** Returns the eligible minions with a free slot whose circuit breaker permits a request. */
+  private List<MinionChooser.Candidate<MinionState>> freeMinions(FleetView view, long nowMillis) {
+    List<MinionChooser.Candidate<MinionState>> free = new ArrayList<>();
     for (MinionState minion : minions.values()) {
-      if (isEligible(minion, view)) {
-        eligible.add(minion);
-        if (!call.hasTried(minion.id())) {
-          untried.add(minion);
-        }
+      int slots = minion.share().maxSlots(shared.slotLeases.leasedSlots(minion.id()));
+      if (isEligible(minion, view)
+          && minion.breaker().permits(nowMillis)
+          && minion.slotsInUse() < slots) {
+        int distance = shared.distance(view, minion.endpoint().getDataCentre());
+        free.add(new MinionChooser.Candidate<>(minion, distance, minion.slotsInUse(), slots));
       }
     }
-    List<MinionChooser.Candidate<MinionState>> candidates = new ArrayList<>();
-    for (MinionState minion : untried.isEmpty() ? eligible : untried) {
-      if (minion.breaker().permits(nowMillis)) {
-        candidates.add(
-            new MinionChooser.Candidate<>(
-                minion,
-                shared.distance(view, minion.endpoint().getDataCentre()),
-                minion.slotsInUse(),
-                minion.share().maxSlots(shared.slotLeases.leasedSlots(minion.id()))));
-      }
+    return free;
+  }
+
+  /**
+   * Returns the free minions that may receive a request now: those that it has not tried. If there
+   * are none, it may be sent to a tried one, but not before a bounded wait if an untried one is
+   * eligible.
+   */
+  private List<MinionChooser.Candidate<MinionState>> candidates(
+      ServiceCall call,
+      List<MinionChooser.Candidate<MinionState>> free,
+      FleetView view,
+      long nowMillis) {
+    List<MinionChooser.Candidate<MinionState>> untried =
+        free.stream().filter(candidate -> !call.hasTried(candidate.minion().id())).toList();
+    if (!untried.isEmpty()) {
+      return untried;
     }
-    return MinionChooser.choose(candidates, ThreadLocalRandom.current());
+    boolean waits =
+        nowMillis < call.retryElsewhereUntilMillis() && hasEligibleUntriedMinion(call, view);
+    return waits ? List.of() : free;
+  }
+
+  private boolean hasEligibleUntriedMinion(ServiceCall call, FleetView view) {
+    return minions.values().stream()
+        .anyMatch(minion -> !call.hasTried(minion.id()) && isEligible(minion, view));
   }
 
   /** Releases the slot of an ended attempt and updates the circuit breaker of the minion. */
