Limit the time for which a reservation keeps work from idle capacity

Cause: a reservation rests on a forecast. Each time its start passed, the forecast was moved, and work that is not known to end before it was kept away without a limit. The first reservation may cover the whole fleet. Failed attempts of the round before also counted after a reservation had moved; the round now begins after the reservations have advanced.

Change: ReservationWait counts the time for the class of jobs, across moves of the reservation.

Why it works: the limits depend on replicated time only, not on a forecast. Guarantees and urgent jobs ignore reservations as before.

A new leader starts the time anew and does not know what was backfilled before.

--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/scheduling/BackfillReservations.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/scheduling/BackfillReservations.java
@@ -4,7 +4,6 @@
 import java.util.Arrays;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -17,7 +16,8 @@
  * Reserves workers for large batch jobs, so that small ones do not starve them.
  *
  * <p>Other batch jobs are backfilled on reserved workers only if they are estimated to end before
- * the reservation starts. Backfilled jobs that overrun are preempted if they are preemptible.
+ * the reservation starts, or if {@link ReservationWait} admits them. Backfilled jobs that overrun
+ * or keep the reserved job waiting are preempted if they are preemptible.
  */
 final class BackfillReservations {
 
@@ -39,12 +39,14 @@
   static final class BackfillReservation {
     private final EquivalenceClass.Key key;
     private final int[] workers;
-    private final Set<String> backfilledJobIds = new HashSet<>();
+    private final ReservationWait wait;
     private final long id;
     private long startMillis;
 
-    BackfillReservation(EquivalenceClass.Key key, int[] workers, long startMillis, long id) {
+    BackfillReservation(
+        EquivalenceClass.Key key, int[] workers, ReservationWait wait, long startMillis, long id) {
       this.id = id;
+      this.wait = wait;
       this.key = key;
       this.workers = workers;
       this.startMillis = startMillis;
@@ -58,13 +60,13 @@
       return workers;
     }
 
-    long startMillis() {
-      return startMillis;
+    boolean isDue(long nowMillis) {
+      return startMillis <= nowMillis;
     }
 
-    /** Returns whether a gang was backfilled on the reserved workers. */
+    /** Returns whether a gang was backfilled on workers reserved for the class. */
     boolean isBackfilled(Gang gang) {
-      return backfilledJobIds.contains(gang.job().jobId());
+      return wait.isBackfilled(gang.job().jobId());
     }
   }
 
@@ -74,6 +76,7 @@
   private final RunTimeEstimator estimator;
   private final Map<EquivalenceClass.Key, BackfillReservation> byClass = new LinkedHashMap<>();
   private final Map<Integer, BackfillReservation> byWorker = new HashMap<>();
+  private final Map<EquivalenceClass.Key, ReservationWait> waits = new LinkedHashMap<>();
   private long lastId;
   private long failedVersion = -1;
 
@@ -102,28 +105,30 @@
     BackfillReservation reservation = byWorker.get(worker);
     return reservation == null
         || reservation.key.equals(key)
+        || reservation.wait.admits(key.preemptible())
         || (estimateMillis.isPresent()
             && nowMillis + estimateMillis.getAsLong() <= reservation.startMillis);
   }
 
   /**
-   * Removes the reservation of the gang's class, and records a batch gang as backfilled in the
-   * other reservations of its workers.
+   * Ends the wait of the gang's class with its reservation, and records a batch gang as backfilled
+   * in the other reservations of its workers.
    */
   void gangStarted(EquivalenceClass.Key key, Gang gang) {
     remove(key);
+    waits.remove(key);
     if (!byWorker.isEmpty() && !gang.job().urgent()) {
       for (int worker : gang.workers()) {
         BackfillReservation reservation = byWorker.get(worker);
         if (reservation != null) {
-          reservation.backfilledJobIds.add(gang.job().jobId());
+          reservation.wait.recordBackfilled(gang.job().jobId());
         }
       }
     }
   }
 
   void gangEnded(String jobId) {
-    byClass.values().forEach(reservation -> reservation.backfilledJobIds.remove(jobId));
+    waits.values().forEach(wait -> wait.gangEnded(jobId));
   }
 
   void remove(EquivalenceClass.Key key) {
@@ -141,19 +146,31 @@
     }
   }
 
-  /**
-   * Returns the reservations whose start time has passed, after removing those of classes without
-   * waiting jobs.
-   */
-  List<BackfillReservation> due(long nowMillis) {
-    for (EquivalenceClass.Key key : List.copyOf(byClass.keySet())) {
+  /** Removes reservations of classes without waiting jobs, and advances the waits of the others. */
+  void advance(long nowMillis) {
+    for (EquivalenceClass.Key key : List.copyOf(waits.keySet())) {
       if (!state.waiting().hasClass(key)) {
         remove(key);
+        waits.remove(key);
+      }
+    }
+    for (ReservationWait wait : waits.values()) {
+      if (wait.advance(nowMillis)) {
+        state.incrementVersion();
       }
     }
-    return byClass.values().stream()
-        .filter(reservation -> reservation.startMillis <= nowMillis)
-        .toList();
+  }
+
+  /** Returns the reservations whose start is to be attempted now. */
+  List<BackfillReservation> due(long nowMillis) {
+    List<BackfillReservation> due =
+        byClass.values().stream()
+            .filter(
+                reservation ->
+                    reservation.isDue(nowMillis) || reservation.wait.isAttemptDue(nowMillis))
+            .toList();
+    due.forEach(reservation -> reservation.wait.recordAttempt(nowMillis));
+    return due;
   }
 
   /**
@@ -197,8 +214,11 @@
       return;
     }
     int[] workers = best.workers().stream().mapToInt(Integer::intValue).toArray();
+    long startMillis = best.startMillis();
+    ReservationWait wait =
+        waits.computeIfAbsent(key, k -> new ReservationWait(nowMillis, startMillis));
     BackfillReservation reservation =
-        new BackfillReservation(key, workers, best.startMillis(), ++lastId);
+        new BackfillReservation(key, workers, wait, startMillis, ++lastId);
     byClass.put(key, reservation);
     best.workers().forEach(worker -> byWorker.put(worker, reservation));
   }
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/scheduling/GuaranteeScheduler.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/scheduling/GuaranteeScheduler.java
@@ -242,10 +242,11 @@
     guaranteePlanner.repair(nowMillis, decisions);
     rejectJobs(decisions);
     preemptivePlacer.startReady(nowMillis, decisions);
-    placer.beginRound();
+    reservations.advance(nowMillis);
     for (BackfillReservations.BackfillReservation reservation : reservations.due(nowMillis)) {
       startReserved(reservation, decisions);
     }
+    placer.beginRound();
     queueRound.run(true, equivalenceClass -> tryStart(equivalenceClass, decisions));
     boolean reachedLimit =
         queueRound.run(false, equivalenceClass -> tryStart(equivalenceClass, decisions));
@@ -281,7 +282,7 @@
         && mayCommit
         && preemptivePlacer.preemptBackfilled(job, reservation, nowMillis, decisions)) {
       reservations.remove(reservation.key());
-    } else {
+    } else if (reservation.isDue(nowMillis)) {
       reservations.reschedule(reservation, job.shape(), nowMillis);
     }
   }
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/scheduling/PreemptivePlacer.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/scheduling/PreemptivePlacer.java
@@ -19,6 +19,9 @@
   /** Maximum number of placements for which victims are selected. */
   private static final int MAX_COSTED_PLACEMENTS = 8;
 
+  /** Maximum number of placements found in one search of reserved workers. */
+  private static final int MAX_RESERVED_PLACEMENTS = 4;
+
   /** A placement with the victims that must end to free its resources. */
   private static final class CostedPlacement {
     private final int[] workers;
@@ -115,14 +118,28 @@
     return true;
   }
 
-  /** Reserves workers of a due reservation by preempting backfilled gangs, which have overrun. */
+  /** Reserves workers of a reservation by preempting backfilled gangs. */
   boolean preemptBackfilled(
       JobRequest job,
       BackfillReservations.BackfillReservation reservation,
       long nowMillis,
       List<Decision> decisions) {
-    Fleet fleet = state.fleet();
     Set<Integer> members = Set.copyOf(Arrays.stream(reservation.workers()).boxed().toList());
+    IntPredicate clearable = worker -> members.contains(worker) && isClearable(worker, reservation);
+    List<int[]> placements = new ArrayList<>(findReserved(job, clearable));
+    placements.addAll(findReserved(job, members::contains));
+    CostedPlacement best = cheapest(job, placements, null, reservation::isBackfilled, nowMillis);
+    if (best == null || best.selection.victims().isEmpty()) {
+      return false;
+    }
+    String reason =
+        "Preempted because a job of team " + job.team() + " can start on the workers kept for it.";
+    preemptFor(job, best, null, reason, decisions);
+    return true;
+  }
+
+  private List<int[]> findReserved(JobRequest job, IntPredicate allowed) {
+    Fleet fleet = state.fleet();
     GangShape shape = job.shape();
     PlacementQuery.Limit limit =
         job.preemptible() ? null : new PlacementQuery.Limit(fleet.uncommitted(), shape.perTask());
@@ -133,19 +150,15 @@
             fleet.freeAfterPreemption(),
             shape.perTask(),
             limit,
-            members::contains);
-    CostedPlacement best =
-        cheapest(job, search.find(query, 4), null, reservation::isBackfilled, nowMillis);
-    if (best == null || best.selection.victims().isEmpty()) {
-      return false;
-    }
-    String reason =
-        "Preempted because it ran longer than jobs of its kind do, on workers kept for a job of"
-            + " team "
-            + job.team()
-            + ".";
-    preemptFor(job, best, null, reason, decisions);
-    return true;
+            allowed);
+    return search.find(query, MAX_RESERVED_PLACEMENTS);
+  }
+
+  /** Returns whether all preemptible gangs on a worker were backfilled. */
+  private boolean isClearable(int worker, BackfillReservations.BackfillReservation reservation) {
+    return state.gangsOn(worker).keySet().stream()
+        .filter(Gang::isPreemptible)
+        .allMatch(reservation::isBackfilled);
   }
 
   private void preemptFor(
