Backfill short work while long-running work waits, and mend what a newcomer stumbled on

A reader who did not know the work found, by reading: - Long-running work that may not be backfilled made the planner skip shorter work that may, because only the estimates were compared. IdleCapacityTest has a case, which fails without the change. - Batch numbers of a session would all be equal on a clock below 0. - Starts of pending placements were not counted into the load of their round. Names and comments that said something else than the code: low load, requirements, preemption of smaller runs, window of a reservation, what counts as isolated.

The tests of the dispatcher pass, the two models among them.

--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Dispatcher.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Dispatcher.java
@@ -46,6 +46,9 @@
   /** More batches than a dispatcher proposes in a millisecond. */
   private static final long BATCH_NUMBERS_PER_MILLI = 1L << 20;
 
+  /** Keeps batch numbers positive; a monotonic clock may start below 0. */
+  private static final long MAX_BATCH_MILLIS = (1L << 42) - 1;
+
   private final WorkflowTable table;
   private final RunTable runs = new RunTable();
   private final Outbox outbox;
@@ -125,7 +128,7 @@
   // Batches of an earlier dispatcher of this term may still be recorded, and must not be taken for
   // batches of this one.
   private static long firstBatchNumber(long nowMillis) {
-    return Math.max(0, nowMillis) * BATCH_NUMBERS_PER_MILLI + 1;
+    return (nowMillis & MAX_BATCH_MILLIS) * BATCH_NUMBERS_PER_MILLI + 1;
   }
 
   // -- events from minions
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/DispatcherStatus.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/DispatcherStatus.java
@@ -8,7 +8,7 @@
  *
  * @param usableMinions minions that accept work
  * @param suspectMinions minions whose last lease renewal failed
- * @param isolatedMinions minions that receive no work because of failures
+ * @param isolatedMinions minions that are avoided because of failures
  * @param drainingMinions minions that drain or are about to end
  * @param provisionalMinions minions known only from an old report or from their runs
  * @param waitingGroups groups of tasks that are ready and not placed
@@ -16,8 +16,8 @@
  * @param accelerators accelerators of the usable minions
  * @param freeAccelerators accelerators of the usable minions that are neither allocated nor
  *     reserved for pending placements
- * @param longestIdleWaitMillis the longest time for which a workflow without a running task has
- *     been waiting although idle capacity meets its requirements
+ * @param longestIdleWaitMillis the longest time for which a group has been waiting that could start
+ *     on idle capacity against a preference
  */
 public record DispatcherStatus(
     int usableMinions,
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/IdleCapacityFinder.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/IdleCapacityFinder.java
@@ -10,10 +10,10 @@
 final class IdleCapacityFinder {
 
   /**
-   * A service of which more is in use is not regarded as idle. No accepted work may wait beside a
-   * service of which less than half is in use; the rest allows for ends that are not known yet.
+   * Highest load that counts as low. No accepted work may wait in a service of which less than half
+   * is in use; the margin covers tasks that have ended and whose end is not reported yet.
    */
-  private static final int MAX_IDLE_LOAD_PERCENT = 60;
+  private static final int MAX_LOW_LOAD_PERCENT = 60;
 
   private final ServiceLoad serviceLoad;
   private final RunTable runs;
@@ -25,16 +25,16 @@
     this.minionSelector = minionSelector;
   }
 
-  /** Returns whether the service of a step has room for all its work. */
-  boolean isMostlyIdle(WaitingStep waitingStep) {
-    return serviceLoad.usedPercent(waitingStep.queue().getService()) <= MAX_IDLE_LOAD_PERCENT;
+  /** Returns whether little of the scarcest resource of the service of a step is in use. */
+  boolean hasLowLoad(WaitingStep waitingStep) {
+    return serviceLoad.usedPercent(waitingStep.queue().getService()) <= MAX_LOW_LOAD_PERCENT;
   }
 
   /**
    * Returns the minions on which a group may start against the preferences, or null if there are
-   * none. A mostly idle service has room for all, so no preference may keep work waiting there. In
-   * a busy one, reservations and racks are kept, with two exceptions: long-running work, whose
-   * users wait at any load, and a group that has failed on all minions.
+   * none. Long-running groups, and groups of a workflow without a run in a service with a low load,
+   * may give up any preference. A group that has failed on all minions may return to them, and
+   * keeps to reservations and racks. Other groups keep all preferences.
    *
    * @param endMillis monotonic time at which the group is expected to end
    */
@@ -45,8 +45,8 @@
       MinionTaskLimit taskLimit,
       long endMillis) {
     boolean nothingRuns = !runs.hasRun(waitingStep.workflow());
-    if (waitingStep.step().getLongRunning() || (nothingRuns && isMostlyIdle(waitingStep))) {
-      return minionSelector.selectRequired(waitingStep, group, pool, taskLimit);
+    if (waitingStep.step().getLongRunning() || (nothingRuns && hasLowLoad(waitingStep))) {
+      return minionSelector.selectByRequirements(waitingStep, group, pool, taskLimit);
     }
     return minionSelector.selectAfterFailureOnAll(waitingStep, group, pool, taskLimit, endMillis);
   }
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/MinionHealth.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/MinionHealth.java
@@ -6,7 +6,8 @@
 /**
  * Tracks whether tasks succeed on a minion. A minion is isolated if a task fails immediately, or if
  * tasks of several workflows fail without a success in between. After the isolation it is probed
- * with a single task; a failed probe doubles the time of isolation, up to a limit.
+ * with a single task; a failed probe doubles the time of isolation, up to a limit. A minion that
+ * rejects a start as unhealthy is isolated for a short time, without a probe.
  */
 final class MinionHealth {
 
@@ -87,7 +88,7 @@
     return nowMillis < isolatedUntilMillis;
   }
 
-  /** Returns whether the minion may run only a single task as a probe. */
+  /** Returns whether the minion is given a single task as a probe before other work. */
   boolean isAwaitingProbe(long nowMillis) {
     return awaitingProbe && nowMillis - isolatedUntilMillis < PROBE_TIMEOUT_MILLIS;
   }
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/MinionPools.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/MinionPools.java
@@ -70,12 +70,12 @@
       return recentlyFailed;
     }
 
-    /** Returns the minions that may run only a single task as a probe. */
+    /** Returns the minions that are given a single task as a probe before other work. */
     List<Minion> awaitingProbe() {
       return awaitingProbe;
     }
 
-    /** Returns the minions that receive no work for some time because of failures. */
+    /** Returns the minions that are avoided for some time because of failures. */
     List<Minion> isolated() {
       return isolated;
     }
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/MinionSelector.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/MinionSelector.java
@@ -8,8 +8,9 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Selects the minions for a group. A step requires a service, a label, room and a limit of tasks
- * per minion; everything else is a {@link Preference}. Valid for one planning round.
+ * Selects the minions for a group among those that accept work and are in service. A step requires
+ * a service, a label, room and a limit of tasks per minion; everything else is a {@link
+ * Preference}. Valid for one planning round.
  */
 final class MinionSelector {
 
@@ -25,8 +26,8 @@
   }
 
   /**
-   * Returns the minion of each task of a group according to all preferences, or null if there are
-   * none.
+   * Returns the minion of each task of a group according to the preferences, or null if there are
+   * none. Minions on which other groups have failed recently are taken only if no others fit.
    *
    * @param endMillis monotonic time at which the group is expected to end
    */
@@ -63,12 +64,12 @@
   }
 
   /**
-   * Returns the minion of each task of a group by its requirements alone, giving up as few
-   * preferences as possible, or null if the group does not fit on idle capacity.
+   * Returns the minion of each task of a group by its requirements alone, or null if the group does
+   * not fit on idle capacity. Preferences are given up in the order of {@link Preference}.
    */
-  @Nullable Selection selectRequired(
+  @Nullable Selection selectByRequirements(
       WaitingStep waitingStep, TaskGroup group, MinionPools.Pool pool, MinionTaskLimit taskLimit) {
-    List<Minion> all = withProbed(pool);
+    List<Minion> all = withAwaitingProbe(pool);
     List<Minion> withIsolated = withIsolated(pool);
     if (!fits(waitingStep, group, withIsolated, taskLimit)) {
       return null;
@@ -94,8 +95,8 @@
   }
 
   /**
-   * Returns the minion of each task of a group that has failed on all minions that may run it,
-   * according to all other preferences, or null if there are none.
+   * Returns the minion of each task of a group that has failed on all minions that may run it, or
+   * null if there are none. Keeps to reservations and racks.
    *
    * @param endMillis monotonic time at which the group is expected to end
    */
@@ -112,7 +113,7 @@
         find(
             waitingStep,
             group,
-            withProbed(pool),
+            withAwaitingProbe(pool),
             minion -> reservations.availableUntil(minion, endMillis),
             taskLimit);
     return selected == null ? null : new Selection(selected, Preference.NO_FAILURE);
@@ -187,14 +188,14 @@
     return minions;
   }
 
-  private static List<Minion> withProbed(MinionPools.Pool pool) {
+  private static List<Minion> withAwaitingProbe(MinionPools.Pool pool) {
     List<Minion> minions = healthyOrRecentlyFailed(pool);
     minions.addAll(pool.awaitingProbe());
     return minions;
   }
 
   private static List<Minion> withIsolated(MinionPools.Pool pool) {
-    List<Minion> minions = withProbed(pool);
+    List<Minion> minions = withAwaitingProbe(pool);
     minions.addAll(pool.isolated());
     return minions;
   }
@@ -234,7 +235,7 @@
    * Minions that meet the requirements of a group.
    *
    * @param minions the minion of each task
-   * @param givenUp the preference that they do not meet
+   * @param givenUp the last preference that was given up to find them
    */
   record Selection(List<Minion> minions, Preference givenUp) {}
 }
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Outbox.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Outbox.java
@@ -25,8 +25,8 @@
   /**
    * Creates an empty outbox.
    *
-   * @param firstBatchNumber number of the first batch, positive and higher than those of all
-   *     earlier dispatchers whose batches may still be recorded
+   * @param firstBatchNumber number of the first batch, positive and higher than those of earlier
+   *     dispatchers of this process whose batches may still be recorded
    */
   Outbox(long firstBatchNumber) {
     batchNumber = firstBatchNumber;
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Planner.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Planner.java
@@ -29,7 +29,7 @@
    */
   private static final int MAX_FORECAST_SLACK_PERCENT = 40;
 
-  /** Interval at which the waits of groups are examined and reported. */
+  /** Minimum interval at which the waits of groups are examined and reported. */
   private static final long IDLE_CHECK_INTERVAL_MILLIS = 100;
 
   /**
@@ -39,10 +39,10 @@
   private static final long MAX_IDLE_WAIT_MILLIS = 2_000;
 
   /**
-   * Smaller work that may not wait for longer takes resources that are reserved for a gang. A gang
-   * for which a mostly idle service has reserved resources for this long may preempt such work.
+   * A gang that has held a reservation for this long may preempt smaller runs while the load is
+   * low; small work that gives up preferences would otherwise starve it.
    */
-  private static final long MAX_RESERVED_MILLIS = 8_000;
+  private static final long MIN_RESERVED_BEFORE_PREEMPTION_MILLIS = 8_000;
 
   /** Maximum number of groups of a step that find no place before the step is left. */
   private static final int MAX_UNPLACED_GROUPS = 16;
@@ -99,8 +99,9 @@
   /** Runs one planning round over the waiting steps. */
   void plan(List<WaitingStep> waitingSteps, long nowMillis, long wallMillis) {
     boolean checksIdleCapacity = nowMillis >= nextIdleCheckMillis;
-    PlanningRound round = new PlanningRound(checksIdleCapacity, nowMillis, wallMillis);
-    pendingPlacements.startReady(round.pools, nowMillis, wallMillis);
+    MinionPools pools = new MinionPools(minions.all(), catalog.dataCentresOut(), nowMillis);
+    pendingPlacements.startReady(pools, nowMillis, wallMillis);
+    PlanningRound round = new PlanningRound(pools, checksIdleCapacity, nowMillis, wallMillis);
     for (RankedStep step : ranking.rank(waitingSteps, wallMillis)) {
       round.placeGroups(step);
     }
@@ -112,8 +113,8 @@
   }
 
   /**
-   * Returns the longest time in milliseconds for which a workflow without a running task has been
-   * waiting although idle capacity meets its requirements.
+   * Returns the longest time in milliseconds for which a group has been waiting that could start on
+   * idle capacity against a preference.
    */
   long longestIdleWaitMillis() {
     return idleWaits.longestMillis();
@@ -139,12 +140,13 @@
     private final Set<WaitingStep> stepsWithReservation =
         Collections.newSetFromMap(new IdentityHashMap<>());
 
-    PlanningRound(boolean checksIdleCapacity, long nowMillis, long wallMillis) {
+    PlanningRound(MinionPools pools, boolean checksIdleCapacity, long nowMillis, long wallMillis) {
+      this.pools = pools;
       this.checksIdleCapacity = checksIdleCapacity;
       this.nowMillis = nowMillis;
       this.wallMillis = wallMillis;
+      // Without a check, the load is not asked for.
       this.serviceLoad = new ServiceLoad(checksIdleCapacity ? minions.all() : List.of());
-      this.pools = new MinionPools(minions.all(), catalog.dataCentresOut(), nowMillis);
       this.remainingTimes =
           new RemainingTimes(runTimeEstimates, settings.stopTimeoutMillis(), nowMillis);
       this.backfillReservations = new BackfillReservations(remainingTimes, nowMillis);
@@ -203,7 +205,8 @@
 
     /**
      * Starts a group against the preferences if it has waited beside idle capacity for too long;
-     * otherwise reports that it waits. Returns whether it was started.
+     * otherwise reports that it waits. Does neither in a round that does not check for idle
+     * capacity. Returns whether the group was started.
      */
     private boolean startOnIdleCapacity(
         RankedStep ranked,
@@ -236,14 +239,13 @@
 
     private String obstacle(MinionSelector.Selection idle) {
       List<String> holders = backfillReservations.holdersOn(idle.minions());
-      return holders.isEmpty()
-          ? idle.givenUp().obstacle()
-          : idle.givenUp().obstacle() + ", reserved for " + holders;
+      String obstacle = idle.givenUp().obstacle();
+      return holders.isEmpty() ? obstacle : obstacle + " [reserved for " + holders + "]";
     }
 
     private long expectedEndMillis(RankedStep ranked) {
       return ranked.waitingStep().step().getLongRunning()
-          ? RemainingTimes.NEVER_MILLIS
+          ? RemainingTimes.UNBOUNDED_MILLIS
           : nowMillis + ranked.urgency().estimatedRunMillis();
     }
 
@@ -278,7 +280,7 @@
       if (triesPreemption && preemptFor(ranked, group, candidates, taskLimit)) {
         return true;
       }
-      if (isOvertakenBySmallerWork(waitingStep, group)
+      if (mayPreemptSmallerWork(waitingStep, group)
           && preemptSmallerWork(waitingStep, group, candidates, taskLimit)) {
         return true;
       }
@@ -337,11 +339,11 @@
       return true;
     }
 
-    private boolean isOvertakenBySmallerWork(WaitingStep waitingStep, TaskGroup group) {
+    private boolean mayPreemptSmallerWork(WaitingStep waitingStep, TaskGroup group) {
       return checksIdleCapacity
           && group.size() > 1
-          && reservedGroups.durationMillis(group) >= MAX_RESERVED_MILLIS
-          && idleCapacityFinder.isMostlyIdle(waitingStep);
+          && reservedGroups.durationMillis(group) >= MIN_RESERVED_BEFORE_PREEMPTION_MILLIS
+          && idleCapacityFinder.hasLowLoad(waitingStep);
     }
 
     private boolean preemptSmallerWork(
@@ -355,7 +357,7 @@
               group,
               candidates,
               taskLimit,
-              run -> PreemptionPlanner.isSmaller(run, waitingStep, group));
+              run -> PreemptionPlanner.isPreemptibleForLarger(run, waitingStep, group));
       if (plan == null) {
         return false;
       }
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/PreemptionPlanner.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/PreemptionPlanner.java
@@ -38,8 +38,8 @@
         && !run.step().getLongRunning();
   }
 
-  /** Returns whether a run may be preempted for a group that smaller work has kept waiting. */
-  static boolean isSmaller(ActiveRun run, WaitingStep waitingStep, TaskGroup group) {
+  /** Returns whether a run is smaller than a group, of no higher priority, and preemptible. */
+  static boolean isPreemptibleForLarger(ActiveRun run, WaitingStep waitingStep, TaskGroup group) {
     return isPreemptible(run)
         && run.workflow().queue().getPriority() >= waitingStep.queue().getPriority()
         && run.members().size() < group.size();
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/RemainingTimes.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/RemainingTimes.java
@@ -7,8 +7,8 @@
 /** Estimates the remaining time of active runs. Valid for one planning round. */
 final class RemainingTimes {
 
-  /** The remaining time of a run that does not end by itself. */
-  static final long NEVER_MILLIS = Long.MAX_VALUE / 4;
+  /** The run time of work that does not end by itself; sums of a few such times do not overflow. */
+  static final long UNBOUNDED_MILLIS = Long.MAX_VALUE / 4;
 
   /** Lower bound of an estimate; applies to a run that has exceeded its estimated run time. */
   private static final long MIN_REMAINING_MILLIS = 500;
@@ -44,7 +44,7 @@
       return stopMillis;
     }
     if (run.step().getLongRunning()) {
-      return NEVER_MILLIS;
+      return UNBOUNDED_MILLIS;
     }
     long remainingMillis =
         remainingMillisByProgress(run)
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/ServiceLoad.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/ServiceLoad.java
@@ -4,7 +4,10 @@
 import java.util.HashMap;
 import java.util.Map;
 
-/** The share of the capacity of each service that is in use. Valid for one planning round. */
+/**
+ * The share of the capacity of each service that is in use. Valid for one planning round. All known
+ * minions count but those that have announced their end or are known only from an old report.
+ */
 final class ServiceLoad {
 
   private final Map<String, Resources> capacityByService = new HashMap<>();
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/StartForecaster.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/StartForecaster.java
@@ -84,7 +84,7 @@
   private void addReleases(Minion minion, List<Release> releases) {
     for (Member member : minion.members()) {
       long delayMillis = remainingTimes.remainingMillis(member.run());
-      if (delayMillis < RemainingTimes.NEVER_MILLIS) {
+      if (delayMillis < RemainingTimes.UNBOUNDED_MILLIS) {
         releases.add(new Release(delayMillis, minion, member.demand()));
       }
     }
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/UnsatisfiedDemands.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/UnsatisfiedDemands.java
@@ -8,7 +8,8 @@
 /**
  * Groups that found no place in the current planning round. The search for another group is skipped
  * only if it has no choice that the failed search did not have: the same minions and no smaller
- * demand, no right to probe and no guarantee that the other group lacks.
+ * demand or run time, no right to probe and no guarantee that the other group lacks. Work that may
+ * preempt without a guarantee may be skipped all the same, as no preemption is promised to it.
  */
 final class UnsatisfiedDemands {
 
@@ -54,10 +55,16 @@
 
     boolean demandedAtMost(WaitingStep other, TaskGroup otherGroup, Urgency otherUrgency) {
       return group.size() <= otherGroup.size()
-          && urgency.estimatedRunMillis() <= otherUrgency.estimatedRunMillis()
+          && expectedRunMillis(waitingStep, urgency) <= expectedRunMillis(other, otherUrgency)
           && waitingStep.demand().fitsIn(other.demand());
     }
 
+    private static long expectedRunMillis(WaitingStep step, Urgency urgency) {
+      return step.step().getLongRunning()
+          ? RemainingTimes.UNBOUNDED_MILLIS
+          : urgency.estimatedRunMillis();
+    }
+
     boolean mightProbe(WaitingStep other, TaskGroup otherGroup) {
       return MinionSelector.mayProbe(waitingStep, group)
           || !MinionSelector.mayProbe(other, otherGroup);
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/WaitCause.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/WaitCause.java
@@ -5,7 +5,8 @@
 /**
  * Why a group waits.
  *
- * @param suitableMinions number of minions that may run the group, regardless of free resources
+ * @param suitableMinions number of minions that are preferred for the group, regardless of free
+ *     resources
  * @param forecast the expected start, null if it is unknown
  * @param similarGroup a group that found no place in this round, so that no search was made for
  *     this one, null if one was made
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/scheduling/BackfillReservations.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/scheduling/BackfillReservations.java
@@ -161,8 +161,8 @@
     }
   }
 
-  /** Returns the reservations whose start is to be attempted now. */
-  List<BackfillReservation> due(long nowMillis) {
+  /** Returns the reservations whose start is to be attempted now, and records the attempt. */
+  List<BackfillReservation> takeDue(long nowMillis) {
     List<BackfillReservation> due =
         byClass.values().stream()
             .filter(
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/scheduling/GuaranteeScheduler.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/scheduling/GuaranteeScheduler.java
@@ -243,7 +243,7 @@
     rejectJobs(decisions);
     preemptivePlacer.startReady(nowMillis, decisions);
     reservations.advance(nowMillis);
-    for (BackfillReservations.BackfillReservation reservation : reservations.due(nowMillis)) {
+    for (BackfillReservations.BackfillReservation reservation : reservations.takeDue(nowMillis)) {
       startReserved(reservation, decisions);
     }
     placer.beginRound();
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/scheduling/ReservationWait.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/scheduling/ReservationWait.java
@@ -9,7 +9,8 @@
  *
  * <p>A reservation keeps preemptible work away for a limited time, as such work can be preempted
  * once the reserved job fits. Non-preemptible work may start in windows. The time between windows
- * doubles, so that non-preemptible work ends between two of them.
+ * doubles up to a maximum, so that non-preemptible work that is shorter than this maximum ends
+ * between two of them.
  */
 final class ReservationWait {
 
@@ -29,16 +30,16 @@
   static final long ATTEMPT_INTERVAL_MILLIS = 10_000;
 
   private final Set<String> backfilledJobIds = new HashSet<>();
-  private final long admitsPreemptibleMillis;
-  private long windowMillis;
+  private final long admitsPreemptibleFromMillis;
+  private long windowStartMillis;
   private long windowIntervalMillis = MIN_WINDOW_INTERVAL_MILLIS;
   private long nextAttemptMillis;
   private boolean admitsPreemptible;
   private boolean admitsNonPreemptible;
 
   ReservationWait(long nowMillis, long expectedStartMillis) {
-    admitsPreemptibleMillis = nowMillis + PREEMPTIBLE_BLOCKING_MILLIS;
-    windowMillis =
+    admitsPreemptibleFromMillis = nowMillis + PREEMPTIBLE_BLOCKING_MILLIS;
+    windowStartMillis =
         Math.min(
             expectedStartMillis + MIN_WINDOW_INTERVAL_MILLIS,
             nowMillis + MAX_WINDOW_INTERVAL_MILLIS);
@@ -51,12 +52,12 @@
 
   /** Advances to a time; returns whether other jobs are admitted than before. */
   boolean advance(long nowMillis) {
-    while (nowMillis >= windowMillis + WINDOW_MILLIS) {
+    while (nowMillis >= windowStartMillis + WINDOW_MILLIS) {
       windowIntervalMillis = Math.min(2 * windowIntervalMillis, MAX_WINDOW_INTERVAL_MILLIS);
-      windowMillis += WINDOW_MILLIS + windowIntervalMillis;
+      windowStartMillis += WINDOW_MILLIS + windowIntervalMillis;
     }
-    boolean preemptible = nowMillis >= admitsPreemptibleMillis;
-    boolean nonPreemptible = nowMillis >= windowMillis;
+    boolean preemptible = nowMillis >= admitsPreemptibleFromMillis;
+    boolean nonPreemptible = nowMillis >= windowStartMillis;
     boolean changed = preemptible != admitsPreemptible || nonPreemptible != admitsNonPreemptible;
     admitsPreemptible = preemptible;
     admitsNonPreemptible = nonPreemptible;
--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/IdleCapacityTest.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/IdleCapacityTest.java
@@ -178,6 +178,24 @@
     assertTrue(harness.isRunning("step", 2), harness.events().toString());
   }
 
+  /** Guards against short work that is skipped because long-running work may not be backfilled. */
+  @Test
+  void shouldBackfillShortWorkWhileLongRunningWorkWaits() {
+    DispatcherHarness harness = DispatcherHarness.withMinions(4, "r1");
+    harness.submit("running", 1, withEstimate(DispatcherHarness.step(1, 8), 20_000));
+    harness.advanceTime(100);
+    for (int i = 0; i < 6; i++) {
+      harness.submit("gang-" + i, 1, withEstimate(DispatcherHarness.gang(4, 8), 20_000));
+    }
+    harness.advanceTime(100);
+    harness.submit("lasting", 2, lasting(withEstimate(DispatcherHarness.step(1, 8), 1_000)));
+    harness.submit("short", 2, withEstimate(DispatcherHarness.step(1, 8), 2_000));
+
+    harness.advanceTime(300);
+
+    assertEquals(harness.minionsOf("short").size(), 1, harness.events().toString());
+  }
+
   /** Guards against minions that nobody probes because urgent work that may not probe waits. */
   @Test
   void shouldProbeMinionsWhileWorkThatMayNotProbeWaits() {
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/DecisionTelemetry.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/DecisionTelemetry.java
@@ -64,7 +64,7 @@
     longestIdleWaitSeconds =
         Gauge.builder()
             .name("hickoryspar_dispatch_longest_idle_wait_seconds")
-            .help("Longest wait of a workflow without a running task beside idle capacity")
+            .help("Longest wait of a group that could start on idle capacity")
             .register(registry);
   }
 
