Model the planning of voters under losses, and show a cluster that loses its majority for good

Nothing tested VoterPlanner: the schedules of ReplicaCoreTest replace one replica at a time. No logic is changed: VoterReconciler moves to the kernel, so that the model runs the same code as the daemons.

Observability: event 2208 names the voters and those out of reach while no leader is known for 2 s, and a gauge shows the number of voters. Neither an election without a majority nor its reason could be seen in a log before.

--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/membership/VoterPlanner.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/membership/VoterPlanner.java
@@ -50,32 +50,25 @@
   /**
    * Returns the next membership change and records which voters are unreachable.
    *
-   * @param leader the replica that leads
-   * @param voters the current voters
-   * @param learners the current learners
-   * @param reachable the replicas that the leader is connected to, and the leader itself
+   * @param view what the leader knows of the cluster
    * @param nowMillis current monotonic time
    * @return the change, or empty if none is needed or possible
    */
-  public Optional<VoterChange> nextChange(
-      String leader,
-      List<String> voters,
-      List<String> learners,
-      Collection<ReachableReplica> reachable,
-      long nowMillis) {
-    requireNonNull(leader, "leader is null");
+  public Optional<VoterChange> nextChange(ClusterView view, long nowMillis) {
+    requireNonNull(view, "view is null");
+    List<String> voters = view.voters();
     Map<String, ReachableReplica> reachableById = new HashMap<>();
     Map<String, String> replicaByInstance = new HashMap<>();
-    for (ReachableReplica replica : reachable) {
+    for (ReachableReplica replica : view.reachable()) {
       reachableById.put(replica.replicaId(), replica);
       replicaByInstance.put(ReachableReplica.instanceOf(replica.replicaId()), replica.replicaId());
     }
     updateUnreachable(voters, reachableById.keySet(), nowMillis);
     List<ReachableReplica> candidates = candidates(voters, reachableById);
     return removeVoterWithLostDisk(voters, replicaByInstance)
-        .or(() -> removeLearnerWithLostDisk(learners, replicaByInstance))
+        .or(() -> removeLearnerWithLostDisk(view.learners(), replicaByInstance))
         .or(() -> addVoter(voters, reachableById, candidates))
-        .or(() -> removeUnreachableVoter(leader, voters, candidates, nowMillis));
+        .or(() -> removeUnreachableVoter(view.replicaId(), voters, candidates, nowMillis));
   }
 
   private void updateUnreachable(
--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/replication/SimulatedReplica.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/replication/SimulatedReplica.java
@@ -15,7 +15,7 @@
 final class SimulatedReplica {
 
   final String instance;
-  private final Simulation simulation;
+  private final SimulatedCluster cluster;
   private final SafetyChecker safetyChecker;
   private final SplittableRandom random;
   private final double clockRate;
@@ -37,11 +37,11 @@
 
   SimulatedReplica(
       String instance,
-      Simulation simulation,
+      SimulatedCluster cluster,
       SafetyChecker safetyChecker,
       SplittableRandom random) {
     this.instance = instance;
-    this.simulation = simulation;
+    this.cluster = cluster;
     this.safetyChecker = safetyChecker;
     this.random = random;
     // The clock rates differ by about 8%, less than the margin of 10% for clock drift.
@@ -50,7 +50,7 @@
   }
 
   long clockNanos() {
-    return clockOffsetNanos + (long) (simulation.nowNanos() * clockRate);
+    return clockOffsetNanos + (long) (cluster.nowNanos() * clockRate);
   }
 
   boolean isRunning() {
@@ -58,7 +58,7 @@
   }
 
   boolean isPaused() {
-    return pausedUntilNanos > simulation.nowNanos();
+    return pausedUntilNanos > cluster.nowNanos();
   }
 
   boolean isLeader() {
@@ -78,9 +78,9 @@
     pausedUntilNanos = 0;
     core =
         new ReplicaCore(
-            replicaId, Simulation.OPTIONS, random, disk.recover(), clockNanos(), clockNanos());
+            replicaId, cluster.options(), random, disk.recover(), clockNanos(), clockNanos());
     step(new ReplicaEvent.Tick());
-    simulation.schedule(this, random.nextLong(10_000_000), this::tick);
+    cluster.schedule(this, random.nextLong(10_000_000), this::tick);
   }
 
   void kill() {
@@ -114,7 +114,7 @@
 
   private void tick() {
     step(new ReplicaEvent.Tick());
-    simulation.schedule(this, 8_000_000 + random.nextLong(4_000_000), this::tick);
+    cluster.schedule(this, 8_000_000 + random.nextLong(4_000_000), this::tick);
   }
 
   private void execute(ReplicaAction action) {
@@ -123,31 +123,32 @@
       long sequence = write.write().sequence();
       long maxDelayNanos = random.nextInt(10) == 0 ? 60_000_000 : 3_000_000;
       lastSyncEndNanos =
-          Math.max(lastSyncEndNanos, simulation.nowNanos()) + random.nextLong(maxDelayNanos);
-      simulation.schedule(
+          Math.max(lastSyncEndNanos, cluster.nowNanos()) + random.nextLong(maxDelayNanos);
+      cluster.schedule(
           this,
-          lastSyncEndNanos - simulation.nowNanos(),
+          lastSyncEndNanos - cluster.nowNanos(),
           () -> {
             disk.sync(sequence);
             step(new ReplicaEvent.Synced(sequence));
           });
     } else if (action instanceof ReplicaAction.Send send) {
-      simulation.send(this, send.message());
+      cluster.send(this, send.message());
     } else if (action instanceof ReplicaAction.Apply || action instanceof ReplicaAction.Restore) {
       pendingApplies.add(action);
-      simulation.schedule(this, random.nextLong(3_000_000), this::applyNext);
+      cluster.schedule(this, random.nextLong(3_000_000), this::applyNext);
     } else if (action instanceof ReplicaAction.Accepted accepted) {
       acceptedTermByIndex.put(accepted.index(), accepted.term());
     } else if (action instanceof ReplicaAction.ReadBarrierPassed passed) {
       passedBarriers.add(passed);
       completeReads();
     } else if (action instanceof ReplicaAction.Completed completed) {
-      simulation.onChangeCompleted(completed.requestId());
+      cluster.onChangeCompleted(completed.requestId());
     } else if (action instanceof ReplicaAction.Rejected rejected) {
-      simulation.log(
+      cluster.onRejected(rejected.requestId());
+      cluster.log(
           replicaId + " rejects request " + rejected.requestId() + ": " + rejected.problem());
     } else if (action instanceof ReplicaAction.RoleChanged changed) {
-      simulation.log(changed.view().toString());
+      cluster.log(changed.view().toString());
     }
   }
 
@@ -163,13 +164,13 @@
       apply.entries().forEach(entry -> apply(entry.read()));
     }
     completeReads();
-    if (appliedIndex - snapshotIndex >= Simulation.OPTIONS.snapshotIntervalEntries()
-        || bytesSinceSnapshot >= Simulation.OPTIONS.snapshotIntervalBytes()) {
+    if (appliedIndex - snapshotIndex >= cluster.options().snapshotIntervalEntries()
+        || bytesSinceSnapshot >= cluster.options().snapshotIntervalBytes()) {
       snapshotIndex = appliedIndex;
       bytesSinceSnapshot = 0;
       ByteBuffer data = ByteBuffer.allocate(64).putLong(0, stateHash);
       long index = appliedIndex;
-      simulation.schedule(
+      cluster.schedule(
           this,
           random.nextLong(20_000_000),
           () -> step(new ReplicaEvent.SnapshotTaken(index, ByteString.copyFrom(data))));
--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/replication/Simulation.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/replication/Simulation.java
@@ -13,14 +13,14 @@
 import org.hickoryspar.protocol.ReplicationMessage;
 
 /** Runs a cluster of replicas under a random schedule of faults that depends only on the seed. */
-final class Simulation {
+final class Simulation implements SimulatedCluster {
 
   /**
    * The timeouts are short in proportion to the delays of messages and syncs, which makes elections
    * frequent. The lease is as long as the shortest election timeout, so that its safety relies on
    * the margin for clock drift alone.
    */
-  static final ReplicaOptions OPTIONS =
+  private static final ReplicaOptions OPTIONS =
       new ReplicaOptions(
           200, 400, 30, 200, 10, 8, 1 << 10, 4, 16, 20, 1 << 10, 5, 1 << 10, 4 << 10, 8, 2_000);
 
@@ -63,7 +63,13 @@
     }
   }
 
-  long nowNanos() {
+  @Override
+  public ReplicaOptions options() {
+    return OPTIONS;
+  }
+
+  @Override
+  public long nowNanos() {
     return nowNanos;
   }
 
@@ -83,7 +89,8 @@
     SafetyChecker.check(hasConverged(), "replicas have not converged 20 s after the last fault");
   }
 
-  void schedule(SimulatedReplica replica, long delayNanos, Runnable action) {
+  @Override
+  public void schedule(SimulatedReplica replica, long delayNanos, Runnable action) {
     eventQueue.add(
         new ScheduledEvent(
             nowNanos + delayNanos,
@@ -93,7 +100,8 @@
             action));
   }
 
-  void send(SimulatedReplica from, ReplicationMessage message) {
+  @Override
+  public void send(SimulatedReplica from, ReplicationMessage message) {
     String to = message.getToReplica();
     String instance = to.substring(0, to.indexOf('/'));
     if (blockedLinks.contains(from.instance + ">" + instance) || random.nextDouble() < lossRate) {
@@ -115,7 +123,8 @@
     }
   }
 
-  void onChangeCompleted(long requestId) {
+  @Override
+  public void onChangeCompleted(long requestId) {
     if (replacementRequestIds.contains(requestId) && replacedReplica != null) {
       replacementRequestIds.clear();
       log("replaced " + replacedId + " by " + replacedReplica.replicaId);
@@ -394,7 +403,8 @@
     return replicas.stream().filter(SimulatedReplica::isLeader).findAny().orElse(fallback);
   }
 
-  void log(String text) {
+  @Override
+  public void log(String text) {
     if (trace) {
       System.out.printf("%8.1f ms  %s%n", nowNanos / 1e6, text);
     }
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/cluster/ClusterEvent.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/cluster/ClusterEvent.java
@@ -10,7 +10,8 @@
   VOTER_CHANGE(2203, Level.INFO, "starting a voter change: %s"),
   VOTER_CHANGE_DONE(2204, Level.INFO, "the voter change is complete, voters: %s"),
   VOTER_CHANGE_FAILED(2205, Level.WARNING, "the voter change failed: %s"),
-  ADDRESS_UNUSABLE(2207, Level.WARNING, "control address \"%s\" from %s is unusable: %s");
+  ADDRESS_UNUSABLE(2207, Level.WARNING, "control address \"%s\" from %s is unusable: %s"),
+  NO_LEADER(2208, Level.WARNING, "no leader is known for %d ms; voters: %s, out of reach: %s");
 
   private final int number;
   private final Level level;
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/cluster/ClusterMaintenance.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/cluster/ClusterMaintenance.java
@@ -2,11 +2,16 @@
 
 import static java.util.Objects.requireNonNull;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.function.LongSupplier;
+import org.hickoryspar.kernel.membership.ClusterView;
 import org.hickoryspar.kernel.membership.ReachableReplica;
 import org.hickoryspar.kernel.membership.VoterPlanner;
+import org.hickoryspar.kernel.membership.VoterReconciler;
 import org.hickoryspar.node.concurrent.PeriodicTask;
 import org.hickoryspar.node.control.ReplicatedLog;
+import org.hickoryspar.node.observability.EventLogger;
 import org.hickoryspar.node.transport.PeerServer;
 import org.hickoryspar.protocol.ControlDirectory;
 import org.hickoryspar.protocol.Envelope;
@@ -23,7 +28,9 @@
   private final ReplicatedLog<?> log;
   private final ControlPeers peers;
   private final PeerServer server;
+  private final String dataCentre;
   private final VoterReconciler voterReconciler;
+  private final LeaderWatch leaderWatch = new LeaderWatch(ClusterMaintenance::logNoLeader);
   private final Runnable onLeaderChange;
   private final LongSupplier monotonicMillis;
   private final PeriodicTask ticker = new PeriodicTask("cluster", TICK_INTERVAL_MILLIS, this::tick);
@@ -52,7 +59,9 @@
     this.log = requireNonNull(log, "log is null");
     this.peers = requireNonNull(peers, "peers is null");
     this.server = requireNonNull(server, "server is null");
-    this.voterReconciler = new VoterReconciler(log, peers, planner, dataCentre);
+    this.dataCentre = requireNonNull(dataCentre, "dataCentre is null");
+    this.voterReconciler =
+        new VoterReconciler(requireNonNull(planner, "planner is null"), new LogVoterChanger(log));
     this.onLeaderChange = requireNonNull(onLeaderChange, "onLeaderChange is null");
     this.monotonicMillis = requireNonNull(monotonicMillis, "monotonicMillis is null");
   }
@@ -77,7 +86,22 @@
     if (leaderChanged) {
       onLeaderChange.run();
     }
-    voterReconciler.reconcile(monotonicMillis.getAsLong());
+    ClusterView view = clusterView(status);
+    long nowMillis = monotonicMillis.getAsLong();
+    leaderWatch.update(view, status.leaderId().isPresent(), nowMillis);
+    voterReconciler.reconcile(view, status.holdsLease(), nowMillis);
+  }
+
+  private ClusterView clusterView(ReplicatedLog.Status status) {
+    List<ReachableReplica> reachable = new ArrayList<>(peers.reachableReplicas());
+    reachable.add(new ReachableReplica(status.replicaId(), dataCentre));
+    return new ClusterView(status.replicaId(), status.voters(), status.learners(), reachable);
+  }
+
+  private static void logNoLeader(ClusterView view, long sinceMillis) {
+    List<String> missingVoters =
+        view.voters().stream().filter(voter -> !view.isReachable(voter)).toList();
+    EventLogger.log(ClusterEvent.NO_LEADER, sinceMillis, view.voters(), missingVoters);
   }
 
   private void broadcastDirectory() {
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/control/ControlMetrics.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/control/ControlMetrics.java
@@ -43,6 +43,11 @@
         registry,
         () -> log.status().logBytes());
     gauge("applied_index", "Highest applied index.", registry, () -> log.status().appliedIndex());
+    gauge(
+        "voters",
+        "Voters in the log of this replica.",
+        registry,
+        () -> log.status().voters().size());
     gauge("fleet_version", "Version of the fleet document.", registry, state::fleetVersion);
     gauge("claims", "Claims in the replicated state.", registry, state::claimCount);
     gauge(
