--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/membership/VoterReconciler.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/membership/VoterReconciler.java
@@ -41,6 +41,7 @@
   public void reconcile(ClusterView view, boolean leads, long nowMillis) {
     requireNonNull(view, "view is null");
     if (!leads) {
+      planner.observe(view, nowMillis);
       return;
     }
     if (!pendingChange.isEnded()) {
