Keep a majority of the voters out of a single data centre

When a data centre is cut off, its voters are replaced from the other two, and three of five voters may end up in one of them; after the return nobody moved them back. The next loss of that data centre then stops control, although a deployment must bear the loss of one. VoterPlannerTest.shouldSpreadVotersWhen... expects a replica of another data centre to be added and the surplus voter to be removed from the full one; without the rule no change is planned.

--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/membership/VoterPlanner.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/membership/VoterPlanner.java
@@ -20,6 +20,9 @@
  * removed first: of five voters, of which two have failed, the removal needs three
  * acknowledgements, whereas an addition would need four.
  *
+ * <p>While replicas of several data centres are available, no data centre keeps a majority of the
+ * voters.
+ *
  * <p>Not thread-safe.
  */
 public final class VoterPlanner {
@@ -71,7 +74,8 @@
         .or(() -> removeLearnerWithLostDisk(view.learners(), replicaByInstance))
         .or(() -> removeSurplusVoter(view, reachableById))
         .or(() -> addMissingVoter(voters, candidates))
-        .or(() -> addReplacement(view, candidates, nowMillis));
+        .or(() -> addReplacement(view, candidates, nowMillis))
+        .or(() -> spreadVoters(view, reachableById, candidates));
   }
 
   /**
@@ -169,6 +173,30 @@
     return Optional.empty();
   }
 
+  // A data centre with a majority of the voters could not be lost. Once the replica of another one
+  // votes, the surplus voter is removed from the data centre with most voters.
+  private Optional<VoterChange> spreadVoters(
+      ClusterView view,
+      Map<String, ReachableReplica> reachableById,
+      List<ReachableReplica> candidates) {
+    List<String> voters = view.voters();
+    if (candidates.isEmpty() || !reachableById.keySet().containsAll(voters)) {
+      return Optional.empty();
+    }
+    ReachableReplica candidate = candidates.get(0);
+    for (String voter : voters) {
+      String dataCentre = dataCentreOf(voter, reachableById);
+      long count = countVotersIn(dataCentre, voters, reachableById);
+      if (count > targetVoters / 2
+          && count - countVotersIn(candidate.dataCentre(), voters, reachableById) > 1) {
+        return Optional.of(
+            new VoterChange.Add(
+                candidate.replicaId(), count + " voters in data centre " + dataCentre));
+      }
+    }
+    return Optional.empty();
+  }
+
   private Optional<VoterChange> removeSurplusVoter(
       ClusterView view, Map<String, ReachableReplica> reachableById) {
     List<String> voters = view.voters();
--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/membership/VoterPlannerTest.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/membership/VoterPlannerTest.java
@@ -17,7 +17,9 @@
 
   /** Data centres of the instances, by the first letter of their replicas. */
   private static final Map<Character, String> DATA_CENTRES =
-      Map.of('a', "north", 'b', "north", 'c', "south", 'd', "south", 'e', "west", 'f', "west");
+      Map.of(
+          'a', "north", 'b', "north", 'g', "north", 'c', "south", 'd', "south", 'e', "west", 'f',
+          "west");
 
   private final VoterPlanner planner = new VoterPlanner(TOLERATED_FAILURES, REPLACE_AFTER_MILLIS);
 
@@ -51,6 +53,16 @@
         planAfterLongTime("a/1 b/1 c/1 d/1 e/1 f/1", "", "a/1 b/1 c/1 d/1 f/1"), "remove e/1");
   }
 
+  /** Guards against a cluster that does not outlast the loss of one data centre. */
+  @Test
+  public void shouldSpreadVotersWhenOneDataCentreHoldsMajority() {
+    assertEquals(
+        planAfterLongTime("a/1 b/1 g/1 c/1 e/1", "", "a/1 b/1 g/1 c/1 d/1 e/1"), "add d/1");
+    assertEquals(
+        planAfterLongTime("a/1 b/1 g/1 c/1 e/1 d/1", "", "a/1 b/1 g/1 c/1 d/1 e/1"), "remove b/1");
+    assertEquals(planAfterLongTime("a/1 g/1 c/1 e/1 d/1", "", "a/1 b/1 g/1 c/1 d/1 e/1"), "");
+  }
+
   private String planAfterLongTime(String voters, String learners, String reachable) {
     ClusterView view = view(voters, learners, reachable);
     planner.nextChange(view, 0);
