Compress large envelopes between processes

Cause: a configuration of 2,800 queues is an entry of 0.44 MB, which goes to each replica, and to each reader in another region, in full. Two replicas that return get all that they missed at once; for ten seconds the link carries nothing else in time.

--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/transport/PeerIdentity.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/transport/PeerIdentity.java
@@ -55,6 +55,7 @@
         .setProcessIncarnation(processIncarnation)
         .setReplicaId(replicaId)
         .setDataCentre(dataCentre)
+        .setAcceptsCompression(true)
         .build();
   }
 }
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/transport/PeerPipeline.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/transport/PeerPipeline.java
@@ -13,7 +13,10 @@
 import java.util.function.Supplier;
 import org.hickoryspar.protocol.Envelope;
 
-/** Initialises the channel of a connection: length-prefixed frames, protobuf and idle detection. */
+/**
+ * Initialises the channel of a connection: length-prefixed frames, protobuf, compression and idle
+ * detection.
+ */
 final class PeerPipeline extends ChannelInitializer<Channel> {
 
   static final int MAX_FRAME_BYTES = 4 * 1024 * 1024;
@@ -42,6 +45,7 @@
     pipeline.addLast(new LengthFieldPrepender(LENGTH_FIELD_BYTES));
     pipeline.addLast(new ProtobufDecoder(Envelope.getDefaultInstance()));
     pipeline.addLast(new ProtobufEncoder());
+    pipeline.addLast(new EnvelopeCompression());
     pipeline.addLast(
         new IdleStateHandler(
             READ_IDLE_TIMEOUT_MILLIS, HEARTBEAT_INTERVAL_MILLIS, 0, TimeUnit.MILLISECONDS));
--- a/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/Envelope.java
+++ b/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/Envelope.java
@@ -34,6 +34,7 @@
   private Envelope() {
     traceParent_ = "";
     callId_ = com.google.protobuf.ByteString.EMPTY;
+    compressed_ = com.google.protobuf.ByteString.EMPTY;
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -244,6 +245,21 @@
     return retried_;
   }
 
+  public static final int COMPRESSED_FIELD_NUMBER = 6;
+  private com.google.protobuf.ByteString compressed_ = com.google.protobuf.ByteString.EMPTY;
+  /**
+   * <pre>
+   * The whole envelope, compressed with zlib; all other fields are empty then.
+   * </pre>
+   *
+   * <code>bytes compressed = 6;</code>
+   * @return The compressed.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString getCompressed() {
+    return compressed_;
+  }
+
   public static final int HELLO_FIELD_NUMBER = 10;
   /**
    * <code>.hickoryspar.Hello hello = 10;</code>
@@ -1110,6 +1126,9 @@
     if (retried_ != false) {
       output.writeBool(5, retried_);
     }
+    if (!compressed_.isEmpty()) {
+      output.writeBytes(6, compressed_);
+    }
     if (payloadCase_ == 10) {
       output.writeMessage(10, (org.hickoryspar.protocol.Hello) payload_);
     }
@@ -1219,6 +1238,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(5, retried_);
     }
+    if (!compressed_.isEmpty()) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBytesSize(6, compressed_);
+    }
     if (payloadCase_ == 10) {
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(10, (org.hickoryspar.protocol.Hello) payload_);
@@ -1352,6 +1375,8 @@
         .equals(other.getCallId())) return false;
     if (getRetried()
         != other.getRetried()) return false;
+    if (!getCompressed()
+        .equals(other.getCompressed())) return false;
     if (!getPayloadCase().equals(other.getPayloadCase())) return false;
     switch (payloadCase_) {
       case 10:
@@ -1489,6 +1514,8 @@
     hash = (37 * hash) + RETRIED_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getRetried());
+    hash = (37 * hash) + COMPRESSED_FIELD_NUMBER;
+    hash = (53 * hash) + getCompressed().hashCode();
     switch (payloadCase_) {
       case 10:
         hash = (37 * hash) + HELLO_FIELD_NUMBER;
@@ -1736,11 +1763,13 @@
     public Builder clear() {
       super.clear();
       bitField0_ = 0;
+      bitField1_ = 0;
       correlationId_ = 0L;
       response_ = false;
       traceParent_ = "";
       callId_ = com.google.protobuf.ByteString.EMPTY;
       retried_ = false;
+      compressed_ = com.google.protobuf.ByteString.EMPTY;
       if (helloBuilder_ != null) {
         helloBuilder_.clear();
       }
@@ -1851,6 +1880,7 @@
     public org.hickoryspar.protocol.Envelope buildPartial() {
       org.hickoryspar.protocol.Envelope result = new org.hickoryspar.protocol.Envelope(this);
       if (bitField0_ != 0) { buildPartial0(result); }
+      if (bitField1_ != 0) { buildPartial1(result); }
       buildPartialOneofs(result);
       onBuilt();
       return result;
@@ -1873,6 +1903,13 @@
       if (((from_bitField0_ & 0x00000010) != 0)) {
         result.retried_ = retried_;
       }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.compressed_ = compressed_;
+      }
+    }
+
+    private void buildPartial1(org.hickoryspar.protocol.Envelope result) {
+      int from_bitField1_ = bitField1_;
     }
 
     private void buildPartialOneofs(org.hickoryspar.protocol.Envelope result) {
@@ -2017,6 +2054,9 @@
       if (other.getRetried() != false) {
         setRetried(other.getRetried());
       }
+      if (!other.getCompressed().isEmpty()) {
+        setCompressed(other.getCompressed());
+      }
       switch (other.getPayloadCase()) {
         case HELLO: {
           mergeHello(other.getHello());
@@ -2181,6 +2221,11 @@
               bitField0_ |= 0x00000010;
               break;
             } // case 40
+            case 50: {
+              compressed_ = input.readBytes();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 50
             case 82: {
               input.readMessage(
                   internalGetHelloFieldBuilder().getBuilder(),
@@ -2401,6 +2446,7 @@
     }
 
     private int bitField0_;
+    private int bitField1_;
 
     private long correlationId_ ;
     /**
@@ -2658,6 +2704,50 @@
       return this;
     }
 
+    private com.google.protobuf.ByteString compressed_ = com.google.protobuf.ByteString.EMPTY;
+    /**
+     * <pre>
+     * The whole envelope, compressed with zlib; all other fields are empty then.
+     * </pre>
+     *
+     * <code>bytes compressed = 6;</code>
+     * @return The compressed.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString getCompressed() {
+      return compressed_;
+    }
+    /**
+     * <pre>
+     * The whole envelope, compressed with zlib; all other fields are empty then.
+     * </pre>
+     *
+     * <code>bytes compressed = 6;</code>
+     * @param value The compressed to set.
+     * @return This builder for chaining.
+     */
+    public Builder setCompressed(com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      compressed_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The whole envelope, compressed with zlib; all other fields are empty then.
+     * </pre>
+     *
+     * <code>bytes compressed = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearCompressed() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      compressed_ = getDefaultInstance().getCompressed();
+      onChanged();
+      return this;
+    }
+
     private com.google.protobuf.SingleFieldBuilder<
         org.hickoryspar.protocol.Hello, org.hickoryspar.protocol.Hello.Builder, org.hickoryspar.protocol.HelloOrBuilder> helloBuilder_;
     /**
--- a/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/EnvelopeOrBuilder.java
+++ b/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/EnvelopeOrBuilder.java
@@ -66,6 +66,16 @@
    */
   boolean getRetried();
 
+  /**
+   * <pre>
+   * The whole envelope, compressed with zlib; all other fields are empty then.
+   * </pre>
+   *
+   * <code>bytes compressed = 6;</code>
+   * @return The compressed.
+   */
+  com.google.protobuf.ByteString getCompressed();
+
   /**
    * <code>.hickoryspar.Hello hello = 10;</code>
    * @return Whether the hello field is set.
--- a/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/Hello.java
+++ b/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/Hello.java
@@ -237,6 +237,21 @@
     }
   }
 
+  public static final int ACCEPTS_COMPRESSION_FIELD_NUMBER = 7;
+  private boolean acceptsCompression_ = false;
+  /**
+   * <pre>
+   * Whether the sender reads compressed envelopes; earlier versions do not.
+   * </pre>
+   *
+   * <code>bool accepts_compression = 7;</code>
+   * @return The acceptsCompression.
+   */
+  @java.lang.Override
+  public boolean getAcceptsCompression() {
+    return acceptsCompression_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -269,6 +284,9 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(dataCentre_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 6, dataCentre_);
     }
+    if (acceptsCompression_ != false) {
+      output.writeBool(7, acceptsCompression_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -298,6 +316,10 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(dataCentre_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(6, dataCentre_);
     }
+    if (acceptsCompression_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(7, acceptsCompression_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -325,6 +347,8 @@
         .equals(other.getReplicaId())) return false;
     if (!getDataCentre()
         .equals(other.getDataCentre())) return false;
+    if (getAcceptsCompression()
+        != other.getAcceptsCompression()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -349,6 +373,9 @@
     hash = (53 * hash) + getReplicaId().hashCode();
     hash = (37 * hash) + DATA_CENTRE_FIELD_NUMBER;
     hash = (53 * hash) + getDataCentre().hashCode();
+    hash = (37 * hash) + ACCEPTS_COMPRESSION_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getAcceptsCompression());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -486,6 +513,7 @@
       processIncarnation_ = 0L;
       replicaId_ = "";
       dataCentre_ = "";
+      acceptsCompression_ = false;
       return this;
     }
 
@@ -537,6 +565,9 @@
       if (((from_bitField0_ & 0x00000020) != 0)) {
         result.dataCentre_ = dataCentre_;
       }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.acceptsCompression_ = acceptsCompression_;
+      }
     }
 
     @java.lang.Override
@@ -577,6 +608,9 @@
         bitField0_ |= 0x00000020;
         onChanged();
       }
+      if (other.getAcceptsCompression() != false) {
+        setAcceptsCompression(other.getAcceptsCompression());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -633,6 +667,11 @@
               bitField0_ |= 0x00000020;
               break;
             } // case 50
+            case 56: {
+              acceptsCompression_ = input.readBool();
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 56
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1034,6 +1073,50 @@
       return this;
     }
 
+    private boolean acceptsCompression_ ;
+    /**
+     * <pre>
+     * Whether the sender reads compressed envelopes; earlier versions do not.
+     * </pre>
+     *
+     * <code>bool accepts_compression = 7;</code>
+     * @return The acceptsCompression.
+     */
+    @java.lang.Override
+    public boolean getAcceptsCompression() {
+      return acceptsCompression_;
+    }
+    /**
+     * <pre>
+     * Whether the sender reads compressed envelopes; earlier versions do not.
+     * </pre>
+     *
+     * <code>bool accepts_compression = 7;</code>
+     * @param value The acceptsCompression to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAcceptsCompression(boolean value) {
+
+      acceptsCompression_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether the sender reads compressed envelopes; earlier versions do not.
+     * </pre>
+     *
+     * <code>bool accepts_compression = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearAcceptsCompression() {
+      bitField0_ = (bitField0_ & ~0x00000040);
+      acceptsCompression_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:hickoryspar.Hello)
   }
 
--- a/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/HelloOrBuilder.java
+++ b/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/HelloOrBuilder.java
@@ -81,4 +81,14 @@
    */
   com.google.protobuf.ByteString
       getDataCentreBytes();
+
+  /**
+   * <pre>
+   * Whether the sender reads compressed envelopes; earlier versions do not.
+   * </pre>
+   *
+   * <code>bool accepts_compression = 7;</code>
+   * @return The acceptsCompression.
+   */
+  boolean getAcceptsCompression();
 }
