--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/replication/SimulatedInstance.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/replication/SimulatedInstance.java
@@ -1,8 +1,8 @@
 package org.hickoryspar.kernel.replication;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -32,7 +32,7 @@
   boolean removed;
   private final MembershipSimulation simulation;
   private final SplittableRandom random;
-  private final Map<SimulatedInstance, Connection> connections = new HashMap<>();
+  private final Map<SimulatedInstance, Connection> connections = new LinkedHashMap<>();
   private final Set<Long> pendingRequestIds = new HashSet<>();
   private VoterReconciler reconciler = newReconciler();
   private int incarnation;
--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/replication/Simulation.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/replication/Simulation.java
@@ -5,7 +5,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.SplittableRandom;
 import org.hickoryspar.protocol.LogEntry;
@@ -24,17 +23,15 @@
       new ReplicaOptions(
           200, 400, 30, 200, 10, 8, 1 << 10, 4, 16, 20, 1 << 10, 5, 1 << 10, 4 << 10, 8, 2_000);
 
-  private static final long NANOS_PER_MILLI = 1_000_000;
+  private static final long NANOS_PER_MILLI = EventQueue.NANOS_PER_MILLI;
   private static final int LARGE_COMMAND_BYTES = 400;
 
   private final SplittableRandom random;
   private final boolean trace;
   private final SafetyChecker safetyChecker = new SafetyChecker();
-  private final PriorityQueue<ScheduledEvent> eventQueue = new PriorityQueue<>();
+  private final EventQueue eventQueue = new EventQueue();
   private final List<SimulatedReplica> replicas = new ArrayList<>();
   private final Set<String> blockedLinks = new HashSet<>();
-  private long nowNanos;
-  private long lastEventSequence;
   private long lastRequestId;
   private double lossRate;
   private long maxDelayMillis = 4;
@@ -70,7 +67,7 @@
 
   @Override
   public long nowNanos() {
-    return nowNanos;
+    return eventQueue.nowNanos();
   }
 
   SafetyChecker safetyChecker() {
@@ -85,19 +82,13 @@
     scheduleRepeating(150, this::runOperator);
     runUntil(faultMillis * NANOS_PER_MILLI, false);
     heal();
-    runUntil(nowNanos + 20_000 * NANOS_PER_MILLI, true);
+    runUntil(nowNanos() + 20_000 * NANOS_PER_MILLI, true);
     SafetyChecker.check(hasConverged(), "replicas have not converged 20 s after the last fault");
   }
 
   @Override
   public void schedule(SimulatedReplica replica, long delayNanos, Runnable action) {
-    eventQueue.add(
-        new ScheduledEvent(
-            nowNanos + delayNanos,
-            ++lastEventSequence,
-            replica,
-            replica.processGeneration,
-            action));
+    eventQueue.scheduleInProcess(replica, delayNanos, action);
   }
 
   @Override
@@ -113,13 +104,7 @@
     for (int i = 0; i < copies; i++) {
       long boundMillis = random.nextInt(100) == 0 ? 50 * maxDelayMillis : maxDelayMillis;
       long delayNanos = random.nextLong(boundMillis * NANOS_PER_MILLI);
-      eventQueue.add(
-          new ScheduledEvent(
-              nowNanos + delayNanos,
-              ++lastEventSequence,
-              target,
-              -1,
-              () -> deliver(target, message)));
+      eventQueue.scheduleAt(target, delayNanos, () -> deliver(target, message));
     }
   }
 
@@ -144,59 +129,31 @@
   }
 
   private void runUntil(long endNanos, boolean stopWhenConverged) {
-    while (nowNanos < endNanos && !(stopWhenConverged && hasConverged())) {
-      ScheduledEvent next = eventQueue.remove();
-      nowNanos = Math.max(nowNanos, next.atNanos);
-      SimulatedReplica replica = next.replica;
-      if (replica == null) {
-        next.action.run();
-      } else if (replica.isPaused()) {
-        eventQueue.add(
-            new ScheduledEvent(
-                replica.pausedUntilNanos,
-                ++lastEventSequence,
-                replica,
-                next.processGeneration,
-                next.action));
-      } else if (next.processGeneration == -1
-          || next.processGeneration == replica.processGeneration) {
-        next.action.run();
-      }
-      long leaseHolders = 0;
-      for (SimulatedReplica replicaToCheck : replicas) {
-        leaseHolders += replicaToCheck.holdsLease() ? 1 : 0;
-      }
+    while (!(stopWhenConverged && hasConverged()) && eventQueue.runNext(endNanos)) {
+      long leaseHolders = replicas.stream().filter(SimulatedReplica::holdsLease).count();
       SafetyChecker.check(leaseHolders <= 1, "more than one replica holds a lease");
     }
   }
 
   private void scheduleRepeating(long intervalMillis, Runnable action) {
     long delayNanos = random.nextLong(2 * intervalMillis * NANOS_PER_MILLI);
-    eventQueue.add(
-        new ScheduledEvent(
-            nowNanos + delayNanos,
-            ++lastEventSequence,
-            null,
-            0,
-            () -> {
-              action.run();
-              scheduleRepeating(intervalMillis, action);
-            }));
+    eventQueue.schedule(
+        delayNanos,
+        () -> {
+          action.run();
+          scheduleRepeating(intervalMillis, action);
+        });
   }
 
   private void scheduleFault(long withinMillis, Runnable action) {
     long delayNanos = random.nextLong(withinMillis * NANOS_PER_MILLI);
-    eventQueue.add(
-        new ScheduledEvent(
-            nowNanos + delayNanos,
-            ++lastEventSequence,
-            null,
-            0,
-            () -> {
-              if (faultsEnabled) {
-                action.run();
-              }
-            }));
+    eventQueue.schedule(
+        delayNanos,
+        () -> {
+          if (faultsEnabled) {
+            action.run();
+          }
+        });
   }
 
   private void runClients() {
@@ -206,7 +163,7 @@
       return;
     }
     // Without idle periods, a replica that has missed a few messages could never win an election.
-    boolean idle = nowNanos / (200 * NANOS_PER_MILLI) % 3 != 0;
+    boolean idle = nowNanos() / (200 * NANOS_PER_MILLI) % 3 != 0;
     if (!idle && (replica.isLeader() || random.nextInt(20) == 0)) {
       if (random.nextInt(3) == 0) {
         replica.step(new ReplicaEvent.ReadBarrier(++lastRequestId));
@@ -304,10 +261,10 @@
 
   private void pause(SimulatedReplica replica) {
     if (replica.isRunning() && !replica.isPaused()) {
-      replica.pausedUntilNanos = nowNanos + random.nextLong(500) * NANOS_PER_MILLI;
+      replica.pausedUntilNanos = nowNanos() + random.nextLong(500) * NANOS_PER_MILLI;
       log("pause " + replica.replicaId + " until " + replica.pausedUntilNanos / NANOS_PER_MILLI);
       // Reads under the lease right after the pause, before any message or tick arrives.
-      schedule(replica, replica.pausedUntilNanos - nowNanos, replica::leaseRead);
+      schedule(replica, replica.pausedUntilNanos - nowNanos(), replica::leaseRead);
     }
   }
 
@@ -376,7 +333,7 @@
     blockedLinks.clear();
     lossRate = 0;
     maxDelayMillis = 4;
-    replicas.forEach(r -> r.pausedUntilNanos = Math.min(r.pausedUntilNanos, nowNanos));
+    replicas.forEach(r -> r.pausedUntilNanos = Math.min(r.pausedUntilNanos, nowNanos()));
   }
 
   private boolean hasConverged() {
@@ -406,22 +363,7 @@
   @Override
   public void log(String text) {
     if (trace) {
-      System.out.printf("%8.1f ms  %s%n", nowNanos / 1e6, text);
-    }
-  }
-
-  private record ScheduledEvent(
-      long atNanos,
-      long sequence,
-      SimulatedReplica replica,
-      long processGeneration,
-      Runnable action)
-      implements Comparable<ScheduledEvent> {
-
-    @Override
-    public int compareTo(ScheduledEvent other) {
-      int byTime = Long.compare(atNanos, other.atNanos);
-      return byTime != 0 ? byTime : Long.compare(sequence, other.sequence);
+      System.out.printf("%8.1f ms  %s%n", nowNanos() / 1e6, text);
     }
   }
 }
