--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/membership/VoterPlanner.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/membership/VoterPlanner.java
@@ -33,7 +33,7 @@
 
   /**
    * Creates a planner. The time for which a voter has been unreachable counts from the first call
-   * of {@link #nextChange} that does not list it as reachable.
+   * of {@link #observe} or {@link #nextChange} that does not list it as reachable.
    *
    * @param toleratedFailures number of instances that may fail at the same time
    * @param replaceAfterMillis time for which a voter must be unreachable before it is replaced
