--- a/hickoryspar-bench/src/main/java/org/hickoryspar/bench/workflow/SimulatedGangs.java
+++ b/hickoryspar-bench/src/main/java/org/hickoryspar/bench/workflow/SimulatedGangs.java
@@ -6,7 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import org.hickoryspar.kernel.dispatch.TaskRun;
+import org.hickoryspar.kernel.dispatch.order.TaskRun;
 import org.hickoryspar.protocol.RunEnd;
 import org.hickoryspar.protocol.WorkflowStep;
 
--- a/hickoryspar-bench/src/main/java/org/hickoryspar/bench/workflow/SimulatedRun.java
+++ b/hickoryspar-bench/src/main/java/org/hickoryspar/bench/workflow/SimulatedRun.java
@@ -1,6 +1,6 @@
 package org.hickoryspar.bench.workflow;
 
-import org.hickoryspar.kernel.dispatch.TaskRun;
+import org.hickoryspar.kernel.dispatch.order.TaskRun;
 import org.hickoryspar.protocol.RunEnd;
 
 /** A run of a task on a simulated minion. */
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/ActiveRun.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/ActiveRun.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import org.hickoryspar.kernel.dispatch.order.TaskRun;
 import org.hickoryspar.kernel.workflow.TaskGroup;
 import org.hickoryspar.kernel.workflow.Workflow;
 import org.hickoryspar.protocol.MinionLife;
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/BackfillReservations.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/BackfillReservations.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.hickoryspar.kernel.value.Resources;
 
 /**
  * Resources reserved for groups of higher rank from a forecast start time on. A task of lower rank
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/LeaseManager.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/LeaseManager.java
@@ -3,6 +3,10 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.Map;
+import org.hickoryspar.kernel.dispatch.order.Order;
+import org.hickoryspar.kernel.dispatch.order.OrderOutcome;
+import org.hickoryspar.kernel.dispatch.order.RenewalResponse;
+import org.hickoryspar.kernel.dispatch.order.TaskRun;
 
 /**
  * Renews the leases of minions and reconciles the runs with the responses, which list the running
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Minion.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Minion.java
@@ -4,7 +4,9 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import org.hickoryspar.kernel.dispatch.order.MinionTarget;
 import org.hickoryspar.kernel.reports.ReportFingerprint;
+import org.hickoryspar.kernel.value.Resources;
 import org.hickoryspar.protocol.MinionLife;
 import org.hickoryspar.protocol.MinionReport;
 
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/MinionSelector.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/MinionSelector.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.function.Function;
+import org.hickoryspar.kernel.value.Resources;
 import org.hickoryspar.kernel.workflow.TaskGroup;
 import org.jspecify.annotations.Nullable;
 
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Outbox.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Outbox.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
+import org.hickoryspar.kernel.dispatch.order.Order;
 import org.hickoryspar.protocol.WorkflowBatch;
 import org.hickoryspar.protocol.WorkflowEvent;
 
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/PlacementFinder.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/PlacementFinder.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Function;
+import org.hickoryspar.kernel.value.Resources;
 import org.jspecify.annotations.Nullable;
 
 /** Finds minions with enough free resources for the tasks of a group. */
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Planner.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Planner.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.function.Predicate;
 import org.hickoryspar.kernel.catalog.CatalogState;
+import org.hickoryspar.kernel.value.Resources;
 import org.hickoryspar.kernel.workflow.TaskGroup;
 import org.jspecify.annotations.Nullable;
 
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/PreemptionCost.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/PreemptionCost.java
@@ -1,5 +1,7 @@
 package org.hickoryspar.kernel.dispatch;
 
+import org.hickoryspar.kernel.value.Resources;
+
 /** Computes the cost of preempting a run. */
 interface PreemptionCost {
 
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/PreemptionPlanner.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/PreemptionPlanner.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Predicate;
+import org.hickoryspar.kernel.value.Resources;
 import org.hickoryspar.kernel.workflow.TaskGroup;
 import org.hickoryspar.protocol.Queue;
 import org.jspecify.annotations.Nullable;
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/RunRecovery.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/RunRecovery.java
@@ -1,5 +1,6 @@
 package org.hickoryspar.kernel.dispatch;
 
+import org.hickoryspar.kernel.value.Resources;
 import org.hickoryspar.kernel.workflow.Occurrence;
 import org.hickoryspar.kernel.workflow.Run;
 import org.hickoryspar.kernel.workflow.TaskGroup;
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/RunTable.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/RunTable.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.hickoryspar.kernel.dispatch.order.TaskRun;
 import org.hickoryspar.kernel.workflow.TaskGroup;
 import org.hickoryspar.kernel.workflow.Workflow;
 import org.hickoryspar.protocol.RunStart;
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/ServiceLoad.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/ServiceLoad.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
+import org.hickoryspar.kernel.value.Resources;
 
 /**
  * The share of the capacity of each service that is in use. Valid for one planning round. All known
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/StartForecaster.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/StartForecaster.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Function;
+import org.hickoryspar.kernel.value.Resources;
 import org.jspecify.annotations.Nullable;
 
 /** Forecasts where and when active runs will have released enough resources for a group. */
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/StopRetransmitter.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/StopRetransmitter.java
@@ -2,6 +2,9 @@
 
 import java.util.LinkedHashMap;
 import java.util.Map;
+import org.hickoryspar.kernel.dispatch.order.Order;
+import org.hickoryspar.kernel.dispatch.order.OrderOutcome;
+import org.hickoryspar.kernel.dispatch.order.TaskRun;
 
 /** Retransmits stops until a response arrives, so that a delayed start of the run has no effect. */
 final class StopRetransmitter {
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/TaskOrderSender.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/TaskOrderSender.java
@@ -1,5 +1,7 @@
 package org.hickoryspar.kernel.dispatch;
 
+import org.hickoryspar.kernel.dispatch.order.Order;
+import org.hickoryspar.kernel.dispatch.order.OrderOutcome;
 import org.hickoryspar.kernel.workflow.Workflow;
 
 /** Sends start and stop orders and retransmits them until a response arrives. */
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/UnansweredStarts.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/UnansweredStarts.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.hickoryspar.kernel.dispatch.order.TaskRun;
 
 /**
  * Start orders to a minion without a response. Such an order may take effect seconds later, even in
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/WaitingStep.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/WaitingStep.java
@@ -1,6 +1,8 @@
 package org.hickoryspar.kernel.dispatch;
 
 import java.util.List;
+import org.hickoryspar.kernel.dispatch.order.TaskRun;
+import org.hickoryspar.kernel.value.Resources;
 import org.hickoryspar.kernel.workflow.TaskGroup;
 import org.hickoryspar.kernel.workflow.Workflow;
 import org.hickoryspar.protocol.Queue;
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Order.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/order/Order.java
@@ -1,10 +1,10 @@
-package org.hickoryspar.kernel.dispatch;
+package org.hickoryspar.kernel.dispatch.order;
 
 import static java.util.Objects.requireNonNull;
 
 /**
- * A request that the owner of a {@link Dispatcher} must send to a minion. An order without a
- * response may have taken effect already, or may take effect later.
+ * A request that the owner of a dispatcher must send to a minion. An order without a response may
+ * have taken effect already, or may take effect later.
  */
 public sealed interface Order {
 
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/OrderOutcome.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/order/OrderOutcome.java
@@ -1,4 +1,4 @@
-package org.hickoryspar.kernel.dispatch;
+package org.hickoryspar.kernel.dispatch.order;
 
 /** The result of an order to a minion. */
 public enum OrderOutcome {
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/RenewalResponse.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/order/RenewalResponse.java
@@ -1,4 +1,4 @@
-package org.hickoryspar.kernel.dispatch;
+package org.hickoryspar.kernel.dispatch.order;
 
 import static java.util.Objects.requireNonNull;
 
--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/IdleCapacityChecker.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/IdleCapacityChecker.java
@@ -8,6 +8,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.hickoryspar.kernel.dispatch.order.TaskRun;
+import org.hickoryspar.kernel.value.Resources;
 import org.hickoryspar.kernel.workflow.Occurrence;
 import org.hickoryspar.kernel.workflow.TaskGroup;
 import org.hickoryspar.kernel.workflow.Workflow;
--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/ModelTasks.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/ModelTasks.java
@@ -8,6 +8,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.stream.Collectors;
+import org.hickoryspar.kernel.dispatch.order.TaskRun;
 import org.hickoryspar.protocol.RunEnd;
 import org.hickoryspar.protocol.WorkflowStep;
 
--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/ModelWorkflow.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/ModelWorkflow.java
@@ -1,6 +1,7 @@
 package org.hickoryspar.kernel.dispatch;
 
 import java.util.List;
+import org.hickoryspar.kernel.dispatch.order.TaskRun;
 import org.hickoryspar.protocol.WorkflowStep;
 
 /**
--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/RunRecoveryModelTest.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/RunRecoveryModelTest.java
@@ -8,6 +8,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.stream.IntStream;
+import org.hickoryspar.kernel.dispatch.order.TaskRun;
 import org.hickoryspar.kernel.workflow.Occurrence;
 import org.hickoryspar.kernel.workflow.TaskGroup;
 import org.hickoryspar.kernel.workflow.Workflow;
--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/SessionTakeoverTest.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/SessionTakeoverTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.hickoryspar.kernel.catalog.CatalogState;
+import org.hickoryspar.kernel.dispatch.order.Order;
 import org.hickoryspar.kernel.value.Problem;
 import org.hickoryspar.kernel.workflow.Workflow;
 import org.hickoryspar.kernel.workflow.WorkflowTable;
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/DispatchSession.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/DispatchSession.java
@@ -9,7 +9,7 @@
 import org.hickoryspar.kernel.control.ControlState;
 import org.hickoryspar.kernel.dispatch.DispatchSettings;
 import org.hickoryspar.kernel.dispatch.Dispatcher;
-import org.hickoryspar.kernel.dispatch.Order;
+import org.hickoryspar.kernel.dispatch.order.Order;
 import org.hickoryspar.kernel.workflow.WorkflowTable;
 import org.hickoryspar.node.control.Proposer;
 import org.hickoryspar.node.observability.EventLogger;
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/MinionClient.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/MinionClient.java
@@ -1,9 +1,9 @@
 package org.hickoryspar.node.dispatch;
 
 import java.util.concurrent.CompletableFuture;
-import org.hickoryspar.kernel.dispatch.Order;
-import org.hickoryspar.kernel.dispatch.OrderOutcome;
-import org.hickoryspar.kernel.dispatch.RenewalResponse;
+import org.hickoryspar.kernel.dispatch.order.Order;
+import org.hickoryspar.kernel.dispatch.order.OrderOutcome;
+import org.hickoryspar.kernel.dispatch.order.RenewalResponse;
 import org.hickoryspar.kernel.value.Result;
 
 /** Sends orders to minions. No method blocks, and no future completes exceptionally. */
--- a/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/Hickoryspar.java
+++ b/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/Hickoryspar.java
@@ -710,110 +710,112 @@
       "llis\030\002 \001(\004\022\027\n\017validity_millis\030\003 \001(\004\"\\\n\rS" +
       "ervicePolicy\022\014\n\004name\030\001 \001(\t\022\027\n\017admission_" +
       "check\030\002 \001(\010\022\017\n\007standby\030\003 \001(\010\022\023\n\013health_p" +
-      "ath\030\004 \001(\t\"N\n\017TeamEntitlement\022\014\n\004name\030\001 \001" +
-      "(\t\022\014\n\004keys\030\002 \003(\t\022\037\n\027guaranteed_accelerat" +
-      "ors\030\003 \001(\r\"H\n\rCatalogChange\022%\n\007catalog\030\001 " +
-      "\001(\0132\024.hickoryspar.Catalog\022\020\n\010document\030\002 " +
-      "\001(\014\"j\n\020DataCentreSwitch\022\023\n\013data_centre\030\001" +
-      " \001(\t\022\013\n\003out\030\002 \001(\010\022\036\n\021expected_revision\030\003" +
-      " \001(\004H\000\210\001\001B\024\n\022_expected_revision\"F\n\020DataC" +
-      "entreRecord\022\023\n\013data_centre\030\001 \001(\t\022\013\n\003out\030" +
-      "\002 \001(\010\022\020\n\010revision\030\003 \001(\004\"\301\001\n\013CatalogCall\022" +
-      ")\n\003put\030\001 \001(\0132\032.hickoryspar.CatalogChange" +
-      "H\000\022+\n\003get\030\002 \001(\0132\034.hickoryspar.Acknowledg" +
-      "ementH\000\0224\n\013data_centre\030\003 \001(\0132\035.hickorysp" +
-      "ar.DataCentreSwitchH\000\022\034\n\022data_centre_rec" +
-      "ord\030\004 \001(\tH\000B\006\n\004kind\"e\n\014CatalogReply\022\017\n\007v" +
-      "ersion\030\001 \001(\004\022\020\n\010document\030\002 \001(\014\0222\n\013data_c" +
-      "entre\030\003 \001(\0132\035.hickoryspar.DataCentreReco" +
-      "rd\"T\n\nTaskDemand\022\026\n\016cpu_millicores\030\001 \001(\004" +
-      "\022\030\n\020memory_megabytes\030\002 \001(\004\022\024\n\014accelerato" +
-      "rs\030\003 \001(\r\"\367\002\n\014WorkflowStep\022\r\n\005tasks\030\001 \001(\r" +
-      "\022\'\n\006demand\030\002 \001(\0132\027.hickoryspar.TaskDeman" +
-      "d\022\030\n\020estimated_millis\030\003 \001(\004\022\022\n\ndepends_o" +
-      "n\030\004 \003(\r\022\025\n\rcheckpointing\030\005 \001(\010\022\014\n\004gang\030\006" +
-      " \001(\010\022\021\n\tsame_rack\030\007 \001(\010\022\026\n\016required_labe" +
-      "l\030\010 \001(\t\022\021\n\tdata_rack\030\t \001(\t\022\034\n\024max_tasks_" +
-      "per_minion\030\n \001(\r\022\023\n\013speculative\030\013 \001(\010\022\024\n" +
-      "\014long_running\030\014 \001(\010\022\r\n\005image\030\r \001(\t\022\036\n\026re" +
-      "sponse_target_millis\030\016 \001(\004\022\r\n\005fills\030\017 \001(" +
-      "\010\022\027\n\017max_unavailable\030\020 \001(\r\"\221\001\n\014WorkflowS" +
-      "pec\022\017\n\007payload\030\001 \001(\t\022(\n\005steps\030\002 \003(\0132\031.hi" +
-      "ckoryspar.WorkflowStep\022\023\n\013occurrences\030\003 " +
-      "\001(\r\022\030\n\020first_due_millis\030\004 \001(\022\022\027\n\017interva" +
-      "l_millis\030\005 \001(\004\"\321\001\n\014WorkflowCall\022\014\n\004host\030" +
-      "\001 \001(\t\022\014\n\004path\030\002 \001(\t\022\020\n\010team_key\030\003 \001(\t\022+\n" +
-      "\006submit\030\n \001(\0132\031.hickoryspar.WorkflowSpec" +
-      "H\000\022.\n\006status\030\013 \001(\0132\034.hickoryspar.Acknowl" +
-      "edgementH\000\022.\n\006cancel\030\014 \001(\0132\034.hickoryspar" +
-      ".AcknowledgementH\000B\006\n\004kind\"\311\002\n\rWorkflowR" +
-      "eply\0223\n\007outcome\030\001 \001(\0162\".hickoryspar.Work" +
-      "flowReply.Outcome\022)\n\005state\030\002 \001(\0162\032.hicko" +
-      "ryspar.WorkflowState\022\017\n\007pending\030\003 \001(\004\022\032\n" +
-      "\022retry_after_millis\030\004 \001(\004\022\016\n\006reason\030\005 \001(" +
-      "\t\022\026\n\016counts_pending\030\006 \001(\010\"\202\001\n\007Outcome\022\027\n" +
-      "\023OUTCOME_UNSPECIFIED\020\000\022\006\n\002OK\020\001\022\013\n\007REFUSE" +
-      "D\020\002\022\014\n\010NO_QUEUE\020\003\022\020\n\014UNAUTHORISED\020\004\022\017\n\013N" +
-      "O_WORKFLOW\020\005\022\013\n\007INVALID\020\006\022\013\n\007UNKNOWN\020\007\"T" +
-      "\n\rWorkflowBatch\022*\n\006events\030\001 \003(\0132\032.hickor" +
-      "yspar.WorkflowEvent\022\027\n\017dispatch_number\030\002" +
-      " \001(\004\"\370\001\n\rWorkflowEvent\022-\n\006submit\030\001 \001(\0132\033" +
-      ".hickoryspar.SubmitWorkflowH\000\022-\n\006cancel\030" +
-      "\002 \001(\0132\033.hickoryspar.CancelWorkflowH\000\022*\n\t" +
-      "run_start\030\003 \001(\0132\025.hickoryspar.RunStartH\000" +
-      "\022&\n\007run_end\030\004 \001(\0132\023.hickoryspar.RunEndH\000" +
-      "\022-\n\006forget\030\005 \001(\0132\033.hickoryspar.ForgetWor" +
-      "kflowH\000B\006\n\004kind\"\220\001\n\016SubmitWorkflow\022\023\n\013wo" +
-      "rkflow_id\030\001 \001(\t\022\014\n\004team\030\002 \001(\t\022!\n\005queue\030\003" +
-      " \001(\0132\022.hickoryspar.Queue\022\'\n\004spec\030\004 \001(\0132\031" +
-      ".hickoryspar.WorkflowSpec\022\017\n\007call_id\030\005 \001" +
-      "(\014\"%\n\016CancelWorkflow\022\023\n\013workflow_id\030\001 \001(" +
-      "\t\"%\n\016ForgetWorkflow\022\023\n\013workflow_id\030\001 \001(\t" +
-      "\"4\n\nMinionLife\022\021\n\tminion_id\030\001 \001(\t\022\023\n\013bor" +
-      "n_millis\030\002 \001(\004\"\214\001\n\010RunStart\022\023\n\013workflow_" +
-      "id\030\001 \001(\t\022\022\n\noccurrence\030\002 \001(\r\022\014\n\004step\030\003 \001" +
-      "(\r\022\022\n\nfirst_task\030\004 \001(\r\022\013\n\003run\030\005 \001(\r\022(\n\007m" +
-      "inions\030\006 \003(\0132\027.hickoryspar.MinionLife\"\245\002" +
-      "\n\006RunEnd\022\023\n\013workflow_id\030\001 \001(\t\022\022\n\noccurre" +
-      "nce\030\002 \001(\r\022\014\n\004step\030\003 \001(\r\022\014\n\004task\030\004 \001(\r\022\013\n" +
-      "\003run\030\005 \001(\r\022(\n\005cause\030\006 \001(\0162\031.hickoryspar." +
-      "RunEnd.Cause\022\022\n\ncheckpoint\030\007 \001(\t\"\212\001\n\005Cau" +
-      "se\022\025\n\021CAUSE_UNSPECIFIED\020\000\022\010\n\004DONE\020\001\022\017\n\013T" +
-      "ASK_FAILED\020\002\022\013\n\007STOPPED\020\003\022\020\n\014LEASE_LAPSE" +
-      "D\020\004\022\020\n\014GROUP_BROKEN\020\005\022\024\n\020GROUP_INCOMPLET" +
-      "E\020\006\022\010\n\004LOST\020\007\"\347\001\n\016WorkflowRecord\022/\n\nsubm" +
-      "ission\030\001 \001(\0132\033.hickoryspar.SubmitWorkflo" +
-      "w\022\027\n\017accepted_millis\030\002 \001(\004\022\024\n\014ended_mill" +
-      "is\030\003 \001(\004\022\021\n\tcancelled\030\004 \001(\010\022\017\n\007started\030\005" +
-      " \001(\010\0222\n\013occurrences\030\006 \003(\0132\035.hickoryspar." +
-      "OccurrenceRecord\022\035\n\025completed_occurrence" +
-      "s\030\007 \003(\r\"N\n\020OccurrenceRecord\022\022\n\noccurrenc" +
-      "e\030\001 \001(\r\022&\n\005steps\030\002 \003(\0132\027.hickoryspar.Ste" +
-      "pRecord\"6\n\nStepRecord\022(\n\006groups\030\001 \003(\0132\030." +
-      "hickoryspar.GroupRecord\"{\n\013GroupRecord\022\020" +
-      "\n\010last_run\030\001 \001(\r\022\020\n\010failures\030\002 \001(\r\022\014\n\004do" +
-      "ne\030\003 \001(\010\022\022\n\ncheckpoint\030\004 \001(\t\022&\n\006active\030\005" +
-      " \003(\0132\026.hickoryspar.RunRecord\"k\n\tRunRecor" +
-      "d\022\013\n\003run\030\001 \001(\r\022(\n\007minions\030\002 \003(\0132\027.hickor" +
-      "yspar.MinionLife\022\'\n\004ends\030\003 \003(\0162\031.hickory" +
-      "spar.RunEnd.Cause\"\365\002\n\014MinionReport\022%\n\004li" +
-      "fe\030\001 \001(\0132\027.hickoryspar.MinionLife\022\020\n\010seq" +
-      "uence\030\002 \001(\004\022\017\n\007service\030\003 \001(\t\022\017\n\007address\030" +
-      "\004 \001(\t\022\023\n\013data_centre\030\005 \001(\t\022\020\n\010draining\030\006" +
-      " \001(\010\022\017\n\007leaving\030\007 \001(\010\022)\n\010capacity\030\010 \001(\0132" +
-      "\027.hickoryspar.TaskDemand\022\016\n\006labels\030\t \003(\t" +
-      "\022\035\n\025cold_remaining_millis\030\n \001(\004\022\036\n\026drain" +
-      "_remaining_millis\030\013 \001(\004\022\024\n\014clock_millis\030" +
-      "\014 \001(\004\022\022\n\nage_millis\030\r \001(\004\022\017\n\007machine\030\016 \001" +
-      "(\t\022\017\n\007version\030\017 \001(\t\022\014\n\004rack\030\020 \001(\t\"N\n\rMin" +
-      "ionReports\022*\n\007reports\030\001 \003(\0132\031.hickoryspa" +
-      "r.MinionReport\022\021\n\tconfirmed\030\002 \003(\006\"%\n\022Min" +
-      "ionReportsReply\022\017\n\007missing\030\001 \003(\006*\237\001\n\rWor" +
-      "kflowState\022\036\n\032WORKFLOW_STATE_UNSPECIFIED" +
-      "\020\000\022\023\n\017WORKFLOW_QUEUED\020\001\022\024\n\020WORKFLOW_RUNN" +
-      "ING\020\002\022\026\n\022WORKFLOW_COMPLETED\020\003\022\023\n\017WORKFLO" +
-      "W_FAILED\020\004\022\026\n\022WORKFLOW_CANCELLED\020\005B\034\n\030or" +
-      "g.hickoryspar.protocolP\001b\006proto3"
+      "ath\030\004 \001(\t\"\206\001\n\017TeamEntitlement\022\014\n\004name\030\001 " +
+      "\001(\t\022\014\n\004keys\030\002 \003(\t\022\037\n\027guaranteed_accelera" +
+      "tors\030\003 \001(\r\022\016\n\006weight\030\004 \001(\001\022&\n\005quota\030\005 \001(" +
+      "\0132\027.hickoryspar.TaskDemand\"H\n\rCatalogCha" +
+      "nge\022%\n\007catalog\030\001 \001(\0132\024.hickoryspar.Catal" +
+      "og\022\020\n\010document\030\002 \001(\014\"j\n\020DataCentreSwitch" +
+      "\022\023\n\013data_centre\030\001 \001(\t\022\013\n\003out\030\002 \001(\010\022\036\n\021ex" +
+      "pected_revision\030\003 \001(\004H\000\210\001\001B\024\n\022_expected_" +
+      "revision\"F\n\020DataCentreRecord\022\023\n\013data_cen" +
+      "tre\030\001 \001(\t\022\013\n\003out\030\002 \001(\010\022\020\n\010revision\030\003 \001(\004" +
+      "\"\301\001\n\013CatalogCall\022)\n\003put\030\001 \001(\0132\032.hickorys" +
+      "par.CatalogChangeH\000\022+\n\003get\030\002 \001(\0132\034.hicko" +
+      "ryspar.AcknowledgementH\000\0224\n\013data_centre\030" +
+      "\003 \001(\0132\035.hickoryspar.DataCentreSwitchH\000\022\034" +
+      "\n\022data_centre_record\030\004 \001(\tH\000B\006\n\004kind\"e\n\014" +
+      "CatalogReply\022\017\n\007version\030\001 \001(\004\022\020\n\010documen" +
+      "t\030\002 \001(\014\0222\n\013data_centre\030\003 \001(\0132\035.hickorysp" +
+      "ar.DataCentreRecord\"T\n\nTaskDemand\022\026\n\016cpu" +
+      "_millicores\030\001 \001(\004\022\030\n\020memory_megabytes\030\002 " +
+      "\001(\004\022\024\n\014accelerators\030\003 \001(\r\"\367\002\n\014WorkflowSt" +
+      "ep\022\r\n\005tasks\030\001 \001(\r\022\'\n\006demand\030\002 \001(\0132\027.hick" +
+      "oryspar.TaskDemand\022\030\n\020estimated_millis\030\003" +
+      " \001(\004\022\022\n\ndepends_on\030\004 \003(\r\022\025\n\rcheckpointin" +
+      "g\030\005 \001(\010\022\014\n\004gang\030\006 \001(\010\022\021\n\tsame_rack\030\007 \001(\010" +
+      "\022\026\n\016required_label\030\010 \001(\t\022\021\n\tdata_rack\030\t " +
+      "\001(\t\022\034\n\024max_tasks_per_minion\030\n \001(\r\022\023\n\013spe" +
+      "culative\030\013 \001(\010\022\024\n\014long_running\030\014 \001(\010\022\r\n\005" +
+      "image\030\r \001(\t\022\036\n\026response_target_millis\030\016 " +
+      "\001(\004\022\r\n\005fills\030\017 \001(\010\022\027\n\017max_unavailable\030\020 " +
+      "\001(\r\"\221\001\n\014WorkflowSpec\022\017\n\007payload\030\001 \001(\t\022(\n" +
+      "\005steps\030\002 \003(\0132\031.hickoryspar.WorkflowStep\022" +
+      "\023\n\013occurrences\030\003 \001(\r\022\030\n\020first_due_millis" +
+      "\030\004 \001(\022\022\027\n\017interval_millis\030\005 \001(\004\"\321\001\n\014Work" +
+      "flowCall\022\014\n\004host\030\001 \001(\t\022\014\n\004path\030\002 \001(\t\022\020\n\010" +
+      "team_key\030\003 \001(\t\022+\n\006submit\030\n \001(\0132\031.hickory" +
+      "spar.WorkflowSpecH\000\022.\n\006status\030\013 \001(\0132\034.hi" +
+      "ckoryspar.AcknowledgementH\000\022.\n\006cancel\030\014 " +
+      "\001(\0132\034.hickoryspar.AcknowledgementH\000B\006\n\004k" +
+      "ind\"\311\002\n\rWorkflowReply\0223\n\007outcome\030\001 \001(\0162\"" +
+      ".hickoryspar.WorkflowReply.Outcome\022)\n\005st" +
+      "ate\030\002 \001(\0162\032.hickoryspar.WorkflowState\022\017\n" +
+      "\007pending\030\003 \001(\004\022\032\n\022retry_after_millis\030\004 \001" +
+      "(\004\022\016\n\006reason\030\005 \001(\t\022\026\n\016counts_pending\030\006 \001" +
+      "(\010\"\202\001\n\007Outcome\022\027\n\023OUTCOME_UNSPECIFIED\020\000\022" +
+      "\006\n\002OK\020\001\022\013\n\007REFUSED\020\002\022\014\n\010NO_QUEUE\020\003\022\020\n\014UN" +
+      "AUTHORISED\020\004\022\017\n\013NO_WORKFLOW\020\005\022\013\n\007INVALID" +
+      "\020\006\022\013\n\007UNKNOWN\020\007\"T\n\rWorkflowBatch\022*\n\006even" +
+      "ts\030\001 \003(\0132\032.hickoryspar.WorkflowEvent\022\027\n\017" +
+      "dispatch_number\030\002 \001(\004\"\370\001\n\rWorkflowEvent\022" +
+      "-\n\006submit\030\001 \001(\0132\033.hickoryspar.SubmitWork" +
+      "flowH\000\022-\n\006cancel\030\002 \001(\0132\033.hickoryspar.Can" +
+      "celWorkflowH\000\022*\n\trun_start\030\003 \001(\0132\025.hicko" +
+      "ryspar.RunStartH\000\022&\n\007run_end\030\004 \001(\0132\023.hic" +
+      "koryspar.RunEndH\000\022-\n\006forget\030\005 \001(\0132\033.hick" +
+      "oryspar.ForgetWorkflowH\000B\006\n\004kind\"\220\001\n\016Sub" +
+      "mitWorkflow\022\023\n\013workflow_id\030\001 \001(\t\022\014\n\004team" +
+      "\030\002 \001(\t\022!\n\005queue\030\003 \001(\0132\022.hickoryspar.Queu" +
+      "e\022\'\n\004spec\030\004 \001(\0132\031.hickoryspar.WorkflowSp" +
+      "ec\022\017\n\007call_id\030\005 \001(\014\"%\n\016CancelWorkflow\022\023\n" +
+      "\013workflow_id\030\001 \001(\t\"%\n\016ForgetWorkflow\022\023\n\013" +
+      "workflow_id\030\001 \001(\t\"4\n\nMinionLife\022\021\n\tminio" +
+      "n_id\030\001 \001(\t\022\023\n\013born_millis\030\002 \001(\004\"\214\001\n\010RunS" +
+      "tart\022\023\n\013workflow_id\030\001 \001(\t\022\022\n\noccurrence\030" +
+      "\002 \001(\r\022\014\n\004step\030\003 \001(\r\022\022\n\nfirst_task\030\004 \001(\r\022" +
+      "\013\n\003run\030\005 \001(\r\022(\n\007minions\030\006 \003(\0132\027.hickorys" +
+      "par.MinionLife\"\245\002\n\006RunEnd\022\023\n\013workflow_id" +
+      "\030\001 \001(\t\022\022\n\noccurrence\030\002 \001(\r\022\014\n\004step\030\003 \001(\r" +
+      "\022\014\n\004task\030\004 \001(\r\022\013\n\003run\030\005 \001(\r\022(\n\005cause\030\006 \001" +
+      "(\0162\031.hickoryspar.RunEnd.Cause\022\022\n\ncheckpo" +
+      "int\030\007 \001(\t\"\212\001\n\005Cause\022\025\n\021CAUSE_UNSPECIFIED" +
+      "\020\000\022\010\n\004DONE\020\001\022\017\n\013TASK_FAILED\020\002\022\013\n\007STOPPED" +
+      "\020\003\022\020\n\014LEASE_LAPSED\020\004\022\020\n\014GROUP_BROKEN\020\005\022\024" +
+      "\n\020GROUP_INCOMPLETE\020\006\022\010\n\004LOST\020\007\"\347\001\n\016Workf" +
+      "lowRecord\022/\n\nsubmission\030\001 \001(\0132\033.hickorys" +
+      "par.SubmitWorkflow\022\027\n\017accepted_millis\030\002 " +
+      "\001(\004\022\024\n\014ended_millis\030\003 \001(\004\022\021\n\tcancelled\030\004" +
+      " \001(\010\022\017\n\007started\030\005 \001(\010\0222\n\013occurrences\030\006 \003" +
+      "(\0132\035.hickoryspar.OccurrenceRecord\022\035\n\025com" +
+      "pleted_occurrences\030\007 \003(\r\"N\n\020OccurrenceRe" +
+      "cord\022\022\n\noccurrence\030\001 \001(\r\022&\n\005steps\030\002 \003(\0132" +
+      "\027.hickoryspar.StepRecord\"6\n\nStepRecord\022(" +
+      "\n\006groups\030\001 \003(\0132\030.hickoryspar.GroupRecord" +
+      "\"{\n\013GroupRecord\022\020\n\010last_run\030\001 \001(\r\022\020\n\010fai" +
+      "lures\030\002 \001(\r\022\014\n\004done\030\003 \001(\010\022\022\n\ncheckpoint\030" +
+      "\004 \001(\t\022&\n\006active\030\005 \003(\0132\026.hickoryspar.RunR" +
+      "ecord\"k\n\tRunRecord\022\013\n\003run\030\001 \001(\r\022(\n\007minio" +
+      "ns\030\002 \003(\0132\027.hickoryspar.MinionLife\022\'\n\004end" +
+      "s\030\003 \003(\0162\031.hickoryspar.RunEnd.Cause\"\365\002\n\014M" +
+      "inionReport\022%\n\004life\030\001 \001(\0132\027.hickoryspar." +
+      "MinionLife\022\020\n\010sequence\030\002 \001(\004\022\017\n\007service\030" +
+      "\003 \001(\t\022\017\n\007address\030\004 \001(\t\022\023\n\013data_centre\030\005 " +
+      "\001(\t\022\020\n\010draining\030\006 \001(\010\022\017\n\007leaving\030\007 \001(\010\022)" +
+      "\n\010capacity\030\010 \001(\0132\027.hickoryspar.TaskDeman" +
+      "d\022\016\n\006labels\030\t \003(\t\022\035\n\025cold_remaining_mill" +
+      "is\030\n \001(\004\022\036\n\026drain_remaining_millis\030\013 \001(\004" +
+      "\022\024\n\014clock_millis\030\014 \001(\004\022\022\n\nage_millis\030\r \001" +
+      "(\004\022\017\n\007machine\030\016 \001(\t\022\017\n\007version\030\017 \001(\t\022\014\n\004" +
+      "rack\030\020 \001(\t\"N\n\rMinionReports\022*\n\007reports\030\001" +
+      " \003(\0132\031.hickoryspar.MinionReport\022\021\n\tconfi" +
+      "rmed\030\002 \003(\006\"%\n\022MinionReportsReply\022\017\n\007miss" +
+      "ing\030\001 \003(\006*\237\001\n\rWorkflowState\022\036\n\032WORKFLOW_" +
+      "STATE_UNSPECIFIED\020\000\022\023\n\017WORKFLOW_QUEUED\020\001" +
+      "\022\024\n\020WORKFLOW_RUNNING\020\002\022\026\n\022WORKFLOW_COMPL" +
+      "ETED\020\003\022\023\n\017WORKFLOW_FAILED\020\004\022\026\n\022WORKFLOW_" +
+      "CANCELLED\020\005B\034\n\030org.hickoryspar.protocolP" +
+      "\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -1184,7 +1186,7 @@
     internal_static_hickoryspar_TeamEntitlement_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_TeamEntitlement_descriptor,
-        new java.lang.String[] { "Name", "Keys", "GuaranteedAccelerators", });
+        new java.lang.String[] { "Name", "Keys", "GuaranteedAccelerators", "Weight", "Quota", });
     internal_static_hickoryspar_CatalogChange_descriptor =
       getDescriptor().getMessageType(61);
     internal_static_hickoryspar_CatalogChange_fieldAccessorTable = new
--- a/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/TeamEntitlement.java
+++ b/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/TeamEntitlement.java
@@ -46,6 +46,7 @@
             org.hickoryspar.protocol.TeamEntitlement.class, org.hickoryspar.protocol.TeamEntitlement.Builder.class);
   }
 
+  private int bitField0_;
   public static final int NAME_FIELD_NUMBER = 1;
   @SuppressWarnings("serial")
   private volatile java.lang.Object name_ = "";
@@ -133,6 +134,59 @@
     return guaranteedAccelerators_;
   }
 
+  public static final int WEIGHT_FIELD_NUMBER = 4;
+  private double weight_ = 0D;
+  /**
+   * <pre>
+   * Share of the team relative to other teams when all resources are in use; 0 stands for 1.
+   * </pre>
+   *
+   * <code>double weight = 4;</code>
+   * @return The weight.
+   */
+  @java.lang.Override
+  public double getWeight() {
+    return weight_;
+  }
+
+  public static final int QUOTA_FIELD_NUMBER = 5;
+  private org.hickoryspar.protocol.TaskDemand quota_;
+  /**
+   * <pre>
+   * The most that the team may have running at a time; an amount of 0 is no limit.
+   * </pre>
+   *
+   * <code>.hickoryspar.TaskDemand quota = 5;</code>
+   * @return Whether the quota field is set.
+   */
+  @java.lang.Override
+  public boolean hasQuota() {
+    return ((bitField0_ & 0x00000001) != 0);
+  }
+  /**
+   * <pre>
+   * The most that the team may have running at a time; an amount of 0 is no limit.
+   * </pre>
+   *
+   * <code>.hickoryspar.TaskDemand quota = 5;</code>
+   * @return The quota.
+   */
+  @java.lang.Override
+  public org.hickoryspar.protocol.TaskDemand getQuota() {
+    return quota_ == null ? org.hickoryspar.protocol.TaskDemand.getDefaultInstance() : quota_;
+  }
+  /**
+   * <pre>
+   * The most that the team may have running at a time; an amount of 0 is no limit.
+   * </pre>
+   *
+   * <code>.hickoryspar.TaskDemand quota = 5;</code>
+   */
+  @java.lang.Override
+  public org.hickoryspar.protocol.TaskDemandOrBuilder getQuotaOrBuilder() {
+    return quota_ == null ? org.hickoryspar.protocol.TaskDemand.getDefaultInstance() : quota_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -156,6 +210,12 @@
     if (guaranteedAccelerators_ != 0) {
       output.writeUInt32(3, guaranteedAccelerators_);
     }
+    if (java.lang.Double.doubleToRawLongBits(weight_) != 0) {
+      output.writeDouble(4, weight_);
+    }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      output.writeMessage(5, getQuota());
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -180,6 +240,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt32Size(3, guaranteedAccelerators_);
     }
+    if (java.lang.Double.doubleToRawLongBits(weight_) != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeDoubleSize(4, weight_);
+    }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(5, getQuota());
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -201,6 +269,14 @@
         .equals(other.getKeysList())) return false;
     if (getGuaranteedAccelerators()
         != other.getGuaranteedAccelerators()) return false;
+    if (java.lang.Double.doubleToLongBits(getWeight())
+        != java.lang.Double.doubleToLongBits(
+            other.getWeight())) return false;
+    if (hasQuota() != other.hasQuota()) return false;
+    if (hasQuota()) {
+      if (!getQuota()
+          .equals(other.getQuota())) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -220,6 +296,13 @@
     }
     hash = (37 * hash) + GUARANTEED_ACCELERATORS_FIELD_NUMBER;
     hash = (53 * hash) + getGuaranteedAccelerators();
+    hash = (37 * hash) + WEIGHT_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        java.lang.Double.doubleToLongBits(getWeight()));
+    if (hasQuota()) {
+      hash = (37 * hash) + QUOTA_FIELD_NUMBER;
+      hash = (53 * hash) + getQuota().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -339,13 +422,19 @@
 
     // Construct using org.hickoryspar.protocol.TeamEntitlement.newBuilder()
     private Builder() {
-
+      maybeForceBuilderInitialization();
     }
 
     private Builder(
         com.google.protobuf.GeneratedMessage.BuilderParent parent) {
       super(parent);
-
+      maybeForceBuilderInitialization();
+    }
+    private void maybeForceBuilderInitialization() {
+      if (com.google.protobuf.GeneratedMessage
+              .alwaysUseFieldBuilders) {
+        internalGetQuotaFieldBuilder();
+      }
     }
     @java.lang.Override
     public Builder clear() {
@@ -355,6 +444,12 @@
       keys_ =
           com.google.protobuf.LazyStringArrayList.emptyList();
       guaranteedAccelerators_ = 0;
+      weight_ = 0D;
+      quota_ = null;
+      if (quotaBuilder_ != null) {
+        quotaBuilder_.dispose();
+        quotaBuilder_ = null;
+      }
       return this;
     }
 
@@ -398,6 +493,17 @@
       if (((from_bitField0_ & 0x00000004) != 0)) {
         result.guaranteedAccelerators_ = guaranteedAccelerators_;
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.weight_ = weight_;
+      }
+      int to_bitField0_ = 0;
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.quota_ = quotaBuilder_ == null
+            ? quota_
+            : quotaBuilder_.build();
+        to_bitField0_ |= 0x00000001;
+      }
+      result.bitField0_ |= to_bitField0_;
     }
 
     @java.lang.Override
@@ -430,6 +536,12 @@
       if (other.getGuaranteedAccelerators() != 0) {
         setGuaranteedAccelerators(other.getGuaranteedAccelerators());
       }
+      if (java.lang.Double.doubleToRawLongBits(other.getWeight()) != 0) {
+        setWeight(other.getWeight());
+      }
+      if (other.hasQuota()) {
+        mergeQuota(other.getQuota());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -472,6 +584,18 @@
               bitField0_ |= 0x00000004;
               break;
             } // case 24
+            case 33: {
+              weight_ = input.readDouble();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 33
+            case 42: {
+              input.readMessage(
+                  internalGetQuotaFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 42
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -704,6 +828,207 @@
       return this;
     }
 
+    private double weight_ ;
+    /**
+     * <pre>
+     * Share of the team relative to other teams when all resources are in use; 0 stands for 1.
+     * </pre>
+     *
+     * <code>double weight = 4;</code>
+     * @return The weight.
+     */
+    @java.lang.Override
+    public double getWeight() {
+      return weight_;
+    }
+    /**
+     * <pre>
+     * Share of the team relative to other teams when all resources are in use; 0 stands for 1.
+     * </pre>
+     *
+     * <code>double weight = 4;</code>
+     * @param value The weight to set.
+     * @return This builder for chaining.
+     */
+    public Builder setWeight(double value) {
+
+      weight_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Share of the team relative to other teams when all resources are in use; 0 stands for 1.
+     * </pre>
+     *
+     * <code>double weight = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearWeight() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      weight_ = 0D;
+      onChanged();
+      return this;
+    }
+
+    private org.hickoryspar.protocol.TaskDemand quota_;
+    private com.google.protobuf.SingleFieldBuilder<
+        org.hickoryspar.protocol.TaskDemand, org.hickoryspar.protocol.TaskDemand.Builder, org.hickoryspar.protocol.TaskDemandOrBuilder> quotaBuilder_;
+    /**
+     * <pre>
+     * The most that the team may have running at a time; an amount of 0 is no limit.
+     * </pre>
+     *
+     * <code>.hickoryspar.TaskDemand quota = 5;</code>
+     * @return Whether the quota field is set.
+     */
+    public boolean hasQuota() {
+      return ((bitField0_ & 0x00000010) != 0);
+    }
+    /**
+     * <pre>
+     * The most that the team may have running at a time; an amount of 0 is no limit.
+     * </pre>
+     *
+     * <code>.hickoryspar.TaskDemand quota = 5;</code>
+     * @return The quota.
+     */
+    public org.hickoryspar.protocol.TaskDemand getQuota() {
+      if (quotaBuilder_ == null) {
+        return quota_ == null ? org.hickoryspar.protocol.TaskDemand.getDefaultInstance() : quota_;
+      } else {
+        return quotaBuilder_.getMessage();
+      }
+    }
+    /**
+     * <pre>
+     * The most that the team may have running at a time; an amount of 0 is no limit.
+     * </pre>
+     *
+     * <code>.hickoryspar.TaskDemand quota = 5;</code>
+     */
+    public Builder setQuota(org.hickoryspar.protocol.TaskDemand value) {
+      if (quotaBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        quota_ = value;
+      } else {
+        quotaBuilder_.setMessage(value);
+      }
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The most that the team may have running at a time; an amount of 0 is no limit.
+     * </pre>
+     *
+     * <code>.hickoryspar.TaskDemand quota = 5;</code>
+     */
+    public Builder setQuota(
+        org.hickoryspar.protocol.TaskDemand.Builder builderForValue) {
+      if (quotaBuilder_ == null) {
+        quota_ = builderForValue.build();
+      } else {
+        quotaBuilder_.setMessage(builderForValue.build());
+      }
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The most that the team may have running at a time; an amount of 0 is no limit.
+     * </pre>
+     *
+     * <code>.hickoryspar.TaskDemand quota = 5;</code>
+     */
+    public Builder mergeQuota(org.hickoryspar.protocol.TaskDemand value) {
+      if (quotaBuilder_ == null) {
+        if (((bitField0_ & 0x00000010) != 0) &&
+          quota_ != null &&
+          quota_ != org.hickoryspar.protocol.TaskDemand.getDefaultInstance()) {
+          getQuotaBuilder().mergeFrom(value);
+        } else {
+          quota_ = value;
+        }
+      } else {
+        quotaBuilder_.mergeFrom(value);
+      }
+      if (quota_ != null) {
+        bitField0_ |= 0x00000010;
+        onChanged();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The most that the team may have running at a time; an amount of 0 is no limit.
+     * </pre>
+     *
+     * <code>.hickoryspar.TaskDemand quota = 5;</code>
+     */
+    public Builder clearQuota() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      quota_ = null;
+      if (quotaBuilder_ != null) {
+        quotaBuilder_.dispose();
+        quotaBuilder_ = null;
+      }
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The most that the team may have running at a time; an amount of 0 is no limit.
+     * </pre>
+     *
+     * <code>.hickoryspar.TaskDemand quota = 5;</code>
+     */
+    public org.hickoryspar.protocol.TaskDemand.Builder getQuotaBuilder() {
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return internalGetQuotaFieldBuilder().getBuilder();
+    }
+    /**
+     * <pre>
+     * The most that the team may have running at a time; an amount of 0 is no limit.
+     * </pre>
+     *
+     * <code>.hickoryspar.TaskDemand quota = 5;</code>
+     */
+    public org.hickoryspar.protocol.TaskDemandOrBuilder getQuotaOrBuilder() {
+      if (quotaBuilder_ != null) {
+        return quotaBuilder_.getMessageOrBuilder();
+      } else {
+        return quota_ == null ?
+            org.hickoryspar.protocol.TaskDemand.getDefaultInstance() : quota_;
+      }
+    }
+    /**
+     * <pre>
+     * The most that the team may have running at a time; an amount of 0 is no limit.
+     * </pre>
+     *
+     * <code>.hickoryspar.TaskDemand quota = 5;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.hickoryspar.protocol.TaskDemand, org.hickoryspar.protocol.TaskDemand.Builder, org.hickoryspar.protocol.TaskDemandOrBuilder> 
+        internalGetQuotaFieldBuilder() {
+      if (quotaBuilder_ == null) {
+        quotaBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.hickoryspar.protocol.TaskDemand, org.hickoryspar.protocol.TaskDemand.Builder, org.hickoryspar.protocol.TaskDemandOrBuilder>(
+                getQuota(),
+                getParentForChildren(),
+                isClean());
+        quota_ = null;
+      }
+      return quotaBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:hickoryspar.TeamEntitlement)
   }
 
--- a/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/TeamEntitlementOrBuilder.java
+++ b/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/TeamEntitlementOrBuilder.java
@@ -52,4 +52,41 @@
    * @return The guaranteedAccelerators.
    */
   int getGuaranteedAccelerators();
+
+  /**
+   * <pre>
+   * Share of the team relative to other teams when all resources are in use; 0 stands for 1.
+   * </pre>
+   *
+   * <code>double weight = 4;</code>
+   * @return The weight.
+   */
+  double getWeight();
+
+  /**
+   * <pre>
+   * The most that the team may have running at a time; an amount of 0 is no limit.
+   * </pre>
+   *
+   * <code>.hickoryspar.TaskDemand quota = 5;</code>
+   * @return Whether the quota field is set.
+   */
+  boolean hasQuota();
+  /**
+   * <pre>
+   * The most that the team may have running at a time; an amount of 0 is no limit.
+   * </pre>
+   *
+   * <code>.hickoryspar.TaskDemand quota = 5;</code>
+   * @return The quota.
+   */
+  org.hickoryspar.protocol.TaskDemand getQuota();
+  /**
+   * <pre>
+   * The most that the team may have running at a time; an amount of 0 is no limit.
+   * </pre>
+   *
+   * <code>.hickoryspar.TaskDemand quota = 5;</code>
+   */
+  org.hickoryspar.protocol.TaskDemandOrBuilder getQuotaOrBuilder();
 }
