Keep each team within its quota, and decode quota and weight from the platform

Cause: nothing kept a team from running more than its quota. Change: CatalogCodec decodes Weight and Cap, BootSettings the tolerance QuotaOverage; CatalogValidator refuses a weight that is not positive, a negative quota and a quota below the guarantee. kernel.quota holds the rule and the sums: RunTable counts each member from the decision until its release, UnrecordedTasks what may run without a run in the table. QuotaGate asks the rule before minions are looked at; a refused group reserves nothing and skips nobody. Guaranteed work preempts other work of its own team, a gang that was refused for 8 s gets what its team releases next. TaskOrderSender withdraws an unanswered start that a lowered quota no longer permits. A gang above the limit is refused at submission with its reason. Gauges by team; 5116 and explain name team, resource, use and quota. Without quotas in the catalog nothing changes.

--- a/hickoryspar-bench/src/main/java/org/hickoryspar/bench/workflow/WorkflowDeployment.java
+++ b/hickoryspar-bench/src/main/java/org/hickoryspar/bench/workflow/WorkflowDeployment.java
@@ -86,7 +86,8 @@
 
   /** Returns the settings of the dispatcher. */
   static DispatchSettings dispatchSettings() {
-    return new DispatchSettings(4_500, 6_000, 700, 300, 1_500, 400, 4_000, 3, 2_900, 120_000, 100);
+    return new DispatchSettings(
+        4_500, 6_000, 700, 300, 1_500, 400, 4_000, 3, 2_900, 120_000, 100, 0);
   }
 
   CatalogState catalog() {
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/catalog/CatalogValidator.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/catalog/CatalogValidator.java
@@ -11,6 +11,7 @@
 import org.hickoryspar.protocol.Catalog;
 import org.hickoryspar.protocol.Queue;
 import org.hickoryspar.protocol.ServicePolicy;
+import org.hickoryspar.protocol.TaskDemand;
 import org.hickoryspar.protocol.TeamEntitlement;
 
 /** Validates a catalog before it is accepted. */
@@ -22,12 +23,16 @@
   /** Maximum constant part of a completion target: ten years. */
   private static final long MAX_DURATION_MILLIS = 3_650L * 24 * 60 * 60 * 1_000;
 
+  /** Maximum weight of a team; ratios of weights remain exact. */
+  private static final double MAX_WEIGHT = 1e12;
+
   private CatalogValidator() {}
 
   /**
    * Checks that the version is at least 1, that services have distinct names, that queues refer to
    * existing services, have a timeout and a completion target within limits and differ in host or
-   * path prefix, and that no two teams have a key in common.
+   * path prefix, that no two teams have a key in common, that weights are positive and that no
+   * quota is below the guarantee of its team.
    *
    * @param catalog the catalog
    * @return the first violation, with the code {@code "invalid-catalog"}, or empty if the catalog
@@ -95,6 +100,35 @@
           return invalid("teams " + existing + " and " + team.getName() + " share a key");
         }
       }
+      Optional<Problem> problem = validateEntitlement(team);
+      if (problem.isPresent()) {
+        return problem;
+      }
+    }
+    return Optional.empty();
+  }
+
+  // An absent weight is 0. Unsigned fields hold amounts above the largest signed one as negative.
+  private static Optional<Problem> validateEntitlement(TeamEntitlement team) {
+    if (!(team.getWeight() >= 0 && team.getWeight() <= MAX_WEIGHT)) {
+      return invalid(
+          "team " + team.getName() + " has the weight " + team.getWeight() + " out of range");
+    }
+    TaskDemand quota = team.getQuota();
+    if (quota.getCpuMillicores() < 0
+        || quota.getMemoryMegabytes() < 0
+        || quota.getAccelerators() < 0) {
+      return invalid("team " + team.getName() + " has a negative quota");
+    }
+    if (quota.getAccelerators() > 0 && quota.getAccelerators() < team.getGuaranteedAccelerators()) {
+      return invalid(
+          "team "
+              + team.getName()
+              + " has a quota of "
+              + quota.getAccelerators()
+              + " accelerators, fewer than the "
+              + team.getGuaranteedAccelerators()
+              + " that it is guaranteed");
     }
     return Optional.empty();
   }
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/catalog/CatalogView.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/catalog/CatalogView.java
@@ -9,6 +9,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import org.hickoryspar.kernel.value.Resources;
 import org.hickoryspar.protocol.Catalog;
 import org.hickoryspar.protocol.Queue;
 import org.hickoryspar.protocol.ServicePolicy;
@@ -116,6 +117,26 @@
     return entitlement == null ? 0 : entitlement.getGuaranteedAccelerators();
   }
 
+  /**
+   * Returns the quota of a team: the most that it may have running at a time.
+   *
+   * @param team name of the team
+   * @return the quota; an amount of 0 is no limit, and a team without a quota has no limit at all
+   */
+  public Resources teamQuota(String team) {
+    TeamEntitlement entitlement = teamsByName.get(requireNonNull(team, "team is null"));
+    return entitlement == null ? Resources.NONE : Resources.of(entitlement.getQuota());
+  }
+
+  /**
+   * Returns the names of the teams.
+   *
+   * @return the names in the order of the catalog
+   */
+  public List<String> teamNames() {
+    return catalog.getTeamsList().stream().map(TeamEntitlement::getName).distinct().toList();
+  }
+
   /**
    * Returns whether the minions of a service check their own capacity.
    *
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/ActiveRun.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/ActiveRun.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.hickoryspar.kernel.dispatch.order.TaskRun;
+import org.hickoryspar.kernel.value.Resources;
 import org.hickoryspar.kernel.workflow.TaskGroup;
 import org.hickoryspar.kernel.workflow.Workflow;
 import org.hickoryspar.protocol.MinionLife;
@@ -55,6 +56,16 @@
     return workflow.spec().getSteps(stepIndex);
   }
 
+  /** Returns the team that the run counts for. */
+  String team() {
+    return workflow.submission().getTeam();
+  }
+
+  /** Returns the resources that each member counts for in the quota of its team. */
+  Resources declaredDemand() {
+    return Resources.of(step().getDemand());
+  }
+
   TaskGroup group() {
     return group;
   }
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/DispatchSettings.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/DispatchSettings.java
@@ -15,6 +15,7 @@
  * @param maxReclaimMillis time from acceptance within which guaranteed work must have started
  * @param retentionMillis how long the state of an ended workflow is kept
  * @param earlyStartMillis how long before its due time an occurrence may start
+ * @param quotaTolerance share of its quota by which a team may exceed it, from 0
  */
 public record DispatchSettings(
     long leaseMillis,
@@ -27,7 +28,8 @@
     double crossRackFactor,
     long maxReclaimMillis,
     long retentionMillis,
-    long earlyStartMillis) {
+    long earlyStartMillis,
+    double quotaTolerance) {
 
   /** Maximum deviation of the rate of a minion's monotonic clock, in either direction. */
   static final int CLOCK_DRIFT_PERCENT = 2;
@@ -36,7 +38,8 @@
    * Checks the times that depend on each other.
    *
    * @throws IllegalArgumentException if {@code leaseMillis} is not positive or exceeds {@code
-   *     maxLeaseMillis}, or if {@code renewalWaitMillis} is not less than {@code leaseMillis}
+   *     maxLeaseMillis}, if {@code renewalWaitMillis} is not less than {@code leaseMillis}, or if
+   *     {@code quotaTolerance} is negative
    */
   public DispatchSettings {
     if (leaseMillis <= 0 || leaseMillis > maxLeaseMillis) {
@@ -45,6 +48,9 @@
     if (renewalWaitMillis >= leaseMillis) {
       throw new IllegalArgumentException("renewalWaitMillis must be less than leaseMillis");
     }
+    if (!(quotaTolerance >= 0)) {
+      throw new IllegalArgumentException("quotaTolerance must be at least 0");
+    }
   }
 
   /**
@@ -54,4 +60,12 @@
   long leaseExpiryMillis() {
     return maxLeaseMillis * (100 + CLOCK_DRIFT_PERCENT) / 100 + responseTimeoutMillis;
   }
+
+  /**
+   * Returns the time in milliseconds after which a task has ended on a minion that has not
+   * responded since it listed the task. The renewal after that response may have reached it.
+   */
+  long strayExpiryMillis() {
+    return renewalWaitMillis + responseTimeoutMillis + leaseExpiryMillis();
+  }
 }
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Dispatcher.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Dispatcher.java
@@ -10,6 +10,8 @@
 import org.hickoryspar.kernel.dispatch.order.OrderOutcome;
 import org.hickoryspar.kernel.dispatch.order.RenewalResponse;
 import org.hickoryspar.kernel.dispatch.order.TaskRun;
+import org.hickoryspar.kernel.quota.QuotaPolicy;
+import org.hickoryspar.kernel.quota.TeamQuotas;
 import org.hickoryspar.kernel.value.Problem;
 import org.hickoryspar.kernel.workflow.Workflow;
 import org.hickoryspar.kernel.workflow.WorkflowTable;
@@ -54,7 +56,7 @@
   private static final long MAX_BATCH_MILLIS = (1L << 42) - 1;
 
   private final WorkflowTable table;
-  private final RunTable runs = new RunTable();
+  private final RunTable runs;
   private final Outbox outbox;
   private final RunEndRecorder endRecorder;
   private final MinionTable minions;
@@ -66,6 +68,7 @@
   private final AppliedEventHandler appliedEventHandler;
   private final TeamDemand teamDemand;
   private final Planner planner;
+  private final QuotaQueries quotaQueries;
   private final Retention retention;
   private boolean planDue = true;
   private long nextPlanMillis;
@@ -94,6 +97,10 @@
     requireNonNull(catalog, "catalog is null");
     this.table = requireNonNull(table, "table is null");
     requireNonNull(listener, "listener is null");
+    TeamQuotas quotas =
+        new TeamQuotas(
+            new QuotaPolicy(settings.quotaTolerance()), team -> catalog.view().teamQuota(team));
+    this.runs = new RunTable(quotas);
     this.outbox = new Outbox(firstBatchNumber(nowMillis));
     MinionFailureTracker failureTracker = new MinionFailureTracker(listener);
     RunTimeEstimates runTimeEstimates = new RunTimeEstimates();
@@ -101,8 +108,17 @@
     this.minions = new MinionTable(listener, this::handleNewLife);
     this.stopRetransmitter = new StopRetransmitter(settings.responseTimeoutMillis(), outbox);
     this.leaseManager =
-        new LeaseManager(settings, minions, runs, outbox, endRecorder, stopRetransmitter, listener);
-    this.taskOrderSender = new TaskOrderSender(settings, runs, outbox, endRecorder, listener);
+        new LeaseManager(
+            settings,
+            minions,
+            runs,
+            outbox,
+            endRecorder,
+            stopRetransmitter,
+            new UnrecordedTasks(table, quotas.usage(), settings.strayExpiryMillis()),
+            listener);
+    this.taskOrderSender =
+        new TaskOrderSender(settings, runs, outbox, endRecorder, quotas, listener);
     this.waitingSteps = new WaitingSteps(catalog, runs, settings.earlyStartMillis());
     this.catalogChanges = new CatalogChanges(catalog, waitingSteps);
     this.teamDemand = new TeamDemand(catalog);
@@ -117,6 +133,7 @@
             teamDemand,
             new WaitReporter(listener),
             new RunStarter(runs, waitingSteps, outbox, listener));
+    this.quotaQueries = new QuotaQueries(catalog, quotas, minions);
     this.retention = new Retention(table, outbox, settings.retentionMillis());
     RunRecovery recovery = new RunRecovery(minions, runs);
     this.appliedEventHandler =
@@ -362,6 +379,15 @@
         nowMillis);
   }
 
+  /**
+   * Returns the questions on the quotas of teams that this dispatcher answers.
+   *
+   * @return the queries, to be used like this dispatcher by one thread at a time
+   */
+  public QuotaQueries quotaQueries() {
+    return quotaQueries;
+  }
+
   /**
    * Finds a workflow.
    *
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/LeaseManager.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/LeaseManager.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import org.hickoryspar.kernel.dispatch.order.Order;
 import org.hickoryspar.kernel.dispatch.order.OrderOutcome;
@@ -26,6 +27,7 @@
   private final Outbox outbox;
   private final RunEndRecorder endRecorder;
   private final StopRetransmitter stopRetransmitter;
+  private final UnrecordedTasks unrecordedTasks;
   private final DispatchListener listener;
   private final Map<TaskRun, Long> strayStopSentMillis = new HashMap<>();
   private final Map<Minion, Long> awaitedBatchByMinion = new HashMap<>();
@@ -37,6 +39,7 @@
       Outbox outbox,
       RunEndRecorder endRecorder,
       StopRetransmitter stopRetransmitter,
+      UnrecordedTasks unrecordedTasks,
       DispatchListener listener) {
     this.settings = settings;
     this.minions = minions;
@@ -44,6 +47,7 @@
     this.outbox = outbox;
     this.endRecorder = endRecorder;
     this.stopRetransmitter = stopRetransmitter;
+    this.unrecordedTasks = unrecordedTasks;
     this.listener = listener;
   }
 
@@ -174,18 +178,19 @@
   }
 
   private void processRunning(Minion minion, RenewalResponse response, long nowMillis) {
-    boolean hasStrayTasks = false;
+    List<TaskRun> strayTasks = new ArrayList<>();
     for (RenewalResponse.RunningTask runningTask : response.running()) {
       Member member = runs.find(runningTask.taskRun());
       if (member != null && member.minion() == minion) {
         member.confirmRunning(nowMillis);
         member.update(runningTask.percent(), runningTask.checkpoint(), nowMillis);
       } else {
-        hasStrayTasks = true;
+        strayTasks.add(runningTask.taskRun());
         stopStray(minion, runningTask.taskRun(), nowMillis);
       }
     }
-    minion.setHasStrayTasks(hasStrayTasks);
+    minion.setHasStrayTasks(!strayTasks.isEmpty());
+    unrecordedTasks.updateStrays(minion, strayTasks, nowMillis);
   }
 
   private void stopStray(Minion minion, TaskRun taskRun, long nowMillis) {
@@ -252,6 +257,7 @@
     strayStopSentMillis
         .values()
         .removeIf(sentMillis -> nowMillis - sentMillis > settings.leaseExpiryMillis());
+    unrecordedTasks.sweep(nowMillis);
   }
 
   /**
@@ -260,9 +266,14 @@
    */
   void handleNewLife(Minion previous, Minion newLife, long nowMillis) {
     stopRetransmitter.removeAll(previous);
+    unrecordedTasks.removeAll(previous);
     if (previous.id().equals(newLife.id())) {
       for (TaskRun taskRun : previous.unansweredStarts().pendingRuns(nowMillis)) {
         stopRetransmitter.add(newLife, taskRun);
+        if (runs.find(taskRun) == null) {
+          unrecordedTasks.addDelayedStart(
+              newLife, taskRun, nowMillis + UnansweredStarts.MAX_DELIVERY_DELAY_MILLIS);
+        }
       }
     }
     for (Member member : previous.members()) {
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Planner.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Planner.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.function.Predicate;
 import org.hickoryspar.kernel.catalog.CatalogState;
+import org.hickoryspar.kernel.quota.QuotaRefusal;
 import org.hickoryspar.kernel.value.Resources;
 import org.hickoryspar.kernel.workflow.TaskGroup;
 import org.jspecify.annotations.Nullable;
@@ -59,6 +60,7 @@
   private final WaitReporter waitReporter;
   private final PlanExecutor executor;
   private final PendingPlacements pendingPlacements;
+  private final QuotaGate quotaGate;
   private final DurationTracker<WaitingStep.WaitId> idleWaits = new DurationTracker<>();
   private final DurationTracker<TaskGroup> reservedGroups = new DurationTracker<>();
   private long nextIdleCheckMillis;
@@ -92,6 +94,7 @@
     this.runTimeEstimates = runTimeEstimates;
     this.ranking = new Ranking(new UrgencyCalculator(settings, runTimeEstimates, teamDemand));
     this.preemptionPlanner = new PreemptionPlanner(new PreemptionCost.WorkLost());
+    this.quotaGate = new QuotaGate(runs.teamQuotas());
     this.waitReporter = waitReporter;
     this.executor = executor;
     this.pendingPlacements = new PendingPlacements(catalog, runs, executor);
@@ -107,6 +110,7 @@
       round.placeGroups(step);
     }
     reservedGroups.endRound();
+    quotaGate.endRound();
     if (checksIdleCapacity) {
       nextIdleCheckMillis = nowMillis + IDLE_CHECK_INTERVAL_MILLIS;
       idleWaits.endRound();
@@ -137,6 +141,7 @@
     private final BackfillReservations backfillReservations;
     private final MinionSelector minionSelector;
     private final IdleCapacityFinder idleCapacityFinder;
+    private final TeamPreemption teamPreemption;
     private final UnsatisfiedDemands unsatisfiedDemands = new UnsatisfiedDemands();
     private final Set<WaitingStep> stepsWithReservation =
         Collections.newSetFromMap(new IdentityHashMap<>());
@@ -153,6 +158,9 @@
       this.backfillReservations = new BackfillReservations(remainingTimes, nowMillis);
       this.minionSelector = new MinionSelector(failureTracker, backfillReservations, nowMillis);
       this.idleCapacityFinder = new IdleCapacityFinder(serviceLoad, runs, minionSelector);
+      this.teamPreemption =
+          quotaGate.newPreemption(
+              runs, preemptionPlanner, minionSelector, remainingTimes, nowMillis);
     }
 
     void placeGroups(RankedStep ranked) {
@@ -164,7 +172,15 @@
         if (pendingPlacements.contains(group) || runs.hasRun(group)) {
           continue;
         }
-        if (!placeGroup(ranked, group, pool, taskLimit)) {
+        QuotaRefusal refusal =
+            quotaGate.check(waitingStep, group, ranked.urgency(), nowMillis).orElse(null);
+        if (refusal != null) {
+          if (!preemptWithinTeam(ranked, group, pool, taskLimit)) {
+            // The other groups of the step demand the same.
+            reportWait(waitingStep, group, WaitCause.quota(refusal));
+            return;
+          }
+        } else if (!placeGroup(ranked, group, pool, taskLimit)) {
           unplacedGroups++;
           if (unplacedGroups >= MAX_UNPLACED_GROUPS
               || !othersMayFit(waitingStep, group, pool, taskLimit)) {
@@ -184,6 +200,19 @@
           && MinionSelector.fitsWithoutPreferences(waitingStep, group, pool, taskLimit);
     }
 
+    // Guaranteed work that exceeds the quota of its team may preempt other work of the team.
+    private boolean preemptWithinTeam(
+        RankedStep ranked, TaskGroup group, MinionPools.Pool pool, MinionTaskLimit taskLimit) {
+      long endMillis = expectedEndMillis(ranked);
+      long waitMillis = allowedWaitMillis(ranked.urgency());
+      PreemptionPlanner.Plan plan =
+          teamPreemption.plan(ranked, group, pool, taskLimit, endMillis, waitMillis);
+      if (plan != null) {
+        preempt(plan, ranked.waitingStep(), group, taskLimit);
+      }
+      return plan != null;
+    }
+
     /** Returns whether a group is placed now, or will be once the victims of a preemption end. */
     private boolean placeGroup(
         RankedStep ranked, TaskGroup group, MinionPools.Pool pool, MinionTaskLimit taskLimit) {
@@ -223,13 +252,13 @@
       MinionSelector.Selection idle =
           idleCapacityFinder.find(waitingStep, group, pool, taskLimit, endMillis);
       if (idle == null) {
-        waitReporter.reportWait(waitingStep, group, cause, nowMillis, wallMillis);
+        reportWait(waitingStep, group, cause);
         return false;
       }
       long idleMillis = idleWaits.record(waitingStep.waitIdOf(group), nowMillis);
       WaitCause idleCause = cause.besideIdleCapacity(idleMillis, obstacle(idle));
       if (idleMillis < MAX_IDLE_WAIT_MILLIS) {
-        waitReporter.reportWait(waitingStep, group, idleCause, nowMillis, wallMillis);
+        reportWait(waitingStep, group, idleCause);
         return false;
       }
       waitReporter.reportPreferencesDropped(waitingStep, group, idleCause);
@@ -238,6 +267,10 @@
       return true;
     }
 
+    private void reportWait(WaitingStep waitingStep, TaskGroup group, WaitCause cause) {
+      waitReporter.reportWait(waitingStep, group, cause, nowMillis, wallMillis);
+    }
+
     private String obstacle(MinionSelector.Selection idle) {
       List<String> holders = backfillReservations.holdersOn(idle.minions());
       String obstacle = idle.givenUp().obstacle();
@@ -319,9 +352,11 @@
     }
 
     private boolean isTooLate(@Nullable Forecast forecast, Urgency urgency) {
-      long allowedMillis =
-          (urgency.latestStartMillis() - wallMillis) * MAX_FORECAST_SLACK_PERCENT / 100;
-      return forecast == null || forecast.startMillis() - nowMillis > allowedMillis;
+      return forecast == null || forecast.startMillis() - nowMillis > allowedWaitMillis(urgency);
+    }
+
+    private long allowedWaitMillis(Urgency urgency) {
+      return (urgency.latestStartMillis() - wallMillis) * MAX_FORECAST_SLACK_PERCENT / 100;
     }
 
     private boolean preemptFor(
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/PreemptionPlanner.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/PreemptionPlanner.java
@@ -29,6 +29,11 @@
     this.cost = cost;
   }
 
+  /** Returns the cost of preempting a run. */
+  double costOf(ActiveRun run, long nowMillis) {
+    return cost.of(run, nowMillis);
+  }
+
   static boolean mayPreempt(Queue queue) {
     return queue.getPriority() == PREEMPTING_PRIORITY;
   }
@@ -235,5 +240,13 @@
    * @param victims the runs to preempt
    * @param cost total cost of the preemption in core-milliseconds
    */
-  record Plan(List<Minion> minions, List<ActiveRun> victims, double cost) {}
+  record Plan(List<Minion> minions, List<ActiveRun> victims, double cost) {
+
+    /** Returns the same placement with additional victims. */
+    Plan withVictims(Collection<ActiveRun> additional) {
+      Set<ActiveRun> all = new LinkedHashSet<>(victims);
+      all.addAll(additional);
+      return new Plan(minions, List.copyOf(all), cost);
+    }
+  }
 }
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/RunTable.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/RunTable.java
@@ -9,19 +9,32 @@
 import java.util.Map;
 import java.util.Set;
 import org.hickoryspar.kernel.dispatch.order.TaskRun;
+import org.hickoryspar.kernel.quota.TeamQuotas;
 import org.hickoryspar.kernel.workflow.TaskGroup;
 import org.hickoryspar.kernel.workflow.Workflow;
 import org.hickoryspar.protocol.RunStart;
 import org.jspecify.annotations.Nullable;
 
-/** The runs to which resources of minions are allocated. */
+/**
+ * The runs to which resources of minions are allocated, and which count as in use by their team.
+ */
 final class RunTable {
 
+  private final TeamQuotas teamQuotas;
   private final Map<TaskRun, ActiveRun> runs = new LinkedHashMap<>();
   private final Map<TaskRun, Member> members = new HashMap<>();
   private final Map<TaskGroup, Integer> runCountByGroup = new HashMap<>();
   private final Map<Workflow, Set<ActiveRun>> runsByWorkflow = new HashMap<>();
 
+  RunTable(TeamQuotas teamQuotas) {
+    this.teamQuotas = teamQuotas;
+  }
+
+  /** Returns the quotas that the runs count for. */
+  TeamQuotas teamQuotas() {
+    return teamQuotas;
+  }
+
   Collection<ActiveRun> runs() {
     return Collections.unmodifiableCollection(runs.values());
   }
@@ -33,6 +46,7 @@
     for (Member member : run.members()) {
       members.put(member.taskRun(), member);
       member.minion().add(member);
+      teamQuotas.usage().add(run.team(), run.declaredDemand());
     }
   }
 
@@ -60,10 +74,12 @@
     return runsByWorkflow.containsKey(workflow);
   }
 
-  /** Releases the resources of a member. */
+  /** Releases the resources of a member, unless they are released already. */
   void release(Member member) {
-    members.remove(member.taskRun());
-    member.minion().remove(member);
+    if (members.remove(member.taskRun(), member)) {
+      member.minion().remove(member);
+      teamQuotas.usage().remove(member.run().team(), member.run().declaredDemand());
+    }
   }
 
   /** Returns whether the group has a run, even if the log has not recorded its start yet. */
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/TaskOrderSender.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/TaskOrderSender.java
@@ -2,6 +2,7 @@
 
 import org.hickoryspar.kernel.dispatch.order.Order;
 import org.hickoryspar.kernel.dispatch.order.OrderOutcome;
+import org.hickoryspar.kernel.quota.TeamQuotas;
 import org.hickoryspar.kernel.workflow.Workflow;
 
 /** Sends start and stop orders and retransmits them until a response arrives. */
@@ -11,6 +12,7 @@
   private final RunTable runs;
   private final Outbox outbox;
   private final RunEndRecorder endRecorder;
+  private final TeamQuotas quotas;
   private final DispatchListener listener;
 
   TaskOrderSender(
@@ -18,11 +20,13 @@
       RunTable runs,
       Outbox outbox,
       RunEndRecorder endRecorder,
+      TeamQuotas quotas,
       DispatchListener listener) {
     this.settings = settings;
     this.runs = runs;
     this.outbox = outbox;
     this.endRecorder = endRecorder;
+    this.quotas = quotas;
     this.listener = listener;
   }
 
@@ -38,6 +42,11 @@
   }
 
   private void advance(Member member, long nowMillis) {
+    boolean startDue =
+        !member.isStopRequested() && mayStart(member) && isDue(member.start(), nowMillis);
+    if (startDue && quotas.isExceeded(member.run().team(), member.run().declaredDemand())) {
+      withdraw(member.run());
+    }
     if (member.isStopRequested()) {
       if (!member.isInherited() && !member.isConfirmed() && !member.start().wasSent()) {
         endRecorder.recordLoss(member, "stopped before its start was sent");
@@ -45,11 +54,21 @@
         member.stop().markSent(nowMillis);
         outbox.send(new Order.Stop(member.minion().target(), member.taskRun()));
       }
-    } else if (mayStart(member) && isDue(member.start(), nowMillis)) {
+    } else if (startDue) {
       sendStart(member, nowMillis);
     }
   }
 
+  // The quota of the team was lowered after the start was decided.
+  private void withdraw(ActiveRun run) {
+    run.requestStop();
+    listener.onEvent(
+        DispatchEventKind.RUN_STOPPING,
+        run.taskRun(0).toString(),
+        "because",
+        "it has not started, and team " + run.team() + " now has more in use than its quota");
+  }
+
   // A start extends the lease of its minion, so none is sent to a minion that does not respond, nor
   // to one whose clock is unknown.
   private static boolean mayStart(Member member) {
--- /dev/null
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/UnrecordedTasks.java
@@ -0,0 +1,135 @@
+package org.hickoryspar.kernel.dispatch;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.hickoryspar.kernel.dispatch.order.TaskRun;
+import org.hickoryspar.kernel.quota.TeamUsage;
+import org.hickoryspar.kernel.value.Resources;
+import org.hickoryspar.kernel.workflow.WorkflowTable;
+
+/**
+ * Tasks that may run on a minion although the {@link RunTable} holds no run of them there: stray
+ * tasks that are being stopped, and delayed starts that may take effect in a new life of a minion.
+ * They count as in use by their team until they have certainly ended.
+ */
+final class UnrecordedTasks {
+
+  private final WorkflowTable table;
+  private final TeamUsage usage;
+  private final long strayExpiryMillis;
+  private final Map<Minion, Map<TaskRun, Claim>> claimsByMinion = new HashMap<>();
+
+  /**
+   * Creates a state without such tasks.
+   *
+   * @param strayExpiryMillis time after which a stray task has ended on a minion that no longer
+   *     responds
+   */
+  UnrecordedTasks(WorkflowTable table, TeamUsage usage, long strayExpiryMillis) {
+    this.table = table;
+    this.usage = usage;
+    this.strayExpiryMillis = strayExpiryMillis;
+  }
+
+  /** Replaces the stray tasks of a minion by those that its latest response lists. */
+  void updateStrays(Minion minion, Collection<TaskRun> strays, long nowMillis) {
+    if (strays.isEmpty() && !claimsByMinion.containsKey(minion)) {
+      return;
+    }
+    Set<TaskRun> listed = new HashSet<>(strays);
+    removeIf(
+        minion, (run, claim) -> !listed.contains(run) && claim.hasEndedUnlessListed(nowMillis));
+    for (TaskRun run : listed) {
+      hold(minion, run, nowMillis + strayExpiryMillis, false);
+    }
+  }
+
+  /**
+   * Adds a start that may take effect on a minion until a time, even if it is not listed before.
+   */
+  void addDelayedStart(Minion minion, TaskRun run, long untilMillis) {
+    hold(minion, run, untilMillis, true);
+  }
+
+  private void hold(Minion minion, TaskRun run, long untilMillis, boolean delayed) {
+    Map<TaskRun, Claim> claims =
+        claimsByMinion.computeIfAbsent(minion, newMinion -> new HashMap<>());
+    Claim existing = claims.get(run);
+    if (existing != null) {
+      claims.put(run, existing.extendedTo(untilMillis, delayed));
+      return;
+    }
+    Claim.of(table, run, untilMillis, delayed)
+        .ifPresent(
+            claim -> {
+              claims.put(run, claim);
+              usage.add(claim.team, claim.demand);
+            });
+  }
+
+  /** Removes the tasks of a life of a minion that has ended. */
+  void removeAll(Minion minion) {
+    removeIf(minion, (run, claim) -> true);
+  }
+
+  /** Removes tasks that have certainly ended without a response of their minion. */
+  void sweep(long nowMillis) {
+    for (Minion minion : Set.copyOf(claimsByMinion.keySet())) {
+      removeIf(minion, (run, claim) -> nowMillis > claim.untilMillis);
+    }
+  }
+
+  private void removeIf(Minion minion, Condition condition) {
+    Map<TaskRun, Claim> claims = claimsByMinion.getOrDefault(minion, Map.of());
+    Iterator<Map.Entry<TaskRun, Claim>> entries = claims.entrySet().iterator();
+    while (entries.hasNext()) {
+      Map.Entry<TaskRun, Claim> entry = entries.next();
+      if (condition.test(entry.getKey(), entry.getValue())) {
+        usage.remove(entry.getValue().team, entry.getValue().demand);
+        entries.remove();
+      }
+    }
+    if (claims.isEmpty()) {
+      claimsByMinion.remove(minion);
+    }
+  }
+
+  private interface Condition {
+    boolean test(TaskRun run, Claim claim);
+  }
+
+  /**
+   * What a team holds for a task.
+   *
+   * @param untilMillis monotonic time after which the task has ended without a response
+   * @param delayed whether the task may start later than a response that does not list it
+   */
+  private record Claim(String team, Resources demand, long untilMillis, boolean delayed) {
+
+    // The workflow of a task is unknown once it was removed after its retention.
+    static Optional<Claim> of(WorkflowTable table, TaskRun run, long untilMillis, boolean delayed) {
+      return table
+          .find(run.workflowId())
+          .map(
+              workflow ->
+                  new Claim(
+                      workflow.submission().getTeam(),
+                      Resources.of(workflow.spec().getSteps(run.step()).getDemand()),
+                      untilMillis,
+                      delayed));
+    }
+
+    Claim extendedTo(long newUntilMillis, boolean nowDelayed) {
+      return new Claim(team, demand, Math.max(untilMillis, newUntilMillis), delayed || nowDelayed);
+    }
+
+    boolean hasEndedUnlessListed(long nowMillis) {
+      return !delayed || nowMillis > untilMillis;
+    }
+  }
+}
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/WaitingStep.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/WaitingStep.java
@@ -58,6 +58,19 @@
     return demandOf(step());
   }
 
+  /**
+   * Returns the resources that one task counts for in the quota of its team: all that it demands,
+   * also what it leaves to other tasks.
+   */
+  Resources declaredDemand() {
+    return Resources.of(step().getDemand());
+  }
+
+  /** Returns the team that the tasks count for. */
+  String team() {
+    return workflow.submission().getTeam();
+  }
+
   static Resources demandOf(WorkflowStep step) {
     TaskDemand demand = step.getDemand();
     return step.getFills()
--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/DispatcherHarness.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/DispatcherHarness.java
@@ -46,7 +46,7 @@
   static final int TICK_MILLIS = 10;
 
   static final DispatchSettings SETTINGS =
-      new DispatchSettings(4_500, 6_000, 1_000, 300, 1_500, 400, 4_000, 3, 2_900, 120_000, 100);
+      new DispatchSettings(4_500, 6_000, 1_000, 300, 1_500, 400, 4_000, 3, 2_900, 120_000, 100, 0);
 
   private final CatalogState catalog = new CatalogState();
   private final WorkflowTable table = new WorkflowTable();
@@ -191,6 +191,30 @@
         });
   }
 
+  /** Applies a catalog in which a team has another quota; the team is added if it is new. */
+  void setQuota(String team, TaskDemand.Builder quota) {
+    Catalog.Builder changed = catalog.lastChange().getCatalog().toBuilder();
+    int index = 0;
+    while (index < changed.getTeamsCount() && !changed.getTeams(index).getName().equals(team)) {
+      index++;
+    }
+    if (index == changed.getTeamsCount()) {
+      changed.addTeams(TeamEntitlement.newBuilder().setName(team));
+    }
+    changed.getTeamsBuilder(index).setQuota(quota);
+    changed.setVersion(changed.getVersion() + 1);
+    catalog
+        .apply(CatalogChange.newBuilder().setCatalog(changed).build())
+        .ifPresent(
+            reason -> {
+              throw new AssertionError(reason);
+            });
+  }
+
+  QuotaQueries quotaQueries() {
+    return dispatcher.quotaQueries();
+  }
+
   Workflow submit(String id, int priority, WorkflowStep.Builder... steps) {
     return submitFor("team", id, priority, steps);
   }
--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/FakeMinion.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/FakeMinion.java
@@ -197,6 +197,11 @@
     respondsToStarts = false;
   }
 
+  /** Starts a later run of a task that no order of the current leader asked for. */
+  void startUnasked(String workflowId, int task) {
+    running.add(new TaskRun(workflowId, 0, 0, task, 9));
+  }
+
   void endTask(TaskRun run, RunEnd.Cause cause) {
     running.remove(run);
     addEnd(run, cause);
--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/LossyCluster.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/LossyCluster.java
@@ -10,6 +10,7 @@
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.hickoryspar.kernel.catalog.CatalogState;
 import org.hickoryspar.kernel.dispatch.order.Order;
 import org.hickoryspar.kernel.dispatch.order.OrderOutcome;
@@ -23,6 +24,7 @@
 import org.hickoryspar.protocol.MinionReport;
 import org.hickoryspar.protocol.RunEnd;
 import org.hickoryspar.protocol.ServicePolicy;
+import org.hickoryspar.protocol.TaskDemand;
 import org.hickoryspar.protocol.TeamEntitlement;
 import org.hickoryspar.protocol.WorkflowBatch;
 import org.hickoryspar.protocol.WorkflowStep;
@@ -62,6 +64,7 @@
   private long lastRecordMillis;
   private long deliveryCount;
   private boolean lossy;
+  private Consumer<TaskRun> startListener = run -> {};
   private long nowMillis = 1_000;
 
   LossyCluster(Random random) {
@@ -91,6 +94,27 @@
         nowMillis);
   }
 
+  /** Sets what is called after each actual start of a task on a minion. */
+  void setStartListener(Consumer<TaskRun> listener) {
+    startListener = listener;
+  }
+
+  /** Records a catalog in which a team has another quota. */
+  void setQuota(String team, TaskDemand quota) {
+    record("quota of " + team + ": " + quota.getAccelerators() + " accelerators");
+    Catalog.Builder changed = catalog.lastChange().getCatalog().toBuilder();
+    changed.getTeamsBuilderList().stream()
+        .filter(entitlement -> entitlement.getName().equals(team))
+        .forEach(entitlement -> entitlement.setQuota(quota));
+    changed.setVersion(changed.getVersion() + 1);
+    catalog
+        .apply(CatalogChange.newBuilder().setCatalog(changed).build())
+        .ifPresent(
+            reason -> {
+              throw failure(reason.toString());
+            });
+  }
+
   void record(String event) {
     history.add(nowMillis + ": " + event);
   }
@@ -265,9 +289,13 @@
       return OrderOutcome.OTHER_MINION;
     }
     if (order instanceof Order.Start start) {
+      boolean wasRunning = minion.running().contains(start.taskRun());
       OrderOutcome outcome = minion.start(start, acceleratorsOf(start.taskRun()), token, nowMillis);
       if (outcome == OrderOutcome.DONE) {
         checkNotFinished(start.taskRun());
+        if (!wasRunning) {
+          startListener.accept(start.taskRun());
+        }
       }
       return outcome;
     }
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/DecisionTelemetry.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/DecisionTelemetry.java
@@ -6,11 +6,13 @@
 import io.prometheus.metrics.core.metrics.Gauge;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 import org.hickoryspar.kernel.dispatch.DispatchEventKind;
 import org.hickoryspar.kernel.dispatch.DispatchListener;
 import org.hickoryspar.kernel.dispatch.DispatcherStatus;
+import org.hickoryspar.kernel.quota.TeamQuotaStatus;
 import org.hickoryspar.node.observability.EventLogger;
 
 /** Logs and counts the events of the dispatcher while this replica is the leader. */
@@ -27,6 +29,7 @@
   private final Gauge groups;
   private final Gauge accelerators;
   private final Gauge longestIdleWaitSeconds;
+  private final TeamMetrics teamMetrics;
 
   /**
    * Creates the telemetry of a process and registers its metrics.
@@ -66,6 +69,7 @@
             .name("hickoryspar_dispatch_longest_idle_wait_seconds")
             .help("Longest wait of a group that could start on idle capacity")
             .register(registry);
+    teamMetrics = new TeamMetrics(registry);
   }
 
   private static Histogram histogram(PrometheusRegistry registry, String name, String help) {
@@ -111,6 +115,11 @@
     roundSeconds.observe(durationNanos / NANOS_PER_SECOND);
   }
 
+  /** Sets the gauges of teams to the status of their quotas. */
+  void publishTeams(List<TeamQuotaStatus> teams) {
+    teamMetrics.publish(teams);
+  }
+
   /** Sets the gauges to the status of the dispatcher. */
   void publish(DispatcherStatus status) {
     minions.labelValues("usable").set(status.usableMinions());
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/DispatchSession.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/DispatchSession.java
@@ -99,6 +99,7 @@
     if (nowMillis >= nextStatusMillis) {
       nextStatusMillis = nowMillis + STATUS_INTERVAL_MILLIS;
       telemetry.publish(dispatcher.status(nowMillis));
+      telemetry.publishTeams(dispatcher.quotaQueries().status());
     }
     WorkflowBatch batch = dispatcher.takeProposals();
     while (batch.getEventsCount() > 0) {
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/WorkflowService.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/WorkflowService.java
@@ -131,13 +131,42 @@
     if (violation.isPresent()) {
       return completed(reply(WorkflowReply.Outcome.INVALID, violation.get().message()));
     }
-    String id = submission.getWorkflowId();
-    return loop.<Boolean>submit(dispatcher -> Result.success(dispatcher.find(id).isPresent()))
+    return loop.<Optional<WorkflowReply>>submit(
+            dispatcher -> Result.success(findReply(submission, dispatcher)))
         .thenCompose(
             lookup ->
                 lookup.fold(
                     problem -> CompletableFuture.completedFuture(Result.failure(problem)),
-                    exists -> exists ? completed(ok().build()) : proposeSubmission(submission)));
+                    known ->
+                        known
+                            .map(WorkflowService::completed)
+                            .orElseGet(() -> proposeSubmission(submission))));
+  }
+
+  // A workflow that is known was accepted, whatever the catalog now says of it.
+  private static Optional<WorkflowReply> findReply(
+      SubmitWorkflow submission, Dispatcher dispatcher) {
+    String id = submission.getWorkflowId();
+    if (dispatcher.find(id).isPresent()) {
+      return Optional.of(ok().build());
+    }
+    return dispatcher
+        .quotaQueries()
+        .findNeverStarting(submission.getTeam(), submission.getSpec())
+        .map(
+            refusal -> {
+              EventLogger.logDecision(
+                  DispatchLogEvent.WORKFLOW_REFUSED,
+                  id,
+                  "reason",
+                  refusal.reason(),
+                  "team",
+                  submission.getTeam(),
+                  "queue",
+                  submission.getQueue().getName());
+              return reply(
+                  WorkflowReply.Outcome.INVALID, "the workflow can never run: " + refusal.reason());
+            });
   }
 
   private CompletableFuture<Result<WorkflowReply>> proposeSubmission(SubmitWorkflow submission) {
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/explain/EventDescriptions.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/explain/EventDescriptions.java
@@ -71,6 +71,11 @@
     TEMPLATES.put("MINION_GONE", "the minion, started at {bornMillis}, has ended");
   }
 
+  /** Describes a wait for the quota of a team, for which no minions are looked for. */
+  private static final String QUOTA_WAIT_TEMPLATE =
+      "has waited for {waitedMillis} ms for the quota of its team: {reason}; {tasks} task(s) of"
+          + " {demand}";
+
   private EventDescriptions() {}
 
   /** Returns whether there is a template for an event. */
@@ -79,7 +84,7 @@
   }
 
   static String describe(LogLine line) {
-    String template = TEMPLATES.get(line.name());
+    String template = isQuotaWait(line) ? QUOTA_WAIT_TEMPLATE : TEMPLATES.get(line.name());
     if (template == null) {
       return line.name().isEmpty() ? line.detail("message") : line.name() + ' ' + line.details();
     }
@@ -91,4 +96,8 @@
     matcher.appendTail(text);
     return text.toString().replace(" []", "").replace(" [earlier: ]", "");
   }
+
+  private static boolean isQuotaWait(LogLine line) {
+    return line.name().equals("GROUP_WAITS") && line.detail("suitableMinions").equals("-1");
+  }
 }
--- a/hickoryspar-node/src/test/java/org/hickoryspar/node/dispatch/DispatchLoopTest.java
+++ b/hickoryspar-node/src/test/java/org/hickoryspar/node/dispatch/DispatchLoopTest.java
@@ -30,7 +30,7 @@
   private static final Duration TIMEOUT = Duration.ofSeconds(30);
 
   private static final DispatchSettings SETTINGS =
-      new DispatchSettings(4_500, 6_000, 1_000, 300, 1_500, 400, 4_000, 3, 2_900, 120_000, 100);
+      new DispatchSettings(4_500, 6_000, 1_000, 300, 1_500, 400, 4_000, 3, 2_900, 120_000, 100, 0);
 
   private final LinkedBlockingQueue<Long> renewalTokens = new LinkedBlockingQueue<>();
   private final AtomicInteger sessions = new AtomicInteger();
--- a/hickoryspar-node/src/test/java/org/hickoryspar/node/dispatch/MinionRegistryTest.java
+++ b/hickoryspar-node/src/test/java/org/hickoryspar/node/dispatch/MinionRegistryTest.java
@@ -75,7 +75,8 @@
 
   private Dispatcher newDispatcher() {
     return new Dispatcher(
-        new DispatchSettings(4_500, 6_000, 1_000, 300, 1_500, 400, 4_000, 3, 2_900, 120_000, 100),
+        new DispatchSettings(
+            4_500, 6_000, 1_000, 300, 1_500, 400, 4_000, 3, 2_900, 120_000, 100, 0),
         new CatalogState(),
         new WorkflowTable(),
         (kind, subject, details) -> {},
--- a/hickoryspar-node/src/test/java/org/hickoryspar/node/dispatch/WorkflowServiceTest.java
+++ b/hickoryspar-node/src/test/java/org/hickoryspar/node/dispatch/WorkflowServiceTest.java
@@ -37,7 +37,7 @@
   private static final Duration TIMEOUT = Duration.ofSeconds(30);
 
   private static final DispatchSettings SETTINGS =
-      new DispatchSettings(4_500, 6_000, 1_000, 300, 1_500, 400, 4_000, 3, 2_900, 120_000, 100);
+      new DispatchSettings(4_500, 6_000, 1_000, 300, 1_500, 400, 4_000, 3, 2_900, 120_000, 100, 0);
 
   private static final ByteString FIRST_CALL = ByteString.copyFromUtf8("call 1");
   private static final ByteString SECOND_CALL = ByteString.copyFromUtf8("call 2");
@@ -95,6 +95,35 @@
     assertEquals(submit(SECOND_CALL, true), refusal);
   }
 
+  @DataProvider
+  Object[][] coreQuotas() {
+    // A gang of 3 tasks of one core each; one task more than the quota may run.
+    return new Object[][] {
+      {0, WorkflowReply.Outcome.OK},
+      {2_000, WorkflowReply.Outcome.OK},
+      {1_999, WorkflowReply.Outcome.INVALID},
+    };
+  }
+
+  /** Guards against work that waits for ever because its team may never run so much. */
+  @Test(dataProvider = "coreQuotas")
+  public void shouldRefuseWorkflowWhenItCanNeverRunBelowTheQuotaOfItsTeam(
+      long quotaMillicores, WorkflowReply.Outcome expected) {
+    putCatalog(2, "queue", "key", quotaMillicores);
+
+    assertEquals(submit(FIRST_CALL, false), expected);
+  }
+
+  /** Guards against a refusal of a workflow that was accepted before the quota was lowered. */
+  @Test
+  public void shouldAcceptResendOfAnAcceptedWorkflowWhenTheQuotaWasLowered() {
+    assertEquals(submit(FIRST_CALL, false), WorkflowReply.Outcome.OK);
+    putCatalog(2, "queue", "key", 1);
+
+    assertEquals(submit(FIRST_CALL, true), WorkflowReply.Outcome.OK);
+    assertEquals(submit(SECOND_CALL, false), WorkflowReply.Outcome.OK);
+  }
+
   // Repeated until the dispatcher has its first session.
   private WorkflowReply.Outcome submit(ByteString callId, boolean retried) {
     WorkflowCall call =
@@ -120,18 +149,27 @@
     return WorkflowSpec.newBuilder()
         .addSteps(
             WorkflowStep.newBuilder()
-                .setTasks(1)
+                .setTasks(3)
+                .setGang(true)
                 .setEstimatedMillis(1_000)
                 .setDemand(TaskDemand.newBuilder().setCpuMillicores(1_000)))
         .build();
   }
 
   private void putCatalog(long version, String queue, String key) {
+    putCatalog(version, queue, key, 0);
+  }
+
+  private void putCatalog(long version, String queue, String key, long quotaMillicores) {
     Catalog catalog =
         Catalog.newBuilder()
             .setVersion(version)
             .addServices(ServicePolicy.newBuilder().setName("service"))
-            .addTeams(TeamEntitlement.newBuilder().setName("team").addKeys(key))
+            .addTeams(
+                TeamEntitlement.newBuilder()
+                    .setName("team")
+                    .addKeys(key)
+                    .setQuota(TaskDemand.newBuilder().setCpuMillicores(quotaMillicores)))
             .addQueues(
                 Queue.newBuilder()
                     .setName(queue)
--- a/hickoryspar-node/src/test/java/org/hickoryspar/node/explain/TimelineTest.java
+++ b/hickoryspar-node/src/test/java/org/hickoryspar/node/explain/TimelineTest.java
@@ -1,6 +1,7 @@
 package org.hickoryspar.node.explain;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import java.time.Instant;
@@ -44,6 +45,19 @@
     assertTrue(lines.get(2).contains("ended as WORKFLOW_COMPLETED"), lines.get(2));
   }
 
+  /** Guards against an explanation that blames the minions for a wait for the quota of a team. */
+  @Test
+  void shouldExplainThatAGroupWaitsForTheQuotaOfItsTeam() {
+    Timeline timeline = new Timeline("a1");
+    String reason = "team t has 8 of its quota of 8 accelerators in use and demands 1 more";
+    timeline.add(line(1, "GROUP_WAITS", "a1.0.0.0#1", "reason", reason, "suitableMinions", "-1"));
+
+    String sentence = write(timeline).get(0);
+
+    assertTrue(sentence.contains("for the quota of its team: " + reason), sentence);
+    assertFalse(sentence.contains("suitable"), sentence);
+  }
+
   /** Guards against a missing cause: a task is lost because its minion no longer responds. */
   @Test
   void shouldIncludeEventsOfOwnMinionsOnly() {
