Order the starts of an overloaded service by the shares of the teams, and stop fewer groups twice

Cause: nothing measured whether the work of a service fits, so the order was by urgency alone, which knows no team and makes all of a backlog late in turn when it does not fit. Change: kernel.ranking measures work that is due against the room for it (BacklogPressure), begins and ends an overload with hysteresis (Overload), shares by use over weight (TeamShares, FairShareOrder) and bounds the wait of what ranks last (AgeLane). The dispatcher applies it to the steps of an overloaded service only. Interrupted groups cost more as victims; work without a guarantee spares groups that were interrupted twice and runs that are nearly done. Events 5129 to 5131, two gauges, and the order in 5116.

--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/catalog/CatalogView.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/catalog/CatalogView.java
@@ -23,6 +23,8 @@
  */
 public final class CatalogView {
 
+  private static final double DEFAULT_TEAM_WEIGHT = 1;
+
   private static final CatalogView EMPTY = new CatalogView(Catalog.getDefaultInstance());
 
   private final Catalog catalog;
@@ -116,6 +118,19 @@
     return entitlement == null ? 0 : entitlement.getGuaranteedAccelerators();
   }
 
+  /**
+   * Returns the weight of a team, relative to other teams, where its use is compared with theirs.
+   *
+   * @param team name of the team
+   * @return the weight, which is positive; 1 for a team that declares none
+   */
+  public double teamWeight(String team) {
+    TeamEntitlement entitlement = teamsByName.get(requireNonNull(team, "team is null"));
+    return entitlement == null || entitlement.getWeight() <= 0
+        ? DEFAULT_TEAM_WEIGHT
+        : entitlement.getWeight();
+  }
+
   /**
    * Returns whether the minions of a service check their own capacity.
    *
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/ActiveRun.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/ActiveRun.java
@@ -63,6 +63,13 @@
     return number;
   }
 
+  /**
+   * Returns how many earlier runs of the group have ended before it was done, without a failure.
+   */
+  int interruptions() {
+    return number - 1 - group.failures();
+  }
+
   /** Returns the checkpoint that the run resumes from, empty for none. */
   String checkpoint() {
     return checkpoint;
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/DispatchEventKind.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/DispatchEventKind.java
@@ -45,5 +45,11 @@
   /** A minion is known only from an old report or from its runs, and receives no work. */
   MINION_PROVISIONAL,
   /** A provisional minion has reported its current state. */
-  MINION_CONFIRMED
+  MINION_CONFIRMED,
+  /** The work of a service exceeds its room, and the shares of the teams order its starts. */
+  OVERLOAD_ENTERED,
+  /** The work of a service fits into its room again, and urgency orders its starts. */
+  OVERLOAD_LEFT,
+  /** A step that has waited for too long in an overloaded service goes ahead of its turn. */
+  AHEAD_OF_TURN
 }
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Dispatcher.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Dispatcher.java
@@ -65,6 +65,7 @@
   private final CatalogChanges catalogChanges;
   private final AppliedEventHandler appliedEventHandler;
   private final TeamDemand teamDemand;
+  private final Backlogs backlogs;
   private final Planner planner;
   private final Retention retention;
   private boolean planDue = true;
@@ -106,6 +107,7 @@
     this.waitingSteps = new WaitingSteps(catalog, runs, settings.earlyStartMillis());
     this.catalogChanges = new CatalogChanges(catalog, waitingSteps);
     this.teamDemand = new TeamDemand(catalog);
+    this.backlogs = new Backlogs(settings, catalog, minions, runs, runTimeEstimates, listener);
     this.planner =
         new Planner(
             settings,
@@ -114,8 +116,8 @@
             runs,
             failureTracker,
             runTimeEstimates,
-            teamDemand,
-            new WaitReporter(listener),
+            new Ranking(new UrgencyCalculator(settings, runTimeEstimates, teamDemand), backlogs),
+            new WaitReporter(listener, backlogs::describeOrder),
             new RunStarter(runs, waitingSteps, outbox, listener));
     this.retention = new Retention(table, outbox, settings.retentionMillis());
     RunRecovery recovery = new RunRecovery(minions, runs);
@@ -359,6 +361,8 @@
         waitingSteps.steps(),
         runs.runs().size(),
         planner.longestIdleWaitMillis(),
+        backlogs.highestPressurePercent(),
+        backlogs.overloadedServices(),
         nowMillis);
   }
 
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/DispatcherStatus.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/DispatcherStatus.java
@@ -18,6 +18,9 @@
  *     reserved for pending placements
  * @param longestIdleWaitMillis the longest time for which a group has been waiting that could start
  *     on idle capacity against a preference
+ * @param highestPressurePercent the work that waits and runs, as a share of what can be done until
+ *     it is due, in percent; the highest of all services
+ * @param overloadedServices services whose work has exceeded their room and does not fit yet
  */
 public record DispatcherStatus(
     int usableMinions,
@@ -29,13 +32,17 @@
     int runningGroups,
     long accelerators,
     long freeAccelerators,
-    long longestIdleWaitMillis) {
+    long longestIdleWaitMillis,
+    int highestPressurePercent,
+    int overloadedServices) {
 
   static DispatcherStatus of(
       Collection<Minion> minions,
       List<WaitingStep> waitingSteps,
       int runningGroups,
       long longestIdleWaitMillis,
+      int highestPressurePercent,
+      int overloadedServices,
       long nowMillis) {
     int usable = 0;
     int suspect = 0;
@@ -70,6 +77,8 @@
         runningGroups,
         accelerators,
         free,
-        longestIdleWaitMillis);
+        longestIdleWaitMillis,
+        highestPressurePercent,
+        overloadedServices);
   }
 }
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Planner.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Planner.java
@@ -81,7 +81,7 @@
       RunTable runs,
       MinionFailureTracker failureTracker,
       RunTimeEstimates runTimeEstimates,
-      TeamDemand teamDemand,
+      Ranking ranking,
       WaitReporter waitReporter,
       PlanExecutor executor) {
     this.settings = settings;
@@ -90,7 +90,7 @@
     this.runs = runs;
     this.failureTracker = failureTracker;
     this.runTimeEstimates = runTimeEstimates;
-    this.ranking = new Ranking(new UrgencyCalculator(settings, runTimeEstimates, teamDemand));
+    this.ranking = ranking;
     this.preemptionPlanner = new PreemptionPlanner(new PreemptionCost.WorkLost());
     this.waitReporter = waitReporter;
     this.executor = executor;
@@ -103,7 +103,7 @@
     MinionPools pools = new MinionPools(minions.all(), catalog.dataCentresOut(), nowMillis);
     pendingPlacements.startReady(pools, nowMillis, wallMillis);
     PlanningRound round = new PlanningRound(pools, checksIdleCapacity, nowMillis, wallMillis);
-    for (RankedStep step : ranking.rank(waitingSteps, wallMillis)) {
+    for (RankedStep step : ranking.rank(waitingSteps, nowMillis, wallMillis)) {
       round.placeGroups(step);
     }
     reservedGroups.endRound();
@@ -332,7 +332,7 @@
       WaitingStep waitingStep = ranked.waitingStep();
       PreemptionPlanner.Plan plan =
           planPreemption(
-              waitingStep, group, candidates, taskLimit, PreemptionPlanner::isPreemptible);
+              waitingStep, group, candidates, taskLimit, run -> mayStop(run, ranked.urgency()));
       if (plan == null || !isWorthwhile(plan, ranked, group)) {
         return false;
       }
@@ -340,6 +340,14 @@
       return true;
     }
 
+    private boolean mayStop(ActiveRun run, Urgency urgency) {
+      long slackMillis = urgency.latestStartMillis() - wallMillis;
+      return PreemptionPlanner.isPreemptible(run)
+          && (urgency.isGuaranteed()
+              || !PreemptionPlanner.isSpared(
+                  run, remainingTimes.remainingMillis(run), slackMillis, nowMillis));
+    }
+
     private boolean mayPreemptSmallerWork(WaitingStep waitingStep, TaskGroup group) {
       return checksIdleCapacity
           && group.size() > 1
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/PreemptionCost.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/PreemptionCost.java
@@ -21,7 +21,8 @@
 
   /**
    * Measures the cost by the lost work in core-milliseconds. Checkpointed work is not lost, and a
-   * run that is already stopping costs nothing.
+   * run that is already stopping costs nothing. Each earlier interruption of a group adds the same
+   * cost again, so that others are chosen before it.
    */
   final class WorkLost implements PreemptionCost {
 
@@ -37,7 +38,8 @@
       }
       Resources demand = run.members().get(0).demand();
       long lostMillis = run.step().getCheckpointing() ? 0 : run.runningMillis(nowMillis);
-      return coreMillis(demand, run.members().size(), lostMillis + RESTART_MILLIS);
+      return coreMillis(demand, run.members().size(), lostMillis + RESTART_MILLIS)
+          * (1 + run.interruptions());
     }
   }
 }
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/WaitReporter.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/WaitReporter.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.Function;
 import org.hickoryspar.kernel.workflow.TaskGroup;
 
 /** Periodically reports to the listener why groups wait. */
@@ -12,10 +13,17 @@
   private static final long RETENTION_MILLIS = 30_000;
 
   private final DispatchListener listener;
+  private final Function<WaitingStep, String> orderOf;
   private final Map<TaskGroup, Long> lastReportMillis = new HashMap<>();
 
-  WaitReporter(DispatchListener listener) {
+  /**
+   * Creates a reporter.
+   *
+   * @param orderOf describes by what a waiting step is ordered among others
+   */
+  WaitReporter(DispatchListener listener, Function<WaitingStep, String> orderOf) {
     this.listener = listener;
+    this.orderOf = orderOf;
   }
 
   /** Reports that a group waits, unless it has not waited for long or was reported recently. */
@@ -50,7 +58,9 @@
         "idleCapacityMillis",
         cause.idleMillis(),
         "obstacle",
-        cause.obstacle());
+        cause.obstacle(),
+        "order",
+        orderOf.apply(waitingStep));
   }
 
   /** Reports that a group starts on idle capacity against a preference. */
--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/DispatcherHarness.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/DispatcherHarness.java
@@ -1,5 +1,7 @@
 package org.hickoryspar.kernel.dispatch;
 
+import static org.testng.Assert.assertEquals;
+
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -191,6 +193,16 @@
         });
   }
 
+  /** Adds a team of a weight and without a guarantee to the catalog. */
+  void addTeam(String team, double weight) {
+    Catalog.Builder changed = catalog.lastChange().getCatalog().toBuilder();
+    changed
+        .setVersion(changed.getVersion() + 1)
+        .addTeams(TeamEntitlement.newBuilder().setName(team).setWeight(weight));
+    assertEquals(
+        catalog.apply(CatalogChange.newBuilder().setCatalog(changed).build()), Optional.empty());
+  }
+
   Workflow submit(String id, int priority, WorkflowStep.Builder... steps) {
     return submitFor("team", id, priority, steps);
   }
--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/PlannerTest.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/PlannerTest.java
@@ -158,6 +158,68 @@
     assertFalse(harness.countEvents("RUN_PREEMPTED losing") > 0);
   }
 
+  // ------------------------------------------------------------- lost work
+
+  /** Guards against work that is done again although it would have ended in time for the gang. */
+  @Test
+  void shouldNotPreemptWorkThatIsNearlyDone() {
+    DispatcherHarness harness = DispatcherHarness.withMinions(2, "r1");
+    harness.submit("nearly-done", 2, withEstimate(DispatcherHarness.step(1, 8), 8_000));
+    harness.advanceTime(6_500);
+
+    harness.submitFor("other", "urgent", 0, withEstimate(DispatcherHarness.gang(2, 8), 4_000));
+    harness.advanceTime(1_500);
+    harness.endAllTasks("nearly-done", RunEnd.Cause.DONE);
+    harness.advanceTime(300);
+
+    assertEquals(harness.countEvents("RUN_PREEMPTED"), 0);
+    assertEquals(harness.minionsOf("urgent").size(), 2);
+  }
+
+  @DataProvider
+  Object[][] beneficiaries() {
+    // Only "team" has a guarantee. Columns: team, how often the work is preempted.
+    return new Object[][] {{"team", 4}, {"other", 2}};
+  }
+
+  /** Guards against work that is preempted each time that it starts. */
+  @Test(dataProvider = "beneficiaries")
+  void shouldPreemptWorkMoreThanTwiceOnlyForGuaranteedWork(String team, int expected) {
+    DispatcherHarness harness = DispatcherHarness.withMinions(1, "r1");
+    harness.submitFor("other", "low", 2, withEstimate(DispatcherHarness.step(1, 8), 20_000));
+    harness.advanceTime(300);
+
+    for (int i = 0; i < 4; i++) {
+      harness.submitFor(team, "urgent-" + i, 0, withEstimate(DispatcherHarness.step(1, 8), 4_000));
+      harness.advanceTime(4_000);
+      harness.endAllTasks("urgent-" + i, RunEnd.Cause.DONE);
+      harness.advanceTime(500);
+    }
+
+    assertEquals(harness.countEvents("RUN_PREEMPTED low"), expected);
+  }
+
+  /** Guards against one group that is preempted twice while another would release as much. */
+  @Test
+  void shouldPreferVictimsThatWereNotInterrupted() {
+    DispatcherHarness harness = DispatcherHarness.withMinions(2, "r1");
+    for (String id : List.of("first", "second")) {
+      harness.submit(
+          id, 2, withEstimate(DispatcherHarness.step(1, 8).setCheckpointing(true), 20_000));
+    }
+    harness.advanceTime(300);
+
+    for (int i = 0; i < 2; i++) {
+      harness.submitFor("other", "u-" + i, 0, withEstimate(DispatcherHarness.step(1, 8), 4_000));
+      harness.advanceTime(4_000);
+      harness.endAllTasks("u-" + i, RunEnd.Cause.DONE);
+      harness.advanceTime(500);
+    }
+
+    assertEquals(harness.countEvents("RUN_PREEMPTED first"), 1);
+    assertEquals(harness.countEvents("RUN_PREEMPTED second"), 1);
+  }
+
   // ------------------------------------------------------------- bursts
 
   /** Guards against a burst in which all work is late because late work is started first. */
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/DecisionEvent.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/DecisionEvent.java
@@ -29,7 +29,10 @@
   MINION_LEAVING(5118),
   MINION_STAYED(5119),
   MINION_PROVISIONAL(5120),
-  MINION_CONFIRMED(5121);
+  MINION_CONFIRMED(5121),
+  OVERLOAD_ENTERED(5129),
+  OVERLOAD_LEFT(5130),
+  AHEAD_OF_TURN(5131);
 
   private static final Map<DispatchEventKind, DecisionEvent> BY_KIND =
       new EnumMap<>(DispatchEventKind.class);
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/DecisionTelemetry.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/DecisionTelemetry.java
@@ -17,6 +17,7 @@
 public final class DecisionTelemetry implements DispatchListener {
 
   private static final double MILLIS_PER_SECOND = TimeUnit.SECONDS.toMillis(1);
+  private static final double PERCENT = 100;
   private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
 
   private final Counter events;
@@ -27,6 +28,8 @@
   private final Gauge groups;
   private final Gauge accelerators;
   private final Gauge longestIdleWaitSeconds;
+  private final Gauge highestBacklogPressure;
+  private final Gauge overloadedServices;
 
   /**
    * Creates the telemetry of a process and registers its metrics.
@@ -66,6 +69,16 @@
             .name("hickoryspar_dispatch_longest_idle_wait_seconds")
             .help("Longest wait of a group that could start on idle capacity")
             .register(registry);
+    highestBacklogPressure =
+        Gauge.builder()
+            .name("hickoryspar_dispatch_highest_backlog_pressure_ratio")
+            .help("Highest ratio of all services of the work that is due to the room for it")
+            .register(registry);
+    overloadedServices =
+        Gauge.builder()
+            .name("hickoryspar_dispatch_overloaded_services")
+            .help("Services whose work does not fit, so that the shares of teams order it")
+            .register(registry);
   }
 
   private static Histogram histogram(PrometheusRegistry registry, String name, String help) {
@@ -123,5 +136,7 @@
     accelerators.labelValues("free").set((double) status.freeAccelerators());
     accelerators.labelValues("all").set((double) status.accelerators());
     longestIdleWaitSeconds.set(status.longestIdleWaitMillis() / MILLIS_PER_SECOND);
+    highestBacklogPressure.set(status.highestPressurePercent() / PERCENT);
+    overloadedServices.set(status.overloadedServices());
   }
 }
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/explain/EventDescriptions.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/explain/EventDescriptions.java
@@ -31,7 +31,19 @@
         "GROUP_WAITS",
         "has waited for {waitedMillis} ms: {reason}; {tasks} task(s) of {demand}, {suitableMinions}"
             + " suitable minion(s), resources expected in {expectedInMillis} ms; beside idle"
-            + " capacity for {idleCapacityMillis} ms [{obstacle}]");
+            + " capacity for {idleCapacityMillis} ms [{obstacle}]; ordered {order}");
+    TEMPLATES.put(
+        "OVERLOAD_ENTERED",
+        "the work of the service needs {pressurePercent}% of the room until it is due, in"
+            + " {waitingSteps} waiting step(s): from now on the shares of the teams order it");
+    TEMPLATES.put(
+        "OVERLOAD_LEFT",
+        "the work of the service fits again after {lastedMillis} ms: it needs {pressurePercent}% of"
+            + " the room, at most {highestPercent}% meanwhile");
+    TEMPLATES.put(
+        "AHEAD_OF_TURN",
+        "goes ahead of its turn, as the oldest work of team {team} that has waited for more than"
+            + " {maxWaitMillis} ms in an overloaded service");
     TEMPLATES.put(
         "PREFERENCES_DROPPED",
         "starts on capacity that has been idle for {idleCapacityMillis} ms and was avoided until"
