--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Dispatcher.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Dispatcher.java
@@ -67,6 +67,7 @@
   private final CatalogChanges catalogChanges;
   private final AppliedEventHandler appliedEventHandler;
   private final TeamDemand teamDemand;
+  private final Backlogs backlogs;
   private final Planner planner;
   private final QuotaQueries quotaQueries;
   private final Retention retention;
@@ -122,6 +123,7 @@
     this.waitingSteps = new WaitingSteps(catalog, runs, settings.earlyStartMillis());
     this.catalogChanges = new CatalogChanges(catalog, waitingSteps);
     this.teamDemand = new TeamDemand(catalog);
+    this.backlogs = new Backlogs(settings, catalog, minions, runs, runTimeEstimates, listener);
     this.planner =
         new Planner(
             settings,
@@ -130,8 +132,8 @@
             runs,
             failureTracker,
             runTimeEstimates,
-            teamDemand,
-            new WaitReporter(listener),
+            new Ranking(new UrgencyCalculator(settings, runTimeEstimates, teamDemand), backlogs),
+            new WaitReporter(listener, backlogs::describeOrder),
             new RunStarter(runs, waitingSteps, outbox, listener));
     this.quotaQueries = new QuotaQueries(catalog, quotas, minions);
     this.retention = new Retention(table, outbox, settings.retentionMillis());
@@ -376,6 +378,8 @@
         waitingSteps.steps(),
         runs.runs().size(),
         planner.longestIdleWaitMillis(),
+        backlogs.highestPressurePercent(),
+        backlogs.overloadedServices(),
         nowMillis);
   }
 
