--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/replication/ReplicaCore.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/replication/ReplicaCore.java
@@ -2,11 +2,9 @@
 
 import static java.util.Objects.requireNonNull;
 
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.hickoryspar.protocol.AppendResponse;
 import org.hickoryspar.protocol.Membership;
@@ -31,13 +29,16 @@
  */
 public final class ReplicaCore {
 
+  /** Pause between requests for the votes of all voters, which may start at different times. */
+  private static final long START_CAMPAIGN_INTERVAL_MILLIS = 30;
+
   private final ReplicaContext context;
   private final ReplicationReceiver replicationReceiver;
   private final LeaderRequestHandler requestHandler;
   private @Nullable LeaderState leaderState;
-  private boolean campaigning;
-  private boolean preVoting;
-  private final Set<String> grantedVotes = new HashSet<>();
+  private final Campaign campaign;
+  private boolean leaderKnownSinceStart;
+  private long nextStartCampaignNanos;
   private String leaderId = "";
   private long leaderContactNanos;
   private long electionDeadlineNanos;
@@ -71,6 +72,8 @@
             nowNanos);
     replicationReceiver = new ReplicationReceiver(context);
     requestHandler = new LeaderRequestHandler(context);
+    campaign = new Campaign(context);
+    nextStartCampaignNanos = nowNanos;
     // An earlier process may have responded to a leader just before it ended. The leader may still
     // hold a lease that relies on this response, so the end counts as contact with a leader.
     leaderContactNanos = lastContactNanos;
@@ -120,10 +123,12 @@
     } else if (event instanceof ReplicaEvent.Tick) {
       if (leaderState == null && context.nowNanos() - electionDeadlineNanos >= 0) {
         startPreVote();
+      } else if (isStartCampaignDue()) {
+        campaignAtStart();
       }
     } else if (event instanceof ReplicaEvent.Synced synced) {
       context.recordSynced(synced.sequence());
-      if (campaigning && !preVoting) {
+      if (campaign.isVoting()) {
         countVote(context.id());
       }
     } else if (event instanceof ReplicaEvent.SnapshotTaken taken) {
@@ -145,7 +150,7 @@
     boolean granted = message.hasVoteResponse() && message.getVoteResponse().getGranted();
     if (granted && message.getVoteResponse().getPreVote()) {
       // A granted pre-vote carries the term of the election to come, which no replica has entered.
-      if (campaigning && preVoting && message.getTerm() == context.term() + 1) {
+      if (campaign.isPreVoting() && message.getTerm() == context.term() + 1) {
         countVote(from);
       }
       return;
@@ -156,7 +161,7 @@
       rejectStaleTerm(message);
       return;
     }
-    if (granted && campaigning && !preVoting) {
+    if (granted && campaign.isVoting()) {
       countVote(from);
     } else if (message.hasAppendRequest()) {
       followLeader(from);
@@ -165,7 +170,9 @@
       followLeader(from);
       replicationReceiver.onSnapshotChunk(from, message.getSnapshotChunk());
     } else if (message.hasTimeoutNow() && from.equals(leaderId) && context.isVoter()) {
-      startElection(true);
+      resetElectionTimer();
+      leaderId = "";
+      campaign.startTransferVote();
     } else if (leaderState != null && message.hasAppendResponse()) {
       leaderState.onAppendResponse(from, message.getAppendResponse());
     } else if (leaderState != null && message.hasSnapshotChunkResponse()) {
@@ -186,9 +193,15 @@
   // -- elections
 
   private void onVoteRequest(String from, long term, VoteRequest request) {
-    boolean ignored = !request.getTransfer() && hasRecentLeader();
+    boolean mayIgnore =
+        !request.getTransfer() && !(request.getUnanimous() && !leaderKnownSinceStart);
+    boolean ignored = mayIgnore && hasRecentLeader();
     if (request.getPreVote()) {
-      boolean granted = !ignored && term > context.term() && isUpToDate(request);
+      boolean granted =
+          !ignored
+              && term > context.term()
+              && isUpToDate(request)
+              && (!request.getUnanimous() || isAheadOfThis(from, request));
       context.send(
           context
               .message(from)
@@ -237,67 +250,63 @@
             && request.getLastLogIndex() >= context.log().lastIndex());
   }
 
+  // At most one voter is ahead of all others, so that unanimous candidates do not split the votes.
+  private boolean isAheadOfThis(String candidate, VoteRequest request) {
+    boolean sameLog =
+        request.getLastLogTerm() == context.log().lastTerm()
+            && request.getLastLogIndex() == context.log().lastIndex();
+    return !sameLog || candidate.compareTo(context.id()) < 0;
+  }
+
   private void startPreVote() {
     resetElectionTimer();
-    if (!context.isVoter()) {
-      return;
-    }
-    leaderId = "";
-    campaigning = true;
-    preVoting = true;
-    grantedVotes.clear();
-    for (String voter : otherVoters()) {
-      context.send(voteRequest(voter, false).setTerm(context.term() + 1));
+    if (context.isVoter()) {
+      leaderId = "";
+      campaign.startPreVote(false);
+      countVote(context.id());
     }
-    countVote(context.id());
   }
 
-  private void startElection(boolean leadershipTransfer) {
-    resetElectionTimer();
-    leaderId = "";
-    campaigning = true;
-    preVoting = false;
-    grantedVotes.clear();
-    context.setHardState(context.term() + 1, context.id());
-    for (String voter : otherVoters()) {
-      context.sendWhenSynced(voteRequest(voter, leadershipTransfer));
-    }
+  // Right after the start of a process, vote requests are ignored, because an earlier process may
+  // have responded to a leader that still holds a lease. That lease is over once each voter has
+  // voted in a later term: its holder is a voter, and steps down when it votes. So a candidate that
+  // needs the votes of all voters need not wait.
+  private boolean isStartCampaignDue() {
+    return leaderState == null
+        && !leaderKnownSinceStart
+        && context.isVoter()
+        && hasRecentLeader()
+        && context.nowNanos() - nextStartCampaignNanos >= 0;
   }
 
-  private ReplicationMessage.Builder voteRequest(String voter, boolean leadershipTransfer) {
-    return context
-        .message(voter)
-        .setVoteRequest(
-            VoteRequest.newBuilder()
-                .setPreVote(preVoting)
-                .setLastLogIndex(context.log().lastIndex())
-                .setLastLogTerm(context.log().lastTerm())
-                .setTransfer(leadershipTransfer));
+  private void campaignAtStart() {
+    nextStartCampaignNanos =
+        context.nowNanos() + ReplicaOptions.millisToNanos(START_CAMPAIGN_INTERVAL_MILLIS);
+    if (campaign.isActive()) {
+      campaign.requestMissingVotes();
+    } else {
+      campaign.startPreVote(true);
+      countVote(context.id());
+    }
   }
 
   private void countVote(String from) {
-    if (from.equals(context.id()) && !context.isHardStateSynced()) {
-      return;
-    }
-    grantedVotes.add(from);
-    if (!Quorum.isMajority(context.log().membership().getVotersList(), grantedVotes)) {
+    if (!campaign.countVote(from)) {
       return;
     }
-    if (preVoting) {
-      startElection(false);
+    if (campaign.isPreVoting()) {
+      if (!campaign.isUnanimous()) {
+        resetElectionTimer();
+      }
+      campaign.startVote();
     } else {
-      campaigning = false;
+      campaign.end();
+      leaderKnownSinceStart = true;
       leaderId = context.id();
       leaderState = new LeaderState(context);
     }
   }
 
-  private List<String> otherVoters() {
-    return context.log().membership().getVotersList().stream()
-        .filter(v -> !v.equals(context.id()))
-        .toList();
-  }
-
   // -- roles
 
   private void followLeader(String newLeaderId) {
@@ -306,6 +315,7 @@
           "found a second leader, " + newLeaderId + ", in term " + context.term());
     }
     becomeFollower(context.term(), newLeaderId);
+    leaderKnownSinceStart = true;
     leaderContactNanos = context.nowNanos();
     resetElectionTimer();
   }
@@ -317,7 +327,7 @@
       leaderState = null;
       resetElectionTimer();
     }
-    campaigning = false;
+    campaign.end();
     leaderId = newLeaderId;
     if (term > context.term()) {
       context.setHardState(term, "");
@@ -346,7 +356,7 @@
     ReplicaRole role =
         leadership != null
             ? ReplicaRole.LEADER
-            : campaigning
+            : campaign.isActive()
                 ? ReplicaRole.CANDIDATE
                 : context.isVoter() ? ReplicaRole.FOLLOWER : ReplicaRole.LEARNER;
     return new ReplicaView(
--- a/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/Hickoryspar.java
+++ b/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/Hickoryspar.java
@@ -530,292 +530,292 @@
       "napshot_chunk_response\030\017 \001(\0132\".hickorysp" +
       "ar.SnapshotChunkResponseH\000\022.\n\013timeout_no" +
       "w\030\020 \001(\0132\027.hickoryspar.TimeoutNowH\000B\006\n\004ki" +
-      "nd\"`\n\013VoteRequest\022\020\n\010pre_vote\030\001 \001(\010\022\026\n\016l" +
+      "nd\"s\n\013VoteRequest\022\020\n\010pre_vote\030\001 \001(\010\022\026\n\016l" +
       "ast_log_index\030\002 \001(\004\022\025\n\rlast_log_term\030\003 \001" +
-      "(\004\022\020\n\010transfer\030\004 \001(\010\"1\n\014VoteResponse\022\020\n\010" +
-      "pre_vote\030\001 \001(\010\022\017\n\007granted\030\002 \001(\010\"\213\001\n\rAppe" +
-      "ndRequest\022\026\n\016previous_index\030\001 \001(\004\022\025\n\rpre" +
-      "vious_term\030\002 \001(\004\022&\n\007entries\030\003 \003(\0132\025.hick" +
-      "oryspar.LogEntry\022\024\n\014commit_index\030\004 \001(\004\022\r" +
-      "\n\005round\030\005 \001(\004\"^\n\016AppendResponse\022\017\n\007succe" +
-      "ss\030\001 \001(\010\022\023\n\013match_index\030\002 \001(\004\022\027\n\017next_in" +
-      "dex_hint\030\003 \001(\004\022\r\n\005round\030\004 \001(\004\"\275\001\n\rSnapsh" +
-      "otChunk\022\022\n\nlast_index\030\001 \001(\004\022\021\n\tlast_term" +
-      "\030\002 \001(\004\022\024\n\014offset_bytes\030\003 \001(\004\022\023\n\013total_by" +
-      "tes\030\004 \001(\004\022\014\n\004data\030\005 \001(\014\022+\n\nmembership\030\006 " +
-      "\001(\0132\027.hickoryspar.Membership\022\020\n\010checksum" +
-      "\030\007 \001(\r\022\r\n\005round\030\010 \001(\004\"U\n\025SnapshotChunkRe" +
-      "sponse\022\022\n\nlast_index\030\001 \001(\004\022\031\n\021next_offse" +
-      "t_bytes\030\002 \001(\004\022\r\n\005round\030\003 \001(\004\"\014\n\nTimeoutN" +
-      "ow\"\202\001\n\010LogEntry\022\r\n\005index\030\001 \001(\004\022\014\n\004term\030\002" +
-      " \001(\004\022\021\n\007command\030\003 \001(\014H\000\022-\n\nmembership\030\004 " +
-      "\001(\0132\027.hickoryspar.MembershipH\000\022\017\n\005no_op\030" +
-      "\005 \001(\010H\000B\006\n\004kind\".\n\nMembership\022\016\n\006voters\030" +
-      "\001 \003(\t\022\020\n\010learners\030\002 \003(\t\"c\n\nClaimBatch\022\026\n" +
-      "\016entry_instance\030\001 \001(\t\022\031\n\021entry_incarnati" +
-      "on\030\002 \001(\004\022\"\n\006claims\030\003 \003(\0132\022.hickoryspar.C" +
-      "laim\"I\n\005Claim\022\014\n\004team\030\001 \001(\t\022\013\n\003key\030\002 \001(\t" +
-      "\022\023\n\013fingerprint\030\003 \001(\014\022\020\n\010claim_id\030\004 \001(\t\"" +
-      "=\n\020ClaimBatchResult\022)\n\007results\030\001 \003(\0132\030.h" +
-      "ickoryspar.ClaimResult\"\376\001\n\013ClaimResult\022/" +
-      "\n\006status\030\001 \001(\0162\037.hickoryspar.ClaimResult" +
-      ".Status\022%\n\007outcome\030\002 \001(\0132\024.hickoryspar.O" +
-      "utcome\022\027\n\017holder_instance\030\003 \001(\t\"~\n\006Statu" +
-      "s\022\026\n\022STATUS_UNSPECIFIED\020\000\022\013\n\007GRANTED\020\001\022\017" +
-      "\n\013IN_PROGRESS\020\002\022\r\n\tCOMPLETED\020\003\022\030\n\024FINGER" +
-      "PRINT_MISMATCH\020\004\022\013\n\007EXPIRED\020\005\022\010\n\004FULL\020\006\"" +
-      "\332\001\n\007Outcome\022\'\n\004kind\030\001 \001(\0162\031.hickoryspar." +
-      "Outcome.Kind\022\023\n\013http_status\030\002 \001(\005\022\014\n\004bod" +
-      "y\030\003 \001(\014\022\024\n\014content_type\030\004 \001(\t\022\024\n\014body_dr" +
-      "opped\030\005 \001(\010\"W\n\004Kind\022\024\n\020KIND_UNSPECIFIED\020" +
-      "\000\022\014\n\010ANSWERED\020\001\022\021\n\rMINION_FAILED\020\002\022\013\n\007NO" +
-      "T_RUN\020\003\022\013\n\007UNKNOWN\020\004\"n\n\014OutcomeBatch\022\026\n\016" +
-      "entry_instance\030\001 \001(\t\022\031\n\021entry_incarnatio" +
-      "n\030\002 \001(\004\022+\n\007records\030\003 \003(\0132\032.hickoryspar.O" +
-      "utcomeRecord\"Q\n\rOutcomeRecord\022\014\n\004team\030\001 " +
-      "\001(\t\022\013\n\003key\030\002 \001(\t\022%\n\007outcome\030\003 \001(\0132\024.hick" +
-      "oryspar.Outcome\"\024\n\022OutcomeBatchResult\"T\n" +
-      "\020SlotLeaseRequest\022\026\n\016entry_instance\030\001 \001(" +
-      "\t\022(\n\007demands\030\002 \003(\0132\027.hickoryspar.SlotDem" +
-      "and\"+\n\nSlotDemand\022\016\n\006minion\030\001 \001(\t\022\r\n\005slo" +
-      "ts\030\002 \001(\r\"O\n\016SlotLeaseGrant\022\024\n\014lease_mill" +
-      "is\030\001 \001(\r\022\'\n\006grants\030\002 \003(\0132\027.hickoryspar.S" +
-      "lotDemand\"\304\001\n\010Endpoint\022\017\n\007service\030\001 \001(\t\022" +
-      "\021\n\tminion_id\030\002 \001(\t\022\017\n\007address\030\003 \001(\t\022\023\n\013d" +
-      "ata_centre\030\004 \001(\t\022\023\n\013incarnation\030\005 \001(\004\022\020\n" +
-      "\010sequence\030\006 \001(\004\022\017\n\007leaving\030\007 \001(\010\022\r\n\005slot" +
-      "s\030\010 \001(\r\022\023\n\013connections\030\t \001(\r\022\022\n\nttl_mill" +
-      "is\030\n \001(\r\":\n\016EndpointSpread\022(\n\tendpoints\030" +
-      "\001 \003(\0132\025.hickoryspar.Endpoint\"@\n\016Endpoint" +
-      "Digest\022.\n\010versions\030\001 \003(\0132\034.hickoryspar.E" +
-      "ndpointVersion\"\\\n\017EndpointVersion\022\021\n\tmin" +
-      "ion_id\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\004\022\020\n\010seq" +
-      "uence\030\003 \001(\004\022\017\n\007leaving\030\004 \001(\010\"?\n\013ConfigWa" +
-      "tch\022\026\n\016entry_instance\030\001 \001(\t\022\030\n\020version_i" +
-      "n_force\030\002 \001(\004\"z\n\014ConfigUpdate\022\017\n\007version" +
-      "\030\001 \001(\004\022\024\n\014lease_millis\030\002 \001(\r\022\032\n\022full_doc" +
-      "ument_json\030\003 \001(\014\022\'\n\006deltas\030\004 \003(\0132\027.hicko" +
-      "ryspar.FleetDelta\"7\n\nFleetDelta\022\017\n\007versi" +
-      "on\030\001 \001(\004\022\030\n\020merge_patch_json\030\002 \001(\014\"\203\003\n\014O" +
-      "peratorCall\022,\n\004kind\030\001 \001(\0162\036.hickoryspar." +
-      "OperatorCall.Kind\022\r\n\005owner\030\002 \001(\t\022\021\n\tchan" +
-      "ge_id\030\003 \001(\t\022\024\n\014base_version\030\004 \001(\004\022\021\n\tbod" +
-      "y_json\030\005 \001(\014\"\371\001\n\004Kind\022\024\n\020KIND_UNSPECIFIE" +
-      "D\020\000\022\r\n\tFLEET_GET\020\001\022\017\n\013FLEET_CHECK\020\002\022\017\n\013F" +
-      "LEET_APPLY\020\003\022\021\n\rFLEET_HISTORY\020\004\022\021\n\rEXCEP" +
-      "TION_ADD\020\005\022\021\n\rEXCEPTION_END\020\006\022\023\n\017DATA_CE" +
-      "NTRE_OUT\020\007\022\022\n\016DATA_CENTRE_IN\020\010\022\n\n\006STATUS" +
-      "\020\t\022\017\n\013REPLICA_ADD\020\n\022\022\n\016REPLICA_REMOVE\020\013\022" +
-      "\027\n\023TRANSFER_LEADERSHIP\020\014\"8\n\016OperatorResu" +
-      "lt\022\023\n\013http_status\030\001 \001(\005\022\021\n\tbody_json\030\002 \001" +
-      "(\014\"\310\001\n\007JobCall\022\'\n\004kind\030\001 \001(\0162\031.hickorysp" +
-      "ar.JobCall.Kind\022\014\n\004team\030\002 \001(\t\022\027\n\017idempot" +
-      "ency_key\030\003 \001(\t\022\016\n\006job_id\030\004 \001(\t\022\021\n\tbody_j" +
-      "son\030\005 \001(\014\"J\n\004Kind\022\024\n\020KIND_UNSPECIFIED\020\000\022" +
-      "\n\n\006SUBMIT\020\001\022\n\n\006STATUS\020\002\022\n\n\006CANCEL\020\003\022\010\n\004L" +
-      "IST\020\004\"3\n\tJobResult\022\023\n\013http_status\030\001 \001(\005\022" +
-      "\021\n\tbody_json\030\002 \001(\014\"\365\004\n\007Command\022\023\n\013time_m" +
-      "illis\030\001 \001(\004\0220\n\014fleet_change\030\n \001(\0132\030.hick" +
-      "oryspar.FleetChangeH\000\022)\n\006claims\030\013 \001(\0132\027." +
-      "hickoryspar.ClaimBatchH\000\022-\n\010outcomes\030\014 \001" +
-      "(\0132\031.hickoryspar.OutcomeBatchH\000\022,\n\nsubmi" +
-      "t_job\030\r \001(\0132\026.hickoryspar.SubmitJobH\000\022,\n" +
-      "\ncancel_job\030\016 \001(\0132\026.hickoryspar.CancelJo" +
-      "bH\000\0224\n\016gang_placement\030\017 \001(\0132\032.hickoryspa" +
-      "r.GangPlacementH\000\022*\n\tgang_step\030\020 \001(\0132\025.h" +
-      "ickoryspar.GangStepH\000\0221\n\tinventory\030\021 \001(\013" +
-      "2\034.hickoryspar.InventoryUpdateH\000\022,\n\nentr" +
-      "y_lost\030\022 \001(\0132\026.hickoryspar.EntryLostH\000\0224" +
-      "\n\016catalog_change\030\023 \001(\0132\032.hickoryspar.Cat" +
-      "alogChangeH\000\022;\n\022data_centre_switch\030\024 \001(\013" +
-      "2\035.hickoryspar.DataCentreSwitchH\000\022/\n\twor" +
-      "kflows\030\025 \001(\0132\032.hickoryspar.WorkflowBatch" +
-      "H\000B\006\n\004kind\"\200\001\n\013FleetChange\022\021\n\tchange_id\030" +
-      "\001 \001(\t\022\r\n\005owner\030\002 \001(\t\022\016\n\006reason\030\003 \001(\t\022\024\n\014" +
-      "base_version\030\004 \001(\004\022\030\n\020merge_patch_json\030\005" +
-      " \001(\014\022\017\n\007summary\030\006 \001(\t\"\275\001\n\007JobSpec\022\014\n\004nam" +
-      "e\030\001 \001(\t\022\014\n\004team\030\002 \001(\t\022\014\n\004kind\030\003 \001(\t\022\r\n\005t" +
-      "asks\030\004 \001(\r\022$\n\010per_task\030\005 \001(\0132\022.hickorysp" +
-      "ar.Shape\022\021\n\tadjacency\030\006 \001(\t\022\016\n\006urgent\030\007 " +
-      "\001(\010\022\033\n\023declared_run_millis\030\010 \001(\004\022\023\n\013pree" +
-      "mptible\030\t \001(\010\"F\n\005Shape\022\r\n\005cores\030\001 \001(\r\022\030\n" +
-      "\020memory_megabytes\030\002 \001(\r\022\024\n\014accelerators\030" +
-      "\003 \001(\r\"X\n\tSubmitJob\022\016\n\006job_id\030\001 \001(\t\022\027\n\017id" +
-      "empotency_key\030\002 \001(\t\022\"\n\004spec\030\003 \001(\0132\024.hick" +
-      "oryspar.JobSpec\")\n\tCancelJob\022\016\n\006job_id\030\001" +
-      " \001(\t\022\014\n\004team\030\002 \001(\t\"?\n\rTaskPlacement\022\014\n\004t" +
-      "ask\030\001 \001(\r\022\016\n\006worker\030\002 \001(\t\022\020\n\010lease_id\030\003 " +
-      "\001(\t\"x\n\rGangPlacement\022\016\n\006job_id\030\001 \001(\t\022\017\n\007" +
-      "attempt\030\002 \001(\r\022.\n\nplacements\030\003 \003(\0132\032.hick" +
-      "oryspar.TaskPlacement\022\026\n\016preempted_jobs\030" +
-      "\004 \003(\t\"\250\002\n\010GangStep\022\016\n\006job_id\030\001 \001(\t\022\017\n\007at" +
-      "tempt\030\002 \001(\r\022*\n\005phase\030\003 \001(\0162\033.hickoryspar" +
-      ".GangStep.Phase\022\016\n\006result\030\004 \001(\t\022\016\n\006detai" +
-      "l\030\005 \001(\t\022)\n\004then\030\006 \001(\0162\033.hickoryspar.Gang" +
-      "Step.Phase\022\026\n\016faulty_workers\030\007 \003(\t\"l\n\005Ph" +
-      "ase\022\025\n\021PHASE_UNSPECIFIED\020\000\022\n\n\006QUEUED\020\001\022\r" +
-      "\n\tPREPARING\020\002\022\014\n\010STARTING\020\003\022\013\n\007RUNNING\020\004" +
-      "\022\013\n\007UNDOING\020\005\022\t\n\005ENDED\020\006\"q\n\nWorkerInfo\022\n" +
-      "\n\002id\030\001 \001(\t\022\014\n\004rack\030\002 \001(\t\022\023\n\013data_centre\030" +
-      "\003 \001(\t\022$\n\010capacity\030\004 \001(\0132\022.hickoryspar.Sh" +
-      "ape\022\016\n\006silent\030\005 \001(\010\"L\n\017InventoryUpdate\022(" +
-      "\n\007upserts\030\001 \003(\0132\027.hickoryspar.WorkerInfo" +
-      "\022\017\n\007removed\030\002 \003(\t\">\n\tEntryLost\022\026\n\016entry_" +
-      "instance\030\001 \001(\t\022\031\n\021entry_incarnation\030\002 \001(" +
-      "\004\"\213\004\n\017ControlSnapshot\022\023\n\013time_millis\030\001 \001" +
-      "(\004\022\025\n\rfleet_version\030\002 \001(\004\022\033\n\023fleet_docum" +
-      "ent_json\030\003 \001(\014\022/\n\007history\030\004 \003(\0132\036.hickor" +
-      "yspar.FleetHistoryEntry\022(\n\006claims\030\005 \003(\0132" +
-      "\030.hickoryspar.ClaimRecord\022$\n\004jobs\030\006 \003(\0132" +
-      "\026.hickoryspar.JobRecord\022(\n\007workers\030\007 \003(\013" +
-      "2\027.hickoryspar.WorkerInfo\022*\n\007changes\030\010 \003" +
-      "(\0132\031.hickoryspar.ChangeRecord\022,\n\014lost_en" +
-      "tries\030\t \003(\0132\026.hickoryspar.EntryLost\022+\n\007c" +
-      "atalog\030\n \001(\0132\032.hickoryspar.CatalogChange" +
-      "\022\030\n\020data_centres_out\030\013 \003(\t\022.\n\tworkflows\030" +
-      "\014 \003(\0132\033.hickoryspar.WorkflowRecord\0223\n\014da" +
-      "ta_centres\030\r \003(\0132\035.hickoryspar.DataCentr" +
-      "eRecord\"c\n\021FleetHistoryEntry\022\017\n\007version\030" +
-      "\001 \001(\004\022(\n\006change\030\002 \001(\0132\030.hickoryspar.Flee" +
-      "tChange\022\023\n\013time_millis\030\003 \001(\004\"\276\001\n\013ClaimRe" +
-      "cord\022\014\n\004team\030\001 \001(\t\022\013\n\003key\030\002 \001(\t\022\023\n\013finge" +
-      "rprint\030\003 \001(\014\022\026\n\016entry_instance\030\004 \001(\t\022\031\n\021" +
-      "entry_incarnation\030\005 \001(\004\022\023\n\013time_millis\030\006" +
-      " \001(\004\022%\n\007outcome\030\007 \001(\0132\024.hickoryspar.Outc" +
-      "ome\022\020\n\010claim_id\030\010 \001(\t\"2\n\014ChangeRecord\022\021\n" +
-      "\tchange_id\030\001 \001(\t\022\017\n\007version\030\002 \001(\004\"\370\002\n\tJo" +
-      "bRecord\022\016\n\006job_id\030\001 \001(\t\022\027\n\017idempotency_k" +
-      "ey\030\002 \001(\t\022\"\n\004spec\030\003 \001(\0132\024.hickoryspar.Job" +
-      "Spec\022\030\n\020submitted_millis\030\004 \001(\004\022*\n\005phase\030" +
-      "\005 \001(\0162\033.hickoryspar.GangStep.Phase\022\017\n\007at" +
-      "tempt\030\006 \001(\r\022.\n\nplacements\030\007 \003(\0132\032.hickor" +
-      "yspar.TaskPlacement\022\016\n\006result\030\010 \001(\t\022\016\n\006d" +
-      "etail\030\t \001(\t\022\032\n\022phase_since_millis\030\n \001(\004\022" +
-      ")\n\004then\030\013 \001(\0162\033.hickoryspar.GangStep.Pha" +
-      "se\022\030\n\020cancel_requested\030\014 \001(\010\022\026\n\016faulty_w" +
-      "orkers\030\r \003(\t\"T\n\020ControlDirectory\022\031\n\021cont" +
-      "rol_addresses\030\001 \003(\t\022\027\n\017leader_instance\030\002" +
-      " \001(\t\022\014\n\004term\030\003 \001(\004\"\231\001\n\007Catalog\022\017\n\007versio" +
-      "n\030\001 \001(\004\022\"\n\006queues\030\002 \003(\0132\022.hickoryspar.Qu" +
-      "eue\022,\n\010services\030\003 \003(\0132\032.hickoryspar.Serv" +
-      "icePolicy\022+\n\005teams\030\004 \003(\0132\034.hickoryspar.T" +
-      "eamEntitlement\"\365\001\n\005Queue\022\014\n\004name\030\001 \001(\t\022\014" +
-      "\n\004host\030\002 \001(\t\022\023\n\013path_prefix\030\003 \001(\t\022\017\n\007ser" +
-      "vice\030\004 \001(\t\022\020\n\010priority\030\005 \001(\r\022\024\n\014max_atte" +
-      "mpts\030\006 \001(\r\022\017\n\007stretch\030\007 \001(\001\022 \n\030target_co" +
-      "mpletion_millis\030\010 \001(\004\022\014\n\004open\030\t \001(\010\022\026\n\016t" +
-      "imeout_millis\030\n \001(\004\022)\n\006advice\030\013 \001(\0132\031.hi" +
-      "ckoryspar.AdvicePolicy\"[\n\014AdvicePolicy\022\027" +
-      "\n\017decision_millis\030\001 \001(\004\022\031\n\021per_minion_mi" +
-      "llis\030\002 \001(\004\022\027\n\017validity_millis\030\003 \001(\004\"\\\n\rS" +
-      "ervicePolicy\022\014\n\004name\030\001 \001(\t\022\027\n\017admission_" +
-      "check\030\002 \001(\010\022\017\n\007standby\030\003 \001(\010\022\023\n\013health_p" +
-      "ath\030\004 \001(\t\"\206\001\n\017TeamEntitlement\022\014\n\004name\030\001 " +
-      "\001(\t\022\014\n\004keys\030\002 \003(\t\022\037\n\027guaranteed_accelera" +
-      "tors\030\003 \001(\r\022\016\n\006weight\030\004 \001(\001\022&\n\005quota\030\005 \001(" +
-      "\0132\027.hickoryspar.TaskDemand\"H\n\rCatalogCha" +
-      "nge\022%\n\007catalog\030\001 \001(\0132\024.hickoryspar.Catal" +
-      "og\022\020\n\010document\030\002 \001(\014\"j\n\020DataCentreSwitch" +
-      "\022\023\n\013data_centre\030\001 \001(\t\022\013\n\003out\030\002 \001(\010\022\036\n\021ex" +
-      "pected_revision\030\003 \001(\004H\000\210\001\001B\024\n\022_expected_" +
-      "revision\"F\n\020DataCentreRecord\022\023\n\013data_cen" +
-      "tre\030\001 \001(\t\022\013\n\003out\030\002 \001(\010\022\020\n\010revision\030\003 \001(\004" +
-      "\"\301\001\n\013CatalogCall\022)\n\003put\030\001 \001(\0132\032.hickorys" +
-      "par.CatalogChangeH\000\022+\n\003get\030\002 \001(\0132\034.hicko" +
-      "ryspar.AcknowledgementH\000\0224\n\013data_centre\030" +
-      "\003 \001(\0132\035.hickoryspar.DataCentreSwitchH\000\022\034" +
-      "\n\022data_centre_record\030\004 \001(\tH\000B\006\n\004kind\"e\n\014" +
-      "CatalogReply\022\017\n\007version\030\001 \001(\004\022\020\n\010documen" +
-      "t\030\002 \001(\014\0222\n\013data_centre\030\003 \001(\0132\035.hickorysp" +
-      "ar.DataCentreRecord\"T\n\nTaskDemand\022\026\n\016cpu" +
-      "_millicores\030\001 \001(\004\022\030\n\020memory_megabytes\030\002 " +
-      "\001(\004\022\024\n\014accelerators\030\003 \001(\r\"\367\002\n\014WorkflowSt" +
-      "ep\022\r\n\005tasks\030\001 \001(\r\022\'\n\006demand\030\002 \001(\0132\027.hick" +
-      "oryspar.TaskDemand\022\030\n\020estimated_millis\030\003" +
-      " \001(\004\022\022\n\ndepends_on\030\004 \003(\r\022\025\n\rcheckpointin" +
-      "g\030\005 \001(\010\022\014\n\004gang\030\006 \001(\010\022\021\n\tsame_rack\030\007 \001(\010" +
-      "\022\026\n\016required_label\030\010 \001(\t\022\021\n\tdata_rack\030\t " +
-      "\001(\t\022\034\n\024max_tasks_per_minion\030\n \001(\r\022\023\n\013spe" +
-      "culative\030\013 \001(\010\022\024\n\014long_running\030\014 \001(\010\022\r\n\005" +
-      "image\030\r \001(\t\022\036\n\026response_target_millis\030\016 " +
-      "\001(\004\022\r\n\005fills\030\017 \001(\010\022\027\n\017max_unavailable\030\020 " +
-      "\001(\r\"\221\001\n\014WorkflowSpec\022\017\n\007payload\030\001 \001(\t\022(\n" +
-      "\005steps\030\002 \003(\0132\031.hickoryspar.WorkflowStep\022" +
-      "\023\n\013occurrences\030\003 \001(\r\022\030\n\020first_due_millis" +
-      "\030\004 \001(\022\022\027\n\017interval_millis\030\005 \001(\004\"\321\001\n\014Work" +
-      "flowCall\022\014\n\004host\030\001 \001(\t\022\014\n\004path\030\002 \001(\t\022\020\n\010" +
-      "team_key\030\003 \001(\t\022+\n\006submit\030\n \001(\0132\031.hickory" +
-      "spar.WorkflowSpecH\000\022.\n\006status\030\013 \001(\0132\034.hi" +
-      "ckoryspar.AcknowledgementH\000\022.\n\006cancel\030\014 " +
-      "\001(\0132\034.hickoryspar.AcknowledgementH\000B\006\n\004k" +
-      "ind\"\311\002\n\rWorkflowReply\0223\n\007outcome\030\001 \001(\0162\"" +
-      ".hickoryspar.WorkflowReply.Outcome\022)\n\005st" +
-      "ate\030\002 \001(\0162\032.hickoryspar.WorkflowState\022\017\n" +
-      "\007pending\030\003 \001(\004\022\032\n\022retry_after_millis\030\004 \001" +
-      "(\004\022\016\n\006reason\030\005 \001(\t\022\026\n\016counts_pending\030\006 \001" +
-      "(\010\"\202\001\n\007Outcome\022\027\n\023OUTCOME_UNSPECIFIED\020\000\022" +
-      "\006\n\002OK\020\001\022\013\n\007REFUSED\020\002\022\014\n\010NO_QUEUE\020\003\022\020\n\014UN" +
-      "AUTHORISED\020\004\022\017\n\013NO_WORKFLOW\020\005\022\013\n\007INVALID" +
-      "\020\006\022\013\n\007UNKNOWN\020\007\"T\n\rWorkflowBatch\022*\n\006even" +
-      "ts\030\001 \003(\0132\032.hickoryspar.WorkflowEvent\022\027\n\017" +
-      "dispatch_number\030\002 \001(\004\"\370\001\n\rWorkflowEvent\022" +
-      "-\n\006submit\030\001 \001(\0132\033.hickoryspar.SubmitWork" +
-      "flowH\000\022-\n\006cancel\030\002 \001(\0132\033.hickoryspar.Can" +
-      "celWorkflowH\000\022*\n\trun_start\030\003 \001(\0132\025.hicko" +
-      "ryspar.RunStartH\000\022&\n\007run_end\030\004 \001(\0132\023.hic" +
-      "koryspar.RunEndH\000\022-\n\006forget\030\005 \001(\0132\033.hick" +
-      "oryspar.ForgetWorkflowH\000B\006\n\004kind\"\220\001\n\016Sub" +
-      "mitWorkflow\022\023\n\013workflow_id\030\001 \001(\t\022\014\n\004team" +
-      "\030\002 \001(\t\022!\n\005queue\030\003 \001(\0132\022.hickoryspar.Queu" +
-      "e\022\'\n\004spec\030\004 \001(\0132\031.hickoryspar.WorkflowSp" +
-      "ec\022\017\n\007call_id\030\005 \001(\014\"%\n\016CancelWorkflow\022\023\n" +
-      "\013workflow_id\030\001 \001(\t\"%\n\016ForgetWorkflow\022\023\n\013" +
-      "workflow_id\030\001 \001(\t\"4\n\nMinionLife\022\021\n\tminio" +
-      "n_id\030\001 \001(\t\022\023\n\013born_millis\030\002 \001(\004\"\214\001\n\010RunS" +
-      "tart\022\023\n\013workflow_id\030\001 \001(\t\022\022\n\noccurrence\030" +
-      "\002 \001(\r\022\014\n\004step\030\003 \001(\r\022\022\n\nfirst_task\030\004 \001(\r\022" +
-      "\013\n\003run\030\005 \001(\r\022(\n\007minions\030\006 \003(\0132\027.hickorys" +
-      "par.MinionLife\"\245\002\n\006RunEnd\022\023\n\013workflow_id" +
-      "\030\001 \001(\t\022\022\n\noccurrence\030\002 \001(\r\022\014\n\004step\030\003 \001(\r" +
-      "\022\014\n\004task\030\004 \001(\r\022\013\n\003run\030\005 \001(\r\022(\n\005cause\030\006 \001" +
-      "(\0162\031.hickoryspar.RunEnd.Cause\022\022\n\ncheckpo" +
-      "int\030\007 \001(\t\"\212\001\n\005Cause\022\025\n\021CAUSE_UNSPECIFIED" +
-      "\020\000\022\010\n\004DONE\020\001\022\017\n\013TASK_FAILED\020\002\022\013\n\007STOPPED" +
-      "\020\003\022\020\n\014LEASE_LAPSED\020\004\022\020\n\014GROUP_BROKEN\020\005\022\024" +
-      "\n\020GROUP_INCOMPLETE\020\006\022\010\n\004LOST\020\007\"\347\001\n\016Workf" +
-      "lowRecord\022/\n\nsubmission\030\001 \001(\0132\033.hickorys" +
-      "par.SubmitWorkflow\022\027\n\017accepted_millis\030\002 " +
-      "\001(\004\022\024\n\014ended_millis\030\003 \001(\004\022\021\n\tcancelled\030\004" +
-      " \001(\010\022\017\n\007started\030\005 \001(\010\0222\n\013occurrences\030\006 \003" +
-      "(\0132\035.hickoryspar.OccurrenceRecord\022\035\n\025com" +
-      "pleted_occurrences\030\007 \003(\r\"N\n\020OccurrenceRe" +
-      "cord\022\022\n\noccurrence\030\001 \001(\r\022&\n\005steps\030\002 \003(\0132" +
-      "\027.hickoryspar.StepRecord\"6\n\nStepRecord\022(" +
-      "\n\006groups\030\001 \003(\0132\030.hickoryspar.GroupRecord" +
-      "\"{\n\013GroupRecord\022\020\n\010last_run\030\001 \001(\r\022\020\n\010fai" +
-      "lures\030\002 \001(\r\022\014\n\004done\030\003 \001(\010\022\022\n\ncheckpoint\030" +
-      "\004 \001(\t\022&\n\006active\030\005 \003(\0132\026.hickoryspar.RunR" +
-      "ecord\"k\n\tRunRecord\022\013\n\003run\030\001 \001(\r\022(\n\007minio" +
-      "ns\030\002 \003(\0132\027.hickoryspar.MinionLife\022\'\n\004end" +
-      "s\030\003 \003(\0162\031.hickoryspar.RunEnd.Cause\"\365\002\n\014M" +
-      "inionReport\022%\n\004life\030\001 \001(\0132\027.hickoryspar." +
-      "MinionLife\022\020\n\010sequence\030\002 \001(\004\022\017\n\007service\030" +
-      "\003 \001(\t\022\017\n\007address\030\004 \001(\t\022\023\n\013data_centre\030\005 " +
-      "\001(\t\022\020\n\010draining\030\006 \001(\010\022\017\n\007leaving\030\007 \001(\010\022)" +
-      "\n\010capacity\030\010 \001(\0132\027.hickoryspar.TaskDeman" +
-      "d\022\016\n\006labels\030\t \003(\t\022\035\n\025cold_remaining_mill" +
-      "is\030\n \001(\004\022\036\n\026drain_remaining_millis\030\013 \001(\004" +
-      "\022\024\n\014clock_millis\030\014 \001(\004\022\022\n\nage_millis\030\r \001" +
-      "(\004\022\017\n\007machine\030\016 \001(\t\022\017\n\007version\030\017 \001(\t\022\014\n\004" +
-      "rack\030\020 \001(\t\"N\n\rMinionReports\022*\n\007reports\030\001" +
-      " \003(\0132\031.hickoryspar.MinionReport\022\021\n\tconfi" +
-      "rmed\030\002 \003(\006\"%\n\022MinionReportsReply\022\017\n\007miss" +
-      "ing\030\001 \003(\006*\237\001\n\rWorkflowState\022\036\n\032WORKFLOW_" +
-      "STATE_UNSPECIFIED\020\000\022\023\n\017WORKFLOW_QUEUED\020\001" +
-      "\022\024\n\020WORKFLOW_RUNNING\020\002\022\026\n\022WORKFLOW_COMPL" +
-      "ETED\020\003\022\023\n\017WORKFLOW_FAILED\020\004\022\026\n\022WORKFLOW_" +
-      "CANCELLED\020\005B\034\n\030org.hickoryspar.protocolP" +
-      "\001b\006proto3"
+      "(\004\022\020\n\010transfer\030\004 \001(\010\022\021\n\tunanimous\030\005 \001(\010\"" +
+      "1\n\014VoteResponse\022\020\n\010pre_vote\030\001 \001(\010\022\017\n\007gra" +
+      "nted\030\002 \001(\010\"\213\001\n\rAppendRequest\022\026\n\016previous" +
+      "_index\030\001 \001(\004\022\025\n\rprevious_term\030\002 \001(\004\022&\n\007e" +
+      "ntries\030\003 \003(\0132\025.hickoryspar.LogEntry\022\024\n\014c" +
+      "ommit_index\030\004 \001(\004\022\r\n\005round\030\005 \001(\004\"^\n\016Appe" +
+      "ndResponse\022\017\n\007success\030\001 \001(\010\022\023\n\013match_ind" +
+      "ex\030\002 \001(\004\022\027\n\017next_index_hint\030\003 \001(\004\022\r\n\005rou" +
+      "nd\030\004 \001(\004\"\275\001\n\rSnapshotChunk\022\022\n\nlast_index" +
+      "\030\001 \001(\004\022\021\n\tlast_term\030\002 \001(\004\022\024\n\014offset_byte" +
+      "s\030\003 \001(\004\022\023\n\013total_bytes\030\004 \001(\004\022\014\n\004data\030\005 \001" +
+      "(\014\022+\n\nmembership\030\006 \001(\0132\027.hickoryspar.Mem" +
+      "bership\022\020\n\010checksum\030\007 \001(\r\022\r\n\005round\030\010 \001(\004" +
+      "\"U\n\025SnapshotChunkResponse\022\022\n\nlast_index\030" +
+      "\001 \001(\004\022\031\n\021next_offset_bytes\030\002 \001(\004\022\r\n\005roun" +
+      "d\030\003 \001(\004\"\014\n\nTimeoutNow\"\202\001\n\010LogEntry\022\r\n\005in" +
+      "dex\030\001 \001(\004\022\014\n\004term\030\002 \001(\004\022\021\n\007command\030\003 \001(\014" +
+      "H\000\022-\n\nmembership\030\004 \001(\0132\027.hickoryspar.Mem" +
+      "bershipH\000\022\017\n\005no_op\030\005 \001(\010H\000B\006\n\004kind\".\n\nMe" +
+      "mbership\022\016\n\006voters\030\001 \003(\t\022\020\n\010learners\030\002 \003" +
+      "(\t\"c\n\nClaimBatch\022\026\n\016entry_instance\030\001 \001(\t" +
+      "\022\031\n\021entry_incarnation\030\002 \001(\004\022\"\n\006claims\030\003 " +
+      "\003(\0132\022.hickoryspar.Claim\"I\n\005Claim\022\014\n\004team" +
+      "\030\001 \001(\t\022\013\n\003key\030\002 \001(\t\022\023\n\013fingerprint\030\003 \001(\014" +
+      "\022\020\n\010claim_id\030\004 \001(\t\"=\n\020ClaimBatchResult\022)" +
+      "\n\007results\030\001 \003(\0132\030.hickoryspar.ClaimResul" +
+      "t\"\376\001\n\013ClaimResult\022/\n\006status\030\001 \001(\0162\037.hick" +
+      "oryspar.ClaimResult.Status\022%\n\007outcome\030\002 " +
+      "\001(\0132\024.hickoryspar.Outcome\022\027\n\017holder_inst" +
+      "ance\030\003 \001(\t\"~\n\006Status\022\026\n\022STATUS_UNSPECIFI" +
+      "ED\020\000\022\013\n\007GRANTED\020\001\022\017\n\013IN_PROGRESS\020\002\022\r\n\tCO" +
+      "MPLETED\020\003\022\030\n\024FINGERPRINT_MISMATCH\020\004\022\013\n\007E" +
+      "XPIRED\020\005\022\010\n\004FULL\020\006\"\332\001\n\007Outcome\022\'\n\004kind\030\001" +
+      " \001(\0162\031.hickoryspar.Outcome.Kind\022\023\n\013http_" +
+      "status\030\002 \001(\005\022\014\n\004body\030\003 \001(\014\022\024\n\014content_ty" +
+      "pe\030\004 \001(\t\022\024\n\014body_dropped\030\005 \001(\010\"W\n\004Kind\022\024" +
+      "\n\020KIND_UNSPECIFIED\020\000\022\014\n\010ANSWERED\020\001\022\021\n\rMI" +
+      "NION_FAILED\020\002\022\013\n\007NOT_RUN\020\003\022\013\n\007UNKNOWN\020\004\"" +
+      "n\n\014OutcomeBatch\022\026\n\016entry_instance\030\001 \001(\t\022" +
+      "\031\n\021entry_incarnation\030\002 \001(\004\022+\n\007records\030\003 " +
+      "\003(\0132\032.hickoryspar.OutcomeRecord\"Q\n\rOutco" +
+      "meRecord\022\014\n\004team\030\001 \001(\t\022\013\n\003key\030\002 \001(\t\022%\n\007o" +
+      "utcome\030\003 \001(\0132\024.hickoryspar.Outcome\"\024\n\022Ou" +
+      "tcomeBatchResult\"T\n\020SlotLeaseRequest\022\026\n\016" +
+      "entry_instance\030\001 \001(\t\022(\n\007demands\030\002 \003(\0132\027." +
+      "hickoryspar.SlotDemand\"+\n\nSlotDemand\022\016\n\006" +
+      "minion\030\001 \001(\t\022\r\n\005slots\030\002 \001(\r\"O\n\016SlotLease" +
+      "Grant\022\024\n\014lease_millis\030\001 \001(\r\022\'\n\006grants\030\002 " +
+      "\003(\0132\027.hickoryspar.SlotDemand\"\304\001\n\010Endpoin" +
+      "t\022\017\n\007service\030\001 \001(\t\022\021\n\tminion_id\030\002 \001(\t\022\017\n" +
+      "\007address\030\003 \001(\t\022\023\n\013data_centre\030\004 \001(\t\022\023\n\013i" +
+      "ncarnation\030\005 \001(\004\022\020\n\010sequence\030\006 \001(\004\022\017\n\007le" +
+      "aving\030\007 \001(\010\022\r\n\005slots\030\010 \001(\r\022\023\n\013connection" +
+      "s\030\t \001(\r\022\022\n\nttl_millis\030\n \001(\r\":\n\016EndpointS" +
+      "pread\022(\n\tendpoints\030\001 \003(\0132\025.hickoryspar.E" +
+      "ndpoint\"@\n\016EndpointDigest\022.\n\010versions\030\001 " +
+      "\003(\0132\034.hickoryspar.EndpointVersion\"\\\n\017End" +
+      "pointVersion\022\021\n\tminion_id\030\001 \001(\t\022\023\n\013incar" +
+      "nation\030\002 \001(\004\022\020\n\010sequence\030\003 \001(\004\022\017\n\007leavin" +
+      "g\030\004 \001(\010\"?\n\013ConfigWatch\022\026\n\016entry_instance" +
+      "\030\001 \001(\t\022\030\n\020version_in_force\030\002 \001(\004\"z\n\014Conf" +
+      "igUpdate\022\017\n\007version\030\001 \001(\004\022\024\n\014lease_milli" +
+      "s\030\002 \001(\r\022\032\n\022full_document_json\030\003 \001(\014\022\'\n\006d" +
+      "eltas\030\004 \003(\0132\027.hickoryspar.FleetDelta\"7\n\n" +
+      "FleetDelta\022\017\n\007version\030\001 \001(\004\022\030\n\020merge_pat" +
+      "ch_json\030\002 \001(\014\"\203\003\n\014OperatorCall\022,\n\004kind\030\001" +
+      " \001(\0162\036.hickoryspar.OperatorCall.Kind\022\r\n\005" +
+      "owner\030\002 \001(\t\022\021\n\tchange_id\030\003 \001(\t\022\024\n\014base_v" +
+      "ersion\030\004 \001(\004\022\021\n\tbody_json\030\005 \001(\014\"\371\001\n\004Kind" +
+      "\022\024\n\020KIND_UNSPECIFIED\020\000\022\r\n\tFLEET_GET\020\001\022\017\n" +
+      "\013FLEET_CHECK\020\002\022\017\n\013FLEET_APPLY\020\003\022\021\n\rFLEET" +
+      "_HISTORY\020\004\022\021\n\rEXCEPTION_ADD\020\005\022\021\n\rEXCEPTI" +
+      "ON_END\020\006\022\023\n\017DATA_CENTRE_OUT\020\007\022\022\n\016DATA_CE" +
+      "NTRE_IN\020\010\022\n\n\006STATUS\020\t\022\017\n\013REPLICA_ADD\020\n\022\022" +
+      "\n\016REPLICA_REMOVE\020\013\022\027\n\023TRANSFER_LEADERSHI" +
+      "P\020\014\"8\n\016OperatorResult\022\023\n\013http_status\030\001 \001" +
+      "(\005\022\021\n\tbody_json\030\002 \001(\014\"\310\001\n\007JobCall\022\'\n\004kin" +
+      "d\030\001 \001(\0162\031.hickoryspar.JobCall.Kind\022\014\n\004te" +
+      "am\030\002 \001(\t\022\027\n\017idempotency_key\030\003 \001(\t\022\016\n\006job" +
+      "_id\030\004 \001(\t\022\021\n\tbody_json\030\005 \001(\014\"J\n\004Kind\022\024\n\020" +
+      "KIND_UNSPECIFIED\020\000\022\n\n\006SUBMIT\020\001\022\n\n\006STATUS" +
+      "\020\002\022\n\n\006CANCEL\020\003\022\010\n\004LIST\020\004\"3\n\tJobResult\022\023\n" +
+      "\013http_status\030\001 \001(\005\022\021\n\tbody_json\030\002 \001(\014\"\365\004" +
+      "\n\007Command\022\023\n\013time_millis\030\001 \001(\004\0220\n\014fleet_" +
+      "change\030\n \001(\0132\030.hickoryspar.FleetChangeH\000" +
+      "\022)\n\006claims\030\013 \001(\0132\027.hickoryspar.ClaimBatc" +
+      "hH\000\022-\n\010outcomes\030\014 \001(\0132\031.hickoryspar.Outc" +
+      "omeBatchH\000\022,\n\nsubmit_job\030\r \001(\0132\026.hickory" +
+      "spar.SubmitJobH\000\022,\n\ncancel_job\030\016 \001(\0132\026.h" +
+      "ickoryspar.CancelJobH\000\0224\n\016gang_placement" +
+      "\030\017 \001(\0132\032.hickoryspar.GangPlacementH\000\022*\n\t" +
+      "gang_step\030\020 \001(\0132\025.hickoryspar.GangStepH\000" +
+      "\0221\n\tinventory\030\021 \001(\0132\034.hickoryspar.Invent" +
+      "oryUpdateH\000\022,\n\nentry_lost\030\022 \001(\0132\026.hickor" +
+      "yspar.EntryLostH\000\0224\n\016catalog_change\030\023 \001(" +
+      "\0132\032.hickoryspar.CatalogChangeH\000\022;\n\022data_" +
+      "centre_switch\030\024 \001(\0132\035.hickoryspar.DataCe" +
+      "ntreSwitchH\000\022/\n\tworkflows\030\025 \001(\0132\032.hickor" +
+      "yspar.WorkflowBatchH\000B\006\n\004kind\"\200\001\n\013FleetC" +
+      "hange\022\021\n\tchange_id\030\001 \001(\t\022\r\n\005owner\030\002 \001(\t\022" +
+      "\016\n\006reason\030\003 \001(\t\022\024\n\014base_version\030\004 \001(\004\022\030\n" +
+      "\020merge_patch_json\030\005 \001(\014\022\017\n\007summary\030\006 \001(\t" +
+      "\"\275\001\n\007JobSpec\022\014\n\004name\030\001 \001(\t\022\014\n\004team\030\002 \001(\t" +
+      "\022\014\n\004kind\030\003 \001(\t\022\r\n\005tasks\030\004 \001(\r\022$\n\010per_tas" +
+      "k\030\005 \001(\0132\022.hickoryspar.Shape\022\021\n\tadjacency" +
+      "\030\006 \001(\t\022\016\n\006urgent\030\007 \001(\010\022\033\n\023declared_run_m" +
+      "illis\030\010 \001(\004\022\023\n\013preemptible\030\t \001(\010\"F\n\005Shap" +
+      "e\022\r\n\005cores\030\001 \001(\r\022\030\n\020memory_megabytes\030\002 \001" +
+      "(\r\022\024\n\014accelerators\030\003 \001(\r\"X\n\tSubmitJob\022\016\n" +
+      "\006job_id\030\001 \001(\t\022\027\n\017idempotency_key\030\002 \001(\t\022\"" +
+      "\n\004spec\030\003 \001(\0132\024.hickoryspar.JobSpec\")\n\tCa" +
+      "ncelJob\022\016\n\006job_id\030\001 \001(\t\022\014\n\004team\030\002 \001(\t\"?\n" +
+      "\rTaskPlacement\022\014\n\004task\030\001 \001(\r\022\016\n\006worker\030\002" +
+      " \001(\t\022\020\n\010lease_id\030\003 \001(\t\"x\n\rGangPlacement\022" +
+      "\016\n\006job_id\030\001 \001(\t\022\017\n\007attempt\030\002 \001(\r\022.\n\nplac" +
+      "ements\030\003 \003(\0132\032.hickoryspar.TaskPlacement" +
+      "\022\026\n\016preempted_jobs\030\004 \003(\t\"\250\002\n\010GangStep\022\016\n" +
+      "\006job_id\030\001 \001(\t\022\017\n\007attempt\030\002 \001(\r\022*\n\005phase\030" +
+      "\003 \001(\0162\033.hickoryspar.GangStep.Phase\022\016\n\006re" +
+      "sult\030\004 \001(\t\022\016\n\006detail\030\005 \001(\t\022)\n\004then\030\006 \001(\016" +
+      "2\033.hickoryspar.GangStep.Phase\022\026\n\016faulty_" +
+      "workers\030\007 \003(\t\"l\n\005Phase\022\025\n\021PHASE_UNSPECIF" +
+      "IED\020\000\022\n\n\006QUEUED\020\001\022\r\n\tPREPARING\020\002\022\014\n\010STAR" +
+      "TING\020\003\022\013\n\007RUNNING\020\004\022\013\n\007UNDOING\020\005\022\t\n\005ENDE" +
+      "D\020\006\"q\n\nWorkerInfo\022\n\n\002id\030\001 \001(\t\022\014\n\004rack\030\002 " +
+      "\001(\t\022\023\n\013data_centre\030\003 \001(\t\022$\n\010capacity\030\004 \001" +
+      "(\0132\022.hickoryspar.Shape\022\016\n\006silent\030\005 \001(\010\"L" +
+      "\n\017InventoryUpdate\022(\n\007upserts\030\001 \003(\0132\027.hic" +
+      "koryspar.WorkerInfo\022\017\n\007removed\030\002 \003(\t\">\n\t" +
+      "EntryLost\022\026\n\016entry_instance\030\001 \001(\t\022\031\n\021ent" +
+      "ry_incarnation\030\002 \001(\004\"\213\004\n\017ControlSnapshot" +
+      "\022\023\n\013time_millis\030\001 \001(\004\022\025\n\rfleet_version\030\002" +
+      " \001(\004\022\033\n\023fleet_document_json\030\003 \001(\014\022/\n\007his" +
+      "tory\030\004 \003(\0132\036.hickoryspar.FleetHistoryEnt" +
+      "ry\022(\n\006claims\030\005 \003(\0132\030.hickoryspar.ClaimRe" +
+      "cord\022$\n\004jobs\030\006 \003(\0132\026.hickoryspar.JobReco" +
+      "rd\022(\n\007workers\030\007 \003(\0132\027.hickoryspar.Worker" +
+      "Info\022*\n\007changes\030\010 \003(\0132\031.hickoryspar.Chan" +
+      "geRecord\022,\n\014lost_entries\030\t \003(\0132\026.hickory" +
+      "spar.EntryLost\022+\n\007catalog\030\n \001(\0132\032.hickor" +
+      "yspar.CatalogChange\022\030\n\020data_centres_out\030" +
+      "\013 \003(\t\022.\n\tworkflows\030\014 \003(\0132\033.hickoryspar.W" +
+      "orkflowRecord\0223\n\014data_centres\030\r \003(\0132\035.hi" +
+      "ckoryspar.DataCentreRecord\"c\n\021FleetHisto" +
+      "ryEntry\022\017\n\007version\030\001 \001(\004\022(\n\006change\030\002 \001(\013" +
+      "2\030.hickoryspar.FleetChange\022\023\n\013time_milli" +
+      "s\030\003 \001(\004\"\276\001\n\013ClaimRecord\022\014\n\004team\030\001 \001(\t\022\013\n" +
+      "\003key\030\002 \001(\t\022\023\n\013fingerprint\030\003 \001(\014\022\026\n\016entry" +
+      "_instance\030\004 \001(\t\022\031\n\021entry_incarnation\030\005 \001" +
+      "(\004\022\023\n\013time_millis\030\006 \001(\004\022%\n\007outcome\030\007 \001(\013" +
+      "2\024.hickoryspar.Outcome\022\020\n\010claim_id\030\010 \001(\t" +
+      "\"2\n\014ChangeRecord\022\021\n\tchange_id\030\001 \001(\t\022\017\n\007v" +
+      "ersion\030\002 \001(\004\"\370\002\n\tJobRecord\022\016\n\006job_id\030\001 \001" +
+      "(\t\022\027\n\017idempotency_key\030\002 \001(\t\022\"\n\004spec\030\003 \001(" +
+      "\0132\024.hickoryspar.JobSpec\022\030\n\020submitted_mil" +
+      "lis\030\004 \001(\004\022*\n\005phase\030\005 \001(\0162\033.hickoryspar.G" +
+      "angStep.Phase\022\017\n\007attempt\030\006 \001(\r\022.\n\nplacem" +
+      "ents\030\007 \003(\0132\032.hickoryspar.TaskPlacement\022\016" +
+      "\n\006result\030\010 \001(\t\022\016\n\006detail\030\t \001(\t\022\032\n\022phase_" +
+      "since_millis\030\n \001(\004\022)\n\004then\030\013 \001(\0162\033.hicko" +
+      "ryspar.GangStep.Phase\022\030\n\020cancel_requeste" +
+      "d\030\014 \001(\010\022\026\n\016faulty_workers\030\r \003(\t\"T\n\020Contr" +
+      "olDirectory\022\031\n\021control_addresses\030\001 \003(\t\022\027" +
+      "\n\017leader_instance\030\002 \001(\t\022\014\n\004term\030\003 \001(\004\"\231\001" +
+      "\n\007Catalog\022\017\n\007version\030\001 \001(\004\022\"\n\006queues\030\002 \003" +
+      "(\0132\022.hickoryspar.Queue\022,\n\010services\030\003 \003(\013" +
+      "2\032.hickoryspar.ServicePolicy\022+\n\005teams\030\004 " +
+      "\003(\0132\034.hickoryspar.TeamEntitlement\"\365\001\n\005Qu" +
+      "eue\022\014\n\004name\030\001 \001(\t\022\014\n\004host\030\002 \001(\t\022\023\n\013path_" +
+      "prefix\030\003 \001(\t\022\017\n\007service\030\004 \001(\t\022\020\n\010priorit" +
+      "y\030\005 \001(\r\022\024\n\014max_attempts\030\006 \001(\r\022\017\n\007stretch" +
+      "\030\007 \001(\001\022 \n\030target_completion_millis\030\010 \001(\004" +
+      "\022\014\n\004open\030\t \001(\010\022\026\n\016timeout_millis\030\n \001(\004\022)" +
+      "\n\006advice\030\013 \001(\0132\031.hickoryspar.AdvicePolic" +
+      "y\"[\n\014AdvicePolicy\022\027\n\017decision_millis\030\001 \001" +
+      "(\004\022\031\n\021per_minion_millis\030\002 \001(\004\022\027\n\017validit" +
+      "y_millis\030\003 \001(\004\"\\\n\rServicePolicy\022\014\n\004name\030" +
+      "\001 \001(\t\022\027\n\017admission_check\030\002 \001(\010\022\017\n\007standb" +
+      "y\030\003 \001(\010\022\023\n\013health_path\030\004 \001(\t\"\206\001\n\017TeamEnt" +
+      "itlement\022\014\n\004name\030\001 \001(\t\022\014\n\004keys\030\002 \003(\t\022\037\n\027" +
+      "guaranteed_accelerators\030\003 \001(\r\022\016\n\006weight\030" +
+      "\004 \001(\001\022&\n\005quota\030\005 \001(\0132\027.hickoryspar.TaskD" +
+      "emand\"H\n\rCatalogChange\022%\n\007catalog\030\001 \001(\0132" +
+      "\024.hickoryspar.Catalog\022\020\n\010document\030\002 \001(\014\"" +
+      "j\n\020DataCentreSwitch\022\023\n\013data_centre\030\001 \001(\t" +
+      "\022\013\n\003out\030\002 \001(\010\022\036\n\021expected_revision\030\003 \001(\004" +
+      "H\000\210\001\001B\024\n\022_expected_revision\"F\n\020DataCentr" +
+      "eRecord\022\023\n\013data_centre\030\001 \001(\t\022\013\n\003out\030\002 \001(" +
+      "\010\022\020\n\010revision\030\003 \001(\004\"\301\001\n\013CatalogCall\022)\n\003p" +
+      "ut\030\001 \001(\0132\032.hickoryspar.CatalogChangeH\000\022+" +
+      "\n\003get\030\002 \001(\0132\034.hickoryspar.Acknowledgemen" +
+      "tH\000\0224\n\013data_centre\030\003 \001(\0132\035.hickoryspar.D" +
+      "ataCentreSwitchH\000\022\034\n\022data_centre_record\030" +
+      "\004 \001(\tH\000B\006\n\004kind\"e\n\014CatalogReply\022\017\n\007versi" +
+      "on\030\001 \001(\004\022\020\n\010document\030\002 \001(\014\0222\n\013data_centr" +
+      "e\030\003 \001(\0132\035.hickoryspar.DataCentreRecord\"T" +
+      "\n\nTaskDemand\022\026\n\016cpu_millicores\030\001 \001(\004\022\030\n\020" +
+      "memory_megabytes\030\002 \001(\004\022\024\n\014accelerators\030\003" +
+      " \001(\r\"\367\002\n\014WorkflowStep\022\r\n\005tasks\030\001 \001(\r\022\'\n\006" +
+      "demand\030\002 \001(\0132\027.hickoryspar.TaskDemand\022\030\n" +
+      "\020estimated_millis\030\003 \001(\004\022\022\n\ndepends_on\030\004 " +
+      "\003(\r\022\025\n\rcheckpointing\030\005 \001(\010\022\014\n\004gang\030\006 \001(\010" +
+      "\022\021\n\tsame_rack\030\007 \001(\010\022\026\n\016required_label\030\010 " +
+      "\001(\t\022\021\n\tdata_rack\030\t \001(\t\022\034\n\024max_tasks_per_" +
+      "minion\030\n \001(\r\022\023\n\013speculative\030\013 \001(\010\022\024\n\014lon" +
+      "g_running\030\014 \001(\010\022\r\n\005image\030\r \001(\t\022\036\n\026respon" +
+      "se_target_millis\030\016 \001(\004\022\r\n\005fills\030\017 \001(\010\022\027\n" +
+      "\017max_unavailable\030\020 \001(\r\"\221\001\n\014WorkflowSpec\022" +
+      "\017\n\007payload\030\001 \001(\t\022(\n\005steps\030\002 \003(\0132\031.hickor" +
+      "yspar.WorkflowStep\022\023\n\013occurrences\030\003 \001(\r\022" +
+      "\030\n\020first_due_millis\030\004 \001(\022\022\027\n\017interval_mi" +
+      "llis\030\005 \001(\004\"\321\001\n\014WorkflowCall\022\014\n\004host\030\001 \001(" +
+      "\t\022\014\n\004path\030\002 \001(\t\022\020\n\010team_key\030\003 \001(\t\022+\n\006sub" +
+      "mit\030\n \001(\0132\031.hickoryspar.WorkflowSpecH\000\022." +
+      "\n\006status\030\013 \001(\0132\034.hickoryspar.Acknowledge" +
+      "mentH\000\022.\n\006cancel\030\014 \001(\0132\034.hickoryspar.Ack" +
+      "nowledgementH\000B\006\n\004kind\"\311\002\n\rWorkflowReply" +
+      "\0223\n\007outcome\030\001 \001(\0162\".hickoryspar.Workflow" +
+      "Reply.Outcome\022)\n\005state\030\002 \001(\0162\032.hickorysp" +
+      "ar.WorkflowState\022\017\n\007pending\030\003 \001(\004\022\032\n\022ret" +
+      "ry_after_millis\030\004 \001(\004\022\016\n\006reason\030\005 \001(\t\022\026\n" +
+      "\016counts_pending\030\006 \001(\010\"\202\001\n\007Outcome\022\027\n\023OUT" +
+      "COME_UNSPECIFIED\020\000\022\006\n\002OK\020\001\022\013\n\007REFUSED\020\002\022" +
+      "\014\n\010NO_QUEUE\020\003\022\020\n\014UNAUTHORISED\020\004\022\017\n\013NO_WO" +
+      "RKFLOW\020\005\022\013\n\007INVALID\020\006\022\013\n\007UNKNOWN\020\007\"T\n\rWo" +
+      "rkflowBatch\022*\n\006events\030\001 \003(\0132\032.hickoryspa" +
+      "r.WorkflowEvent\022\027\n\017dispatch_number\030\002 \001(\004" +
+      "\"\370\001\n\rWorkflowEvent\022-\n\006submit\030\001 \001(\0132\033.hic" +
+      "koryspar.SubmitWorkflowH\000\022-\n\006cancel\030\002 \001(" +
+      "\0132\033.hickoryspar.CancelWorkflowH\000\022*\n\trun_" +
+      "start\030\003 \001(\0132\025.hickoryspar.RunStartH\000\022&\n\007" +
+      "run_end\030\004 \001(\0132\023.hickoryspar.RunEndH\000\022-\n\006" +
+      "forget\030\005 \001(\0132\033.hickoryspar.ForgetWorkflo" +
+      "wH\000B\006\n\004kind\"\220\001\n\016SubmitWorkflow\022\023\n\013workfl" +
+      "ow_id\030\001 \001(\t\022\014\n\004team\030\002 \001(\t\022!\n\005queue\030\003 \001(\013" +
+      "2\022.hickoryspar.Queue\022\'\n\004spec\030\004 \001(\0132\031.hic" +
+      "koryspar.WorkflowSpec\022\017\n\007call_id\030\005 \001(\014\"%" +
+      "\n\016CancelWorkflow\022\023\n\013workflow_id\030\001 \001(\t\"%\n" +
+      "\016ForgetWorkflow\022\023\n\013workflow_id\030\001 \001(\t\"4\n\n" +
+      "MinionLife\022\021\n\tminion_id\030\001 \001(\t\022\023\n\013born_mi" +
+      "llis\030\002 \001(\004\"\214\001\n\010RunStart\022\023\n\013workflow_id\030\001" +
+      " \001(\t\022\022\n\noccurrence\030\002 \001(\r\022\014\n\004step\030\003 \001(\r\022\022" +
+      "\n\nfirst_task\030\004 \001(\r\022\013\n\003run\030\005 \001(\r\022(\n\007minio" +
+      "ns\030\006 \003(\0132\027.hickoryspar.MinionLife\"\245\002\n\006Ru" +
+      "nEnd\022\023\n\013workflow_id\030\001 \001(\t\022\022\n\noccurrence\030" +
+      "\002 \001(\r\022\014\n\004step\030\003 \001(\r\022\014\n\004task\030\004 \001(\r\022\013\n\003run" +
+      "\030\005 \001(\r\022(\n\005cause\030\006 \001(\0162\031.hickoryspar.RunE" +
+      "nd.Cause\022\022\n\ncheckpoint\030\007 \001(\t\"\212\001\n\005Cause\022\025" +
+      "\n\021CAUSE_UNSPECIFIED\020\000\022\010\n\004DONE\020\001\022\017\n\013TASK_" +
+      "FAILED\020\002\022\013\n\007STOPPED\020\003\022\020\n\014LEASE_LAPSED\020\004\022" +
+      "\020\n\014GROUP_BROKEN\020\005\022\024\n\020GROUP_INCOMPLETE\020\006\022" +
+      "\010\n\004LOST\020\007\"\347\001\n\016WorkflowRecord\022/\n\nsubmissi" +
+      "on\030\001 \001(\0132\033.hickoryspar.SubmitWorkflow\022\027\n" +
+      "\017accepted_millis\030\002 \001(\004\022\024\n\014ended_millis\030\003" +
+      " \001(\004\022\021\n\tcancelled\030\004 \001(\010\022\017\n\007started\030\005 \001(\010" +
+      "\0222\n\013occurrences\030\006 \003(\0132\035.hickoryspar.Occu" +
+      "rrenceRecord\022\035\n\025completed_occurrences\030\007 " +
+      "\003(\r\"N\n\020OccurrenceRecord\022\022\n\noccurrence\030\001 " +
+      "\001(\r\022&\n\005steps\030\002 \003(\0132\027.hickoryspar.StepRec" +
+      "ord\"6\n\nStepRecord\022(\n\006groups\030\001 \003(\0132\030.hick" +
+      "oryspar.GroupRecord\"{\n\013GroupRecord\022\020\n\010la" +
+      "st_run\030\001 \001(\r\022\020\n\010failures\030\002 \001(\r\022\014\n\004done\030\003" +
+      " \001(\010\022\022\n\ncheckpoint\030\004 \001(\t\022&\n\006active\030\005 \003(\013" +
+      "2\026.hickoryspar.RunRecord\"k\n\tRunRecord\022\013\n" +
+      "\003run\030\001 \001(\r\022(\n\007minions\030\002 \003(\0132\027.hickoryspa" +
+      "r.MinionLife\022\'\n\004ends\030\003 \003(\0162\031.hickoryspar" +
+      ".RunEnd.Cause\"\365\002\n\014MinionReport\022%\n\004life\030\001" +
+      " \001(\0132\027.hickoryspar.MinionLife\022\020\n\010sequenc" +
+      "e\030\002 \001(\004\022\017\n\007service\030\003 \001(\t\022\017\n\007address\030\004 \001(" +
+      "\t\022\023\n\013data_centre\030\005 \001(\t\022\020\n\010draining\030\006 \001(\010" +
+      "\022\017\n\007leaving\030\007 \001(\010\022)\n\010capacity\030\010 \001(\0132\027.hi" +
+      "ckoryspar.TaskDemand\022\016\n\006labels\030\t \003(\t\022\035\n\025" +
+      "cold_remaining_millis\030\n \001(\004\022\036\n\026drain_rem" +
+      "aining_millis\030\013 \001(\004\022\024\n\014clock_millis\030\014 \001(" +
+      "\004\022\022\n\nage_millis\030\r \001(\004\022\017\n\007machine\030\016 \001(\t\022\017" +
+      "\n\007version\030\017 \001(\t\022\014\n\004rack\030\020 \001(\t\"N\n\rMinionR" +
+      "eports\022*\n\007reports\030\001 \003(\0132\031.hickoryspar.Mi" +
+      "nionReport\022\021\n\tconfirmed\030\002 \003(\006\"%\n\022MinionR" +
+      "eportsReply\022\017\n\007missing\030\001 \003(\006*\237\001\n\rWorkflo" +
+      "wState\022\036\n\032WORKFLOW_STATE_UNSPECIFIED\020\000\022\023" +
+      "\n\017WORKFLOW_QUEUED\020\001\022\024\n\020WORKFLOW_RUNNING\020" +
+      "\002\022\026\n\022WORKFLOW_COMPLETED\020\003\022\023\n\017WORKFLOW_FA" +
+      "ILED\020\004\022\026\n\022WORKFLOW_CANCELLED\020\005B\034\n\030org.hi" +
+      "ckoryspar.protocolP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -868,7 +868,7 @@
     internal_static_hickoryspar_VoteRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_VoteRequest_descriptor,
-        new java.lang.String[] { "PreVote", "LastLogIndex", "LastLogTerm", "Transfer", });
+        new java.lang.String[] { "PreVote", "LastLogIndex", "LastLogTerm", "Transfer", "Unanimous", });
     internal_static_hickoryspar_VoteResponse_descriptor =
       getDescriptor().getMessageType(8);
     internal_static_hickoryspar_VoteResponse_fieldAccessorTable = new
--- a/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/VoteRequest.java
+++ b/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/VoteRequest.java
@@ -91,6 +91,21 @@
     return transfer_;
   }
 
+  public static final int UNANIMOUS_FIELD_NUMBER = 5;
+  private boolean unanimous_ = false;
+  /**
+   * <pre>
+   * Set when the candidate needs the votes of all voters, right after its start.
+   * </pre>
+   *
+   * <code>bool unanimous = 5;</code>
+   * @return The unanimous.
+   */
+  @java.lang.Override
+  public boolean getUnanimous() {
+    return unanimous_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -117,6 +132,9 @@
     if (transfer_ != false) {
       output.writeBool(4, transfer_);
     }
+    if (unanimous_ != false) {
+      output.writeBool(5, unanimous_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -142,6 +160,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(4, transfer_);
     }
+    if (unanimous_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(5, unanimous_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -165,6 +187,8 @@
         != other.getLastLogTerm()) return false;
     if (getTransfer()
         != other.getTransfer()) return false;
+    if (getUnanimous()
+        != other.getUnanimous()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -188,6 +212,9 @@
     hash = (37 * hash) + TRANSFER_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getTransfer());
+    hash = (37 * hash) + UNANIMOUS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getUnanimous());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -323,6 +350,7 @@
       lastLogIndex_ = 0L;
       lastLogTerm_ = 0L;
       transfer_ = false;
+      unanimous_ = false;
       return this;
     }
 
@@ -368,6 +396,9 @@
       if (((from_bitField0_ & 0x00000008) != 0)) {
         result.transfer_ = transfer_;
       }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.unanimous_ = unanimous_;
+      }
     }
 
     @java.lang.Override
@@ -394,6 +425,9 @@
       if (other.getTransfer() != false) {
         setTransfer(other.getTransfer());
       }
+      if (other.getUnanimous() != false) {
+        setUnanimous(other.getUnanimous());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -440,6 +474,11 @@
               bitField0_ |= 0x00000008;
               break;
             } // case 32
+            case 40: {
+              unanimous_ = input.readBool();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 40
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -597,6 +636,50 @@
       return this;
     }
 
+    private boolean unanimous_ ;
+    /**
+     * <pre>
+     * Set when the candidate needs the votes of all voters, right after its start.
+     * </pre>
+     *
+     * <code>bool unanimous = 5;</code>
+     * @return The unanimous.
+     */
+    @java.lang.Override
+    public boolean getUnanimous() {
+      return unanimous_;
+    }
+    /**
+     * <pre>
+     * Set when the candidate needs the votes of all voters, right after its start.
+     * </pre>
+     *
+     * <code>bool unanimous = 5;</code>
+     * @param value The unanimous to set.
+     * @return This builder for chaining.
+     */
+    public Builder setUnanimous(boolean value) {
+
+      unanimous_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Set when the candidate needs the votes of all voters, right after its start.
+     * </pre>
+     *
+     * <code>bool unanimous = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearUnanimous() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      unanimous_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:hickoryspar.VoteRequest)
   }
 
--- a/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/VoteRequestOrBuilder.java
+++ b/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/VoteRequestOrBuilder.java
@@ -37,4 +37,14 @@
    * @return The transfer.
    */
   boolean getTransfer();
+
+  /**
+   * <pre>
+   * Set when the candidate needs the votes of all voters, right after its start.
+   * </pre>
+   *
+   * <code>bool unanimous = 5;</code>
+   * @return The unanimous.
+   */
+  boolean getUnanimous();
 }
