Bind and elect before the rest of a start, and let calls wait for the leader

Cause: after a loss of all processes, steps waited for each other that need not. A process parsed its command line by reflection and prepared data binding for any class before it read its settings; a control daemon started its client for minions, its metrics and its dispatch loop before it accepted peers; refused connections between daemons were tried again by a timer; entries asked a new leader every 40 ms while it prepared to decide; a new session sent renewals to all minions before it handled the first response.

A control daemon locks its folder, accepts peers, connects and starts its replica first, and creates the client for minions and the metrics after it. A daemon that is called by another one calls it back at once. A call without a reachable leader is sent when one becomes reachable; a leader without a session holds calls for at most 500 ms. Orders of a session are sent in groups of 32. StartSteps, the gauge hickoryspar_start_step_seconds and event 6102 show each step. PeerServer passes the hello to the welcome message, so PeerServerTest has a parameter more there.

--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/DispatcherHarness.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/DispatcherHarness.java
@@ -267,6 +267,18 @@
     return dispatcher.takeProposals();
   }
 
+  /** Advances the dispatcher once; returns its orders without sending them. */
+  List<Order> orderOnly() {
+    dispatcher.advance(nowMillis, nowMillis);
+    return dispatcher.takeOrders();
+  }
+
+  /** Advances the dispatcher once; the minions respond at once and nothing is recorded. */
+  void exchangeOrders() {
+    orderOnly().forEach(this::execute);
+    minions.values().forEach(this::respondToRenewal);
+  }
+
   /** Advances the clock without any event. */
   void passTime(long millis) {
     nowMillis += millis;
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/cluster/ControlPeers.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/cluster/ControlPeers.java
@@ -38,6 +38,7 @@
   private final PeerHandler handler;
   private final Map<String, PeerConnection> connectionsByAddress = new ConcurrentHashMap<>();
   private final List<Consumer<Leader>> leaderListeners = new CopyOnWriteArrayList<>();
+  private final List<Consumer<String>> readyListeners = new CopyOnWriteArrayList<>();
   private volatile Leader leader = new Leader("", 0);
 
   /**
@@ -79,6 +80,22 @@
     connectionsByAddress.computeIfAbsent(address, key -> newConnection(address, source));
   }
 
+  /**
+   * Connects at once to a control daemon that has just connected to this process, so that an
+   * earlier attempt, which it refused because it had not started, is not waited out.
+   *
+   * @param peer the hello of the connected process; ignored if it is not a control daemon
+   */
+  public void connectBack(Hello peer) {
+    if (!requireNonNull(peer, "peer is null").getReplicaId().isEmpty()) {
+      connectTo(peer.getInstanceId(), "its incoming connection");
+      PeerConnection connection = connectionsByAddress.get(peer.getInstanceId());
+      if (connection != null) {
+        connection.connectNow();
+      }
+    }
+  }
+
   /** Returns null, so that no connection is added, if the address is unusable. */
   private @Nullable PeerConnection newConnection(String address, String source) {
     InetSocketAddress socketAddress;
@@ -90,7 +107,13 @@
     }
     EventLogger.log(ClusterEvent.CONTROL_FOUND, address, source);
     PeerConnection connection =
-        new PeerConnection(identity, eventLoops, address, socketAddress, handler);
+        new PeerConnection(
+            identity,
+            eventLoops,
+            address,
+            socketAddress,
+            handler,
+            () -> readyListeners.forEach(listener -> listener.accept(address)));
     connection.connect();
     return connection;
   }
@@ -146,6 +169,16 @@
     leaderListeners.add(requireNonNull(listener, "listener is null"));
   }
 
+  /**
+   * Adds a listener that is called with the address of a control daemon each time a connection to
+   * it is ready. It must not block.
+   *
+   * @param listener the listener
+   */
+  public void addReadyListener(Consumer<String> listener) {
+    readyListeners.add(requireNonNull(listener, "listener is null"));
+  }
+
   /**
    * Returns the leader of the latest known term.
    *
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/daemon/ClusterControlDaemon.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/daemon/ClusterControlDaemon.java
@@ -17,9 +17,11 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.hickoryspar.kernel.control.CommandResult;
 import org.hickoryspar.kernel.control.ControlState;
 import org.hickoryspar.kernel.dispatch.DispatchSettings;
+import org.hickoryspar.kernel.dispatch.Dispatcher;
 import org.hickoryspar.kernel.membership.VoterPlanner;
 import org.hickoryspar.kernel.replication.ReplicaOptions;
 import org.hickoryspar.kernel.value.Problem;
@@ -43,8 +45,10 @@
 import org.hickoryspar.node.dispatch.MinionClient;
 import org.hickoryspar.node.dispatch.MinionRegistry;
 import org.hickoryspar.node.dispatch.MinionRegistryStore;
+import org.hickoryspar.node.dispatch.StartStepsMinionClient;
 import org.hickoryspar.node.faults.FaultInjection;
 import org.hickoryspar.node.observability.ProcessMetrics;
+import org.hickoryspar.node.observability.StartSteps;
 import org.hickoryspar.node.replication.ReplicaDriver;
 import org.hickoryspar.node.storage.CacheFile;
 import org.hickoryspar.node.storage.FileLogStorage;
@@ -61,6 +65,7 @@
 public final class ClusterControlDaemon implements AutoCloseable {
 
   private static final int EXIT_REPLICA_FAILED = 70;
+  private static final long MAX_SESSION_WAIT_MILLIS = 500;
   private static final long TRANSFER_TIMEOUT_MILLIS = 2_000;
 
   /** Time for which a voter must be unreachable before another replica replaces it. */
@@ -72,7 +77,7 @@
   private final Closer closer = Closer.create();
   private final ReplicatedLog<CommandResult> log;
   private final ControlPeers peers;
-  private final LeaderServices services;
+  private final CompletableFuture<LeaderServices> startedServices = new CompletableFuture<>();
   private final LeaderClient leaderClient;
   private final DataCentreSwitcher dataCentreSwitcher;
   private final MinionRegistry registry;
@@ -80,27 +85,34 @@
   private final long startedMillis = ProcessResources.monotonicMillis();
 
   /**
-   * Starts a control daemon.
+   * Starts a control daemon. What an election needs comes first: the data folder, the replica, and
+   * the connections of its peers. Calls that arrive before the rest is there wait for it.
    *
    * @param settings location of the instance, seeds and tolerated failures
    * @param dataFolder folder of the replica and of the list of minions
    * @param dispatchSettings timeouts and limits of the dispatcher
-   * @param minionClient sends orders to minions; owned by the caller
+   * @param minionClients creates what sends orders to minions, after the replica has started; the
+   *     client is owned by the caller
    * @param metrics registry for the metrics of the process
+   * @param steps steps of the start of this process
    * @throws IOException if the folder is unusable or the address for peers cannot be bound
    */
   public ClusterControlDaemon(
       ClusterSettings settings,
       Path dataFolder,
       DispatchSettings dispatchSettings,
-      MinionClient minionClient,
-      PrometheusRegistry metrics)
+      Supplier<MinionClient> minionClients,
+      PrometheusRegistry metrics,
+      StartSteps steps)
       throws IOException {
     requireNonNull(settings, "settings is null");
+    requireNonNull(minionClients, "minionClients is null");
+    requireNonNull(steps, "steps is null");
     SecureRandom random = new SecureRandom();
     FaultInjection faults = FaultInjection.fromSystemProperty();
     FileLogStorage storage = openStorage(settings, dataFolder, faults.files(), random);
     long folderLockedNanos = System.nanoTime();
+    steps.reach(StartSteps.Step.FOLDER_LOCKED);
     PeerIdentity identity =
         new PeerIdentity(
             settings.cluster(),
@@ -109,9 +121,7 @@
             storage.identity().replicaId(),
             settings.dataCentre());
     EventLoopGroup eventLoops = ProcessResources.newEventLoops(closer, 1);
-    ScheduledExecutorService timer =
-        Executors.newSingleThreadScheduledExecutor(task -> new Thread(task, "calls"));
-    closer.register(timer::shutdownNow);
+    ScheduledExecutorService timer = newTimer();
     ControlState state = new ControlState();
     ControlStateMachine stateMachine = new ControlStateMachine(state);
     peers =
@@ -120,48 +130,89 @@
     ReplicaDriver<CommandResult> replica =
         newReplica(identity.replicaId(), stateMachine, peers, storage, folderLockedNanos, random);
     log = replica;
+    PeerServer server = new PeerServer(identity, eventLoops, this::handleMessage, this::welcome);
+    // Peers connect while the log is read; their messages are dropped until the replica runs.
+    listen(server, settings.peerAddress());
+    steps.reach(StartSteps.Step.PEERS_BOUND);
+    settings.seeds().forEach(seed -> peers.connectTo(seed, "the seeds"));
+    replica.start();
+    steps.reach(StartSteps.Step.REPLICA_STARTED);
     Proposer proposer = new Proposer(log, faults::wallClockMillis);
     DispatchLoop loop =
         new DispatchLoop(
             state,
             proposer,
-            minionClient,
+            new StartStepsMinionClient(minionClients.get(), steps),
             dispatchSettings,
             new DecisionTelemetry(metrics),
             ProcessResources::monotonicMillis);
     closer.register(loop::close);
+    loop.addListener(dispatcher -> handleSessionStarted(dispatcher, steps));
     stateMachine.addListener(loop::handleApplied);
-    ControlMetrics.register(metrics, log, state);
-    ProcessMetrics.register(metrics);
-    services =
+    LeaderServices services =
         new LeaderServices(
-            state, proposer, log, loop, this::hasEnoughVoters, ProcessResources::monotonicMillis);
-    leaderClient =
-        new LeaderClient(
-            peers,
-            settings.peerAddress(),
-            services::serve,
-            timer,
-            new CallTelemetry(metrics),
+            state,
+            proposer,
+            log,
+            loop,
+            this::hasEnoughVoters,
             ProcessResources::monotonicMillis,
-            new CallIds(random));
+            MAX_SESSION_WAIT_MILLIS);
+    leaderClient =
+        newLeaderClient(
+            settings, peers, services, timer, new CallTelemetry(metrics), new CallIds(random));
     dataCentreSwitcher =
         new DataCentreSwitcher(leaderClient, timer, ProcessResources::monotonicMillis);
     registry = new MinionRegistry(leaderClient, ProcessResources::monotonicMillis);
     startRegistryTasks(new CacheFile(faults.files(), dataFolder, "minions"));
-    loop.addListener(
-        dispatcher ->
-            registry
-                .reports()
-                .forEach(
-                    report -> dispatcher.handleReport(report, ProcessResources.monotonicMillis())));
-    PeerServer server =
-        new PeerServer(identity, eventLoops, this::handleMessage, this::directoryMessage);
-    replica.start();
-    listen(server, settings.peerAddress());
-    settings.seeds().forEach(seed -> peers.connectTo(seed, "the seeds"));
+    peers.addLeaderListener(leader -> recordLeader(leader, steps));
     startClusterMaintenance(server, settings.dataCentre());
     loop.start();
+    startedServices.complete(services);
+    registerMetrics(metrics, state, steps);
+  }
+
+  private void registerMetrics(PrometheusRegistry metrics, ControlState state, StartSteps steps) {
+    ControlMetrics.register(metrics, log, state);
+    ProcessMetrics.register(metrics);
+    steps.register(metrics);
+  }
+
+  private static LeaderClient newLeaderClient(
+      ClusterSettings settings,
+      ControlPeers peers,
+      LeaderServices services,
+      ScheduledExecutorService timer,
+      CallTelemetry telemetry,
+      CallIds callIds) {
+    return new LeaderClient(
+        peers,
+        settings.peerAddress(),
+        services::serve,
+        timer,
+        telemetry,
+        ProcessResources::monotonicMillis,
+        callIds);
+  }
+
+  private void handleSessionStarted(Dispatcher dispatcher, StartSteps steps) {
+    steps.reach(StartSteps.Step.SESSION_STARTED);
+    registry
+        .reports()
+        .forEach(report -> dispatcher.handleReport(report, ProcessResources.monotonicMillis()));
+  }
+
+  private static void recordLeader(ControlPeers.Leader leader, StartSteps steps) {
+    if (!leader.instanceId().isEmpty()) {
+      steps.reach(StartSteps.Step.LEADER_KNOWN);
+    }
+  }
+
+  private ScheduledExecutorService newTimer() {
+    ScheduledExecutorService timer =
+        Executors.newSingleThreadScheduledExecutor(task -> new Thread(task, "calls"));
+    closer.register(timer::shutdownNow);
+    return timer;
   }
 
   private void startRegistryTasks(CacheFile file) {
@@ -238,15 +289,16 @@
         peers.merge(message.getControlDirectory(), from.getInstanceId());
       }
       default ->
-          services
-              .serve(message)
+          startedServices
+              .thenCompose(services -> services.serve(message))
               .thenAccept(
                   result -> reply.accept(result.fold(this::failureMessage, response -> response)));
     }
   }
 
   /** Returns the first message to a new peer, which would otherwise wait for the next broadcast. */
-  private Optional<Envelope> directoryMessage() {
+  private Optional<Envelope> welcome(Hello peer) {
+    peers.connectBack(peer);
     return Optional.of(Envelope.newBuilder().setControlDirectory(peers.directory()).build());
   }
 
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/DispatchLoop.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/DispatchLoop.java
@@ -48,6 +48,7 @@
   private final Thread thread = new Thread(this::run, "dispatch");
   private volatile boolean closed;
   private volatile boolean leading;
+  private volatile CompletableFuture<Void> nextSession = new CompletableFuture<>();
   private @Nullable DispatchSession session;
   private long lastFailureMillis = Long.MIN_VALUE / 2;
   private long nextSessionMillis;
@@ -140,6 +141,21 @@
     return result;
   }
 
+  /**
+   * Returns a future that completes when the next session starts.
+   *
+   * @return a new future, which never completes if this replica does not lead again
+   */
+  public CompletableFuture<Void> nextSession() {
+    return nextSession.copy();
+  }
+
+  private void announceSession() {
+    CompletableFuture<Void> announced = nextSession;
+    nextSession = new CompletableFuture<>();
+    announced.complete(null);
+  }
+
   private static <T> Result<T> notLeader() {
     return Result.failure("not-leader", "this replica is not the leader");
   }
@@ -192,8 +208,11 @@
 
   private long pauseMillis() {
     DispatchSession current = session;
-    return current == null
-        ? IDLE_PAUSE_MILLIS
+    if (current == null) {
+      return IDLE_PAUSE_MILLIS;
+    }
+    return current.hasUnsentOrders()
+        ? 0
         : current.dispatcher().maxPauseMillis(monotonicMillis.getAsLong());
   }
 
@@ -224,6 +243,7 @@
       for (SessionListener listener : listeners) {
         listener.onSessionStarted(current.dispatcher());
       }
+      announceSession();
     }
     return current;
   }
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/DispatchSession.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/DispatchSession.java
@@ -2,7 +2,8 @@
 
 import static java.util.Objects.requireNonNull;
 
-import java.util.List;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.concurrent.Executor;
 import java.util.function.LongSupplier;
 import org.hickoryspar.kernel.control.CommandResult;
@@ -23,6 +24,7 @@
 final class DispatchSession {
 
   private static final long STATUS_INTERVAL_MILLIS = 1_000;
+  private static final int MAX_ORDERS_PER_ROUND = 32;
 
   private final Proposer proposer;
   private final Executor loop;
@@ -32,6 +34,7 @@
   private final Dispatcher dispatcher;
   private final OrderSender orderSender;
   private final DecisionTelemetry telemetry;
+  private final Deque<Order> unsentOrders = new ArrayDeque<>();
   private long nextStatusMillis;
   private boolean failed;
 
@@ -105,17 +108,29 @@
       propose(batch);
       batch = dispatcher.takeProposals();
     }
-    List<Order> orders = dispatcher.takeOrders();
-    for (Order order : orders) {
+    unsentOrders.addAll(dispatcher.takeOrders());
+    sendOrders();
+  }
+
+  // A new session renews the leases of all minions. The first responses must not wait until the
+  // last
+  // renewal is sent: they list the ends that callers wait for.
+  private void sendOrders() {
+    for (int i = 0; i < MAX_ORDERS_PER_ROUND && !unsentOrders.isEmpty(); i++) {
       // Checked before each order, because the process may have been paused since the last one.
       if (!proposer.holdsLease() || proposer.term() != term) {
         failed = true;
         return;
       }
-      orderSender.send(order);
+      orderSender.send(unsentOrders.remove());
     }
   }
 
+  /** Returns whether orders were left for the next call of {@link #advance}. */
+  boolean hasUnsentOrders() {
+    return !unsentOrders.isEmpty();
+  }
+
   // The dispatcher assumes that its proposals are recorded. If one is not, its state is wrong and a
   // new session must rebuild it.
   private void propose(WorkflowBatch batch) {
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/LeaderClient.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/LeaderClient.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
@@ -17,6 +18,7 @@
 import org.hickoryspar.kernel.value.Problem;
 import org.hickoryspar.kernel.value.Result;
 import org.hickoryspar.node.cluster.ControlPeers;
+import org.hickoryspar.node.cluster.InstanceIds;
 import org.hickoryspar.node.transport.PeerConnection;
 import org.hickoryspar.protocol.Envelope;
 import org.jspecify.annotations.Nullable;
@@ -34,6 +36,13 @@
 
   private static final long RETRY_DELAY_MILLIS = 40;
 
+  /**
+   * Pause while no leader can be reached. Listeners end it; it only bounds the time for which a
+   * connection that became ready just before goes unnoticed, and the delay of a failure at the
+   * deadline.
+   */
+  private static final long POLL_DELAY_MILLIS = 120;
+
   /** Code of a problem after which the call may have taken effect, or may still do so. */
   private static final String UNKNOWN = "unknown";
 
@@ -78,6 +87,7 @@
     this.callIds = requireNonNull(callIds, "callIds is null");
     peers.addLeaderListener(
         leader -> pendingCalls.forEach(call -> call.handleLeaderChange(leader)));
+    peers.addReadyListener(address -> pendingCalls.forEach(call -> call.handleConnected(address)));
   }
 
   /**
@@ -127,6 +137,7 @@
     private volatile String lastProblem = "";
     private volatile ControlPeers.Leader leader = peers.leader();
     private volatile CompletableFuture<Result<Envelope>> currentAttempt = new CompletableFuture<>();
+    private @Nullable ScheduledFuture<?> nextAttempt;
 
     PendingCall(Envelope.Builder call, long timeoutMillis, BooleanSupplier callerWaits) {
       this.call = call;
@@ -160,9 +171,36 @@
       if (!newLeader.instanceId().isEmpty()
           && !newLeader.instanceId().equals(leader.instanceId())) {
         currentAttempt.complete(Result.failure("unknown", "another leader is known"));
+        startWaitingAttempt();
+      }
+    }
+
+    /** Starts the next attempt if it only waits, as for the connection that is ready now. */
+    void handleConnected(String address) {
+      if (InstanceIds.addressOf(peers.leader().instanceId()).equals(address)) {
+        startWaitingAttempt();
       }
     }
 
+    private void startWaitingAttempt() {
+      if (cancelNextAttempt()) {
+        timer.execute(this::startAttempt);
+      }
+    }
+
+    private synchronized boolean cancelNextAttempt() {
+      ScheduledFuture<?> pending = nextAttempt;
+      nextAttempt = null;
+      return pending != null && pending.cancel(false);
+    }
+
+    private synchronized void scheduleAttempt(long delayMillis) {
+      long remainingMillis = Math.max(0, deadlineMillis - monotonicMillis.getAsLong());
+      nextAttempt =
+          timer.schedule(
+              this::startAttempt, Math.min(delayMillis, remainingMillis), TimeUnit.MILLISECONDS);
+    }
+
     private void handleResult(Result<Envelope> result) {
       Optional<Problem> retryable =
           result.problem().filter(p -> RETRYABLE_CODES.contains(p.code()));
@@ -171,12 +209,19 @@
         if (retryable.get().code().equals(UNKNOWN)) {
           call.setRetried(true);
         }
-        timer.schedule(this::startAttempt, RETRY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+        scheduleAttempt(isLeaderReachable() ? RETRY_DELAY_MILLIS : POLL_DELAY_MILLIS);
       } else {
         complete(result.flatMap(this::withoutContradiction));
       }
     }
 
+    /** Returns whether a call could be sent now; if not, a listener starts the next attempt. */
+    private boolean isLeaderReachable() {
+      String instance = peers.leader().instanceId();
+      return (localHandler != null && instance.equals(ownInstance))
+          || peers.connection(instance).isPresent();
+    }
+
     private Result<Envelope> withoutContradiction(Envelope reply) {
       return Refusals.mayContradictEarlierAttempt(call, reply)
           ? Result.failure(
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/LeaderServices.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/LeaderServices.java
@@ -3,6 +3,7 @@
 import static java.util.Objects.requireNonNull;
 
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import org.hickoryspar.kernel.control.CommandResult;
@@ -16,11 +17,15 @@
 /** Serves the calls that entries and control daemons send to the leader. Thread-safe. */
 public final class LeaderServices {
 
+  private static final String LEADER_ROLE = "leader";
+
   private final Proposer proposer;
+  private final ReplicatedLog<CommandResult> log;
   private final DispatchLoop loop;
   private final WorkflowService workflowService;
   private final CatalogService catalogService;
   private final LongSupplier monotonicMillis;
+  private final long maxSessionWaitMillis;
 
   /**
    * Creates the services of a control daemon.
@@ -32,6 +37,8 @@
    * @param enoughVoters returns whether there are enough voters to accept a change of the catalog:
    *     it is then stored on at least one more disk than may be lost
    * @param monotonicMillis monotonic clock in milliseconds
+   * @param maxSessionWaitMillis longest wait of a call for a session of this replica, less than the
+   *     time after which a client gives up an attempt
    */
   public LeaderServices(
       ControlState state,
@@ -39,16 +46,20 @@
       ReplicatedLog<CommandResult> log,
       DispatchLoop loop,
       BooleanSupplier enoughVoters,
-      LongSupplier monotonicMillis) {
+      LongSupplier monotonicMillis,
+      long maxSessionWaitMillis) {
     this.proposer = requireNonNull(proposer, "proposer is null");
+    this.log = requireNonNull(log, "log is null");
     this.loop = requireNonNull(loop, "loop is null");
     this.workflowService = new WorkflowService(state, proposer, loop);
     this.catalogService = new CatalogService(state, proposer, log, enoughVoters);
     this.monotonicMillis = requireNonNull(monotonicMillis, "monotonicMillis is null");
+    this.maxSessionWaitMillis = maxSessionWaitMillis;
   }
 
   /**
-   * Serves a call.
+   * Serves a call. A call that arrives after this replica was elected and before it may decide
+   * waits for a short time, so that clients need not call again and again.
    *
    * @param call the call
    * @return the response; a failure {@code "not-leader"}, {@code "unavailable"} or {@code
@@ -56,6 +67,17 @@
    */
   public CompletableFuture<Result<Envelope.Builder>> serve(Envelope call) {
     requireNonNull(call, "call is null");
+    // Taken before the lease is read, so that a session which starts in between is not missed.
+    CompletableFuture<Void> nextSession = loop.nextSession();
+    if (!proposer.holdsLease() && log.status().role().equals(LEADER_ROLE)) {
+      return nextSession
+          .completeOnTimeout(null, maxSessionWaitMillis, TimeUnit.MILLISECONDS)
+          .thenCompose(ignored -> serveNow(call));
+    }
+    return serveNow(call);
+  }
+
+  private CompletableFuture<Result<Envelope.Builder>> serveNow(Envelope call) {
     if (!proposer.holdsLease()) {
       return CompletableFuture.completedFuture(
           Result.failure("not-leader", "this replica is not the leader"));
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/observability/JsonLinesFormatter.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/observability/JsonLinesFormatter.java
@@ -6,6 +6,9 @@
 import com.google.common.base.Throwables;
 import io.opentelemetry.api.trace.Span;
 import io.opentelemetry.api.trace.SpanContext;
+import java.time.Instant;
+import java.time.LocalDateTime;
+import java.time.ZoneOffset;
 import java.util.logging.Formatter;
 import java.util.logging.LogRecord;
 import org.jspecify.annotations.Nullable;
@@ -19,6 +22,7 @@
 public final class JsonLinesFormatter extends Formatter {
 
   private static final int INITIAL_CAPACITY = 256;
+  private static final int NANOS_PER_MILLI = 1_000_000;
 
   private final String instanceId;
 
@@ -60,7 +64,9 @@
   @Override
   public String format(LogRecord logRecord) {
     StringBuilder line = new StringBuilder(INITIAL_CAPACITY);
-    line.append("{\"time\":\"").append(logRecord.getInstant()).append('"');
+    line.append("{\"time\":\"");
+    appendTime(line, logRecord.getInstant());
+    line.append('"');
     appendMember(line, "level", logRecord.getLevel().getName());
     appendMember(line, "instance", instanceId);
     String message = String.valueOf(formatMessage(logRecord));
@@ -83,6 +89,26 @@
     return line.append("}\n").toString();
   }
 
+  // The formatter of java.time is prepared when it is first used, which delays the start.
+  private static void appendTime(StringBuilder line, Instant instant) {
+    LocalDateTime time =
+        LocalDateTime.ofEpochSecond(instant.getEpochSecond(), instant.getNano(), ZoneOffset.UTC);
+    line.append(time.toLocalDate()).append('T');
+    appendDigits(line, time.getHour(), 2);
+    line.append(':');
+    appendDigits(line, time.getMinute(), 2);
+    line.append(':');
+    appendDigits(line, time.getSecond(), 2);
+    line.append('.');
+    appendDigits(line, time.getNano() / NANOS_PER_MILLI, 3);
+    line.append('Z');
+  }
+
+  private static void appendDigits(StringBuilder line, int value, int digits) {
+    String text = Integer.toString(value);
+    line.append("0".repeat(digits - text.length())).append(text);
+  }
+
   private static void appendSpan(StringBuilder line) {
     SpanContext span = Span.current().getSpanContext();
     if (span.isValid()) {
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/observability/ObservabilityEvent.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/observability/ObservabilityEvent.java
@@ -6,7 +6,8 @@
 @SuppressWarnings("ImmutableEnumChecker") // java.util.logging.Level has no setters
 enum ObservabilityEvent implements LogEvent {
   SPAN_FILE_FAILED(6100, Level.WARNING, "cannot write spans to %s; %d spans are lost"),
-  LINES_DROPPED(6101, Level.WARNING, "%d log lines were dropped");
+  LINES_DROPPED(6101, Level.WARNING, "%d log lines were dropped"),
+  PROCESS_SERVES(6102, Level.INFO, "the process serves; steps since its start: %s");
 
   private final int number;
   private final Level level;
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/transport/InboundConnection.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/transport/InboundConnection.java
@@ -10,7 +10,7 @@
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
-import java.util.function.Supplier;
+import java.util.function.Function;
 import org.hickoryspar.node.observability.EventLogger;
 import org.hickoryspar.protocol.Envelope;
 import org.hickoryspar.protocol.Heartbeat;
@@ -25,7 +25,7 @@
   private final PeerHandler handler;
   private final Set<Channel> openChannels;
   private final Set<Channel> acceptedChannels;
-  private final Supplier<Optional<Envelope>> welcomeMessage;
+  private final Function<Hello, Optional<Envelope>> welcomeMessage;
   private @Nullable Hello peer;
 
   InboundConnection(
@@ -33,7 +33,7 @@
       PeerHandler handler,
       Set<Channel> openChannels,
       Set<Channel> acceptedChannels,
-      Supplier<Optional<Envelope>> welcomeMessage) {
+      Function<Hello, Optional<Envelope>> welcomeMessage) {
     this.identity = identity;
     this.handler = handler;
     this.openChannels = openChannels;
@@ -96,7 +96,7 @@
       peer = hello;
       context.writeAndFlush(Envelope.newBuilder().setHello(identity.toHello()).build());
       acceptedChannels.add(context.channel());
-      welcomeMessage.get().ifPresent(context::writeAndFlush);
+      welcomeMessage.apply(hello).ifPresent(context::writeAndFlush);
     }
   }
 
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/transport/PeerConnection.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/transport/PeerConnection.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.concurrent.ScheduledFuture;
 import java.net.InetSocketAddress;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -40,15 +41,17 @@
   private final String peerId;
   private final InetSocketAddress address;
   private final PeerHandler handler;
+  private final Runnable onReady;
   private final AtomicLong correlationIds = new AtomicLong();
   private final Map<Long, CompletableFuture<Result<Envelope>>> pendingRequests =
       new ConcurrentHashMap<>();
   private volatile @Nullable Channel readyChannel;
   private volatile Hello peer = Hello.getDefaultInstance();
   private volatile boolean closed;
+  private @Nullable ScheduledFuture<?> nextAttempt;
 
   /**
-   * Creates a connection without connecting.
+   * Creates a connection without connecting and without a listener.
    *
    * @param identity identity of this process
    * @param eventLoops event loops, owned by the caller
@@ -62,11 +65,32 @@
       String peerId,
       InetSocketAddress address,
       PeerHandler handler) {
+    this(identity, eventLoops, peerId, address, handler, () -> {});
+  }
+
+  /**
+   * Creates a connection without connecting.
+   *
+   * @param identity identity of this process
+   * @param eventLoops event loops, owned by the caller
+   * @param peerId instance identifier of the peer
+   * @param address address of the peer
+   * @param handler handles one-way messages from the peer
+   * @param onReady called each time the peer has accepted this process; must not block
+   */
+  public PeerConnection(
+      PeerIdentity identity,
+      EventLoopGroup eventLoops,
+      String peerId,
+      InetSocketAddress address,
+      PeerHandler handler,
+      Runnable onReady) {
     this.identity = requireNonNull(identity, "identity is null");
     this.eventLoops = requireNonNull(eventLoops, "eventLoops is null");
     this.peerId = requireNonNull(peerId, "peerId is null");
     this.address = requireNonNull(address, "address is null");
     this.handler = requireNonNull(handler, "handler is null");
+    this.onReady = requireNonNull(onReady, "onReady is null");
   }
 
   /**
@@ -91,6 +115,19 @@
             });
   }
 
+  /** Connects at once if the next attempt is pending: the peer is known to be up now. */
+  public void connectNow() {
+    if (cancelNextAttempt()) {
+      connect();
+    }
+  }
+
+  private synchronized boolean cancelNextAttempt() {
+    ScheduledFuture<?> pending = nextAttempt;
+    nextAttempt = null;
+    return pending != null && pending.cancel(false);
+  }
+
   /**
    * Returns whether requests can be sent.
    *
@@ -177,6 +214,7 @@
       channel.close();
     }
     EventLogger.log(TransportEvent.CONNECTED, peerId, address);
+    onReady.run();
   }
 
   void handleResponse(Envelope response) {
@@ -197,9 +235,10 @@
     scheduleReconnect();
   }
 
-  private void scheduleReconnect() {
+  private synchronized void scheduleReconnect() {
     if (!closed && !eventLoops.isShuttingDown()) {
-      eventLoops.schedule(this::connect, RECONNECT_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+      nextAttempt =
+          eventLoops.schedule(this::connect, RECONNECT_DELAY_MILLIS, TimeUnit.MILLISECONDS);
     }
   }
 
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/transport/PeerServer.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/transport/PeerServer.java
@@ -12,10 +12,11 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.function.Supplier;
+import java.util.function.Function;
 import org.hickoryspar.kernel.value.Result;
 import org.hickoryspar.node.observability.EventLogger;
 import org.hickoryspar.protocol.Envelope;
+import org.hickoryspar.protocol.Hello;
 import org.jspecify.annotations.Nullable;
 
 /** Accepts connections from other processes of the cluster. */
@@ -24,7 +25,7 @@
   private final PeerIdentity identity;
   private final EventLoopGroup eventLoops;
   private final PeerHandler handler;
-  private final Supplier<Optional<Envelope>> welcomeMessage;
+  private final Function<Hello, Optional<Envelope>> welcomeMessage;
   private final Set<Channel> openChannels = ConcurrentHashMap.newKeySet();
   private final Set<Channel> acceptedChannels = ConcurrentHashMap.newKeySet();
   private @Nullable Channel serverChannel;
@@ -37,7 +38,7 @@
    * @param handler handles the messages of all connections
    */
   public PeerServer(PeerIdentity identity, EventLoopGroup eventLoops, PeerHandler handler) {
-    this(identity, eventLoops, handler, Optional::empty);
+    this(identity, eventLoops, handler, peer -> Optional.empty());
   }
 
   /**
@@ -46,14 +47,14 @@
    * @param identity identity of this process
    * @param eventLoops event loops, owned by the caller
    * @param handler handles the messages of all connections
-   * @param welcomeMessage supplies the message that is sent on each accepted connection directly
-   *     after the hello
+   * @param welcomeMessage receives the hello of each accepted peer and returns the message that is
+   *     sent to it directly after the hello; must not block
    */
   public PeerServer(
       PeerIdentity identity,
       EventLoopGroup eventLoops,
       PeerHandler handler,
-      Supplier<Optional<Envelope>> welcomeMessage) {
+      Function<Hello, Optional<Envelope>> welcomeMessage) {
     this.identity = requireNonNull(identity, "identity is null");
     this.eventLoops = requireNonNull(eventLoops, "eventLoops is null");
     this.handler = requireNonNull(handler, "handler is null");
--- a/hickoryspar-node/src/test/java/org/hickoryspar/node/dispatch/DispatchLoopTest.java
+++ b/hickoryspar-node/src/test/java/org/hickoryspar/node/dispatch/DispatchLoopTest.java
@@ -29,12 +29,15 @@
 
   private static final Duration TIMEOUT = Duration.ofSeconds(30);
 
+  private static final int MANY_MINIONS = 350;
+
   private static final DispatchSettings SETTINGS =
       new DispatchSettings(4_500, 6_000, 1_000, 300, 1_500, 400, 4_000, 3, 2_900, 120_000, 100);
 
   private final LinkedBlockingQueue<Long> renewalTokens = new LinkedBlockingQueue<>();
   private final AtomicInteger sessions = new AtomicInteger();
   private volatile List<CompletableFuture<Result<String>>> results = List.of();
+  private volatile Runnable onFirstRenewal = () -> {};
   private LeaderLog log;
   private DispatchLoop loop;
 
@@ -44,6 +47,7 @@
     renewalTokens.clear();
     sessions.set(0);
     results = List.of();
+    onFirstRenewal = () -> {};
     loop =
         new DispatchLoop(
             new ControlState(),
@@ -137,6 +141,32 @@
     assertEquals(sessions.get(), 1);
   }
 
+  /**
+   * Guards against the ends that the first minions list, and new work, waiting until the leases of
+   * all minions are renewed.
+   */
+  @Test
+  public void shouldHandleEventsBeforeAllRenewalsAreSentWhenManyAreDue() throws Exception {
+    log.status = LeaderLog.statusOf(3, true);
+    await().atMost(TIMEOUT).until(this::hasSession);
+    CompletableFuture<Integer> sentWhenFirstEventIsHandled = new CompletableFuture<>();
+    onFirstRenewal =
+        () -> loop.execute(() -> sentWhenFirstEventIsHandled.complete(renewalTokens.size()));
+
+    loop.submit(
+            dispatcher -> {
+              for (int i = 0; i < MANY_MINIONS; i++) {
+                dispatcher.handleReport(reportOf("m" + i), System.nanoTime() / 1_000_000);
+              }
+              return Result.success("reported");
+            })
+        .get();
+
+    int sent = sentWhenFirstEventIsHandled.get(TIMEOUT.toSeconds(), TimeUnit.SECONDS);
+    assertTrue(sent < MANY_MINIONS / 2, sent + " renewals were sent first");
+    await().atMost(TIMEOUT).until(() -> renewalTokens.size() == MANY_MINIONS);
+  }
+
   private boolean hasSession() throws Exception {
     return loop.submit(dispatcher -> Result.success("deciding")).get().problem().isEmpty();
   }
@@ -152,21 +182,23 @@
   }
 
   private void report(String address) throws Exception {
-    MinionReport report =
-        MinionReport.newBuilder()
-            .setLife(MinionLife.newBuilder().setMinionId(address).setBornMillis(1))
-            .setSequence(1)
-            .setService("service")
-            .setAddress(address)
-            .build();
     loop.submit(
             dispatcher -> {
-              dispatcher.handleReport(report, System.nanoTime() / 1_000_000);
+              dispatcher.handleReport(reportOf(address), System.nanoTime() / 1_000_000);
               return Result.success("reported");
             })
         .get();
   }
 
+  private static MinionReport reportOf(String address) {
+    return MinionReport.newBuilder()
+        .setLife(MinionLife.newBuilder().setMinionId(address).setBornMillis(1))
+        .setSequence(1)
+        .setService("service")
+        .setAddress(address)
+        .build();
+  }
+
   /** Records the fencing tokens of renewals and never responds; throws for one address. */
   private final class UnresponsiveMinionClient implements MinionClient {
 
@@ -176,6 +208,9 @@
         throw new IllegalArgumentException("unusable address");
       }
       renewalTokens.add(fencingToken);
+      if (renewalTokens.size() == 1) {
+        onFirstRenewal.run();
+      }
       return new CompletableFuture<>();
     }
 
--- a/hickoryspar-node/src/test/java/org/hickoryspar/node/dispatch/LeaderClientTest.java
+++ b/hickoryspar-node/src/test/java/org/hickoryspar/node/dispatch/LeaderClientTest.java
@@ -11,11 +11,14 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.security.SecureRandom;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
@@ -42,31 +45,48 @@
   private static final long TIMEOUT_MILLIS = 30_000;
 
   private final AtomicReference<CallListener.CallSummary> summary = new AtomicReference<>();
+  private final List<PeerServer> servers = new ArrayList<>();
   private Closer closer = Closer.create();
   private EventLoopGroup eventLoops;
   private ControlPeers peers;
   private LeaderClient client;
 
+  /** Runs what is due at once, and never what is scheduled for later. */
+  private static final class PausedTimer extends ScheduledThreadPoolExecutor {
+
+    PausedTimer() {
+      super(1);
+    }
+
+    @Override
+    public ScheduledFuture<?> schedule(Runnable task, long delay, TimeUnit unit) {
+      return delay > 0 ? super.schedule(task, 1, TimeUnit.DAYS) : super.schedule(task, 0, unit);
+    }
+  }
+
   @BeforeMethod
   void start() {
     closer = Closer.create();
+    servers.clear();
     eventLoops = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
     closer.register(() -> eventLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS));
-    ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
-    closer.register(timer::shutdownNow);
     peers =
         new ControlPeers(
             new PeerIdentity("test", "entry", 1), eventLoops, "", InstanceIds::socketAddress);
     closer.register(peers::close);
-    client =
-        new LeaderClient(
-            peers,
-            "entry",
-            null,
-            timer,
-            (call, result, callSummary) -> summary.set(callSummary),
-            () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()),
-            new CallIds(new SecureRandom()));
+    client = newClient(Executors.newSingleThreadScheduledExecutor());
+  }
+
+  private LeaderClient newClient(ScheduledExecutorService timer) {
+    closer.register(timer::shutdownNow);
+    return new LeaderClient(
+        peers,
+        "entry",
+        null,
+        timer,
+        (call, result, callSummary) -> summary.set(callSummary),
+        () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()),
+        new CallIds(new SecureRandom()));
   }
 
   @AfterMethod
@@ -76,22 +96,25 @@
 
   /** Starts a control daemon that handles calls with a handler; returns its instance id. */
   private String startControl(PeerHandler handler) {
+    String id = "127.0.0.1:" + listen(0, handler).getPort();
+    peers.connectTo(id, "the test");
+    await().until(() -> peers.connection(id).isPresent());
+    return id;
+  }
+
+  private InetSocketAddress listen(int port, PeerHandler handler) {
     PeerServer server =
         new PeerServer(
             new PeerIdentity("test", "control", 2, "control/1", "dc"), eventLoops, handler);
     closer.register(server::close);
-    InetSocketAddress address =
-        server
-            .listen(new InetSocketAddress("127.0.0.1", 0))
-            .fold(
-                problem -> {
-                  throw new AssertionError(problem);
-                },
-                bound -> bound);
-    String id = "127.0.0.1:" + address.getPort();
-    peers.connectTo(id, "the test");
-    await().until(() -> peers.connection(id).isPresent());
-    return id;
+    servers.add(server);
+    return server
+        .listen(new InetSocketAddress("127.0.0.1", port))
+        .fold(
+            problem -> {
+              throw new AssertionError(problem);
+            },
+            bound -> bound);
   }
 
   private static Envelope.Builder ok() {
@@ -120,6 +143,30 @@
     assertEquals(summary.get().lastProblem(), "another leader is known");
   }
 
+  @DataProvider
+  Object[][] whetherConnectedFirst() {
+    return new Object[][] {{true}, {false}};
+  }
+
+  /** Guards against calls that arrived while there was no leader and wait for a timer after it. */
+  @Test(dataProvider = "whetherConnectedFirst")
+  void shouldSendWaitingCallsWhenTheLeaderBecomesReachable(boolean connectedFirst)
+      throws Exception {
+    client = newClient(new PausedTimer());
+    CompletableFuture<Result<Envelope>> result = client.call(call(), TIMEOUT_MILLIS);
+    if (connectedFirst) {
+      peers.recordLeader(startControl((from, message, reply) -> reply.accept(ok())), 1);
+    } else {
+      int port = InstanceIds.socketAddress(startControl((from, message, reply) -> {})).getPort();
+      PeerServer server = servers.remove(0);
+      server.close();
+      await().until(() -> peers.readyConnections().isEmpty());
+      peers.recordLeader("127.0.0.1:" + port, 1);
+      listen(port, (from, message, reply) -> reply.accept(ok()));
+    }
+    assertTrue(result.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS).isSuccess());
+  }
+
   @DataProvider
   Object[][] retryableCodes() {
     return new Object[][] {{"not-leader"}, {"unavailable"}, {"unknown"}};
--- a/hickoryspar-node/src/test/java/org/hickoryspar/node/transport/PeerServerTest.java
+++ b/hickoryspar-node/src/test/java/org/hickoryspar/node/transport/PeerServerTest.java
@@ -53,7 +53,7 @@
             CONTROL,
             eventLoops,
             (from, message, reply) -> {},
-            () -> Optional.of(Envelope.newBuilder().setControlDirectory(directory).build()));
+            peer -> Optional.of(Envelope.newBuilder().setControlDirectory(directory).build()));
     closer.register(server::close);
     InetSocketAddress address =
         server
