Keep no copy of the next session for calls that do not wait for it

Cause: each call to the leader took a copy of the future of the next session, which was kept until then. Change: only a call that waits takes one. LeaderServicesTest, DispatchLoopTest and StartOrderTest pass.

--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/DispatchLoop.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/DispatchLoop.java
@@ -142,12 +142,11 @@
   }
 
   /**
-   * Returns a future that completes when the next session starts.
-   *
-   * @return a new future, which never completes if this replica does not lead again
+   * Returns the future that completes when the next session starts. It is shared: a caller that
+   * waits must use a copy, and must make none unless it waits, since copies are kept until then.
    */
-  public CompletableFuture<Void> nextSession() {
-    return nextSession.copy();
+  CompletableFuture<Void> nextSession() {
+    return nextSession;
   }
 
   private void announceSession() {
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/LeaderServices.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/LeaderServices.java
@@ -71,6 +71,7 @@
     CompletableFuture<Void> nextSession = loop.nextSession();
     if (!proposer.holdsLease() && log.status().role().equals(LEADER_ROLE)) {
       return nextSession
+          .copy()
           .completeOnTimeout(null, maxSessionWaitMillis, TimeUnit.MILLISECONDS)
           .thenCompose(ignored -> serveNow(call));
     }
