--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/DispatchLoop.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/DispatchLoop.java
@@ -48,6 +48,7 @@
   private final Thread thread = new Thread(this::run, "dispatch");
   private volatile boolean closed;
   private volatile boolean leading;
+  private volatile CompletableFuture<Void> nextSession = new CompletableFuture<>();
   private @Nullable DispatchSession session;
   private long lastFailureMillis = Long.MIN_VALUE / 2;
   private long nextSessionMillis;
@@ -140,6 +141,20 @@
     return result;
   }
 
+  /**
+   * Returns the future that completes when the next session starts. It is shared: a caller that
+   * waits must use a copy, and must make none unless it waits, since copies are kept until then.
+   */
+  CompletableFuture<Void> nextSession() {
+    return nextSession;
+  }
+
+  private void announceSession() {
+    CompletableFuture<Void> announced = nextSession;
+    nextSession = new CompletableFuture<>();
+    announced.complete(null);
+  }
+
   private static <T> Result<T> notLeader() {
     return Result.failure("not-leader", "this replica is not the leader");
   }
@@ -192,8 +207,11 @@
 
   private long pauseMillis() {
     DispatchSession current = session;
-    return current == null
-        ? IDLE_PAUSE_MILLIS
+    if (current == null) {
+      return IDLE_PAUSE_MILLIS;
+    }
+    return current.hasUnsentOrders()
+        ? 0
         : current.dispatcher().maxPauseMillis(monotonicMillis.getAsLong());
   }
 
@@ -224,6 +242,7 @@
       for (SessionListener listener : listeners) {
         listener.onSessionStarted(current.dispatcher());
       }
+      announceSession();
     }
     return current;
   }
