--- a/hickoryspar-bench/src/main/java/org/hickoryspar/bench/workflow/SimulatedLeader.java
+++ b/hickoryspar-bench/src/main/java/org/hickoryspar/bench/workflow/SimulatedLeader.java
@@ -16,7 +16,6 @@
 import org.hickoryspar.kernel.workflow.WorkflowTable;
 import org.hickoryspar.protocol.MinionLife;
 import org.hickoryspar.protocol.WorkflowBatch;
-import org.hickoryspar.protocol.WorkflowRecord;
 
 /**
  * The leader of one term: a dispatcher whose orders and responses pass through the simulated
@@ -39,7 +38,7 @@
       long term,
       DispatchSettings settings,
       CatalogState catalog,
-      List<WorkflowRecord> records,
+      WorkflowTable recorded,
       DispatchListener listener,
       SimulatedNetwork network,
       Map<String, SimulatedMinion> minions,
@@ -48,7 +47,8 @@
     this.network = network;
     this.minions = minions;
     WorkflowTable table = new WorkflowTable();
-    table.restore(records);
+    table.restore(recorded.snapshot());
+    table.runTimes().restore(recorded.runTimes().toRecord());
     this.dispatcher = new Dispatcher(settings, catalog, table, listener, nowMillis, nowMillis);
   }
 
--- a/hickoryspar-bench/src/main/java/org/hickoryspar/bench/workflow/WorkflowSimulation.java
+++ b/hickoryspar-bench/src/main/java/org/hickoryspar/bench/workflow/WorkflowSimulation.java
@@ -95,7 +95,7 @@
 
   private SimulatedLeader newLeader() {
     return new SimulatedLeader(
-        term, settings, catalog, workflowTable.snapshot(), listener, network, minions, nowMillis);
+        term, settings, catalog, workflowTable, listener, network, minions, nowMillis);
   }
 
   /** Schedules a number of random faults at random times while workflows arrive. */
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/control/ControlState.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/control/ControlState.java
@@ -18,6 +18,7 @@
 import org.hickoryspar.protocol.GangPlacement;
 import org.hickoryspar.protocol.GangStep;
 import org.hickoryspar.protocol.JobRecord;
+import org.hickoryspar.protocol.RunTimeTableRecord;
 import org.hickoryspar.protocol.TaskPlacement;
 import org.hickoryspar.protocol.WorkerInfo;
 import org.hickoryspar.protocol.WorkflowBatch;
@@ -292,7 +293,8 @@
    */
   public WorkflowSnapshot snapshotWorkflows() {
     synchronized (workflows) {
-      return new WorkflowSnapshot(workflowBatchNumber, workflows.snapshot());
+      return new WorkflowSnapshot(
+          workflowBatchNumber, workflows.snapshot(), workflows.runTimes().toRecord());
     }
   }
 
@@ -302,6 +304,7 @@
    * @return a snapshot for {@link #restore}
    */
   public ByteString snapshot() {
+    WorkflowSnapshot workflowSnapshot = snapshotWorkflows();
     return ControlSnapshot.newBuilder()
         .setTimeMillis(timeMillis)
         .setFleetVersion(fleet.version())
@@ -315,7 +318,8 @@
         .setCatalog(catalog.lastChange())
         .addAllDataCentresOut(catalog.dataCentresOut())
         .addAllDataCentres(catalog.dataCentreRecords())
-        .addAllWorkflows(snapshotWorkflows().records())
+        .addAllWorkflows(workflowSnapshot.records())
+        .setRunTimes(workflowSnapshot.runTimes())
         .build()
         .toByteString();
   }
@@ -347,6 +351,7 @@
         snapshot.getCatalog(), snapshot.getDataCentresList(), snapshot.getDataCentresOutList());
     synchronized (workflows) {
       workflows.restore(snapshot.getWorkflowsList());
+      workflows.runTimes().restore(snapshot.getRunTimes());
       workflowBatchNumber++;
     }
   }
@@ -356,12 +361,15 @@
    *
    * @param batchNumber number of the last batch applied; a local counter of this replica
    * @param records one record per workflow
+   * @param runTimes what the finished runs tell of run times
    */
-  public record WorkflowSnapshot(long batchNumber, List<WorkflowRecord> records) {
+  public record WorkflowSnapshot(
+      long batchNumber, List<WorkflowRecord> records, RunTimeTableRecord runTimes) {
 
-    /** Copies {@code records}; throws {@link NullPointerException} if it is null. */
+    /** Copies {@code records}; throws {@link NullPointerException} if an argument is null. */
     public WorkflowSnapshot {
       records = List.copyOf(records);
+      requireNonNull(runTimes, "runTimes is null");
     }
   }
 
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/ActiveRun.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/ActiveRun.java
@@ -2,13 +2,16 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Supplier;
 import org.hickoryspar.kernel.dispatch.order.TaskRun;
+import org.hickoryspar.kernel.runtime.RunTimeDistribution;
 import org.hickoryspar.kernel.workflow.TaskGroup;
 import org.hickoryspar.kernel.workflow.Workflow;
 import org.hickoryspar.protocol.MinionLife;
 import org.hickoryspar.protocol.RunEnd;
 import org.hickoryspar.protocol.WorkflowEvent;
 import org.hickoryspar.protocol.WorkflowStep;
+import org.jspecify.annotations.Nullable;
 
 /** A run of a group that has not ended on all its minions. */
 final class ActiveRun {
@@ -21,6 +24,8 @@
   private final String checkpoint;
   private final long createdMillis;
   private final List<Member> members = new ArrayList<>();
+  private long inheritedStartMillis = Member.NEVER_MILLIS;
+  private @Nullable RunTimeDistribution expectation;
 
   ActiveRun(
       Workflow workflow,
@@ -68,6 +73,24 @@
     return checkpoint;
   }
 
+  /** Returns whether the run does the work of its tasks from their beginning to their end. */
+  boolean isWhole() {
+    return checkpoint.isEmpty() && !step().getLongRunning();
+  }
+
+  /** Returns the run time that was expected when this was called for the first time. */
+  RunTimeDistribution expectation(Supplier<RunTimeDistribution> prediction) {
+    if (expectation == null) {
+      expectation = prediction.get();
+    }
+    return expectation;
+  }
+
+  /** Records the monotonic time at which an earlier leader started the run. */
+  void inheritStart(long startMillis) {
+    inheritedStartMillis = startMillis;
+  }
+
   /** Returns the monotonic time at which the run was placed or recovered. */
   long createdMillis() {
     return createdMillis;
@@ -103,7 +126,10 @@
     return members.stream().allMatch(Member::isConfirmed);
   }
 
-  /** Returns for how many milliseconds all members have been running, 0 until all are confirmed. */
+  /**
+   * Returns for how many milliseconds all members have been running, 0 until all are confirmed. A
+   * run of an earlier leader is taken to have been running since its recorded start.
+   */
   long runningMillis(long nowMillis) {
     long lastConfirmedMillis = Member.NEVER_MILLIS;
     for (Member member : members) {
@@ -112,11 +138,18 @@
       }
       lastConfirmedMillis = Math.max(lastConfirmedMillis, member.confirmedMillis());
     }
-    return nowMillis - lastConfirmedMillis;
-  }
-
-  /** Returns the log event that records the end of a member. */
-  WorkflowEvent endEvent(Member member, RunEnd.Cause cause, String newCheckpoint) {
+    return nowMillis
+        - (inheritedStartMillis == Member.NEVER_MILLIS
+            ? lastConfirmedMillis
+            : inheritedStartMillis);
+  }
+
+  /**
+   * Returns the log event that records the end of a member.
+   *
+   * @param runMillis run time of a whole run in milliseconds, 0 if it is unknown
+   */
+  WorkflowEvent endEvent(Member member, RunEnd.Cause cause, String newCheckpoint, long runMillis) {
     TaskRun taskRun = member.taskRun();
     return WorkflowEvent.newBuilder()
         .setRunEnd(
@@ -127,7 +160,8 @@
                 .setTask(taskRun.task())
                 .setRun(taskRun.run())
                 .setCause(cause)
-                .setCheckpoint(newCheckpoint))
+                .setCheckpoint(newCheckpoint)
+                .setRunMillis(runMillis))
         .build();
   }
 }
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/AppliedEventHandler.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/AppliedEventHandler.java
@@ -47,7 +47,7 @@
       return;
     }
     if (event.hasRunStart()) {
-      handleStart(workflow, event.getRunStart(), problem, nowMillis);
+      handleStart(workflow, event.getRunStart(), problem, nowMillis, wallMillis);
     } else if (event.hasRunEnd()) {
       removeEndedRuns(workflow);
     }
@@ -73,7 +73,11 @@
   }
 
   private void handleStart(
-      Workflow workflow, RunStart start, Optional<Problem> problem, long nowMillis) {
+      Workflow workflow,
+      RunStart start,
+      Optional<Problem> problem,
+      long nowMillis,
+      long wallMillis) {
     ActiveRun run = runs.find(start);
     if (problem.isPresent()) {
       removeRefusedRun(run, problem.get());
@@ -85,7 +89,7 @@
       if (run != null) {
         runs.remove(run);
       }
-      recovery.recover(workflow, start, nowMillis);
+      recovery.recover(workflow, start, nowMillis, wallMillis);
     }
   }
 
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/DispatchListener.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/DispatchListener.java
@@ -1,5 +1,7 @@
 package org.hickoryspar.kernel.dispatch;
 
+import org.hickoryspar.kernel.runtime.KeyLevel;
+
 /**
  * Receives each decision of the leader and each change in its view of the minions, for logs and
  * metrics.
@@ -31,4 +33,14 @@
    * @param durationMillis time from the acceptance of the workflow to its end
    */
   default void onWorkflowEnded(int priority, long durationMillis) {}
+
+  /**
+   * Handles the end of a run that did all the work of its tasks. Must not block.
+   *
+   * @param priority priority of the queue
+   * @param basis what the expected run time rested on
+   * @param ranMillis the run time
+   * @param expectedMillis the median run time that was expected when the run was new
+   */
+  default void onWholeRunEnded(int priority, KeyLevel basis, long ranMillis, long expectedMillis) {}
 }
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Dispatcher.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Dispatcher.java
@@ -10,6 +10,7 @@
 import org.hickoryspar.kernel.dispatch.order.OrderOutcome;
 import org.hickoryspar.kernel.dispatch.order.RenewalResponse;
 import org.hickoryspar.kernel.dispatch.order.TaskRun;
+import org.hickoryspar.kernel.runtime.RunTimeSource;
 import org.hickoryspar.kernel.value.Problem;
 import org.hickoryspar.kernel.workflow.Workflow;
 import org.hickoryspar.kernel.workflow.WorkflowTable;
@@ -67,11 +68,32 @@
   private final TeamDemand teamDemand;
   private final Planner planner;
   private final Retention retention;
+  private final RunTimeEstimates runTimeEstimates;
   private boolean planDue = true;
   private long nextPlanMillis;
   private long lastPlanMillis;
   private long nextSweepMillis;
 
+  /**
+   * Creates a dispatcher that learns run times from finished runs.
+   *
+   * @param settings times and limits
+   * @param catalog the catalog, which may change during the term
+   * @param table the workflows at the start of the term; owned by the dispatcher from then on
+   * @param listener receives the decisions
+   * @param nowMillis monotonic time in milliseconds
+   * @param wallMillis wall-clock time in milliseconds since the epoch
+   */
+  public Dispatcher(
+      DispatchSettings settings,
+      CatalogState catalog,
+      WorkflowTable table,
+      DispatchListener listener,
+      long nowMillis,
+      long wallMillis) {
+    this(settings, catalog, table, RunTimeSource.LEARNED, listener, nowMillis, wallMillis);
+  }
+
   /**
    * Creates the dispatcher of a newly elected leader and recovers the runs that are recorded in the
    * workflow table.
@@ -79,6 +101,7 @@
    * @param settings times and limits
    * @param catalog the catalog, which may change during the term
    * @param table the workflows at the start of the term; owned by the dispatcher from then on
+   * @param runTimeSource where predictions of run times come from
    * @param listener receives the decisions
    * @param nowMillis monotonic time in milliseconds
    * @param wallMillis wall-clock time in milliseconds since the epoch
@@ -87,6 +110,7 @@
       DispatchSettings settings,
       CatalogState catalog,
       WorkflowTable table,
+      RunTimeSource runTimeSource,
       DispatchListener listener,
       long nowMillis,
       long wallMillis) {
@@ -96,7 +120,7 @@
     requireNonNull(listener, "listener is null");
     this.outbox = new Outbox(firstBatchNumber(nowMillis));
     MinionFailureTracker failureTracker = new MinionFailureTracker(listener);
-    RunTimeEstimates runTimeEstimates = new RunTimeEstimates();
+    this.runTimeEstimates = new RunTimeEstimates(runTimeSource.newPredictor(table.runTimes()));
     this.endRecorder = new RunEndRecorder(runs, outbox, failureTracker, runTimeEstimates, listener);
     this.minions = new MinionTable(listener, this::handleNewLife);
     this.stopRetransmitter = new StopRetransmitter(settings.responseTimeoutMillis(), outbox);
@@ -123,7 +147,7 @@
         new AppliedEventHandler(
             table, runs, recovery, waitingSteps, failureTracker, teamDemand, listener);
     for (Workflow workflow : table.all()) {
-      recovery.recover(workflow, nowMillis);
+      recovery.recover(workflow, nowMillis, wallMillis);
       waitingSteps.refresh(workflow, wallMillis);
       teamDemand.update(workflow);
     }
@@ -309,6 +333,7 @@
     leaseManager.sweep(nowMillis);
     planner.sweep(nowMillis);
     retention.sweep(wallMillis);
+    runTimeEstimates.observeRunning(runs.runs(), nowMillis);
   }
 
   /**
@@ -359,6 +384,7 @@
         waitingSteps.steps(),
         runs.runs().size(),
         planner.longestIdleWaitMillis(),
+        table.runTimes().size(),
         nowMillis);
   }
 
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/DispatcherStatus.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/DispatcherStatus.java
@@ -18,6 +18,7 @@
  *     reserved for pending placements
  * @param longestIdleWaitMillis the longest time for which a group has been waiting that could start
  *     on idle capacity against a preference
+ * @param runTimeKeys keys by which finished runs are remembered
  */
 public record DispatcherStatus(
     int usableMinions,
@@ -29,13 +30,15 @@
     int runningGroups,
     long accelerators,
     long freeAccelerators,
-    long longestIdleWaitMillis) {
+    long longestIdleWaitMillis,
+    int runTimeKeys) {
 
   static DispatcherStatus of(
       Collection<Minion> minions,
       List<WaitingStep> waitingSteps,
       int runningGroups,
       long longestIdleWaitMillis,
+      int runTimeKeys,
       long nowMillis) {
     int usable = 0;
     int suspect = 0;
@@ -70,6 +73,7 @@
         runningGroups,
         accelerators,
         free,
-        longestIdleWaitMillis);
+        longestIdleWaitMillis,
+        runTimeKeys);
   }
 }
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Planner.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Planner.java
@@ -247,7 +247,7 @@
     private long expectedEndMillis(RankedStep ranked) {
       return ranked.waitingStep().step().getLongRunning()
           ? RemainingTimes.UNBOUNDED_MILLIS
-          : nowMillis + ranked.urgency().estimatedRunMillis();
+          : nowMillis + ranked.urgency().promisedRunMillis();
     }
 
     private void start(Placement placement, MinionTaskLimit taskLimit, long endMillis) {
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/RemainingTimes.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/RemainingTimes.java
@@ -10,9 +10,6 @@
   /** The run time of work that does not end by itself; sums of a few such times do not overflow. */
   static final long UNBOUNDED_MILLIS = Long.MAX_VALUE / 4;
 
-  /** Lower bound of an estimate; applies to a run that has exceeded its estimated run time. */
-  private static final long MIN_REMAINING_MILLIS = 500;
-
   private final RunTimeEstimates runTimeEstimates;
   private final long stopMillis;
   private final long nowMillis;
@@ -46,10 +43,13 @@
     if (run.step().getLongRunning()) {
       return UNBOUNDED_MILLIS;
     }
-    long remainingMillis =
-        remainingMillisByProgress(run)
-            .orElseGet(() -> runTimeEstimates.estimateMillis(run) - run.runningMillis(nowMillis));
-    return Math.max(MIN_REMAINING_MILLIS, remainingMillis);
+    OptionalLong byProgress = remainingMillisByProgress(run);
+    if (byProgress.isEmpty()) {
+      return runTimeEstimates.remainingMillis(run, nowMillis);
+    }
+    // A run that should have ended may have stalled: it is expected to take as long again as it is
+    // overdue.
+    return Math.max(1, Math.abs(byProgress.getAsLong()));
   }
 
   // A gang ends together, so the slowest member decides.
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/RunEndRecorder.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/RunEndRecorder.java
@@ -1,5 +1,6 @@
 package org.hickoryspar.kernel.dispatch;
 
+import org.hickoryspar.kernel.runtime.RunTimeDistribution;
 import org.hickoryspar.protocol.RunEnd;
 
 /** Proposes the ends of tasks to the replicated log and releases their resources. */
@@ -26,9 +27,12 @@
 
   /** Records an end that the minion has reported. */
   void recordReportedEnd(Member member, RunEnd.Cause cause, String checkpoint, long nowMillis) {
+    ActiveRun run = member.run();
+    long ranMillis = run.runningMillis(nowMillis);
     // The members of a gang end together; only the first end is reported because it shows the
     // cause.
-    if (member.run().members().stream().noneMatch(Member::isEnded)) {
+    boolean isFirstEnd = run.members().stream().noneMatch(Member::isEnded);
+    if (isFirstEnd) {
       listener.onEvent(
           DispatchEventKind.TASK_ENDED,
           member.taskRun().toString(),
@@ -39,15 +43,29 @@
           "percent",
           member.progress().percent(),
           "members",
-          member.run().members().size());
+          run.members().size(),
+          "ranMillis",
+          ranMillis,
+          "expectedMillis",
+          runTimeEstimates.initialExpectation(run).medianMillis());
     }
     if (cause == RunEnd.Cause.TASK_FAILED) {
       failureTracker.recordFailure(member, nowMillis);
     } else if (cause == RunEnd.Cause.DONE) {
       failureTracker.recordSuccess(member, nowMillis);
-      runTimeEstimates.recordCompletion(member.run(), member.run().runningMillis(nowMillis));
     }
-    recordEnd(member, cause, checkpoint);
+    boolean isWholeRun = isFirstEnd && cause == RunEnd.Cause.DONE && run.isWhole() && ranMillis > 0;
+    if (isWholeRun) {
+      recordRunTime(run, ranMillis);
+    }
+    recordEnd(member, cause, checkpoint, isWholeRun ? ranMillis : 0);
+  }
+
+  private void recordRunTime(ActiveRun run, long ranMillis) {
+    RunTimeDistribution expected = runTimeEstimates.initialExpectation(run);
+    listener.onWholeRunEnded(
+        run.workflow().queue().getPriority(), expected.basis(), ranMillis, expected.medianMillis());
+    runTimeEstimates.recordCompletion(run, ranMillis);
   }
 
   /** Records the loss of a task that does not run and can no longer start on its minion. */
@@ -66,13 +84,13 @@
         member.isConfirmed(),
         "percent",
         member.progress().percent());
-    recordEnd(member, RunEnd.Cause.LOST, member.checkpoint());
+    recordEnd(member, RunEnd.Cause.LOST, member.checkpoint(), 0);
   }
 
-  private void recordEnd(Member member, RunEnd.Cause cause, String checkpoint) {
+  private void recordEnd(Member member, RunEnd.Cause cause, String checkpoint, long runMillis) {
     member.markEnded();
     runs.release(member);
-    outbox.propose(member.run().endEvent(member, cause, checkpoint));
+    outbox.propose(member.run().endEvent(member, cause, checkpoint, runMillis));
     // The other members of a gang cannot continue without this one.
     if (cause != RunEnd.Cause.DONE) {
       member.run().requestStop();
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/RunRecovery.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/RunRecovery.java
@@ -22,12 +22,12 @@
   }
 
   /** Recovers all active runs of a workflow. */
-  void recover(Workflow workflow, long nowMillis) {
+  void recover(Workflow workflow, long nowMillis, long wallMillis) {
     for (Occurrence occurrence : workflow.openOccurrences()) {
       for (int step = 0; step < workflow.spec().getStepsCount(); step++) {
         for (TaskGroup group : occurrence.groups(step)) {
           for (Run recordedRun : group.activeRuns()) {
-            recover(workflow, occurrence.number(), step, group, recordedRun, nowMillis);
+            recover(workflow, occurrence.number(), step, group, recordedRun, nowMillis, wallMillis);
           }
         }
       }
@@ -35,7 +35,7 @@
   }
 
   /** Recovers a run whose start has just been recorded. */
-  void recover(Workflow workflow, RunStart start, long nowMillis) {
+  void recover(Workflow workflow, RunStart start, long nowMillis, long wallMillis) {
     workflow
         .findGroup(start.getOccurrence(), start.getStep(), start.getFirstTask())
         .ifPresent(
@@ -50,7 +50,8 @@
                                 start.getStep(),
                                 group,
                                 recordedRun,
-                                nowMillis)));
+                                nowMillis,
+                                wallMillis)));
   }
 
   private void recover(
@@ -59,13 +60,15 @@
       int step,
       TaskGroup group,
       Run recordedRun,
-      long nowMillis) {
-    String checkpoint = group.checkpoint();
-    recover(
+      long nowMillis,
+      long wallMillis) {
+    ActiveRun run =
         new ActiveRun(
-            workflow, occurrence, step, group, recordedRun.number(), checkpoint, nowMillis),
-        recordedRun,
-        nowMillis);
+            workflow, occurrence, step, group, recordedRun.number(), group.checkpoint(), nowMillis);
+    if (recordedRun.startedMillis() > 0) {
+      run.inheritStart(nowMillis - Math.max(0, wallMillis - recordedRun.startedMillis()));
+    }
+    recover(run, recordedRun, nowMillis);
   }
 
   private void recover(ActiveRun run, Run recordedRun, long nowMillis) {
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/RunTimeEstimates.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/RunTimeEstimates.java
@@ -1,81 +1,83 @@
 package org.hickoryspar.kernel.dispatch;
 
-import java.util.HashMap;
-import java.util.Map;
+import java.util.Collection;
+import org.hickoryspar.kernel.runtime.RunProfile;
+import org.hickoryspar.kernel.runtime.RunTimeDistribution;
+import org.hickoryspar.kernel.runtime.RunTimePredictor;
+import org.hickoryspar.kernel.runtime.RunningRuns;
+import org.hickoryspar.kernel.workflow.Workflow;
 import org.hickoryspar.protocol.WorkflowStep;
 
 /**
- * Estimates the run times of tasks. Declared times are wrong by factors that differ between queues,
- * so each queue uses the prediction with the smaller error of two: the declared time times the mean
- * correction factor, or the mean run time of the queue.
+ * The run times that the planner expects of steps and of active runs. Work is ordered by medians;
+ * what others rely on, as the end of a backfilled run, is a high quantile.
  */
 final class RunTimeEstimates {
 
-  /** Weight of a new observation in the exponential moving averages. */
-  private static final double SMOOTHING_FACTOR = 0.1;
+  /** Share of the runs that end within the time that is promised to others. */
+  private static final double PROMISED_SHARE = 0.9;
 
-  /** Assumed for a step without a declared time. */
-  private static final long DEFAULT_RUN_MILLIS = 5_000;
+  /**
+   * Share of the active runs that end within their remaining time. Waiting for a run to end can be
+   * given up later, while its preemption cannot be taken back, so no margin is added here.
+   */
+  private static final double REMAINING_SHARE = 0.5;
 
-  private final Map<String, QueueStatistics> statisticsByQueue = new HashMap<>();
+  private final RunTimePredictor predictor;
 
-  /** Records the run time of a completed run. */
-  void recordCompletion(ActiveRun run, long runMillis) {
-    // A run that resumed from a checkpoint did only part of the work.
-    if (run.checkpoint().isEmpty() && runMillis > 0) {
-      statisticsByQueue
-          .computeIfAbsent(run.workflow().queue().getName(), queue -> new QueueStatistics())
-          .add((double) declaredMillis(run.step()), (double) runMillis);
-    }
+  RunTimeEstimates(RunTimePredictor predictor) {
+    this.predictor = predictor;
   }
 
-  /** Returns the estimated total run time of a run, in milliseconds. */
-  long estimateMillis(ActiveRun run) {
-    return estimateMillis(run.workflow().queue().getName(), run.step());
+  /** Returns the median run time of a group of a step, in milliseconds. */
+  long medianMillis(Workflow workflow, int stepIndex) {
+    return predict(workflow, stepIndex).medianMillis();
   }
 
-  long estimateMillis(String queue, WorkflowStep step) {
-    long declaredMillis = declaredMillis(step);
-    QueueStatistics statistics = statisticsByQueue.get(queue);
-    return statistics == null ? declaredMillis : statistics.estimateMillis((double) declaredMillis);
+  /** Returns the time in milliseconds within which a run of a step is promised to end. */
+  long promisedMillis(Workflow workflow, int stepIndex) {
+    return predict(workflow, stepIndex).quantileMillis(PROMISED_SHARE);
   }
 
-  private static long declaredMillis(WorkflowStep step) {
-    return step.getEstimatedMillis() > 0 ? step.getEstimatedMillis() : DEFAULT_RUN_MILLIS;
+  /** Returns the expected time until an active run ends, in milliseconds. */
+  long remainingMillis(ActiveRun run, long nowMillis) {
+    return predict(run.workflow(), run.stepIndex())
+        .remainingQuantileMillis(run.runningMillis(nowMillis), REMAINING_SHARE);
   }
 
-  private static final class QueueStatistics {
+  /** Returns what was expected of a run before it could tell anything itself. */
+  RunTimeDistribution initialExpectation(ActiveRun run) {
+    return run.expectation(() -> predict(run.workflow(), run.stepIndex()));
+  }
 
-    private int completions;
-    private double meanMillis;
-    private double meanCorrection;
-    private double meanPredictionError;
-    private double declaredPredictionError;
+  private RunTimeDistribution predict(Workflow workflow, int stepIndex) {
+    return predictor.predict(
+        workflow.runProfile(stepIndex),
+        RunProfile.declaredMillis(workflow.spec().getSteps(stepIndex)));
+  }
 
-    void add(double declaredMillis, double runMillis) {
-      if (completions > 0) {
-        meanPredictionError = smoothed(meanPredictionError, logError(meanMillis, runMillis));
-        declaredPredictionError =
-            smoothed(declaredPredictionError, logError(declaredMillis * meanCorrection, runMillis));
+  /** Takes account of the active runs in what is expected of their like. */
+  void observeRunning(Collection<ActiveRun> runs, long nowMillis) {
+    RunningRuns running = new RunningRuns();
+    for (ActiveRun run : runs) {
+      initialExpectation(run);
+      if (run.isWhole() && !run.isStopRequested() && run.isConfirmed()) {
+        WorkflowStep step = run.step();
+        running.add(
+            run.workflow().runProfile(run.stepIndex()),
+            RunProfile.declaredMillis(step),
+            step.getTasks(),
+            run.runningMillis(nowMillis));
       }
-      meanMillis = smoothed(meanMillis, runMillis);
-      meanCorrection = smoothed(meanCorrection, runMillis / declaredMillis);
-      completions++;
-    }
-
-    private double smoothed(double mean, double value) {
-      return mean + (value - mean) * Math.max(SMOOTHING_FACTOR, 1.0 / (completions + 1));
-    }
-
-    private static double logError(double expected, double actual) {
-      return Math.abs(Math.log(actual / expected));
     }
+    predictor.setRunning(running);
+  }
 
-    long estimateMillis(double declaredMillis) {
-      return (long)
-          (declaredPredictionError <= meanPredictionError
-              ? declaredMillis * meanCorrection
-              : meanMillis);
-    }
+  /** Records the run time of a whole run in milliseconds. */
+  void recordCompletion(ActiveRun run, long runMillis) {
+    predictor.recordCompletion(
+        run.workflow().runProfile(run.stepIndex()),
+        RunProfile.declaredMillis(run.step()),
+        runMillis);
   }
 }
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/UnsatisfiedDemands.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/UnsatisfiedDemands.java
@@ -62,7 +62,7 @@
     private static long expectedRunMillis(WaitingStep step, Urgency urgency) {
       return step.step().getLongRunning()
           ? RemainingTimes.UNBOUNDED_MILLIS
-          : urgency.estimatedRunMillis();
+          : urgency.promisedRunMillis();
     }
 
     boolean mightProbe(WaitingStep other, TaskGroup otherGroup) {
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Urgency.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Urgency.java
@@ -6,7 +6,8 @@
  * @param priority priority of the queue; 0 is the highest
  * @param targetStatus the best result that the workflow can still achieve
  * @param latestStartMillis latest start for that result, in milliseconds since the epoch
- * @param estimatedRunMillis estimated run time of each group
+ * @param estimatedRunMillis median of the expected run time of each group
+ * @param promisedRunMillis time within which a run of each group is promised to end
  * @param isGuaranteed whether the work is covered by the team's guarantee and may preempt at any
  *     cost
  */
@@ -15,6 +16,7 @@
     TargetStatus targetStatus,
     long latestStartMillis,
     long estimatedRunMillis,
+    long promisedRunMillis,
     boolean isGuaranteed) {
 
   /** Whether a workflow can still meet its completion target, best first. */
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/UrgencyCalculator.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/UrgencyCalculator.java
@@ -32,8 +32,7 @@
   Urgency calculate(WaitingStep waitingStep, long wallMillis) {
     Workflow workflow = waitingStep.workflow();
     Queue queue = waitingStep.queue();
-    List<WorkflowStep> steps = workflow.spec().getStepsList();
-    long[] pathMillis = remainingPathMillis(queue, steps);
+    long[] pathMillis = remainingPathMillis(workflow);
     long criticalPathMillis = 0;
     for (long stepPathMillis : pathMillis) {
       criticalPathMillis = Math.max(criticalPathMillis, stepPathMillis);
@@ -43,8 +42,6 @@
     long baseStartMillis = waitingStep.dueMillis() - pathMillis[waitingStep.stepIndex()];
     boolean guaranteed =
         PreemptionPlanner.mayPreempt(queue) && teamDemand.isWithinGuarantee(workflow);
-    long estimatedRunMillis =
-        runTimeEstimates.estimateMillis(queue.getName(), steps.get(waitingStep.stepIndex()));
     long latestInTimeStartMillis = baseStartMillis + targetMillis;
     long latestUsefulStartMillis = baseStartMillis + MAX_LATENESS_FACTOR * targetMillis;
     Urgency.TargetStatus targetStatus =
@@ -63,17 +60,22 @@
       latestStartMillis = Math.min(latestStartMillis, guaranteedStartMillis);
     }
     return new Urgency(
-        queue.getPriority(), targetStatus, latestStartMillis, estimatedRunMillis, guaranteed);
+        queue.getPriority(),
+        targetStatus,
+        latestStartMillis,
+        runTimeEstimates.medianMillis(workflow, waitingStep.stepIndex()),
+        runTimeEstimates.promisedMillis(workflow, waitingStep.stepIndex()),
+        guaranteed);
   }
 
   /** Returns for each step the estimated time from its start to the end of the workflow. */
-  private long[] remainingPathMillis(Queue queue, List<WorkflowStep> steps) {
+  private long[] remainingPathMillis(Workflow workflow) {
+    List<WorkflowStep> steps = workflow.spec().getStepsList();
     long[] pathMillis = new long[steps.size()];
     // Steps depend only on steps with a lower index, so a descending pass sees dependents first.
     for (int i = steps.size() - 1; i >= 0; i--) {
-      WorkflowStep step = steps.get(i);
-      pathMillis[i] += runTimeEstimates.estimateMillis(queue.getName(), step);
-      for (int dependency : step.getDependsOnList()) {
+      pathMillis[i] += runTimeEstimates.medianMillis(workflow, i);
+      for (int dependency : steps.get(i).getDependsOnList()) {
         pathMillis[dependency] = Math.max(pathMillis[dependency], pathMillis[i]);
       }
     }
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/workflow/Run.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/workflow/Run.java
@@ -11,17 +11,19 @@
 
   private final int number;
   private final List<MinionLife> minions;
+  private final long startedMillis;
   private final RunEnd.Cause[] ends;
 
-  Run(int number, List<MinionLife> minions) {
+  Run(int number, List<MinionLife> minions, long startedMillis) {
     this.number = number;
+    this.startedMillis = startedMillis;
     this.minions = List.copyOf(minions);
     this.ends = new RunEnd.Cause[minions.size()];
     Arrays.fill(ends, RunEnd.Cause.CAUSE_UNSPECIFIED);
   }
 
   static Run restore(RunRecord record) {
-    Run run = new Run(record.getRun(), record.getMinionsList());
+    Run run = new Run(record.getRun(), record.getMinionsList(), record.getStartedMillis());
     for (int member = 0; member < run.ends.length; member++) {
       run.ends[member] = record.getEnds(member);
     }
@@ -33,6 +35,7 @@
         .setRun(number)
         .addAllMinions(minions)
         .addAllEnds(Arrays.asList(ends))
+        .setStartedMillis(startedMillis)
         .build();
   }
 
@@ -54,6 +57,15 @@
     return minions;
   }
 
+  /**
+   * Returns when the start of the run was recorded.
+   *
+   * @return replicated time in milliseconds since the epoch, 0 if an earlier version recorded it
+   */
+  public long startedMillis() {
+    return startedMillis;
+  }
+
   /**
    * Returns whether a member has ended.
    *
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/workflow/TaskGroup.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/workflow/TaskGroup.java
@@ -47,7 +47,7 @@
     return record.build();
   }
 
-  Optional<Problem> start(RunStart start, WorkflowStep step) {
+  Optional<Problem> start(RunStart start, WorkflowStep step, long nowMillis) {
     if (done) {
       return rejected("the task group is already done");
     }
@@ -61,16 +61,18 @@
       return rejected("run " + activeRuns.get(0).number() + " has not ended");
     }
     lastRun = start.getRun();
-    activeRuns.add(new Run(start.getRun(), start.getMinionsList()));
+    activeRuns.add(new Run(start.getRun(), start.getMinionsList(), nowMillis));
     return Optional.empty();
   }
 
-  void end(RunEnd end, WorkflowStep step) {
+  /** Records the end of a member; returns whether the group is done by it. */
+  boolean end(RunEnd end, WorkflowStep step) {
     Run run = findRun(end.getRun()).orElse(null);
     int member = end.getTask() - firstTask;
     if (run == null || run.hasEnded(member)) {
-      return;
+      return false;
     }
+    boolean wasDone = done;
     boolean failureCounted = run.hasEndCause(RunEnd.Cause.TASK_FAILED);
     // A stopped member saves its complete state; the last checkpoints of the others are older.
     boolean hasFinalCheckpoint = run.hasEndCause(RunEnd.Cause.STOPPED);
@@ -85,6 +87,7 @@
     if (run.isEnded()) {
       activeRuns.remove(run);
     }
+    return done && !wasDone;
   }
 
   /**
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/workflow/Workflow.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/workflow/Workflow.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import org.hickoryspar.kernel.runtime.RunProfile;
 import org.hickoryspar.kernel.value.Problem;
 import org.hickoryspar.protocol.Queue;
 import org.hickoryspar.protocol.RunEnd;
@@ -68,7 +69,7 @@
     }
   }
 
-  Optional<Problem> start(RunStart start) {
+  Optional<Problem> start(RunStart start, long nowMillis) {
     if (isEnded()) {
       return Optional.of(Problem.of("run-refused", "the workflow has ended"));
     }
@@ -77,18 +78,20 @@
     if (group.isEmpty()) {
       return Optional.of(Problem.of("run-refused", "no such task group in an open occurrence"));
     }
-    Optional<Problem> problem = group.get().start(start, spec().getSteps(start.getStep()));
+    Optional<Problem> problem =
+        group.get().start(start, spec().getSteps(start.getStep()), nowMillis);
     started |= problem.isEmpty();
     return problem;
   }
 
-  void end(RunEnd end, long nowMillis) {
+  /** Records the end of a task; returns whether its group is done by it. */
+  boolean end(RunEnd end, long nowMillis) {
     Optional<TaskGroup> group = findGroup(end.getOccurrence(), end.getStep(), end.getTask());
     if (group.isEmpty()) {
-      return;
+      return false;
     }
     WorkflowStep step = spec().getSteps(end.getStep());
-    group.get().end(end, step);
+    boolean groupDone = group.get().end(end, step);
     failed |= !step.getLongRunning() && group.get().failures() >= maxAttempts();
     Occurrence occurrence = occurrence(end.getOccurrence());
     if (occurrence.isDone() && occurrence.isIdle()) {
@@ -98,6 +101,7 @@
     if (endedMillis == 0 && isEnded()) {
       endedMillis = nowMillis;
     }
+    return groupDone;
   }
 
   /**
@@ -137,6 +141,16 @@
     return submission.getQueue();
   }
 
+  /**
+   * Returns what the runs of a step have in common with other runs.
+   *
+   * @param step index of the step
+   * @return the profile, by the queue at the time when the workflow was accepted
+   */
+  public RunProfile runProfile(int step) {
+    return RunProfile.of(queue().getName(), submission.getTeam(), spec().getSteps(step));
+  }
+
   /**
    * Returns when the workflow was accepted.
    *
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/workflow/WorkflowTable.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/workflow/WorkflowTable.java
@@ -9,11 +9,15 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.hickoryspar.kernel.runtime.RunProfile;
+import org.hickoryspar.kernel.runtime.RunTimeTable;
 import org.hickoryspar.kernel.value.Problem;
+import org.hickoryspar.protocol.RunEnd;
 import org.hickoryspar.protocol.SubmitWorkflow;
 import org.hickoryspar.protocol.WorkflowBatch;
 import org.hickoryspar.protocol.WorkflowEvent;
 import org.hickoryspar.protocol.WorkflowRecord;
+import org.hickoryspar.protocol.WorkflowStep;
 
 /**
  * The replicated table of workflows. Events are applied in the order of the replicated log, so that
@@ -27,6 +31,7 @@
 public final class WorkflowTable {
 
   private final Map<String, Workflow> workflows = new LinkedHashMap<>();
+  private final RunTimeTable runTimes = new RunTimeTable();
 
   /** Creates a table without workflows, the state before the first event. */
   public WorkflowTable() {}
@@ -58,12 +63,14 @@
       }
       case RUN_START -> {
         Workflow workflow = workflows.get(event.getRunStart().getWorkflowId());
-        return workflow == null ? unknownWorkflow() : workflow.start(event.getRunStart());
+        return workflow == null
+            ? unknownWorkflow()
+            : workflow.start(event.getRunStart(), nowMillis);
       }
       case RUN_END -> {
         return update(
             event.getRunEnd().getWorkflowId(),
-            workflow -> workflow.end(event.getRunEnd(), nowMillis));
+            workflow -> end(workflow, event.getRunEnd(), nowMillis));
       }
       case FORGET -> {
         return workflows.remove(event.getForget().getWorkflowId()) == null
@@ -84,6 +91,19 @@
     return Optional.empty();
   }
 
+  // The first end of a run that completes its tasks tells how long it took.
+  private void end(Workflow workflow, RunEnd end, long nowMillis) {
+    boolean groupDone = workflow.end(end, nowMillis);
+    if (groupDone && end.getRunMillis() > 0) {
+      WorkflowStep step = workflow.spec().getSteps(end.getStep());
+      runTimes.learn(
+          workflow.runProfile(end.getStep()),
+          RunProfile.declaredMillis(step),
+          step.getTasks(),
+          end.getRunMillis());
+    }
+  }
+
   private Optional<Problem> update(
       String workflowId, java.util.function.Consumer<Workflow> update) {
     Workflow workflow = workflows.get(workflowId);
@@ -114,7 +134,16 @@
   }
 
   /**
-   * Returns a snapshot of the table.
+   * Returns what the finished runs tell of run times.
+   *
+   * @return the live table, which learns from each end that is applied
+   */
+  public RunTimeTable runTimes() {
+    return runTimes;
+  }
+
+  /**
+   * Returns a snapshot of the workflows.
    *
    * @return one record per workflow, in the order of acceptance
    */
@@ -123,7 +152,8 @@
   }
 
   /**
-   * Replaces the contents of the table with a snapshot.
+   * Replaces the workflows with a snapshot. What is known of run times stays; {@link #runTimes} has
+   * a snapshot of its own.
    *
    * @param records the records returned by {@link #snapshot}
    */
--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/DispatcherHarness.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/DispatcherHarness.java
@@ -10,6 +10,7 @@
 import org.hickoryspar.kernel.dispatch.order.Order;
 import org.hickoryspar.kernel.dispatch.order.OrderOutcome;
 import org.hickoryspar.kernel.dispatch.order.TaskRun;
+import org.hickoryspar.kernel.runtime.RunTimeTable;
 import org.hickoryspar.kernel.value.Problem;
 import org.hickoryspar.kernel.workflow.Workflow;
 import org.hickoryspar.kernel.workflow.WorkflowTable;
@@ -334,6 +335,11 @@
 
   // -- queries
 
+  /** Returns what the finished runs tell of run times, shared by all leaders. */
+  RunTimeTable runTimes() {
+    return table.runTimes();
+  }
+
   long nowMillis() {
     return nowMillis;
   }
--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/LossyCluster.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/LossyCluster.java
@@ -82,6 +82,7 @@
     fencingToken++;
     WorkflowTable table = new WorkflowTable();
     table.restore(recorded.snapshot());
+    table.runTimes().restore(recorded.runTimes().toRecord());
     return new Dispatcher(
         SETTINGS,
         catalog,
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/DecisionTelemetry.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/DecisionTelemetry.java
@@ -11,6 +11,7 @@
 import org.hickoryspar.kernel.dispatch.DispatchEventKind;
 import org.hickoryspar.kernel.dispatch.DispatchListener;
 import org.hickoryspar.kernel.dispatch.DispatcherStatus;
+import org.hickoryspar.kernel.runtime.KeyLevel;
 import org.hickoryspar.node.observability.EventLogger;
 
 /** Logs and counts the events of the dispatcher while this replica is the leader. */
@@ -27,6 +28,9 @@
   private final Gauge groups;
   private final Gauge accelerators;
   private final Gauge longestIdleWaitSeconds;
+  private final Histogram runTimeRatio;
+  private final Counter runTimePredictions;
+  private final Gauge runTimeKeys;
 
   /**
    * Creates the telemetry of a process and registers its metrics.
@@ -66,6 +70,24 @@
             .name("hickoryspar_dispatch_longest_idle_wait_seconds")
             .help("Longest wait of a group that could start on idle capacity")
             .register(registry);
+    runTimeRatio =
+        Histogram.builder()
+            .name("hickoryspar_dispatch_run_time_ratio")
+            .help("Run time of a whole run in relation to the median that was expected of it")
+            .labelNames("priority")
+            .classicUpperBounds(0.125, 0.25, 0.5, 0.8, 1.25, 2, 4, 8)
+            .register(registry);
+    runTimePredictions =
+        Counter.builder()
+            .name("hickoryspar_dispatch_run_time_predictions_total")
+            .help("Whole runs that have ended, by what their expected run time rested on")
+            .labelNames("basis")
+            .register(registry);
+    runTimeKeys =
+        Gauge.builder()
+            .name("hickoryspar_dispatch_run_time_keys")
+            .help("Keys by which finished runs are remembered")
+            .register(registry);
   }
 
   private static Histogram histogram(PrometheusRegistry registry, String name, String help) {
@@ -106,6 +128,14 @@
         .observe(Math.max(0, durationMillis) / MILLIS_PER_SECOND);
   }
 
+  @Override
+  public void onWholeRunEnded(int priority, KeyLevel basis, long ranMillis, long expectedMillis) {
+    runTimeRatio
+        .labelValues(String.valueOf(priority))
+        .observe((double) ranMillis / Math.max(1, expectedMillis));
+    runTimePredictions.labelValues(basis.name().toLowerCase(Locale.ROOT)).inc();
+  }
+
   /** Records the duration of one round of decisions. */
   void recordRound(long durationNanos) {
     roundSeconds.observe(durationNanos / NANOS_PER_SECOND);
@@ -123,5 +153,6 @@
     accelerators.labelValues("free").set((double) status.freeAccelerators());
     accelerators.labelValues("all").set((double) status.accelerators());
     longestIdleWaitSeconds.set(status.longestIdleWaitMillis() / MILLIS_PER_SECOND);
+    runTimeKeys.set(status.runTimeKeys());
   }
 }
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/DispatchSession.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/DispatchSession.java
@@ -54,6 +54,7 @@
     this.snapshotBatchNumber = snapshot.batchNumber();
     WorkflowTable table = new WorkflowTable();
     table.restore(snapshot.records());
+    table.runTimes().restore(snapshot.runTimes());
     this.dispatcher =
         new Dispatcher(
             settings,
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/explain/EventDescriptions.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/explain/EventDescriptions.java
@@ -45,7 +45,10 @@
         "RUN_PREEMPTED",
         "is being preempted for {for} after {workedMillis} ms of work (checkpointing:"
             + " {checkpointing})");
-    TEMPLATES.put("TASK_ENDED", "ended on {minion} with {cause} at {percent} percent");
+    TEMPLATES.put(
+        "TASK_ENDED",
+        "ended on {minion} with {cause} at {percent} percent after {ranMillis} ms, expected"
+            + " {expectedMillis} ms");
     TEMPLATES.put(
         "RUN_OVER", "all {members} members have ended (done: {done}, failed runs: {failures})");
     TEMPLATES.put(
--- a/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/ControlSnapshot.java
+++ b/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/ControlSnapshot.java
@@ -499,6 +499,44 @@
     return dataCentres_.get(index);
   }
 
+  public static final int RUN_TIMES_FIELD_NUMBER = 14;
+  private org.hickoryspar.protocol.RunTimeTableRecord runTimes_;
+  /**
+   * <pre>
+   * Absent in snapshots of earlier versions.
+   * </pre>
+   *
+   * <code>.hickoryspar.RunTimeTableRecord run_times = 14;</code>
+   * @return Whether the runTimes field is set.
+   */
+  @java.lang.Override
+  public boolean hasRunTimes() {
+    return ((bitField0_ & 0x00000002) != 0);
+  }
+  /**
+   * <pre>
+   * Absent in snapshots of earlier versions.
+   * </pre>
+   *
+   * <code>.hickoryspar.RunTimeTableRecord run_times = 14;</code>
+   * @return The runTimes.
+   */
+  @java.lang.Override
+  public org.hickoryspar.protocol.RunTimeTableRecord getRunTimes() {
+    return runTimes_ == null ? org.hickoryspar.protocol.RunTimeTableRecord.getDefaultInstance() : runTimes_;
+  }
+  /**
+   * <pre>
+   * Absent in snapshots of earlier versions.
+   * </pre>
+   *
+   * <code>.hickoryspar.RunTimeTableRecord run_times = 14;</code>
+   */
+  @java.lang.Override
+  public org.hickoryspar.protocol.RunTimeTableRecordOrBuilder getRunTimesOrBuilder() {
+    return runTimes_ == null ? org.hickoryspar.protocol.RunTimeTableRecord.getDefaultInstance() : runTimes_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -552,6 +590,9 @@
     for (int i = 0; i < dataCentres_.size(); i++) {
       output.writeMessage(13, dataCentres_.get(i));
     }
+    if (((bitField0_ & 0x00000002) != 0)) {
+      output.writeMessage(14, getRunTimes());
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -617,6 +658,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(13, dataCentres_.get(i));
     }
+    if (((bitField0_ & 0x00000002) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(14, getRunTimes());
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -661,6 +706,11 @@
         .equals(other.getWorkflowsList())) return false;
     if (!getDataCentresList()
         .equals(other.getDataCentresList())) return false;
+    if (hasRunTimes() != other.hasRunTimes()) return false;
+    if (hasRunTimes()) {
+      if (!getRunTimes()
+          .equals(other.getRunTimes())) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -720,6 +770,10 @@
       hash = (37 * hash) + DATA_CENTRES_FIELD_NUMBER;
       hash = (53 * hash) + getDataCentresList().hashCode();
     }
+    if (hasRunTimes()) {
+      hash = (37 * hash) + RUN_TIMES_FIELD_NUMBER;
+      hash = (53 * hash) + getRunTimes().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -859,6 +913,7 @@
         internalGetCatalogFieldBuilder();
         internalGetWorkflowsFieldBuilder();
         internalGetDataCentresFieldBuilder();
+        internalGetRunTimesFieldBuilder();
       }
     }
     @java.lang.Override
@@ -931,6 +986,11 @@
         dataCentresBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00001000);
+      runTimes_ = null;
+      if (runTimesBuilder_ != null) {
+        runTimesBuilder_.dispose();
+        runTimesBuilder_ = null;
+      }
       return this;
     }
 
@@ -1060,6 +1120,12 @@
         dataCentresOut_.makeImmutable();
         result.dataCentresOut_ = dataCentresOut_;
       }
+      if (((from_bitField0_ & 0x00002000) != 0)) {
+        result.runTimes_ = runTimesBuilder_ == null
+            ? runTimes_
+            : runTimesBuilder_.build();
+        to_bitField0_ |= 0x00000002;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -1305,6 +1371,9 @@
           }
         }
       }
+      if (other.hasRunTimes()) {
+        mergeRunTimes(other.getRunTimes());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1463,6 +1532,13 @@
               }
               break;
             } // case 106
+            case 114: {
+              input.readMessage(
+                  internalGetRunTimesFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00002000;
+              break;
+            } // case 114
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -3800,6 +3876,163 @@
       return dataCentresBuilder_;
     }
 
+    private org.hickoryspar.protocol.RunTimeTableRecord runTimes_;
+    private com.google.protobuf.SingleFieldBuilder<
+        org.hickoryspar.protocol.RunTimeTableRecord, org.hickoryspar.protocol.RunTimeTableRecord.Builder, org.hickoryspar.protocol.RunTimeTableRecordOrBuilder> runTimesBuilder_;
+    /**
+     * <pre>
+     * Absent in snapshots of earlier versions.
+     * </pre>
+     *
+     * <code>.hickoryspar.RunTimeTableRecord run_times = 14;</code>
+     * @return Whether the runTimes field is set.
+     */
+    public boolean hasRunTimes() {
+      return ((bitField0_ & 0x00002000) != 0);
+    }
+    /**
+     * <pre>
+     * Absent in snapshots of earlier versions.
+     * </pre>
+     *
+     * <code>.hickoryspar.RunTimeTableRecord run_times = 14;</code>
+     * @return The runTimes.
+     */
+    public org.hickoryspar.protocol.RunTimeTableRecord getRunTimes() {
+      if (runTimesBuilder_ == null) {
+        return runTimes_ == null ? org.hickoryspar.protocol.RunTimeTableRecord.getDefaultInstance() : runTimes_;
+      } else {
+        return runTimesBuilder_.getMessage();
+      }
+    }
+    /**
+     * <pre>
+     * Absent in snapshots of earlier versions.
+     * </pre>
+     *
+     * <code>.hickoryspar.RunTimeTableRecord run_times = 14;</code>
+     */
+    public Builder setRunTimes(org.hickoryspar.protocol.RunTimeTableRecord value) {
+      if (runTimesBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        runTimes_ = value;
+      } else {
+        runTimesBuilder_.setMessage(value);
+      }
+      bitField0_ |= 0x00002000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Absent in snapshots of earlier versions.
+     * </pre>
+     *
+     * <code>.hickoryspar.RunTimeTableRecord run_times = 14;</code>
+     */
+    public Builder setRunTimes(
+        org.hickoryspar.protocol.RunTimeTableRecord.Builder builderForValue) {
+      if (runTimesBuilder_ == null) {
+        runTimes_ = builderForValue.build();
+      } else {
+        runTimesBuilder_.setMessage(builderForValue.build());
+      }
+      bitField0_ |= 0x00002000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Absent in snapshots of earlier versions.
+     * </pre>
+     *
+     * <code>.hickoryspar.RunTimeTableRecord run_times = 14;</code>
+     */
+    public Builder mergeRunTimes(org.hickoryspar.protocol.RunTimeTableRecord value) {
+      if (runTimesBuilder_ == null) {
+        if (((bitField0_ & 0x00002000) != 0) &&
+          runTimes_ != null &&
+          runTimes_ != org.hickoryspar.protocol.RunTimeTableRecord.getDefaultInstance()) {
+          getRunTimesBuilder().mergeFrom(value);
+        } else {
+          runTimes_ = value;
+        }
+      } else {
+        runTimesBuilder_.mergeFrom(value);
+      }
+      if (runTimes_ != null) {
+        bitField0_ |= 0x00002000;
+        onChanged();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Absent in snapshots of earlier versions.
+     * </pre>
+     *
+     * <code>.hickoryspar.RunTimeTableRecord run_times = 14;</code>
+     */
+    public Builder clearRunTimes() {
+      bitField0_ = (bitField0_ & ~0x00002000);
+      runTimes_ = null;
+      if (runTimesBuilder_ != null) {
+        runTimesBuilder_.dispose();
+        runTimesBuilder_ = null;
+      }
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Absent in snapshots of earlier versions.
+     * </pre>
+     *
+     * <code>.hickoryspar.RunTimeTableRecord run_times = 14;</code>
+     */
+    public org.hickoryspar.protocol.RunTimeTableRecord.Builder getRunTimesBuilder() {
+      bitField0_ |= 0x00002000;
+      onChanged();
+      return internalGetRunTimesFieldBuilder().getBuilder();
+    }
+    /**
+     * <pre>
+     * Absent in snapshots of earlier versions.
+     * </pre>
+     *
+     * <code>.hickoryspar.RunTimeTableRecord run_times = 14;</code>
+     */
+    public org.hickoryspar.protocol.RunTimeTableRecordOrBuilder getRunTimesOrBuilder() {
+      if (runTimesBuilder_ != null) {
+        return runTimesBuilder_.getMessageOrBuilder();
+      } else {
+        return runTimes_ == null ?
+            org.hickoryspar.protocol.RunTimeTableRecord.getDefaultInstance() : runTimes_;
+      }
+    }
+    /**
+     * <pre>
+     * Absent in snapshots of earlier versions.
+     * </pre>
+     *
+     * <code>.hickoryspar.RunTimeTableRecord run_times = 14;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.hickoryspar.protocol.RunTimeTableRecord, org.hickoryspar.protocol.RunTimeTableRecord.Builder, org.hickoryspar.protocol.RunTimeTableRecordOrBuilder> 
+        internalGetRunTimesFieldBuilder() {
+      if (runTimesBuilder_ == null) {
+        runTimesBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.hickoryspar.protocol.RunTimeTableRecord, org.hickoryspar.protocol.RunTimeTableRecord.Builder, org.hickoryspar.protocol.RunTimeTableRecordOrBuilder>(
+                getRunTimes(),
+                getParentForChildren(),
+                isClean());
+        runTimes_ = null;
+      }
+      return runTimesBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:hickoryspar.ControlSnapshot)
   }
 
--- a/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/ControlSnapshotOrBuilder.java
+++ b/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/ControlSnapshotOrBuilder.java
@@ -279,4 +279,31 @@
    */
   org.hickoryspar.protocol.DataCentreRecordOrBuilder getDataCentresOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * Absent in snapshots of earlier versions.
+   * </pre>
+   *
+   * <code>.hickoryspar.RunTimeTableRecord run_times = 14;</code>
+   * @return Whether the runTimes field is set.
+   */
+  boolean hasRunTimes();
+  /**
+   * <pre>
+   * Absent in snapshots of earlier versions.
+   * </pre>
+   *
+   * <code>.hickoryspar.RunTimeTableRecord run_times = 14;</code>
+   * @return The runTimes.
+   */
+  org.hickoryspar.protocol.RunTimeTableRecord getRunTimes();
+  /**
+   * <pre>
+   * Absent in snapshots of earlier versions.
+   * </pre>
+   *
+   * <code>.hickoryspar.RunTimeTableRecord run_times = 14;</code>
+   */
+  org.hickoryspar.protocol.RunTimeTableRecordOrBuilder getRunTimesOrBuilder();
 }
--- a/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/Hickoryspar.java
+++ b/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/Hickoryspar.java
@@ -446,6 +446,21 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_hickoryspar_RunRecord_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_hickoryspar_RunTimeTableRecord_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_hickoryspar_RunTimeTableRecord_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_hickoryspar_RunTimeKeyRecord_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_hickoryspar_RunTimeKeyRecord_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_hickoryspar_RunTimeHistogramRecord_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_hickoryspar_RunTimeHistogramRecord_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_hickoryspar_MinionReport_descriptor;
   static final 
@@ -662,7 +677,7 @@
       "\n\007upserts\030\001 \003(\0132\027.hickoryspar.WorkerInfo" +
       "\022\017\n\007removed\030\002 \003(\t\">\n\tEntryLost\022\026\n\016entry_" +
       "instance\030\001 \001(\t\022\031\n\021entry_incarnation\030\002 \001(" +
-      "\004\"\213\004\n\017ControlSnapshot\022\023\n\013time_millis\030\001 \001" +
+      "\004\"\277\004\n\017ControlSnapshot\022\023\n\013time_millis\030\001 \001" +
       "(\004\022\025\n\rfleet_version\030\002 \001(\004\022\033\n\023fleet_docum" +
       "ent_json\030\003 \001(\014\022/\n\007history\030\004 \003(\0132\036.hickor" +
       "yspar.FleetHistoryEntry\022(\n\006claims\030\005 \003(\0132" +
@@ -675,147 +690,156 @@
       "\022\030\n\020data_centres_out\030\013 \003(\t\022.\n\tworkflows\030" +
       "\014 \003(\0132\033.hickoryspar.WorkflowRecord\0223\n\014da" +
       "ta_centres\030\r \003(\0132\035.hickoryspar.DataCentr" +
-      "eRecord\"c\n\021FleetHistoryEntry\022\017\n\007version\030" +
-      "\001 \001(\004\022(\n\006change\030\002 \001(\0132\030.hickoryspar.Flee" +
-      "tChange\022\023\n\013time_millis\030\003 \001(\004\"\276\001\n\013ClaimRe" +
-      "cord\022\014\n\004team\030\001 \001(\t\022\013\n\003key\030\002 \001(\t\022\023\n\013finge" +
-      "rprint\030\003 \001(\014\022\026\n\016entry_instance\030\004 \001(\t\022\031\n\021" +
-      "entry_incarnation\030\005 \001(\004\022\023\n\013time_millis\030\006" +
-      " \001(\004\022%\n\007outcome\030\007 \001(\0132\024.hickoryspar.Outc" +
-      "ome\022\020\n\010claim_id\030\010 \001(\t\"2\n\014ChangeRecord\022\021\n" +
-      "\tchange_id\030\001 \001(\t\022\017\n\007version\030\002 \001(\004\"\370\002\n\tJo" +
-      "bRecord\022\016\n\006job_id\030\001 \001(\t\022\027\n\017idempotency_k" +
-      "ey\030\002 \001(\t\022\"\n\004spec\030\003 \001(\0132\024.hickoryspar.Job" +
-      "Spec\022\030\n\020submitted_millis\030\004 \001(\004\022*\n\005phase\030" +
-      "\005 \001(\0162\033.hickoryspar.GangStep.Phase\022\017\n\007at" +
-      "tempt\030\006 \001(\r\022.\n\nplacements\030\007 \003(\0132\032.hickor" +
-      "yspar.TaskPlacement\022\016\n\006result\030\010 \001(\t\022\016\n\006d" +
-      "etail\030\t \001(\t\022\032\n\022phase_since_millis\030\n \001(\004\022" +
-      ")\n\004then\030\013 \001(\0162\033.hickoryspar.GangStep.Pha" +
-      "se\022\030\n\020cancel_requested\030\014 \001(\010\022\026\n\016faulty_w" +
-      "orkers\030\r \003(\t\"T\n\020ControlDirectory\022\031\n\021cont" +
-      "rol_addresses\030\001 \003(\t\022\027\n\017leader_instance\030\002" +
-      " \001(\t\022\014\n\004term\030\003 \001(\004\"\231\001\n\007Catalog\022\017\n\007versio" +
-      "n\030\001 \001(\004\022\"\n\006queues\030\002 \003(\0132\022.hickoryspar.Qu" +
-      "eue\022,\n\010services\030\003 \003(\0132\032.hickoryspar.Serv" +
-      "icePolicy\022+\n\005teams\030\004 \003(\0132\034.hickoryspar.T" +
-      "eamEntitlement\"\365\001\n\005Queue\022\014\n\004name\030\001 \001(\t\022\014" +
-      "\n\004host\030\002 \001(\t\022\023\n\013path_prefix\030\003 \001(\t\022\017\n\007ser" +
-      "vice\030\004 \001(\t\022\020\n\010priority\030\005 \001(\r\022\024\n\014max_atte" +
-      "mpts\030\006 \001(\r\022\017\n\007stretch\030\007 \001(\001\022 \n\030target_co" +
-      "mpletion_millis\030\010 \001(\004\022\014\n\004open\030\t \001(\010\022\026\n\016t" +
-      "imeout_millis\030\n \001(\004\022)\n\006advice\030\013 \001(\0132\031.hi" +
-      "ckoryspar.AdvicePolicy\"[\n\014AdvicePolicy\022\027" +
-      "\n\017decision_millis\030\001 \001(\004\022\031\n\021per_minion_mi" +
-      "llis\030\002 \001(\004\022\027\n\017validity_millis\030\003 \001(\004\"\\\n\rS" +
-      "ervicePolicy\022\014\n\004name\030\001 \001(\t\022\027\n\017admission_" +
-      "check\030\002 \001(\010\022\017\n\007standby\030\003 \001(\010\022\023\n\013health_p" +
-      "ath\030\004 \001(\t\"\206\001\n\017TeamEntitlement\022\014\n\004name\030\001 " +
-      "\001(\t\022\014\n\004keys\030\002 \003(\t\022\037\n\027guaranteed_accelera" +
-      "tors\030\003 \001(\r\022\016\n\006weight\030\004 \001(\001\022&\n\005quota\030\005 \001(" +
-      "\0132\027.hickoryspar.TaskDemand\"H\n\rCatalogCha" +
-      "nge\022%\n\007catalog\030\001 \001(\0132\024.hickoryspar.Catal" +
-      "og\022\020\n\010document\030\002 \001(\014\"j\n\020DataCentreSwitch" +
-      "\022\023\n\013data_centre\030\001 \001(\t\022\013\n\003out\030\002 \001(\010\022\036\n\021ex" +
-      "pected_revision\030\003 \001(\004H\000\210\001\001B\024\n\022_expected_" +
-      "revision\"F\n\020DataCentreRecord\022\023\n\013data_cen" +
-      "tre\030\001 \001(\t\022\013\n\003out\030\002 \001(\010\022\020\n\010revision\030\003 \001(\004" +
-      "\"\301\001\n\013CatalogCall\022)\n\003put\030\001 \001(\0132\032.hickorys" +
-      "par.CatalogChangeH\000\022+\n\003get\030\002 \001(\0132\034.hicko" +
-      "ryspar.AcknowledgementH\000\0224\n\013data_centre\030" +
-      "\003 \001(\0132\035.hickoryspar.DataCentreSwitchH\000\022\034" +
-      "\n\022data_centre_record\030\004 \001(\tH\000B\006\n\004kind\"e\n\014" +
-      "CatalogReply\022\017\n\007version\030\001 \001(\004\022\020\n\010documen" +
-      "t\030\002 \001(\014\0222\n\013data_centre\030\003 \001(\0132\035.hickorysp" +
-      "ar.DataCentreRecord\"T\n\nTaskDemand\022\026\n\016cpu" +
-      "_millicores\030\001 \001(\004\022\030\n\020memory_megabytes\030\002 " +
-      "\001(\004\022\024\n\014accelerators\030\003 \001(\r\"\367\002\n\014WorkflowSt" +
-      "ep\022\r\n\005tasks\030\001 \001(\r\022\'\n\006demand\030\002 \001(\0132\027.hick" +
-      "oryspar.TaskDemand\022\030\n\020estimated_millis\030\003" +
-      " \001(\004\022\022\n\ndepends_on\030\004 \003(\r\022\025\n\rcheckpointin" +
-      "g\030\005 \001(\010\022\014\n\004gang\030\006 \001(\010\022\021\n\tsame_rack\030\007 \001(\010" +
-      "\022\026\n\016required_label\030\010 \001(\t\022\021\n\tdata_rack\030\t " +
-      "\001(\t\022\034\n\024max_tasks_per_minion\030\n \001(\r\022\023\n\013spe" +
-      "culative\030\013 \001(\010\022\024\n\014long_running\030\014 \001(\010\022\r\n\005" +
-      "image\030\r \001(\t\022\036\n\026response_target_millis\030\016 " +
-      "\001(\004\022\r\n\005fills\030\017 \001(\010\022\027\n\017max_unavailable\030\020 " +
-      "\001(\r\"\221\001\n\014WorkflowSpec\022\017\n\007payload\030\001 \001(\t\022(\n" +
-      "\005steps\030\002 \003(\0132\031.hickoryspar.WorkflowStep\022" +
-      "\023\n\013occurrences\030\003 \001(\r\022\030\n\020first_due_millis" +
-      "\030\004 \001(\022\022\027\n\017interval_millis\030\005 \001(\004\"\321\001\n\014Work" +
-      "flowCall\022\014\n\004host\030\001 \001(\t\022\014\n\004path\030\002 \001(\t\022\020\n\010" +
-      "team_key\030\003 \001(\t\022+\n\006submit\030\n \001(\0132\031.hickory" +
-      "spar.WorkflowSpecH\000\022.\n\006status\030\013 \001(\0132\034.hi" +
-      "ckoryspar.AcknowledgementH\000\022.\n\006cancel\030\014 " +
-      "\001(\0132\034.hickoryspar.AcknowledgementH\000B\006\n\004k" +
-      "ind\"\311\002\n\rWorkflowReply\0223\n\007outcome\030\001 \001(\0162\"" +
-      ".hickoryspar.WorkflowReply.Outcome\022)\n\005st" +
-      "ate\030\002 \001(\0162\032.hickoryspar.WorkflowState\022\017\n" +
-      "\007pending\030\003 \001(\004\022\032\n\022retry_after_millis\030\004 \001" +
-      "(\004\022\016\n\006reason\030\005 \001(\t\022\026\n\016counts_pending\030\006 \001" +
-      "(\010\"\202\001\n\007Outcome\022\027\n\023OUTCOME_UNSPECIFIED\020\000\022" +
-      "\006\n\002OK\020\001\022\013\n\007REFUSED\020\002\022\014\n\010NO_QUEUE\020\003\022\020\n\014UN" +
-      "AUTHORISED\020\004\022\017\n\013NO_WORKFLOW\020\005\022\013\n\007INVALID" +
-      "\020\006\022\013\n\007UNKNOWN\020\007\"T\n\rWorkflowBatch\022*\n\006even" +
-      "ts\030\001 \003(\0132\032.hickoryspar.WorkflowEvent\022\027\n\017" +
-      "dispatch_number\030\002 \001(\004\"\370\001\n\rWorkflowEvent\022" +
-      "-\n\006submit\030\001 \001(\0132\033.hickoryspar.SubmitWork" +
-      "flowH\000\022-\n\006cancel\030\002 \001(\0132\033.hickoryspar.Can" +
-      "celWorkflowH\000\022*\n\trun_start\030\003 \001(\0132\025.hicko" +
-      "ryspar.RunStartH\000\022&\n\007run_end\030\004 \001(\0132\023.hic" +
-      "koryspar.RunEndH\000\022-\n\006forget\030\005 \001(\0132\033.hick" +
-      "oryspar.ForgetWorkflowH\000B\006\n\004kind\"\220\001\n\016Sub" +
-      "mitWorkflow\022\023\n\013workflow_id\030\001 \001(\t\022\014\n\004team" +
-      "\030\002 \001(\t\022!\n\005queue\030\003 \001(\0132\022.hickoryspar.Queu" +
-      "e\022\'\n\004spec\030\004 \001(\0132\031.hickoryspar.WorkflowSp" +
-      "ec\022\017\n\007call_id\030\005 \001(\014\"%\n\016CancelWorkflow\022\023\n" +
-      "\013workflow_id\030\001 \001(\t\"%\n\016ForgetWorkflow\022\023\n\013" +
-      "workflow_id\030\001 \001(\t\"4\n\nMinionLife\022\021\n\tminio" +
-      "n_id\030\001 \001(\t\022\023\n\013born_millis\030\002 \001(\004\"\214\001\n\010RunS" +
-      "tart\022\023\n\013workflow_id\030\001 \001(\t\022\022\n\noccurrence\030" +
-      "\002 \001(\r\022\014\n\004step\030\003 \001(\r\022\022\n\nfirst_task\030\004 \001(\r\022" +
-      "\013\n\003run\030\005 \001(\r\022(\n\007minions\030\006 \003(\0132\027.hickorys" +
-      "par.MinionLife\"\245\002\n\006RunEnd\022\023\n\013workflow_id" +
-      "\030\001 \001(\t\022\022\n\noccurrence\030\002 \001(\r\022\014\n\004step\030\003 \001(\r" +
-      "\022\014\n\004task\030\004 \001(\r\022\013\n\003run\030\005 \001(\r\022(\n\005cause\030\006 \001" +
-      "(\0162\031.hickoryspar.RunEnd.Cause\022\022\n\ncheckpo" +
-      "int\030\007 \001(\t\"\212\001\n\005Cause\022\025\n\021CAUSE_UNSPECIFIED" +
-      "\020\000\022\010\n\004DONE\020\001\022\017\n\013TASK_FAILED\020\002\022\013\n\007STOPPED" +
-      "\020\003\022\020\n\014LEASE_LAPSED\020\004\022\020\n\014GROUP_BROKEN\020\005\022\024" +
-      "\n\020GROUP_INCOMPLETE\020\006\022\010\n\004LOST\020\007\"\347\001\n\016Workf" +
-      "lowRecord\022/\n\nsubmission\030\001 \001(\0132\033.hickorys" +
-      "par.SubmitWorkflow\022\027\n\017accepted_millis\030\002 " +
-      "\001(\004\022\024\n\014ended_millis\030\003 \001(\004\022\021\n\tcancelled\030\004" +
-      " \001(\010\022\017\n\007started\030\005 \001(\010\0222\n\013occurrences\030\006 \003" +
-      "(\0132\035.hickoryspar.OccurrenceRecord\022\035\n\025com" +
-      "pleted_occurrences\030\007 \003(\r\"N\n\020OccurrenceRe" +
-      "cord\022\022\n\noccurrence\030\001 \001(\r\022&\n\005steps\030\002 \003(\0132" +
-      "\027.hickoryspar.StepRecord\"6\n\nStepRecord\022(" +
-      "\n\006groups\030\001 \003(\0132\030.hickoryspar.GroupRecord" +
-      "\"{\n\013GroupRecord\022\020\n\010last_run\030\001 \001(\r\022\020\n\010fai" +
-      "lures\030\002 \001(\r\022\014\n\004done\030\003 \001(\010\022\022\n\ncheckpoint\030" +
-      "\004 \001(\t\022&\n\006active\030\005 \003(\0132\026.hickoryspar.RunR" +
-      "ecord\"k\n\tRunRecord\022\013\n\003run\030\001 \001(\r\022(\n\007minio" +
-      "ns\030\002 \003(\0132\027.hickoryspar.MinionLife\022\'\n\004end" +
-      "s\030\003 \003(\0162\031.hickoryspar.RunEnd.Cause\"\365\002\n\014M" +
-      "inionReport\022%\n\004life\030\001 \001(\0132\027.hickoryspar." +
-      "MinionLife\022\020\n\010sequence\030\002 \001(\004\022\017\n\007service\030" +
-      "\003 \001(\t\022\017\n\007address\030\004 \001(\t\022\023\n\013data_centre\030\005 " +
-      "\001(\t\022\020\n\010draining\030\006 \001(\010\022\017\n\007leaving\030\007 \001(\010\022)" +
-      "\n\010capacity\030\010 \001(\0132\027.hickoryspar.TaskDeman" +
-      "d\022\016\n\006labels\030\t \003(\t\022\035\n\025cold_remaining_mill" +
-      "is\030\n \001(\004\022\036\n\026drain_remaining_millis\030\013 \001(\004" +
-      "\022\024\n\014clock_millis\030\014 \001(\004\022\022\n\nage_millis\030\r \001" +
-      "(\004\022\017\n\007machine\030\016 \001(\t\022\017\n\007version\030\017 \001(\t\022\014\n\004" +
-      "rack\030\020 \001(\t\"N\n\rMinionReports\022*\n\007reports\030\001" +
-      " \003(\0132\031.hickoryspar.MinionReport\022\021\n\tconfi" +
-      "rmed\030\002 \003(\006\"%\n\022MinionReportsReply\022\017\n\007miss" +
-      "ing\030\001 \003(\006*\237\001\n\rWorkflowState\022\036\n\032WORKFLOW_" +
-      "STATE_UNSPECIFIED\020\000\022\023\n\017WORKFLOW_QUEUED\020\001" +
-      "\022\024\n\020WORKFLOW_RUNNING\020\002\022\026\n\022WORKFLOW_COMPL" +
-      "ETED\020\003\022\023\n\017WORKFLOW_FAILED\020\004\022\026\n\022WORKFLOW_" +
-      "CANCELLED\020\005B\034\n\030org.hickoryspar.protocolP" +
-      "\001b\006proto3"
+      "eRecord\0222\n\trun_times\030\016 \001(\0132\037.hickoryspar" +
+      ".RunTimeTableRecord\"c\n\021FleetHistoryEntry" +
+      "\022\017\n\007version\030\001 \001(\004\022(\n\006change\030\002 \001(\0132\030.hick" +
+      "oryspar.FleetChange\022\023\n\013time_millis\030\003 \001(\004" +
+      "\"\276\001\n\013ClaimRecord\022\014\n\004team\030\001 \001(\t\022\013\n\003key\030\002 " +
+      "\001(\t\022\023\n\013fingerprint\030\003 \001(\014\022\026\n\016entry_instan" +
+      "ce\030\004 \001(\t\022\031\n\021entry_incarnation\030\005 \001(\004\022\023\n\013t" +
+      "ime_millis\030\006 \001(\004\022%\n\007outcome\030\007 \001(\0132\024.hick" +
+      "oryspar.Outcome\022\020\n\010claim_id\030\010 \001(\t\"2\n\014Cha" +
+      "ngeRecord\022\021\n\tchange_id\030\001 \001(\t\022\017\n\007version\030" +
+      "\002 \001(\004\"\370\002\n\tJobRecord\022\016\n\006job_id\030\001 \001(\t\022\027\n\017i" +
+      "dempotency_key\030\002 \001(\t\022\"\n\004spec\030\003 \001(\0132\024.hic" +
+      "koryspar.JobSpec\022\030\n\020submitted_millis\030\004 \001" +
+      "(\004\022*\n\005phase\030\005 \001(\0162\033.hickoryspar.GangStep" +
+      ".Phase\022\017\n\007attempt\030\006 \001(\r\022.\n\nplacements\030\007 " +
+      "\003(\0132\032.hickoryspar.TaskPlacement\022\016\n\006resul" +
+      "t\030\010 \001(\t\022\016\n\006detail\030\t \001(\t\022\032\n\022phase_since_m" +
+      "illis\030\n \001(\004\022)\n\004then\030\013 \001(\0162\033.hickoryspar." +
+      "GangStep.Phase\022\030\n\020cancel_requested\030\014 \001(\010" +
+      "\022\026\n\016faulty_workers\030\r \003(\t\"T\n\020ControlDirec" +
+      "tory\022\031\n\021control_addresses\030\001 \003(\t\022\027\n\017leade" +
+      "r_instance\030\002 \001(\t\022\014\n\004term\030\003 \001(\004\"\231\001\n\007Catal" +
+      "og\022\017\n\007version\030\001 \001(\004\022\"\n\006queues\030\002 \003(\0132\022.hi" +
+      "ckoryspar.Queue\022,\n\010services\030\003 \003(\0132\032.hick" +
+      "oryspar.ServicePolicy\022+\n\005teams\030\004 \003(\0132\034.h" +
+      "ickoryspar.TeamEntitlement\"\365\001\n\005Queue\022\014\n\004" +
+      "name\030\001 \001(\t\022\014\n\004host\030\002 \001(\t\022\023\n\013path_prefix\030" +
+      "\003 \001(\t\022\017\n\007service\030\004 \001(\t\022\020\n\010priority\030\005 \001(\r" +
+      "\022\024\n\014max_attempts\030\006 \001(\r\022\017\n\007stretch\030\007 \001(\001\022" +
+      " \n\030target_completion_millis\030\010 \001(\004\022\014\n\004ope" +
+      "n\030\t \001(\010\022\026\n\016timeout_millis\030\n \001(\004\022)\n\006advic" +
+      "e\030\013 \001(\0132\031.hickoryspar.AdvicePolicy\"[\n\014Ad" +
+      "vicePolicy\022\027\n\017decision_millis\030\001 \001(\004\022\031\n\021p" +
+      "er_minion_millis\030\002 \001(\004\022\027\n\017validity_milli" +
+      "s\030\003 \001(\004\"\\\n\rServicePolicy\022\014\n\004name\030\001 \001(\t\022\027" +
+      "\n\017admission_check\030\002 \001(\010\022\017\n\007standby\030\003 \001(\010" +
+      "\022\023\n\013health_path\030\004 \001(\t\"\206\001\n\017TeamEntitlemen" +
+      "t\022\014\n\004name\030\001 \001(\t\022\014\n\004keys\030\002 \003(\t\022\037\n\027guarant" +
+      "eed_accelerators\030\003 \001(\r\022\016\n\006weight\030\004 \001(\001\022&" +
+      "\n\005quota\030\005 \001(\0132\027.hickoryspar.TaskDemand\"H" +
+      "\n\rCatalogChange\022%\n\007catalog\030\001 \001(\0132\024.hicko" +
+      "ryspar.Catalog\022\020\n\010document\030\002 \001(\014\"j\n\020Data" +
+      "CentreSwitch\022\023\n\013data_centre\030\001 \001(\t\022\013\n\003out" +
+      "\030\002 \001(\010\022\036\n\021expected_revision\030\003 \001(\004H\000\210\001\001B\024" +
+      "\n\022_expected_revision\"F\n\020DataCentreRecord" +
+      "\022\023\n\013data_centre\030\001 \001(\t\022\013\n\003out\030\002 \001(\010\022\020\n\010re" +
+      "vision\030\003 \001(\004\"\301\001\n\013CatalogCall\022)\n\003put\030\001 \001(" +
+      "\0132\032.hickoryspar.CatalogChangeH\000\022+\n\003get\030\002" +
+      " \001(\0132\034.hickoryspar.AcknowledgementH\000\0224\n\013" +
+      "data_centre\030\003 \001(\0132\035.hickoryspar.DataCent" +
+      "reSwitchH\000\022\034\n\022data_centre_record\030\004 \001(\tH\000" +
+      "B\006\n\004kind\"e\n\014CatalogReply\022\017\n\007version\030\001 \001(" +
+      "\004\022\020\n\010document\030\002 \001(\014\0222\n\013data_centre\030\003 \001(\013" +
+      "2\035.hickoryspar.DataCentreRecord\"T\n\nTaskD" +
+      "emand\022\026\n\016cpu_millicores\030\001 \001(\004\022\030\n\020memory_" +
+      "megabytes\030\002 \001(\004\022\024\n\014accelerators\030\003 \001(\r\"\367\002" +
+      "\n\014WorkflowStep\022\r\n\005tasks\030\001 \001(\r\022\'\n\006demand\030" +
+      "\002 \001(\0132\027.hickoryspar.TaskDemand\022\030\n\020estima" +
+      "ted_millis\030\003 \001(\004\022\022\n\ndepends_on\030\004 \003(\r\022\025\n\r" +
+      "checkpointing\030\005 \001(\010\022\014\n\004gang\030\006 \001(\010\022\021\n\tsam" +
+      "e_rack\030\007 \001(\010\022\026\n\016required_label\030\010 \001(\t\022\021\n\t" +
+      "data_rack\030\t \001(\t\022\034\n\024max_tasks_per_minion\030" +
+      "\n \001(\r\022\023\n\013speculative\030\013 \001(\010\022\024\n\014long_runni" +
+      "ng\030\014 \001(\010\022\r\n\005image\030\r \001(\t\022\036\n\026response_targ" +
+      "et_millis\030\016 \001(\004\022\r\n\005fills\030\017 \001(\010\022\027\n\017max_un" +
+      "available\030\020 \001(\r\"\221\001\n\014WorkflowSpec\022\017\n\007payl" +
+      "oad\030\001 \001(\t\022(\n\005steps\030\002 \003(\0132\031.hickoryspar.W" +
+      "orkflowStep\022\023\n\013occurrences\030\003 \001(\r\022\030\n\020firs" +
+      "t_due_millis\030\004 \001(\022\022\027\n\017interval_millis\030\005 " +
+      "\001(\004\"\321\001\n\014WorkflowCall\022\014\n\004host\030\001 \001(\t\022\014\n\004pa" +
+      "th\030\002 \001(\t\022\020\n\010team_key\030\003 \001(\t\022+\n\006submit\030\n \001" +
+      "(\0132\031.hickoryspar.WorkflowSpecH\000\022.\n\006statu" +
+      "s\030\013 \001(\0132\034.hickoryspar.AcknowledgementH\000\022" +
+      ".\n\006cancel\030\014 \001(\0132\034.hickoryspar.Acknowledg" +
+      "ementH\000B\006\n\004kind\"\311\002\n\rWorkflowReply\0223\n\007out" +
+      "come\030\001 \001(\0162\".hickoryspar.WorkflowReply.O" +
+      "utcome\022)\n\005state\030\002 \001(\0162\032.hickoryspar.Work" +
+      "flowState\022\017\n\007pending\030\003 \001(\004\022\032\n\022retry_afte" +
+      "r_millis\030\004 \001(\004\022\016\n\006reason\030\005 \001(\t\022\026\n\016counts" +
+      "_pending\030\006 \001(\010\"\202\001\n\007Outcome\022\027\n\023OUTCOME_UN" +
+      "SPECIFIED\020\000\022\006\n\002OK\020\001\022\013\n\007REFUSED\020\002\022\014\n\010NO_Q" +
+      "UEUE\020\003\022\020\n\014UNAUTHORISED\020\004\022\017\n\013NO_WORKFLOW\020" +
+      "\005\022\013\n\007INVALID\020\006\022\013\n\007UNKNOWN\020\007\"T\n\rWorkflowB" +
+      "atch\022*\n\006events\030\001 \003(\0132\032.hickoryspar.Workf" +
+      "lowEvent\022\027\n\017dispatch_number\030\002 \001(\004\"\370\001\n\rWo" +
+      "rkflowEvent\022-\n\006submit\030\001 \001(\0132\033.hickoryspa" +
+      "r.SubmitWorkflowH\000\022-\n\006cancel\030\002 \001(\0132\033.hic" +
+      "koryspar.CancelWorkflowH\000\022*\n\trun_start\030\003" +
+      " \001(\0132\025.hickoryspar.RunStartH\000\022&\n\007run_end" +
+      "\030\004 \001(\0132\023.hickoryspar.RunEndH\000\022-\n\006forget\030" +
+      "\005 \001(\0132\033.hickoryspar.ForgetWorkflowH\000B\006\n\004" +
+      "kind\"\220\001\n\016SubmitWorkflow\022\023\n\013workflow_id\030\001" +
+      " \001(\t\022\014\n\004team\030\002 \001(\t\022!\n\005queue\030\003 \001(\0132\022.hick" +
+      "oryspar.Queue\022\'\n\004spec\030\004 \001(\0132\031.hickoryspa" +
+      "r.WorkflowSpec\022\017\n\007call_id\030\005 \001(\014\"%\n\016Cance" +
+      "lWorkflow\022\023\n\013workflow_id\030\001 \001(\t\"%\n\016Forget" +
+      "Workflow\022\023\n\013workflow_id\030\001 \001(\t\"4\n\nMinionL" +
+      "ife\022\021\n\tminion_id\030\001 \001(\t\022\023\n\013born_millis\030\002 " +
+      "\001(\004\"\214\001\n\010RunStart\022\023\n\013workflow_id\030\001 \001(\t\022\022\n" +
+      "\noccurrence\030\002 \001(\r\022\014\n\004step\030\003 \001(\r\022\022\n\nfirst" +
+      "_task\030\004 \001(\r\022\013\n\003run\030\005 \001(\r\022(\n\007minions\030\006 \003(" +
+      "\0132\027.hickoryspar.MinionLife\"\271\002\n\006RunEnd\022\023\n" +
+      "\013workflow_id\030\001 \001(\t\022\022\n\noccurrence\030\002 \001(\r\022\014" +
+      "\n\004step\030\003 \001(\r\022\014\n\004task\030\004 \001(\r\022\013\n\003run\030\005 \001(\r\022" +
+      "(\n\005cause\030\006 \001(\0162\031.hickoryspar.RunEnd.Caus" +
+      "e\022\022\n\ncheckpoint\030\007 \001(\t\022\022\n\nrun_millis\030\010 \001(" +
+      "\004\"\212\001\n\005Cause\022\025\n\021CAUSE_UNSPECIFIED\020\000\022\010\n\004DO" +
+      "NE\020\001\022\017\n\013TASK_FAILED\020\002\022\013\n\007STOPPED\020\003\022\020\n\014LE" +
+      "ASE_LAPSED\020\004\022\020\n\014GROUP_BROKEN\020\005\022\024\n\020GROUP_" +
+      "INCOMPLETE\020\006\022\010\n\004LOST\020\007\"\347\001\n\016WorkflowRecor" +
+      "d\022/\n\nsubmission\030\001 \001(\0132\033.hickoryspar.Subm" +
+      "itWorkflow\022\027\n\017accepted_millis\030\002 \001(\004\022\024\n\014e" +
+      "nded_millis\030\003 \001(\004\022\021\n\tcancelled\030\004 \001(\010\022\017\n\007" +
+      "started\030\005 \001(\010\0222\n\013occurrences\030\006 \003(\0132\035.hic" +
+      "koryspar.OccurrenceRecord\022\035\n\025completed_o" +
+      "ccurrences\030\007 \003(\r\"N\n\020OccurrenceRecord\022\022\n\n" +
+      "occurrence\030\001 \001(\r\022&\n\005steps\030\002 \003(\0132\027.hickor" +
+      "yspar.StepRecord\"6\n\nStepRecord\022(\n\006groups" +
+      "\030\001 \003(\0132\030.hickoryspar.GroupRecord\"{\n\013Grou" +
+      "pRecord\022\020\n\010last_run\030\001 \001(\r\022\020\n\010failures\030\002 " +
+      "\001(\r\022\014\n\004done\030\003 \001(\010\022\022\n\ncheckpoint\030\004 \001(\t\022&\n" +
+      "\006active\030\005 \003(\0132\026.hickoryspar.RunRecord\"\203\001" +
+      "\n\tRunRecord\022\013\n\003run\030\001 \001(\r\022(\n\007minions\030\002 \003(" +
+      "\0132\027.hickoryspar.MinionLife\022\'\n\004ends\030\003 \003(\016" +
+      "2\031.hickoryspar.RunEnd.Cause\022\026\n\016started_m" +
+      "illis\030\004 \001(\004\"A\n\022RunTimeTableRecord\022+\n\004key" +
+      "s\030\001 \003(\0132\035.hickoryspar.RunTimeKeyRecord\"\214" +
+      "\001\n\020RunTimeKeyRecord\022\013\n\003key\030\001 \001(\006\0226\n\trun_" +
+      "times\030\002 \001(\0132#.hickoryspar.RunTimeHistogr" +
+      "amRecord\0223\n\006ratios\030\003 \001(\0132#.hickoryspar.R" +
+      "unTimeHistogramRecord\"<\n\026RunTimeHistogra" +
+      "mRecord\022\021\n\tfirst_bin\030\001 \001(\r\022\017\n\007weights\030\002 " +
+      "\003(\r\"\365\002\n\014MinionReport\022%\n\004life\030\001 \001(\0132\027.hic" +
+      "koryspar.MinionLife\022\020\n\010sequence\030\002 \001(\004\022\017\n" +
+      "\007service\030\003 \001(\t\022\017\n\007address\030\004 \001(\t\022\023\n\013data_" +
+      "centre\030\005 \001(\t\022\020\n\010draining\030\006 \001(\010\022\017\n\007leavin" +
+      "g\030\007 \001(\010\022)\n\010capacity\030\010 \001(\0132\027.hickoryspar." +
+      "TaskDemand\022\016\n\006labels\030\t \003(\t\022\035\n\025cold_remai" +
+      "ning_millis\030\n \001(\004\022\036\n\026drain_remaining_mil" +
+      "lis\030\013 \001(\004\022\024\n\014clock_millis\030\014 \001(\004\022\022\n\nage_m" +
+      "illis\030\r \001(\004\022\017\n\007machine\030\016 \001(\t\022\017\n\007version\030" +
+      "\017 \001(\t\022\014\n\004rack\030\020 \001(\t\"N\n\rMinionReports\022*\n\007" +
+      "reports\030\001 \003(\0132\031.hickoryspar.MinionReport" +
+      "\022\021\n\tconfirmed\030\002 \003(\006\"%\n\022MinionReportsRepl" +
+      "y\022\017\n\007missing\030\001 \003(\006*\237\001\n\rWorkflowState\022\036\n\032" +
+      "WORKFLOW_STATE_UNSPECIFIED\020\000\022\023\n\017WORKFLOW" +
+      "_QUEUED\020\001\022\024\n\020WORKFLOW_RUNNING\020\002\022\026\n\022WORKF" +
+      "LOW_COMPLETED\020\003\022\023\n\017WORKFLOW_FAILED\020\004\022\026\n\022" +
+      "WORKFLOW_CANCELLED\020\005B\034\n\030org.hickoryspar." +
+      "protocolP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -1126,7 +1150,7 @@
     internal_static_hickoryspar_ControlSnapshot_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_ControlSnapshot_descriptor,
-        new java.lang.String[] { "TimeMillis", "FleetVersion", "FleetDocumentJson", "History", "Claims", "Jobs", "Workers", "Changes", "LostEntries", "Catalog", "DataCentresOut", "Workflows", "DataCentres", });
+        new java.lang.String[] { "TimeMillis", "FleetVersion", "FleetDocumentJson", "History", "Claims", "Jobs", "Workers", "Changes", "LostEntries", "Catalog", "DataCentresOut", "Workflows", "DataCentres", "RunTimes", });
     internal_static_hickoryspar_FleetHistoryEntry_descriptor =
       getDescriptor().getMessageType(51);
     internal_static_hickoryspar_FleetHistoryEntry_fieldAccessorTable = new
@@ -1294,7 +1318,7 @@
     internal_static_hickoryspar_RunEnd_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_RunEnd_descriptor,
-        new java.lang.String[] { "WorkflowId", "Occurrence", "Step", "Task", "Run", "Cause", "Checkpoint", });
+        new java.lang.String[] { "WorkflowId", "Occurrence", "Step", "Task", "Run", "Cause", "Checkpoint", "RunMillis", });
     internal_static_hickoryspar_WorkflowRecord_descriptor =
       getDescriptor().getMessageType(79);
     internal_static_hickoryspar_WorkflowRecord_fieldAccessorTable = new
@@ -1324,21 +1348,39 @@
     internal_static_hickoryspar_RunRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_RunRecord_descriptor,
-        new java.lang.String[] { "Run", "Minions", "Ends", });
-    internal_static_hickoryspar_MinionReport_descriptor =
+        new java.lang.String[] { "Run", "Minions", "Ends", "StartedMillis", });
+    internal_static_hickoryspar_RunTimeTableRecord_descriptor =
       getDescriptor().getMessageType(84);
+    internal_static_hickoryspar_RunTimeTableRecord_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_hickoryspar_RunTimeTableRecord_descriptor,
+        new java.lang.String[] { "Keys", });
+    internal_static_hickoryspar_RunTimeKeyRecord_descriptor =
+      getDescriptor().getMessageType(85);
+    internal_static_hickoryspar_RunTimeKeyRecord_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_hickoryspar_RunTimeKeyRecord_descriptor,
+        new java.lang.String[] { "Key", "RunTimes", "Ratios", });
+    internal_static_hickoryspar_RunTimeHistogramRecord_descriptor =
+      getDescriptor().getMessageType(86);
+    internal_static_hickoryspar_RunTimeHistogramRecord_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_hickoryspar_RunTimeHistogramRecord_descriptor,
+        new java.lang.String[] { "FirstBin", "Weights", });
+    internal_static_hickoryspar_MinionReport_descriptor =
+      getDescriptor().getMessageType(87);
     internal_static_hickoryspar_MinionReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_MinionReport_descriptor,
         new java.lang.String[] { "Life", "Sequence", "Service", "Address", "DataCentre", "Draining", "Leaving", "Capacity", "Labels", "ColdRemainingMillis", "DrainRemainingMillis", "ClockMillis", "AgeMillis", "Machine", "Version", "Rack", });
     internal_static_hickoryspar_MinionReports_descriptor =
-      getDescriptor().getMessageType(85);
+      getDescriptor().getMessageType(88);
     internal_static_hickoryspar_MinionReports_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_MinionReports_descriptor,
         new java.lang.String[] { "Reports", "Confirmed", });
     internal_static_hickoryspar_MinionReportsReply_descriptor =
-      getDescriptor().getMessageType(86);
+      getDescriptor().getMessageType(89);
     internal_static_hickoryspar_MinionReportsReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_MinionReportsReply_descriptor,
--- a/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/RunEnd.java
+++ b/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/RunEnd.java
@@ -381,6 +381,22 @@
     }
   }
 
+  public static final int RUN_MILLIS_FIELD_NUMBER = 8;
+  private long runMillis_ = 0L;
+  /**
+   * <pre>
+   * How long all members of the run have worked, as seen by the leader; 0 if that is not known, or
+   * if the run was not whole, as one that resumed from a checkpoint.
+   * </pre>
+   *
+   * <code>uint64 run_millis = 8;</code>
+   * @return The runMillis.
+   */
+  @java.lang.Override
+  public long getRunMillis() {
+    return runMillis_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -416,6 +432,9 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(checkpoint_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 7, checkpoint_);
     }
+    if (runMillis_ != 0L) {
+      output.writeUInt64(8, runMillis_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -451,6 +470,10 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(checkpoint_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(7, checkpoint_);
     }
+    if (runMillis_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(8, runMillis_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -479,6 +502,8 @@
     if (cause_ != other.cause_) return false;
     if (!getCheckpoint()
         .equals(other.getCheckpoint())) return false;
+    if (getRunMillis()
+        != other.getRunMillis()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -504,6 +529,9 @@
     hash = (53 * hash) + cause_;
     hash = (37 * hash) + CHECKPOINT_FIELD_NUMBER;
     hash = (53 * hash) + getCheckpoint().hashCode();
+    hash = (37 * hash) + RUN_MILLIS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getRunMillis());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -642,6 +670,7 @@
       run_ = 0;
       cause_ = 0;
       checkpoint_ = "";
+      runMillis_ = 0L;
       return this;
     }
 
@@ -696,6 +725,9 @@
       if (((from_bitField0_ & 0x00000040) != 0)) {
         result.checkpoint_ = checkpoint_;
       }
+      if (((from_bitField0_ & 0x00000080) != 0)) {
+        result.runMillis_ = runMillis_;
+      }
     }
 
     @java.lang.Override
@@ -735,6 +767,9 @@
         bitField0_ |= 0x00000040;
         onChanged();
       }
+      if (other.getRunMillis() != 0L) {
+        setRunMillis(other.getRunMillis());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -796,6 +831,11 @@
               bitField0_ |= 0x00000040;
               break;
             } // case 58
+            case 64: {
+              runMillis_ = input.readUInt64();
+              bitField0_ |= 0x00000080;
+              break;
+            } // case 64
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1136,6 +1176,53 @@
       return this;
     }
 
+    private long runMillis_ ;
+    /**
+     * <pre>
+     * How long all members of the run have worked, as seen by the leader; 0 if that is not known, or
+     * if the run was not whole, as one that resumed from a checkpoint.
+     * </pre>
+     *
+     * <code>uint64 run_millis = 8;</code>
+     * @return The runMillis.
+     */
+    @java.lang.Override
+    public long getRunMillis() {
+      return runMillis_;
+    }
+    /**
+     * <pre>
+     * How long all members of the run have worked, as seen by the leader; 0 if that is not known, or
+     * if the run was not whole, as one that resumed from a checkpoint.
+     * </pre>
+     *
+     * <code>uint64 run_millis = 8;</code>
+     * @param value The runMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRunMillis(long value) {
+
+      runMillis_ = value;
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * How long all members of the run have worked, as seen by the leader; 0 if that is not known, or
+     * if the run was not whole, as one that resumed from a checkpoint.
+     * </pre>
+     *
+     * <code>uint64 run_millis = 8;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearRunMillis() {
+      bitField0_ = (bitField0_ & ~0x00000080);
+      runMillis_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:hickoryspar.RunEnd)
   }
 
--- a/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/RunEndOrBuilder.java
+++ b/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/RunEndOrBuilder.java
@@ -68,4 +68,15 @@
    */
   com.google.protobuf.ByteString
       getCheckpointBytes();
+
+  /**
+   * <pre>
+   * How long all members of the run have worked, as seen by the leader; 0 if that is not known, or
+   * if the run was not whole, as one that resumed from a checkpoint.
+   * </pre>
+   *
+   * <code>uint64 run_millis = 8;</code>
+   * @return The runMillis.
+   */
+  long getRunMillis();
 }
--- a/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/RunRecord.java
+++ b/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/RunRecord.java
@@ -156,6 +156,21 @@
   }
   private int endsMemoizedSerializedSize;
 
+  public static final int STARTED_MILLIS_FIELD_NUMBER = 4;
+  private long startedMillis_ = 0L;
+  /**
+   * <pre>
+   * Replicated time of the start; 0 in records of earlier versions.
+   * </pre>
+   *
+   * <code>uint64 started_millis = 4;</code>
+   * @return The startedMillis.
+   */
+  @java.lang.Override
+  public long getStartedMillis() {
+    return startedMillis_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -184,6 +199,9 @@
     for (int i = 0; i < ends_.size(); i++) {
       output.writeEnumNoTag(ends_.getInt(i));
     }
+    if (startedMillis_ != 0L) {
+      output.writeUInt64(4, startedMillis_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -213,6 +231,10 @@
           .computeUInt32SizeNoTag(dataSize);
       }endsMemoizedSerializedSize = dataSize;
     }
+    if (startedMillis_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(4, startedMillis_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -233,6 +255,8 @@
     if (!getMinionsList()
         .equals(other.getMinionsList())) return false;
     if (!ends_.equals(other.ends_)) return false;
+    if (getStartedMillis()
+        != other.getStartedMillis()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -254,6 +278,9 @@
       hash = (37 * hash) + ENDS_FIELD_NUMBER;
       hash = (53 * hash) + ends_.hashCode();
     }
+    hash = (37 * hash) + STARTED_MILLIS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getStartedMillis());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -394,6 +421,7 @@
       }
       bitField0_ = (bitField0_ & ~0x00000002);
       ends_ = emptyIntList();
+      startedMillis_ = 0L;
       return this;
     }
 
@@ -447,6 +475,9 @@
         ends_.makeImmutable();
         result.ends_ = ends_;
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.startedMillis_ = startedMillis_;
+      }
     }
 
     @java.lang.Override
@@ -501,6 +532,9 @@
         }
         onChanged();
       }
+      if (other.getStartedMillis() != 0L) {
+        setStartedMillis(other.getStartedMillis());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -561,6 +595,11 @@
               input.popLimit(limit);
               break;
             } // case 26
+            case 32: {
+              startedMillis_ = input.readUInt64();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 32
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -986,6 +1025,50 @@
       return this;
     }
 
+    private long startedMillis_ ;
+    /**
+     * <pre>
+     * Replicated time of the start; 0 in records of earlier versions.
+     * </pre>
+     *
+     * <code>uint64 started_millis = 4;</code>
+     * @return The startedMillis.
+     */
+    @java.lang.Override
+    public long getStartedMillis() {
+      return startedMillis_;
+    }
+    /**
+     * <pre>
+     * Replicated time of the start; 0 in records of earlier versions.
+     * </pre>
+     *
+     * <code>uint64 started_millis = 4;</code>
+     * @param value The startedMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setStartedMillis(long value) {
+
+      startedMillis_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Replicated time of the start; 0 in records of earlier versions.
+     * </pre>
+     *
+     * <code>uint64 started_millis = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearStartedMillis() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      startedMillis_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:hickoryspar.RunRecord)
   }
 
--- a/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/RunRecordOrBuilder.java
+++ b/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/RunRecordOrBuilder.java
@@ -68,4 +68,14 @@
    * @return The enum numeric value on the wire of ends at the given index.
    */
   int getEndsValue(int index);
+
+  /**
+   * <pre>
+   * Replicated time of the start; 0 in records of earlier versions.
+   * </pre>
+   *
+   * <code>uint64 started_millis = 4;</code>
+   * @return The startedMillis.
+   */
+  long getStartedMillis();
 }
