--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Dispatcher.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Dispatcher.java
@@ -12,6 +12,7 @@
 import org.hickoryspar.kernel.dispatch.order.TaskRun;
 import org.hickoryspar.kernel.quota.QuotaPolicy;
 import org.hickoryspar.kernel.quota.TeamQuotas;
+import org.hickoryspar.kernel.runtime.RunTimeSource;
 import org.hickoryspar.kernel.value.Problem;
 import org.hickoryspar.kernel.workflow.Workflow;
 import org.hickoryspar.kernel.workflow.WorkflowTable;
@@ -71,11 +72,32 @@
   private final Planner planner;
   private final QuotaQueries quotaQueries;
   private final Retention retention;
+  private final RunTimeEstimates runTimeEstimates;
   private boolean planDue = true;
   private long nextPlanMillis;
   private long lastPlanMillis;
   private long nextSweepMillis;
 
+  /**
+   * Creates a dispatcher that learns run times from finished runs.
+   *
+   * @param settings times and limits
+   * @param catalog the catalog, which may change during the term
+   * @param table the workflows at the start of the term; owned by the dispatcher from then on
+   * @param listener receives the decisions
+   * @param nowMillis monotonic time in milliseconds
+   * @param wallMillis wall-clock time in milliseconds since the epoch
+   */
+  public Dispatcher(
+      DispatchSettings settings,
+      CatalogState catalog,
+      WorkflowTable table,
+      DispatchListener listener,
+      long nowMillis,
+      long wallMillis) {
+    this(settings, catalog, table, RunTimeSource.LEARNED, listener, nowMillis, wallMillis);
+  }
+
   /**
    * Creates the dispatcher of a newly elected leader and recovers the runs that are recorded in the
    * workflow table.
@@ -83,6 +105,7 @@
    * @param settings times and limits
    * @param catalog the catalog, which may change during the term
    * @param table the workflows at the start of the term; owned by the dispatcher from then on
+   * @param runTimeSource where predictions of run times come from
    * @param listener receives the decisions
    * @param nowMillis monotonic time in milliseconds
    * @param wallMillis wall-clock time in milliseconds since the epoch
@@ -91,6 +114,7 @@
       DispatchSettings settings,
       CatalogState catalog,
       WorkflowTable table,
+      RunTimeSource runTimeSource,
       DispatchListener listener,
       long nowMillis,
       long wallMillis) {
@@ -104,7 +128,7 @@
     this.runs = new RunTable(quotas);
     this.outbox = new Outbox(firstBatchNumber(nowMillis));
     MinionFailureTracker failureTracker = new MinionFailureTracker(listener);
-    RunTimeEstimates runTimeEstimates = new RunTimeEstimates();
+    this.runTimeEstimates = new RunTimeEstimates(runTimeSource.newPredictor(table.runTimes()));
     this.endRecorder = new RunEndRecorder(runs, outbox, failureTracker, runTimeEstimates, listener);
     this.minions = new MinionTable(listener, this::handleNewLife);
     this.stopRetransmitter = new StopRetransmitter(settings.responseTimeoutMillis(), outbox);
@@ -142,7 +166,7 @@
         new AppliedEventHandler(
             table, runs, recovery, waitingSteps, failureTracker, teamDemand, listener);
     for (Workflow workflow : table.all()) {
-      recovery.recover(workflow, nowMillis);
+      recovery.recover(workflow, nowMillis, wallMillis);
       waitingSteps.refresh(workflow, wallMillis);
       teamDemand.update(workflow);
     }
@@ -328,6 +352,7 @@
     leaseManager.sweep(nowMillis);
     planner.sweep(nowMillis);
     retention.sweep(wallMillis);
+    runTimeEstimates.observeRunning(runs.runs(), nowMillis);
   }
 
   /**
@@ -380,6 +405,7 @@
         planner.longestIdleWaitMillis(),
         backlogs.highestPressurePercent(),
         backlogs.overloadedServices(),
+        table.runTimes().size(),
         nowMillis);
   }
 
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/DispatcherStatus.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/DispatcherStatus.java
@@ -21,6 +21,7 @@
  * @param highestPressurePercent the work that waits and runs, as a share of what can be done until
  *     it is due, in percent; the highest of all services
  * @param overloadedServices services whose work has exceeded their room and does not fit yet
+ * @param runTimeKeys keys by which finished runs are remembered
  */
 public record DispatcherStatus(
     int usableMinions,
@@ -34,7 +35,8 @@
     long freeAccelerators,
     long longestIdleWaitMillis,
     int highestPressurePercent,
-    int overloadedServices) {
+    int overloadedServices,
+    int runTimeKeys) {
 
   static DispatcherStatus of(
       Collection<Minion> minions,
@@ -43,6 +45,7 @@
       long longestIdleWaitMillis,
       int highestPressurePercent,
       int overloadedServices,
+      int runTimeKeys,
       long nowMillis) {
     int usable = 0;
     int suspect = 0;
@@ -79,6 +82,7 @@
         free,
         longestIdleWaitMillis,
         highestPressurePercent,
-        overloadedServices);
+        overloadedServices,
+        runTimeKeys);
   }
 }
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/DecisionTelemetry.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/DecisionTelemetry.java
@@ -13,6 +13,7 @@
 import org.hickoryspar.kernel.dispatch.DispatchListener;
 import org.hickoryspar.kernel.dispatch.DispatcherStatus;
 import org.hickoryspar.kernel.quota.TeamQuotaStatus;
+import org.hickoryspar.kernel.runtime.KeyLevel;
 import org.hickoryspar.node.observability.EventLogger;
 
 /** Logs and counts the events of the dispatcher while this replica is the leader. */
@@ -33,6 +34,9 @@
   private final TeamMetrics teamMetrics;
   private final Gauge highestBacklogPressure;
   private final Gauge overloadedServices;
+  private final Histogram runTimeRatio;
+  private final Counter runTimePredictions;
+  private final Gauge runTimeKeys;
 
   /**
    * Creates the telemetry of a process and registers its metrics.
@@ -83,6 +87,24 @@
             .name("hickoryspar_dispatch_overloaded_services")
             .help("Services whose work does not fit, so that the shares of teams order it")
             .register(registry);
+    runTimeRatio =
+        Histogram.builder()
+            .name("hickoryspar_dispatch_run_time_ratio")
+            .help("Run time of a whole run in relation to the median that was expected of it")
+            .labelNames("priority")
+            .classicUpperBounds(0.125, 0.25, 0.5, 0.8, 1.25, 2, 4, 8)
+            .register(registry);
+    runTimePredictions =
+        Counter.builder()
+            .name("hickoryspar_dispatch_run_time_predictions_total")
+            .help("Whole runs that have ended, by what their expected run time rested on")
+            .labelNames("basis")
+            .register(registry);
+    runTimeKeys =
+        Gauge.builder()
+            .name("hickoryspar_dispatch_run_time_keys")
+            .help("Keys by which finished runs are remembered")
+            .register(registry);
   }
 
   private static Histogram histogram(PrometheusRegistry registry, String name, String help) {
@@ -123,6 +145,14 @@
         .observe(Math.max(0, durationMillis) / MILLIS_PER_SECOND);
   }
 
+  @Override
+  public void onWholeRunEnded(int priority, KeyLevel basis, long ranMillis, long expectedMillis) {
+    runTimeRatio
+        .labelValues(String.valueOf(priority))
+        .observe((double) ranMillis / Math.max(1, expectedMillis));
+    runTimePredictions.labelValues(basis.name().toLowerCase(Locale.ROOT)).inc();
+  }
+
   /** Records the duration of one round of decisions. */
   void recordRound(long durationNanos) {
     roundSeconds.observe(durationNanos / NANOS_PER_SECOND);
@@ -147,5 +177,6 @@
     longestIdleWaitSeconds.set(status.longestIdleWaitMillis() / MILLIS_PER_SECOND);
     highestBacklogPressure.set(status.highestPressurePercent() / PERCENT);
     overloadedServices.set(status.overloadedServices());
+    runTimeKeys.set(status.runTimeKeys());
   }
 }
--- a/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/Hickoryspar.java
+++ b/hickoryspar-protocol/src/main/java/org/hickoryspar/protocol/Hickoryspar.java
@@ -446,6 +446,21 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_hickoryspar_RunRecord_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_hickoryspar_RunTimeTableRecord_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_hickoryspar_RunTimeTableRecord_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_hickoryspar_RunTimeKeyRecord_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_hickoryspar_RunTimeKeyRecord_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_hickoryspar_RunTimeHistogramRecord_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_hickoryspar_RunTimeHistogramRecord_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_hickoryspar_MinionReport_descriptor;
   static final 
@@ -662,7 +677,7 @@
       "\n\017InventoryUpdate\022(\n\007upserts\030\001 \003(\0132\027.hic" +
       "koryspar.WorkerInfo\022\017\n\007removed\030\002 \003(\t\">\n\t" +
       "EntryLost\022\026\n\016entry_instance\030\001 \001(\t\022\031\n\021ent" +
-      "ry_incarnation\030\002 \001(\004\"\213\004\n\017ControlSnapshot" +
+      "ry_incarnation\030\002 \001(\004\"\277\004\n\017ControlSnapshot" +
       "\022\023\n\013time_millis\030\001 \001(\004\022\025\n\rfleet_version\030\002" +
       " \001(\004\022\033\n\023fleet_document_json\030\003 \001(\014\022/\n\007his" +
       "tory\030\004 \003(\0132\036.hickoryspar.FleetHistoryEnt" +
@@ -675,147 +690,156 @@
       "yspar.CatalogChange\022\030\n\020data_centres_out\030" +
       "\013 \003(\t\022.\n\tworkflows\030\014 \003(\0132\033.hickoryspar.W" +
       "orkflowRecord\0223\n\014data_centres\030\r \003(\0132\035.hi" +
-      "ckoryspar.DataCentreRecord\"c\n\021FleetHisto" +
-      "ryEntry\022\017\n\007version\030\001 \001(\004\022(\n\006change\030\002 \001(\013" +
-      "2\030.hickoryspar.FleetChange\022\023\n\013time_milli" +
-      "s\030\003 \001(\004\"\276\001\n\013ClaimRecord\022\014\n\004team\030\001 \001(\t\022\013\n" +
-      "\003key\030\002 \001(\t\022\023\n\013fingerprint\030\003 \001(\014\022\026\n\016entry" +
-      "_instance\030\004 \001(\t\022\031\n\021entry_incarnation\030\005 \001" +
-      "(\004\022\023\n\013time_millis\030\006 \001(\004\022%\n\007outcome\030\007 \001(\013" +
-      "2\024.hickoryspar.Outcome\022\020\n\010claim_id\030\010 \001(\t" +
-      "\"2\n\014ChangeRecord\022\021\n\tchange_id\030\001 \001(\t\022\017\n\007v" +
-      "ersion\030\002 \001(\004\"\370\002\n\tJobRecord\022\016\n\006job_id\030\001 \001" +
-      "(\t\022\027\n\017idempotency_key\030\002 \001(\t\022\"\n\004spec\030\003 \001(" +
-      "\0132\024.hickoryspar.JobSpec\022\030\n\020submitted_mil" +
-      "lis\030\004 \001(\004\022*\n\005phase\030\005 \001(\0162\033.hickoryspar.G" +
-      "angStep.Phase\022\017\n\007attempt\030\006 \001(\r\022.\n\nplacem" +
-      "ents\030\007 \003(\0132\032.hickoryspar.TaskPlacement\022\016" +
-      "\n\006result\030\010 \001(\t\022\016\n\006detail\030\t \001(\t\022\032\n\022phase_" +
-      "since_millis\030\n \001(\004\022)\n\004then\030\013 \001(\0162\033.hicko" +
-      "ryspar.GangStep.Phase\022\030\n\020cancel_requeste" +
-      "d\030\014 \001(\010\022\026\n\016faulty_workers\030\r \003(\t\"T\n\020Contr" +
-      "olDirectory\022\031\n\021control_addresses\030\001 \003(\t\022\027" +
-      "\n\017leader_instance\030\002 \001(\t\022\014\n\004term\030\003 \001(\004\"\231\001" +
-      "\n\007Catalog\022\017\n\007version\030\001 \001(\004\022\"\n\006queues\030\002 \003" +
-      "(\0132\022.hickoryspar.Queue\022,\n\010services\030\003 \003(\013" +
-      "2\032.hickoryspar.ServicePolicy\022+\n\005teams\030\004 " +
-      "\003(\0132\034.hickoryspar.TeamEntitlement\"\365\001\n\005Qu" +
-      "eue\022\014\n\004name\030\001 \001(\t\022\014\n\004host\030\002 \001(\t\022\023\n\013path_" +
-      "prefix\030\003 \001(\t\022\017\n\007service\030\004 \001(\t\022\020\n\010priorit" +
-      "y\030\005 \001(\r\022\024\n\014max_attempts\030\006 \001(\r\022\017\n\007stretch" +
-      "\030\007 \001(\001\022 \n\030target_completion_millis\030\010 \001(\004" +
-      "\022\014\n\004open\030\t \001(\010\022\026\n\016timeout_millis\030\n \001(\004\022)" +
-      "\n\006advice\030\013 \001(\0132\031.hickoryspar.AdvicePolic" +
-      "y\"[\n\014AdvicePolicy\022\027\n\017decision_millis\030\001 \001" +
-      "(\004\022\031\n\021per_minion_millis\030\002 \001(\004\022\027\n\017validit" +
-      "y_millis\030\003 \001(\004\"\\\n\rServicePolicy\022\014\n\004name\030" +
-      "\001 \001(\t\022\027\n\017admission_check\030\002 \001(\010\022\017\n\007standb" +
-      "y\030\003 \001(\010\022\023\n\013health_path\030\004 \001(\t\"\206\001\n\017TeamEnt" +
-      "itlement\022\014\n\004name\030\001 \001(\t\022\014\n\004keys\030\002 \003(\t\022\037\n\027" +
-      "guaranteed_accelerators\030\003 \001(\r\022\016\n\006weight\030" +
-      "\004 \001(\001\022&\n\005quota\030\005 \001(\0132\027.hickoryspar.TaskD" +
-      "emand\"H\n\rCatalogChange\022%\n\007catalog\030\001 \001(\0132" +
-      "\024.hickoryspar.Catalog\022\020\n\010document\030\002 \001(\014\"" +
-      "j\n\020DataCentreSwitch\022\023\n\013data_centre\030\001 \001(\t" +
-      "\022\013\n\003out\030\002 \001(\010\022\036\n\021expected_revision\030\003 \001(\004" +
-      "H\000\210\001\001B\024\n\022_expected_revision\"F\n\020DataCentr" +
-      "eRecord\022\023\n\013data_centre\030\001 \001(\t\022\013\n\003out\030\002 \001(" +
-      "\010\022\020\n\010revision\030\003 \001(\004\"\301\001\n\013CatalogCall\022)\n\003p" +
-      "ut\030\001 \001(\0132\032.hickoryspar.CatalogChangeH\000\022+" +
-      "\n\003get\030\002 \001(\0132\034.hickoryspar.Acknowledgemen" +
-      "tH\000\0224\n\013data_centre\030\003 \001(\0132\035.hickoryspar.D" +
-      "ataCentreSwitchH\000\022\034\n\022data_centre_record\030" +
-      "\004 \001(\tH\000B\006\n\004kind\"e\n\014CatalogReply\022\017\n\007versi" +
-      "on\030\001 \001(\004\022\020\n\010document\030\002 \001(\014\0222\n\013data_centr" +
-      "e\030\003 \001(\0132\035.hickoryspar.DataCentreRecord\"T" +
-      "\n\nTaskDemand\022\026\n\016cpu_millicores\030\001 \001(\004\022\030\n\020" +
-      "memory_megabytes\030\002 \001(\004\022\024\n\014accelerators\030\003" +
-      " \001(\r\"\367\002\n\014WorkflowStep\022\r\n\005tasks\030\001 \001(\r\022\'\n\006" +
-      "demand\030\002 \001(\0132\027.hickoryspar.TaskDemand\022\030\n" +
-      "\020estimated_millis\030\003 \001(\004\022\022\n\ndepends_on\030\004 " +
-      "\003(\r\022\025\n\rcheckpointing\030\005 \001(\010\022\014\n\004gang\030\006 \001(\010" +
-      "\022\021\n\tsame_rack\030\007 \001(\010\022\026\n\016required_label\030\010 " +
-      "\001(\t\022\021\n\tdata_rack\030\t \001(\t\022\034\n\024max_tasks_per_" +
-      "minion\030\n \001(\r\022\023\n\013speculative\030\013 \001(\010\022\024\n\014lon" +
-      "g_running\030\014 \001(\010\022\r\n\005image\030\r \001(\t\022\036\n\026respon" +
-      "se_target_millis\030\016 \001(\004\022\r\n\005fills\030\017 \001(\010\022\027\n" +
-      "\017max_unavailable\030\020 \001(\r\"\221\001\n\014WorkflowSpec\022" +
-      "\017\n\007payload\030\001 \001(\t\022(\n\005steps\030\002 \003(\0132\031.hickor" +
-      "yspar.WorkflowStep\022\023\n\013occurrences\030\003 \001(\r\022" +
-      "\030\n\020first_due_millis\030\004 \001(\022\022\027\n\017interval_mi" +
-      "llis\030\005 \001(\004\"\321\001\n\014WorkflowCall\022\014\n\004host\030\001 \001(" +
-      "\t\022\014\n\004path\030\002 \001(\t\022\020\n\010team_key\030\003 \001(\t\022+\n\006sub" +
-      "mit\030\n \001(\0132\031.hickoryspar.WorkflowSpecH\000\022." +
-      "\n\006status\030\013 \001(\0132\034.hickoryspar.Acknowledge" +
-      "mentH\000\022.\n\006cancel\030\014 \001(\0132\034.hickoryspar.Ack" +
-      "nowledgementH\000B\006\n\004kind\"\311\002\n\rWorkflowReply" +
-      "\0223\n\007outcome\030\001 \001(\0162\".hickoryspar.Workflow" +
-      "Reply.Outcome\022)\n\005state\030\002 \001(\0162\032.hickorysp" +
-      "ar.WorkflowState\022\017\n\007pending\030\003 \001(\004\022\032\n\022ret" +
-      "ry_after_millis\030\004 \001(\004\022\016\n\006reason\030\005 \001(\t\022\026\n" +
-      "\016counts_pending\030\006 \001(\010\"\202\001\n\007Outcome\022\027\n\023OUT" +
-      "COME_UNSPECIFIED\020\000\022\006\n\002OK\020\001\022\013\n\007REFUSED\020\002\022" +
-      "\014\n\010NO_QUEUE\020\003\022\020\n\014UNAUTHORISED\020\004\022\017\n\013NO_WO" +
-      "RKFLOW\020\005\022\013\n\007INVALID\020\006\022\013\n\007UNKNOWN\020\007\"T\n\rWo" +
-      "rkflowBatch\022*\n\006events\030\001 \003(\0132\032.hickoryspa" +
-      "r.WorkflowEvent\022\027\n\017dispatch_number\030\002 \001(\004" +
-      "\"\370\001\n\rWorkflowEvent\022-\n\006submit\030\001 \001(\0132\033.hic" +
-      "koryspar.SubmitWorkflowH\000\022-\n\006cancel\030\002 \001(" +
-      "\0132\033.hickoryspar.CancelWorkflowH\000\022*\n\trun_" +
-      "start\030\003 \001(\0132\025.hickoryspar.RunStartH\000\022&\n\007" +
-      "run_end\030\004 \001(\0132\023.hickoryspar.RunEndH\000\022-\n\006" +
-      "forget\030\005 \001(\0132\033.hickoryspar.ForgetWorkflo" +
-      "wH\000B\006\n\004kind\"\220\001\n\016SubmitWorkflow\022\023\n\013workfl" +
-      "ow_id\030\001 \001(\t\022\014\n\004team\030\002 \001(\t\022!\n\005queue\030\003 \001(\013" +
-      "2\022.hickoryspar.Queue\022\'\n\004spec\030\004 \001(\0132\031.hic" +
-      "koryspar.WorkflowSpec\022\017\n\007call_id\030\005 \001(\014\"%" +
-      "\n\016CancelWorkflow\022\023\n\013workflow_id\030\001 \001(\t\"%\n" +
-      "\016ForgetWorkflow\022\023\n\013workflow_id\030\001 \001(\t\"4\n\n" +
-      "MinionLife\022\021\n\tminion_id\030\001 \001(\t\022\023\n\013born_mi" +
-      "llis\030\002 \001(\004\"\214\001\n\010RunStart\022\023\n\013workflow_id\030\001" +
-      " \001(\t\022\022\n\noccurrence\030\002 \001(\r\022\014\n\004step\030\003 \001(\r\022\022" +
-      "\n\nfirst_task\030\004 \001(\r\022\013\n\003run\030\005 \001(\r\022(\n\007minio" +
-      "ns\030\006 \003(\0132\027.hickoryspar.MinionLife\"\245\002\n\006Ru" +
-      "nEnd\022\023\n\013workflow_id\030\001 \001(\t\022\022\n\noccurrence\030" +
-      "\002 \001(\r\022\014\n\004step\030\003 \001(\r\022\014\n\004task\030\004 \001(\r\022\013\n\003run" +
-      "\030\005 \001(\r\022(\n\005cause\030\006 \001(\0162\031.hickoryspar.RunE" +
-      "nd.Cause\022\022\n\ncheckpoint\030\007 \001(\t\"\212\001\n\005Cause\022\025" +
-      "\n\021CAUSE_UNSPECIFIED\020\000\022\010\n\004DONE\020\001\022\017\n\013TASK_" +
-      "FAILED\020\002\022\013\n\007STOPPED\020\003\022\020\n\014LEASE_LAPSED\020\004\022" +
-      "\020\n\014GROUP_BROKEN\020\005\022\024\n\020GROUP_INCOMPLETE\020\006\022" +
-      "\010\n\004LOST\020\007\"\347\001\n\016WorkflowRecord\022/\n\nsubmissi" +
-      "on\030\001 \001(\0132\033.hickoryspar.SubmitWorkflow\022\027\n" +
-      "\017accepted_millis\030\002 \001(\004\022\024\n\014ended_millis\030\003" +
-      " \001(\004\022\021\n\tcancelled\030\004 \001(\010\022\017\n\007started\030\005 \001(\010" +
-      "\0222\n\013occurrences\030\006 \003(\0132\035.hickoryspar.Occu" +
-      "rrenceRecord\022\035\n\025completed_occurrences\030\007 " +
-      "\003(\r\"N\n\020OccurrenceRecord\022\022\n\noccurrence\030\001 " +
-      "\001(\r\022&\n\005steps\030\002 \003(\0132\027.hickoryspar.StepRec" +
-      "ord\"6\n\nStepRecord\022(\n\006groups\030\001 \003(\0132\030.hick" +
-      "oryspar.GroupRecord\"{\n\013GroupRecord\022\020\n\010la" +
-      "st_run\030\001 \001(\r\022\020\n\010failures\030\002 \001(\r\022\014\n\004done\030\003" +
-      " \001(\010\022\022\n\ncheckpoint\030\004 \001(\t\022&\n\006active\030\005 \003(\013" +
-      "2\026.hickoryspar.RunRecord\"k\n\tRunRecord\022\013\n" +
-      "\003run\030\001 \001(\r\022(\n\007minions\030\002 \003(\0132\027.hickoryspa" +
-      "r.MinionLife\022\'\n\004ends\030\003 \003(\0162\031.hickoryspar" +
-      ".RunEnd.Cause\"\365\002\n\014MinionReport\022%\n\004life\030\001" +
-      " \001(\0132\027.hickoryspar.MinionLife\022\020\n\010sequenc" +
-      "e\030\002 \001(\004\022\017\n\007service\030\003 \001(\t\022\017\n\007address\030\004 \001(" +
-      "\t\022\023\n\013data_centre\030\005 \001(\t\022\020\n\010draining\030\006 \001(\010" +
-      "\022\017\n\007leaving\030\007 \001(\010\022)\n\010capacity\030\010 \001(\0132\027.hi" +
-      "ckoryspar.TaskDemand\022\016\n\006labels\030\t \003(\t\022\035\n\025" +
-      "cold_remaining_millis\030\n \001(\004\022\036\n\026drain_rem" +
-      "aining_millis\030\013 \001(\004\022\024\n\014clock_millis\030\014 \001(" +
-      "\004\022\022\n\nage_millis\030\r \001(\004\022\017\n\007machine\030\016 \001(\t\022\017" +
-      "\n\007version\030\017 \001(\t\022\014\n\004rack\030\020 \001(\t\"N\n\rMinionR" +
-      "eports\022*\n\007reports\030\001 \003(\0132\031.hickoryspar.Mi" +
-      "nionReport\022\021\n\tconfirmed\030\002 \003(\006\"%\n\022MinionR" +
-      "eportsReply\022\017\n\007missing\030\001 \003(\006*\237\001\n\rWorkflo" +
-      "wState\022\036\n\032WORKFLOW_STATE_UNSPECIFIED\020\000\022\023" +
-      "\n\017WORKFLOW_QUEUED\020\001\022\024\n\020WORKFLOW_RUNNING\020" +
-      "\002\022\026\n\022WORKFLOW_COMPLETED\020\003\022\023\n\017WORKFLOW_FA" +
-      "ILED\020\004\022\026\n\022WORKFLOW_CANCELLED\020\005B\034\n\030org.hi" +
-      "ckoryspar.protocolP\001b\006proto3"
+      "ckoryspar.DataCentreRecord\0222\n\trun_times\030" +
+      "\016 \001(\0132\037.hickoryspar.RunTimeTableRecord\"c" +
+      "\n\021FleetHistoryEntry\022\017\n\007version\030\001 \001(\004\022(\n\006" +
+      "change\030\002 \001(\0132\030.hickoryspar.FleetChange\022\023" +
+      "\n\013time_millis\030\003 \001(\004\"\276\001\n\013ClaimRecord\022\014\n\004t" +
+      "eam\030\001 \001(\t\022\013\n\003key\030\002 \001(\t\022\023\n\013fingerprint\030\003 " +
+      "\001(\014\022\026\n\016entry_instance\030\004 \001(\t\022\031\n\021entry_inc" +
+      "arnation\030\005 \001(\004\022\023\n\013time_millis\030\006 \001(\004\022%\n\007o" +
+      "utcome\030\007 \001(\0132\024.hickoryspar.Outcome\022\020\n\010cl" +
+      "aim_id\030\010 \001(\t\"2\n\014ChangeRecord\022\021\n\tchange_i" +
+      "d\030\001 \001(\t\022\017\n\007version\030\002 \001(\004\"\370\002\n\tJobRecord\022\016" +
+      "\n\006job_id\030\001 \001(\t\022\027\n\017idempotency_key\030\002 \001(\t\022" +
+      "\"\n\004spec\030\003 \001(\0132\024.hickoryspar.JobSpec\022\030\n\020s" +
+      "ubmitted_millis\030\004 \001(\004\022*\n\005phase\030\005 \001(\0162\033.h" +
+      "ickoryspar.GangStep.Phase\022\017\n\007attempt\030\006 \001" +
+      "(\r\022.\n\nplacements\030\007 \003(\0132\032.hickoryspar.Tas" +
+      "kPlacement\022\016\n\006result\030\010 \001(\t\022\016\n\006detail\030\t \001" +
+      "(\t\022\032\n\022phase_since_millis\030\n \001(\004\022)\n\004then\030\013" +
+      " \001(\0162\033.hickoryspar.GangStep.Phase\022\030\n\020can" +
+      "cel_requested\030\014 \001(\010\022\026\n\016faulty_workers\030\r " +
+      "\003(\t\"T\n\020ControlDirectory\022\031\n\021control_addre" +
+      "sses\030\001 \003(\t\022\027\n\017leader_instance\030\002 \001(\t\022\014\n\004t" +
+      "erm\030\003 \001(\004\"\231\001\n\007Catalog\022\017\n\007version\030\001 \001(\004\022\"" +
+      "\n\006queues\030\002 \003(\0132\022.hickoryspar.Queue\022,\n\010se" +
+      "rvices\030\003 \003(\0132\032.hickoryspar.ServicePolicy" +
+      "\022+\n\005teams\030\004 \003(\0132\034.hickoryspar.TeamEntitl" +
+      "ement\"\365\001\n\005Queue\022\014\n\004name\030\001 \001(\t\022\014\n\004host\030\002 " +
+      "\001(\t\022\023\n\013path_prefix\030\003 \001(\t\022\017\n\007service\030\004 \001(" +
+      "\t\022\020\n\010priority\030\005 \001(\r\022\024\n\014max_attempts\030\006 \001(" +
+      "\r\022\017\n\007stretch\030\007 \001(\001\022 \n\030target_completion_" +
+      "millis\030\010 \001(\004\022\014\n\004open\030\t \001(\010\022\026\n\016timeout_mi" +
+      "llis\030\n \001(\004\022)\n\006advice\030\013 \001(\0132\031.hickoryspar" +
+      ".AdvicePolicy\"[\n\014AdvicePolicy\022\027\n\017decisio" +
+      "n_millis\030\001 \001(\004\022\031\n\021per_minion_millis\030\002 \001(" +
+      "\004\022\027\n\017validity_millis\030\003 \001(\004\"\\\n\rServicePol" +
+      "icy\022\014\n\004name\030\001 \001(\t\022\027\n\017admission_check\030\002 \001" +
+      "(\010\022\017\n\007standby\030\003 \001(\010\022\023\n\013health_path\030\004 \001(\t" +
+      "\"\206\001\n\017TeamEntitlement\022\014\n\004name\030\001 \001(\t\022\014\n\004ke" +
+      "ys\030\002 \003(\t\022\037\n\027guaranteed_accelerators\030\003 \001(" +
+      "\r\022\016\n\006weight\030\004 \001(\001\022&\n\005quota\030\005 \001(\0132\027.hicko" +
+      "ryspar.TaskDemand\"H\n\rCatalogChange\022%\n\007ca" +
+      "talog\030\001 \001(\0132\024.hickoryspar.Catalog\022\020\n\010doc" +
+      "ument\030\002 \001(\014\"j\n\020DataCentreSwitch\022\023\n\013data_" +
+      "centre\030\001 \001(\t\022\013\n\003out\030\002 \001(\010\022\036\n\021expected_re" +
+      "vision\030\003 \001(\004H\000\210\001\001B\024\n\022_expected_revision\"" +
+      "F\n\020DataCentreRecord\022\023\n\013data_centre\030\001 \001(\t" +
+      "\022\013\n\003out\030\002 \001(\010\022\020\n\010revision\030\003 \001(\004\"\301\001\n\013Cata" +
+      "logCall\022)\n\003put\030\001 \001(\0132\032.hickoryspar.Catal" +
+      "ogChangeH\000\022+\n\003get\030\002 \001(\0132\034.hickoryspar.Ac" +
+      "knowledgementH\000\0224\n\013data_centre\030\003 \001(\0132\035.h" +
+      "ickoryspar.DataCentreSwitchH\000\022\034\n\022data_ce" +
+      "ntre_record\030\004 \001(\tH\000B\006\n\004kind\"e\n\014CatalogRe" +
+      "ply\022\017\n\007version\030\001 \001(\004\022\020\n\010document\030\002 \001(\014\0222" +
+      "\n\013data_centre\030\003 \001(\0132\035.hickoryspar.DataCe" +
+      "ntreRecord\"T\n\nTaskDemand\022\026\n\016cpu_millicor" +
+      "es\030\001 \001(\004\022\030\n\020memory_megabytes\030\002 \001(\004\022\024\n\014ac" +
+      "celerators\030\003 \001(\r\"\367\002\n\014WorkflowStep\022\r\n\005tas" +
+      "ks\030\001 \001(\r\022\'\n\006demand\030\002 \001(\0132\027.hickoryspar.T" +
+      "askDemand\022\030\n\020estimated_millis\030\003 \001(\004\022\022\n\nd" +
+      "epends_on\030\004 \003(\r\022\025\n\rcheckpointing\030\005 \001(\010\022\014" +
+      "\n\004gang\030\006 \001(\010\022\021\n\tsame_rack\030\007 \001(\010\022\026\n\016requi" +
+      "red_label\030\010 \001(\t\022\021\n\tdata_rack\030\t \001(\t\022\034\n\024ma" +
+      "x_tasks_per_minion\030\n \001(\r\022\023\n\013speculative\030" +
+      "\013 \001(\010\022\024\n\014long_running\030\014 \001(\010\022\r\n\005image\030\r \001" +
+      "(\t\022\036\n\026response_target_millis\030\016 \001(\004\022\r\n\005fi" +
+      "lls\030\017 \001(\010\022\027\n\017max_unavailable\030\020 \001(\r\"\221\001\n\014W" +
+      "orkflowSpec\022\017\n\007payload\030\001 \001(\t\022(\n\005steps\030\002 " +
+      "\003(\0132\031.hickoryspar.WorkflowStep\022\023\n\013occurr" +
+      "ences\030\003 \001(\r\022\030\n\020first_due_millis\030\004 \001(\022\022\027\n" +
+      "\017interval_millis\030\005 \001(\004\"\321\001\n\014WorkflowCall\022" +
+      "\014\n\004host\030\001 \001(\t\022\014\n\004path\030\002 \001(\t\022\020\n\010team_key\030" +
+      "\003 \001(\t\022+\n\006submit\030\n \001(\0132\031.hickoryspar.Work" +
+      "flowSpecH\000\022.\n\006status\030\013 \001(\0132\034.hickoryspar" +
+      ".AcknowledgementH\000\022.\n\006cancel\030\014 \001(\0132\034.hic" +
+      "koryspar.AcknowledgementH\000B\006\n\004kind\"\311\002\n\rW" +
+      "orkflowReply\0223\n\007outcome\030\001 \001(\0162\".hickorys" +
+      "par.WorkflowReply.Outcome\022)\n\005state\030\002 \001(\016" +
+      "2\032.hickoryspar.WorkflowState\022\017\n\007pending\030" +
+      "\003 \001(\004\022\032\n\022retry_after_millis\030\004 \001(\004\022\016\n\006rea" +
+      "son\030\005 \001(\t\022\026\n\016counts_pending\030\006 \001(\010\"\202\001\n\007Ou" +
+      "tcome\022\027\n\023OUTCOME_UNSPECIFIED\020\000\022\006\n\002OK\020\001\022\013" +
+      "\n\007REFUSED\020\002\022\014\n\010NO_QUEUE\020\003\022\020\n\014UNAUTHORISE" +
+      "D\020\004\022\017\n\013NO_WORKFLOW\020\005\022\013\n\007INVALID\020\006\022\013\n\007UNK" +
+      "NOWN\020\007\"T\n\rWorkflowBatch\022*\n\006events\030\001 \003(\0132" +
+      "\032.hickoryspar.WorkflowEvent\022\027\n\017dispatch_" +
+      "number\030\002 \001(\004\"\370\001\n\rWorkflowEvent\022-\n\006submit" +
+      "\030\001 \001(\0132\033.hickoryspar.SubmitWorkflowH\000\022-\n" +
+      "\006cancel\030\002 \001(\0132\033.hickoryspar.CancelWorkfl" +
+      "owH\000\022*\n\trun_start\030\003 \001(\0132\025.hickoryspar.Ru" +
+      "nStartH\000\022&\n\007run_end\030\004 \001(\0132\023.hickoryspar." +
+      "RunEndH\000\022-\n\006forget\030\005 \001(\0132\033.hickoryspar.F" +
+      "orgetWorkflowH\000B\006\n\004kind\"\220\001\n\016SubmitWorkfl" +
+      "ow\022\023\n\013workflow_id\030\001 \001(\t\022\014\n\004team\030\002 \001(\t\022!\n" +
+      "\005queue\030\003 \001(\0132\022.hickoryspar.Queue\022\'\n\004spec" +
+      "\030\004 \001(\0132\031.hickoryspar.WorkflowSpec\022\017\n\007cal" +
+      "l_id\030\005 \001(\014\"%\n\016CancelWorkflow\022\023\n\013workflow" +
+      "_id\030\001 \001(\t\"%\n\016ForgetWorkflow\022\023\n\013workflow_" +
+      "id\030\001 \001(\t\"4\n\nMinionLife\022\021\n\tminion_id\030\001 \001(" +
+      "\t\022\023\n\013born_millis\030\002 \001(\004\"\214\001\n\010RunStart\022\023\n\013w" +
+      "orkflow_id\030\001 \001(\t\022\022\n\noccurrence\030\002 \001(\r\022\014\n\004" +
+      "step\030\003 \001(\r\022\022\n\nfirst_task\030\004 \001(\r\022\013\n\003run\030\005 " +
+      "\001(\r\022(\n\007minions\030\006 \003(\0132\027.hickoryspar.Minio" +
+      "nLife\"\271\002\n\006RunEnd\022\023\n\013workflow_id\030\001 \001(\t\022\022\n" +
+      "\noccurrence\030\002 \001(\r\022\014\n\004step\030\003 \001(\r\022\014\n\004task\030" +
+      "\004 \001(\r\022\013\n\003run\030\005 \001(\r\022(\n\005cause\030\006 \001(\0162\031.hick" +
+      "oryspar.RunEnd.Cause\022\022\n\ncheckpoint\030\007 \001(\t" +
+      "\022\022\n\nrun_millis\030\010 \001(\004\"\212\001\n\005Cause\022\025\n\021CAUSE_" +
+      "UNSPECIFIED\020\000\022\010\n\004DONE\020\001\022\017\n\013TASK_FAILED\020\002" +
+      "\022\013\n\007STOPPED\020\003\022\020\n\014LEASE_LAPSED\020\004\022\020\n\014GROUP" +
+      "_BROKEN\020\005\022\024\n\020GROUP_INCOMPLETE\020\006\022\010\n\004LOST\020" +
+      "\007\"\347\001\n\016WorkflowRecord\022/\n\nsubmission\030\001 \001(\013" +
+      "2\033.hickoryspar.SubmitWorkflow\022\027\n\017accepte" +
+      "d_millis\030\002 \001(\004\022\024\n\014ended_millis\030\003 \001(\004\022\021\n\t" +
+      "cancelled\030\004 \001(\010\022\017\n\007started\030\005 \001(\010\0222\n\013occu" +
+      "rrences\030\006 \003(\0132\035.hickoryspar.OccurrenceRe" +
+      "cord\022\035\n\025completed_occurrences\030\007 \003(\r\"N\n\020O" +
+      "ccurrenceRecord\022\022\n\noccurrence\030\001 \001(\r\022&\n\005s" +
+      "teps\030\002 \003(\0132\027.hickoryspar.StepRecord\"6\n\nS" +
+      "tepRecord\022(\n\006groups\030\001 \003(\0132\030.hickoryspar." +
+      "GroupRecord\"{\n\013GroupRecord\022\020\n\010last_run\030\001" +
+      " \001(\r\022\020\n\010failures\030\002 \001(\r\022\014\n\004done\030\003 \001(\010\022\022\n\n" +
+      "checkpoint\030\004 \001(\t\022&\n\006active\030\005 \003(\0132\026.hicko" +
+      "ryspar.RunRecord\"\203\001\n\tRunRecord\022\013\n\003run\030\001 " +
+      "\001(\r\022(\n\007minions\030\002 \003(\0132\027.hickoryspar.Minio" +
+      "nLife\022\'\n\004ends\030\003 \003(\0162\031.hickoryspar.RunEnd" +
+      ".Cause\022\026\n\016started_millis\030\004 \001(\004\"A\n\022RunTim" +
+      "eTableRecord\022+\n\004keys\030\001 \003(\0132\035.hickoryspar" +
+      ".RunTimeKeyRecord\"\214\001\n\020RunTimeKeyRecord\022\013" +
+      "\n\003key\030\001 \001(\006\0226\n\trun_times\030\002 \001(\0132#.hickory" +
+      "spar.RunTimeHistogramRecord\0223\n\006ratios\030\003 " +
+      "\001(\0132#.hickoryspar.RunTimeHistogramRecord" +
+      "\"<\n\026RunTimeHistogramRecord\022\021\n\tfirst_bin\030" +
+      "\001 \001(\r\022\017\n\007weights\030\002 \003(\r\"\365\002\n\014MinionReport\022" +
+      "%\n\004life\030\001 \001(\0132\027.hickoryspar.MinionLife\022\020" +
+      "\n\010sequence\030\002 \001(\004\022\017\n\007service\030\003 \001(\t\022\017\n\007add" +
+      "ress\030\004 \001(\t\022\023\n\013data_centre\030\005 \001(\t\022\020\n\010drain" +
+      "ing\030\006 \001(\010\022\017\n\007leaving\030\007 \001(\010\022)\n\010capacity\030\010" +
+      " \001(\0132\027.hickoryspar.TaskDemand\022\016\n\006labels\030" +
+      "\t \003(\t\022\035\n\025cold_remaining_millis\030\n \001(\004\022\036\n\026" +
+      "drain_remaining_millis\030\013 \001(\004\022\024\n\014clock_mi" +
+      "llis\030\014 \001(\004\022\022\n\nage_millis\030\r \001(\004\022\017\n\007machin" +
+      "e\030\016 \001(\t\022\017\n\007version\030\017 \001(\t\022\014\n\004rack\030\020 \001(\t\"N" +
+      "\n\rMinionReports\022*\n\007reports\030\001 \003(\0132\031.hicko" +
+      "ryspar.MinionReport\022\021\n\tconfirmed\030\002 \003(\006\"%" +
+      "\n\022MinionReportsReply\022\017\n\007missing\030\001 \003(\006*\237\001" +
+      "\n\rWorkflowState\022\036\n\032WORKFLOW_STATE_UNSPEC" +
+      "IFIED\020\000\022\023\n\017WORKFLOW_QUEUED\020\001\022\024\n\020WORKFLOW" +
+      "_RUNNING\020\002\022\026\n\022WORKFLOW_COMPLETED\020\003\022\023\n\017WO" +
+      "RKFLOW_FAILED\020\004\022\026\n\022WORKFLOW_CANCELLED\020\005B" +
+      "\034\n\030org.hickoryspar.protocolP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -1126,7 +1150,7 @@
     internal_static_hickoryspar_ControlSnapshot_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_ControlSnapshot_descriptor,
-        new java.lang.String[] { "TimeMillis", "FleetVersion", "FleetDocumentJson", "History", "Claims", "Jobs", "Workers", "Changes", "LostEntries", "Catalog", "DataCentresOut", "Workflows", "DataCentres", });
+        new java.lang.String[] { "TimeMillis", "FleetVersion", "FleetDocumentJson", "History", "Claims", "Jobs", "Workers", "Changes", "LostEntries", "Catalog", "DataCentresOut", "Workflows", "DataCentres", "RunTimes", });
     internal_static_hickoryspar_FleetHistoryEntry_descriptor =
       getDescriptor().getMessageType(51);
     internal_static_hickoryspar_FleetHistoryEntry_fieldAccessorTable = new
@@ -1294,7 +1318,7 @@
     internal_static_hickoryspar_RunEnd_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_RunEnd_descriptor,
-        new java.lang.String[] { "WorkflowId", "Occurrence", "Step", "Task", "Run", "Cause", "Checkpoint", });
+        new java.lang.String[] { "WorkflowId", "Occurrence", "Step", "Task", "Run", "Cause", "Checkpoint", "RunMillis", });
     internal_static_hickoryspar_WorkflowRecord_descriptor =
       getDescriptor().getMessageType(79);
     internal_static_hickoryspar_WorkflowRecord_fieldAccessorTable = new
@@ -1324,21 +1348,39 @@
     internal_static_hickoryspar_RunRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_RunRecord_descriptor,
-        new java.lang.String[] { "Run", "Minions", "Ends", });
-    internal_static_hickoryspar_MinionReport_descriptor =
+        new java.lang.String[] { "Run", "Minions", "Ends", "StartedMillis", });
+    internal_static_hickoryspar_RunTimeTableRecord_descriptor =
       getDescriptor().getMessageType(84);
+    internal_static_hickoryspar_RunTimeTableRecord_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_hickoryspar_RunTimeTableRecord_descriptor,
+        new java.lang.String[] { "Keys", });
+    internal_static_hickoryspar_RunTimeKeyRecord_descriptor =
+      getDescriptor().getMessageType(85);
+    internal_static_hickoryspar_RunTimeKeyRecord_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_hickoryspar_RunTimeKeyRecord_descriptor,
+        new java.lang.String[] { "Key", "RunTimes", "Ratios", });
+    internal_static_hickoryspar_RunTimeHistogramRecord_descriptor =
+      getDescriptor().getMessageType(86);
+    internal_static_hickoryspar_RunTimeHistogramRecord_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_hickoryspar_RunTimeHistogramRecord_descriptor,
+        new java.lang.String[] { "FirstBin", "Weights", });
+    internal_static_hickoryspar_MinionReport_descriptor =
+      getDescriptor().getMessageType(87);
     internal_static_hickoryspar_MinionReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_MinionReport_descriptor,
         new java.lang.String[] { "Life", "Sequence", "Service", "Address", "DataCentre", "Draining", "Leaving", "Capacity", "Labels", "ColdRemainingMillis", "DrainRemainingMillis", "ClockMillis", "AgeMillis", "Machine", "Version", "Rack", });
     internal_static_hickoryspar_MinionReports_descriptor =
-      getDescriptor().getMessageType(85);
+      getDescriptor().getMessageType(88);
     internal_static_hickoryspar_MinionReports_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_MinionReports_descriptor,
         new java.lang.String[] { "Reports", "Confirmed", });
     internal_static_hickoryspar_MinionReportsReply_descriptor =
-      getDescriptor().getMessageType(86);
+      getDescriptor().getMessageType(89);
     internal_static_hickoryspar_MinionReportsReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hickoryspar_MinionReportsReply_descriptor,
