--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/UnrecordedTasks.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/UnrecordedTasks.java
@@ -19,6 +19,8 @@
  */
 final class UnrecordedTasks {
 
+  private static final long NEVER_MILLIS = Long.MIN_VALUE / 2;
+
   private final WorkflowTable table;
   private final TeamUsage usage;
   private final long strayExpiryMillis;
@@ -42,10 +44,9 @@
       return;
     }
     Set<TaskRun> listed = new HashSet<>(strays);
-    removeIf(
-        minion, (run, claim) -> !listed.contains(run) && claim.hasEndedUnlessListed(nowMillis));
+    removeIf(minion, (run, claim) -> !listed.contains(run) && nowMillis > claim.delayedUntilMillis);
     for (TaskRun run : listed) {
-      hold(minion, run, nowMillis + strayExpiryMillis, false);
+      hold(minion, run, NEVER_MILLIS, nowMillis + strayExpiryMillis);
     }
   }
 
@@ -53,18 +54,18 @@
    * Adds a start that may take effect on a minion until a time, even if it is not listed before.
    */
   void addDelayedStart(Minion minion, TaskRun run, long untilMillis) {
-    hold(minion, run, untilMillis, true);
+    hold(minion, run, untilMillis, NEVER_MILLIS);
   }
 
-  private void hold(Minion minion, TaskRun run, long untilMillis, boolean delayed) {
+  private void hold(Minion minion, TaskRun run, long delayedUntilMillis, long listedUntilMillis) {
     Map<TaskRun, Claim> claims =
         claimsByMinion.computeIfAbsent(minion, newMinion -> new HashMap<>());
     Claim existing = claims.get(run);
     if (existing != null) {
-      claims.put(run, existing.extendedTo(untilMillis, delayed));
+      claims.put(run, existing.extendedTo(delayedUntilMillis, listedUntilMillis));
       return;
     }
-    Claim.of(table, run, untilMillis, delayed)
+    Claim.of(table, run, delayedUntilMillis, listedUntilMillis)
         .ifPresent(
             claim -> {
               claims.put(run, claim);
@@ -80,7 +81,7 @@
   /** Removes tasks that have certainly ended without a response of their minion. */
   void sweep(long nowMillis) {
     for (Minion minion : Set.copyOf(claimsByMinion.keySet())) {
-      removeIf(minion, (run, claim) -> nowMillis > claim.untilMillis);
+      removeIf(minion, (run, claim) -> claim.hasEnded(nowMillis));
     }
   }
 
@@ -106,30 +107,39 @@
   /**
    * What a team holds for a task.
    *
-   * @param untilMillis monotonic time after which the task has ended without a response
-   * @param delayed whether the task may start later than a response that does not list it
+   * @param delayedUntilMillis monotonic time until which the task may start, even after a response
+   *     that does not list it
+   * @param listedUntilMillis monotonic time after which the task, as last listed, has ended without
+   *     a further response
    */
-  private record Claim(String team, Resources demand, long untilMillis, boolean delayed) {
+  private record Claim(
+      String team, Resources demand, long delayedUntilMillis, long listedUntilMillis) {
 
     // The workflow of a task is unknown once it was removed after its retention.
-    static Optional<Claim> of(WorkflowTable table, TaskRun run, long untilMillis, boolean delayed) {
+    static Optional<Claim> of(
+        WorkflowTable table, TaskRun run, long delayedUntilMillis, long listedUntilMillis) {
       return table
           .find(run.workflowId())
+          .filter(workflow -> run.step() < workflow.spec().getStepsCount())
           .map(
               workflow ->
                   new Claim(
                       workflow.submission().getTeam(),
                       Resources.of(workflow.spec().getSteps(run.step()).getDemand()),
-                      untilMillis,
-                      delayed));
+                      delayedUntilMillis,
+                      listedUntilMillis));
     }
 
-    Claim extendedTo(long newUntilMillis, boolean nowDelayed) {
-      return new Claim(team, demand, Math.max(untilMillis, newUntilMillis), delayed || nowDelayed);
+    Claim extendedTo(long newDelayedUntilMillis, long newListedUntilMillis) {
+      return new Claim(
+          team,
+          demand,
+          Math.max(delayedUntilMillis, newDelayedUntilMillis),
+          Math.max(listedUntilMillis, newListedUntilMillis));
     }
 
-    boolean hasEndedUnlessListed(long nowMillis) {
-      return !delayed || nowMillis > untilMillis;
+    boolean hasEnded(long nowMillis) {
+      return nowMillis > Math.max(delayedUntilMillis, listedUntilMillis);
     }
   }
 }
