--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/DispatchEventKind.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/DispatchEventKind.java
@@ -12,6 +12,8 @@
   RUN_REFUSED,
   /** A minion rejected a start. */
   START_REJECTED,
+  /** A minion that responds to renewals does not respond to the starts of a task. */
+  START_GIVEN_UP,
   /** The stop of a run is requested. */
   RUN_STOPPING,
   /** A run is preempted for a group of a more urgent workflow. */
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/LeaseManager.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/LeaseManager.java
@@ -69,13 +69,22 @@
         minion.clock().isKnown() && responsive
             ? minion.clock().estimateMillis(nowMillis) + settings.leaseMillis()
             : 0;
-    // A minion that has announced its end is asked at once whether it is still there.
-    long waitMillis = responsive && !minion.isLeaving() ? settings.renewalWaitMillis() : 0;
+    // A minion that has announced its end is asked at once whether it is still there, and one that
+    // may hold a task in vain whether it does.
+    boolean awaited = minion.isLeaving() || holdsTaskInVain(minion, nowMillis);
+    long waitMillis = responsive && !awaited ? settings.renewalWaitMillis() : 0;
     lease.recordSent(nowMillis, deadlineMillis);
     outbox.send(
         new Order.Renew(minion.target(), deadlineMillis, lease.recordedEndNumber(), waitMillis));
   }
 
+  private static boolean holdsTaskInVain(Minion minion, long nowMillis) {
+    return minion.members().stream()
+        .anyMatch(
+            member ->
+                member.isStopRequested() && !member.isConfirmed() && member.isSettledBy(nowMillis));
+  }
+
   private boolean isExpired(Minion minion, long nowMillis) {
     LeaseState lease = minion.lease();
     if (!lease.isSuspect() && lease.hasResponded()) {
@@ -137,22 +146,13 @@
     processRunning(minion, response, nowMillis);
     if (response.ended().size() < MAX_LISTED_ENDS) {
       for (Member member : minion.members()) {
-        if (!listedRuns.containsKey(member.taskRun()) && isMissing(member, sentMillis)) {
+        if (!listedRuns.containsKey(member.taskRun()) && member.isSettledBy(sentMillis)) {
           endRecorder.recordLoss(member, "not reported by its minion");
         }
       }
     }
   }
 
-  // A task that the response omits does not run and can no longer start if its start was confirmed
-  // or its stop was carried out before the renewal was sent. The same holds for starts of earlier
-  // leaders and sessions because the renewal carried the higher fencing token of this session.
-  private static boolean isMissing(Member member, long sentMillis) {
-    return member.isInherited()
-        || (member.isConfirmed() && member.confirmedMillis() < sentMillis)
-        || (member.stop().isDone() && member.stop().doneMillis() < sentMillis);
-  }
-
   private void processEnds(Minion minion, RenewalResponse response, long nowMillis) {
     if (response.ended().isEmpty()) {
       return;
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Member.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Member.java
@@ -27,6 +27,7 @@
   private boolean stopRequested;
   private long confirmedMillis = NEVER_MILLIS;
   private long startDeadlineMillis;
+  private long startExpiredMillis = NEVER_MILLIS;
   private boolean ended;
   private String checkpoint;
   private final TaskProgress progress = new TaskProgress();
@@ -55,9 +56,11 @@
     return minion;
   }
 
+  // The deadline of the start is on the clock of the previous life.
   void moveTo(Minion newLife) {
     minion.remove(this);
     minion = newLife;
+    startExpiredMillis = NEVER_MILLIS;
     newLife.add(this);
   }
 
@@ -124,6 +127,29 @@
     startDeadlineMillis = Math.max(startDeadlineMillis, deadlineMillis);
   }
 
+  /** Marks the deadline of every start that was sent as certainly past on the minion's clock. */
+  void markStartExpired(long nowMillis) {
+    startExpiredMillis = nowMillis;
+  }
+
+  boolean isStartExpired() {
+    return startExpiredMillis != NEVER_MILLIS;
+  }
+
+  /**
+   * Returns whether a response to a renewal that was sent at a given time shows what became of the
+   * task: it runs or has ended if the response lists it, and otherwise can no longer start there.
+   */
+  boolean isSettledBy(long renewalSentMillis) {
+    // The start was confirmed, or its stop carried out, before the renewal was sent. The same holds
+    // for starts of earlier leaders and sessions because the renewal carried the higher fencing
+    // token of this session, and for a start whose deadline had passed by then.
+    return inherited
+        || (isConfirmed() && confirmedMillis < renewalSentMillis)
+        || (stop.isDone() && stop.doneMillis() < renewalSentMillis)
+        || (isStartExpired() && startExpiredMillis < renewalSentMillis);
+  }
+
   /** Returns whether the task has ended, even if the log has not recorded the end yet. */
   boolean isEnded() {
     return ended;
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/MinionHealth.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/MinionHealth.java
@@ -7,7 +7,8 @@
  * Tracks whether tasks succeed on a minion. A minion is isolated if a task fails immediately, or if
  * tasks of several workflows fail without a success in between. After the isolation it is probed
  * with a single task; a failed probe doubles the time of isolation, up to a limit. A minion that
- * rejects a start as unhealthy is isolated for a short time, without a probe.
+ * rejects a start as unhealthy is isolated for a short time, without a probe. A minion that does
+ * not respond to starts is isolated like one that fails tasks, until it responds to one.
  */
 final class MinionHealth {
 
@@ -32,6 +33,7 @@
   private long isolatedUntilMillis = Member.NEVER_MILLIS;
   private long isolationMillis;
   private boolean awaitingProbe;
+  private boolean unresponsiveToStarts;
 
   /**
    * Records the failure of a task.
@@ -45,11 +47,43 @@
     if (!awaitingProbe && !immediate && failedWorkflows.size() < ISOLATION_THRESHOLD) {
       return false;
     }
+    isolate(nowMillis);
+    return true;
+  }
+
+  private void isolate(long nowMillis) {
     isolationMillis =
         Math.min(MAX_ISOLATION_MILLIS, Math.max(INITIAL_ISOLATION_MILLIS, 2 * isolationMillis));
     isolatedUntilMillis = nowMillis + isolationMillis;
     awaitingProbe = true;
-    return true;
+  }
+
+  /**
+   * Isolates the minion because it has not responded to the starts of a task. Starts of other tasks
+   * that are given up during the isolation do not extend it.
+   */
+  void recordUnansweredStarts(long nowMillis) {
+    if (!unresponsiveToStarts || !isIsolated(nowMillis)) {
+      unresponsiveToStarts = true;
+      isolate(nowMillis);
+    }
+  }
+
+  /** Extends an isolation for unanswered starts, because only their deadline has ended a run. */
+  void recordExpiredStart(long nowMillis) {
+    if (unresponsiveToStarts) {
+      isolatedUntilMillis = Math.max(isolatedUntilMillis, nowMillis + INITIAL_ISOLATION_MILLIS);
+    }
+  }
+
+  /** Ends an isolation for unanswered starts after a response to a start. */
+  void recordStartResponse() {
+    if (unresponsiveToStarts) {
+      unresponsiveToStarts = false;
+      if (failedWorkflows.isEmpty()) {
+        clearFailures();
+      }
+    }
   }
 
   /** Isolates the minion for a short time because it has rejected a start as unhealthy. */
@@ -60,6 +94,7 @@
   /** Clears the failures after a success, or after they are attributed to a workflow. */
   void clearFailures() {
     failedWorkflows.clear();
+    unresponsiveToStarts = false;
     awaitingProbe = false;
     isolationMillis = 0;
     isolatedUntilMillis = Member.NEVER_MILLIS;
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/OrderState.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/OrderState.java
@@ -5,6 +5,7 @@
 
   private int sendCount;
   private int responseCount;
+  private int unansweredInARow;
   private boolean outstanding;
   private long firstSentMillis = Member.NEVER_MILLIS;
   private long lastSentMillis = Member.NEVER_MILLIS;
@@ -19,13 +20,25 @@
     lastSentMillis = nowMillis;
   }
 
+  /** Records that a transmission got no response; the order stays outstanding. */
+  void markUnanswered() {
+    unansweredInARow++;
+  }
+
+  /** Returns how many transmissions got no response since the last one that did. */
+  int unansweredInARow() {
+    return unansweredInARow;
+  }
+
   void markAnswered() {
     responseCount++;
+    unansweredInARow = 0;
     outstanding = false;
   }
 
   void markDone(long nowMillis) {
     responseCount++;
+    unansweredInARow = 0;
     outstanding = false;
     doneMillis = nowMillis;
   }
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/TaskOrderSender.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/TaskOrderSender.java
@@ -7,6 +7,12 @@
 /** Sends start and stop orders and retransmits them until a response arrives. */
 final class TaskOrderSender {
 
+  /**
+   * A run is given up after this many starts of a task without a response from a minion that
+   * responds to renewals.
+   */
+  static final int MAX_UNANSWERED_STARTS = 3;
+
   private final DispatchSettings settings;
   private final RunTable runs;
   private final Outbox outbox;
@@ -39,6 +45,7 @@
 
   private void advance(Member member, long nowMillis) {
     if (member.isStopRequested()) {
+      checkStartDeadline(member, nowMillis);
       if (!member.isInherited() && !member.isConfirmed() && !member.start().wasSent()) {
         endRecorder.recordLoss(member, "stopped before its start was sent");
       } else if (!member.stop().isDone() && isDue(member.stop(), nowMillis)) {
@@ -46,10 +53,54 @@
         outbox.send(new Order.Stop(member.minion().target(), member.taskRun()));
       }
     } else if (mayStart(member) && isDue(member.start(), nowMillis)) {
-      sendStart(member, nowMillis);
+      if (member.start().unansweredInARow() < MAX_UNANSWERED_STARTS) {
+        sendStart(member, nowMillis);
+      } else if (hasRespondedSince(member.start().firstSentMillis(), member.minion())) {
+        giveUp(member, nowMillis);
+      }
+    }
+  }
+
+  // A start without a response may still take effect until its deadline. A renewal that is sent
+  // after that shows whether the task runs, also if the stop gets no response.
+  private static void checkStartDeadline(Member member, long nowMillis) {
+    boolean expired =
+        !member.isInherited()
+            && !member.isConfirmed()
+            && member.start().wasSent()
+            && member.minion().clock().isKnown()
+            && member.minion().clock().lowerBoundMillis(nowMillis) > member.startDeadlineMillis();
+    if (expired && !member.isStartExpired()) {
+      member.markStartExpired(nowMillis);
+      // The task is placed anew now, and must not probe the minion that has just held it.
+      member.minion().health().recordExpiredStart(nowMillis);
     }
   }
 
+  // Whether a minion without any response has ended its tasks is known from its lease.
+  private static boolean hasRespondedSince(long timeMillis, Minion minion) {
+    return minion.lease().lastResponseMillis() > timeMillis;
+  }
+
+  private void giveUp(Member member, long nowMillis) {
+    Minion minion = member.minion();
+    minion.health().recordUnansweredStarts(nowMillis);
+    member.run().requestStop();
+    listener.onEvent(
+        DispatchEventKind.START_GIVEN_UP,
+        member.taskRun().toString(),
+        "minion",
+        minion.id(),
+        "starts",
+        member.start().unansweredInARow(),
+        "sinceMillis",
+        nowMillis - member.start().firstSentMillis(),
+        "members",
+        member.run().members().size(),
+        "avoidedMillis",
+        minion.health().remainingIsolationMillis(nowMillis));
+  }
+
   // A start extends the lease of its minion, so none is sent to a minion that does not respond, nor
   // to one whose clock is unknown.
   private static boolean mayStart(Member member) {
@@ -86,15 +137,18 @@
   void handleStartOutcome(Member member, OrderOutcome outcome, long nowMillis) {
     if (outcome != OrderOutcome.UNKNOWN) {
       member.minion().unansweredStarts().recordResponse(member.taskRun());
+      member.minion().health().recordStartResponse();
     }
     switch (outcome) {
       case DONE -> {
         member.start().markDone(nowMillis);
         member.confirmRunning(nowMillis);
       }
-      case UNKNOWN ->
-          // The order stays outstanding and is retransmitted after the response timeout.
-          member.minion().lease().recordUnansweredOrder();
+      case UNKNOWN -> {
+        // The order stays outstanding and is retransmitted after the response timeout.
+        member.start().markUnanswered();
+        member.minion().lease().recordUnansweredOrder();
+      }
       case TOO_LATE -> member.start().markAnswered();
       case OUTDATED_RUN -> {
         // The minion had this run before. The next renewal response lists its end or omits the run,
--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/DispatcherHarness.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/DispatcherHarness.java
@@ -307,8 +307,7 @@
     } else if (order instanceof Order.Start start) {
       dispatcher.handleStartOutcome(start.taskRun(), minion.start(start), nowMillis);
     } else if (order instanceof Order.Stop stop) {
-      minion.stop(stop.taskRun());
-      dispatcher.handleStopOutcome(stop.taskRun(), OrderOutcome.DONE, nowMillis);
+      dispatcher.handleStopOutcome(stop.taskRun(), minion.stop(stop.taskRun()), nowMillis);
     }
   }
 
--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/FakeMinion.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/FakeMinion.java
@@ -27,6 +27,7 @@
   private final List<String> labels = new ArrayList<>();
   private boolean reachable = true;
   private boolean respondsToStarts = true;
+  private boolean respondsToStops = true;
   private boolean unhealthy;
   private final List<TaskRun> running = new ArrayList<>();
   private final List<RenewalResponse.EndedTask> ended = new ArrayList<>();
@@ -116,11 +117,16 @@
     return OrderOutcome.DONE;
   }
 
-  void stop(TaskRun taskRun) {
+  /** Stops a task unless stops are ignored. */
+  OrderOutcome stop(TaskRun taskRun) {
     stops.add(taskRun);
+    if (!respondsToStops) {
+      return OrderOutcome.UNKNOWN;
+    }
     if (running.remove(taskRun)) {
       addEnd(taskRun, RunEnd.Cause.STOPPED);
     }
+    return OrderOutcome.DONE;
   }
 
   // -- state
@@ -197,6 +203,14 @@
     respondsToStarts = false;
   }
 
+  void ignoreStops() {
+    respondsToStops = false;
+  }
+
+  void respondToStarts() {
+    respondsToStarts = true;
+  }
+
   void endTask(TaskRun run, RunEnd.Cause cause) {
     running.remove(run);
     addEnd(run, cause);
--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/LossyCluster.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/LossyCluster.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -51,6 +52,7 @@
   private final Map<String, RecoveryMinion> minions = new LinkedHashMap<>();
   private final Map<String, Long> unreachableUntilMillis = new LinkedHashMap<>();
   private final Map<String, Long> silentUntilMillis = new LinkedHashMap<>();
+  private final Map<String, StartFault> startFaults = new HashMap<>();
   private final PriorityQueue<Delivery> deliveries =
       new PriorityQueue<>(
           Comparator.comparingLong(Delivery::timeMillis).thenComparingLong(Delivery::number));
@@ -137,6 +139,15 @@
     silentUntilMillis.put(minion.id(), untilMillis);
   }
 
+  /**
+   * Makes a minion respond to renewals and treat all starts in a faulty way; half of the stops do
+   * not arrive.
+   */
+  void setStartFault(RecoveryMinion minion, StartFault fault) {
+    record(fault + " of starts on " + minion.id());
+    startFaults.put(minion.id(), fault);
+  }
+
   void crash(RecoveryMinion minion) {
     record("crash of " + minion.id());
     minion.crash();
@@ -158,6 +169,7 @@
     lossy = false;
     unreachableUntilMillis.clear();
     silentUntilMillis.clear();
+    startFaults.clear();
   }
 
   // -- time
@@ -239,6 +251,17 @@
 
   private void sendTaskOrder(Order order, TaskRun run, Dispatcher sender, long token) {
     RecoveryMinion minion = minions.get(order.target().life().getMinionId());
+    StartFault fault = startFaults.get(minion.id());
+    if (fault != null && order instanceof Order.Start start) {
+      sendFaultyStart(minion, fault, start, sender, token);
+      return;
+    }
+    if (fault != null && random.nextBoolean()) {
+      deliver(
+          SETTINGS.responseTimeoutMillis(),
+          () -> handleOutcome(sender, order, run, OrderOutcome.UNKNOWN));
+      return;
+    }
     boolean late = lossy && random.nextInt(100) < LOSS_PERCENT;
     boolean responseLost = late || (lossy && random.nextInt(100) < LOSS_PERCENT);
     long timeoutMillis = SETTINGS.responseTimeoutMillis();
@@ -260,6 +283,23 @@
     }
   }
 
+  private void sendFaultyStart(
+      RecoveryMinion minion, StartFault fault, Order.Start start, Dispatcher sender, long token) {
+    TaskRun run = start.taskRun();
+    long lateMillis = 1L + random.nextInt(MAX_LATE_DELIVERY_MILLIS);
+    switch (fault) {
+      case IGNORED -> {}
+      case CARRIED_OUT_LATE -> deliver(lateMillis, () -> carryOut(minion, start, token));
+      case ANSWERED_LATE -> {
+        deliver(1, () -> carryOut(minion, start, token));
+        deliver(lateMillis, () -> handleOutcome(sender, start, run, OrderOutcome.DONE));
+      }
+    }
+    deliver(
+        SETTINGS.responseTimeoutMillis(),
+        () -> handleOutcome(sender, start, run, OrderOutcome.UNKNOWN));
+  }
+
   private OrderOutcome carryOut(RecoveryMinion minion, Order order, long token) {
     if (!order.target().life().equals(minion.life())) {
       return OrderOutcome.OTHER_MINION;
@@ -395,5 +435,12 @@
     return nowMillis;
   }
 
+  /** What a faulty minion does with a start, to which it gives no response in time. */
+  enum StartFault {
+    IGNORED,
+    CARRIED_OUT_LATE,
+    ANSWERED_LATE
+  }
+
   private record Delivery(long timeMillis, long number, Runnable action) {}
 }
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/explain/EventDescriptions.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/explain/EventDescriptions.java
@@ -40,6 +40,11 @@
         "RUN_PLACED", "{tasks} task(s) placed on {minions} after waiting for {waitedMillis} ms");
     TEMPLATES.put("RUN_REFUSED", "the start was neither recorded nor sent: {reason}");
     TEMPLATES.put("START_REJECTED", "minion {minion} rejected the start: {outcome}");
+    TEMPLATES.put(
+        "START_GIVEN_UP",
+        "minion {minion} did not respond to {starts} starts within {sinceMillis} ms; the run of"
+            + " {members} member(s) is being stopped, and the minion avoided for {avoidedMillis}"
+            + " ms");
     TEMPLATES.put("RUN_STOPPING", "is being stopped: {because}");
     TEMPLATES.put(
         "RUN_PREEMPTED",
