Judge the pace of minions and prefer those that are not slow

Cause: a minion that works slowly responds to everything and fails nothing, so that it got gangs and urgent work like others.

Change: package kernel.minion compares completed runs and the progress of running tasks with their expectation, against the median and the spread of the service, and judges each life of a minion normal or slow (event 5133, gauge). Slow minions are the last choice among those without failures; nothing waits for others. A run on a slow minion is stopped to be started anew (5134) if the rest of it would take clearly longer than the whole run elsewhere, where there is room that nothing waits for; once for each group, never for long-running, speculative or filling steps. Without a slow minion the candidates of each selection are the same list as before.

--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/DispatchEventKind.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/DispatchEventKind.java
@@ -18,6 +18,8 @@
   RUN_STOPPING,
   /** A run is preempted for a group of a more urgent workflow. */
   RUN_PREEMPTED,
+  /** A run on a slow minion is stopped to be started anew elsewhere. */
+  RUN_MOVED,
   /** A minion reported the end of a task. */
   TASK_ENDED,
   /** All members of a gang have ended. */
@@ -36,6 +38,8 @@
   MINION_GONE,
   /** Tasks fail on a minion, which receives no work for some time. */
   MINION_ISOLATED,
+  /** A minion has turned slow against the others of its service, or is no longer slow. */
+  MINION_PACE_CHANGED,
   /** The renewal of a minion's lease has failed. */
   MINION_SUSPECTED,
   /** A suspected minion has responded to a renewal again. */
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Dispatcher.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Dispatcher.java
@@ -66,6 +66,7 @@
   private final AppliedEventHandler appliedEventHandler;
   private final TeamDemand teamDemand;
   private final Planner planner;
+  private final SlowRunMover slowRunMover;
   private final Retention retention;
   private boolean planDue = true;
   private long nextPlanMillis;
@@ -97,8 +98,12 @@
     this.outbox = new Outbox(firstBatchNumber(nowMillis));
     MinionFailureTracker failureTracker = new MinionFailureTracker(listener);
     RunTimeEstimates runTimeEstimates = new RunTimeEstimates();
-    this.endRecorder = new RunEndRecorder(runs, outbox, failureTracker, runTimeEstimates, listener);
+    MinionSpeedTracker speedTracker = new MinionSpeedTracker(runTimeEstimates, listener);
+    this.endRecorder =
+        new RunEndRecorder(runs, outbox, failureTracker, speedTracker, runTimeEstimates, listener);
     this.minions = new MinionTable(listener, this::handleNewLife);
+    this.slowRunMover =
+        new SlowRunMover(catalog, minions, runs, runTimeEstimates, speedTracker, listener);
     this.stopRetransmitter = new StopRetransmitter(settings.responseTimeoutMillis(), outbox);
     this.leaseManager =
         new LeaseManager(settings, minions, runs, outbox, endRecorder, stopRetransmitter, listener);
@@ -296,6 +301,7 @@
       nextPlanMillis = nowMillis + PLAN_INTERVAL_MILLIS;
       planner.plan(waitingSteps.steps(), nowMillis, wallMillis);
     }
+    slowRunMover.advance(waitingSteps, nowMillis);
     taskOrderSender.advance(nowMillis);
     stopRetransmitter.advance(nowMillis);
     if (nowMillis >= nextSweepMillis) {
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/DispatcherStatus.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/DispatcherStatus.java
@@ -11,6 +11,7 @@
  * @param isolatedMinions minions that are avoided because of failures
  * @param drainingMinions minions that drain or are about to end
  * @param provisionalMinions minions known only from an old report or from their runs
+ * @param slowMinions those of the usable minions that are clearly slower than the others
  * @param waitingGroups groups of tasks that are ready and not placed
  * @param runningGroups groups of tasks to which resources are allocated
  * @param accelerators accelerators of the usable minions
@@ -25,6 +26,7 @@
     int isolatedMinions,
     int drainingMinions,
     int provisionalMinions,
+    int slowMinions,
     int waitingGroups,
     int runningGroups,
     long accelerators,
@@ -42,6 +44,7 @@
     int isolated = 0;
     int draining = 0;
     int provisional = 0;
+    int slow = 0;
     long accelerators = 0;
     long free = 0;
     for (Minion minion : minions) {
@@ -55,6 +58,7 @@
         isolated++;
       } else if (minion.acceptsWork()) {
         usable++;
+        slow += minion.speed().isSlow() ? 1 : 0;
         accelerators += minion.capacity().accelerators();
         free += minion.free().accelerators();
       }
@@ -66,6 +70,7 @@
         isolated,
         draining,
         provisional,
+        slow,
         waitingGroups,
         runningGroups,
         accelerators,
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Minion.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Minion.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Set;
 import org.hickoryspar.kernel.dispatch.order.MinionTarget;
+import org.hickoryspar.kernel.minion.MinionSpeed;
 import org.hickoryspar.kernel.reports.ReportFingerprint;
 import org.hickoryspar.kernel.value.Resources;
 import org.hickoryspar.protocol.MinionLife;
@@ -22,6 +23,7 @@
   private final LeaseState lease;
   private final UnansweredStarts unansweredStarts = new UnansweredStarts();
   private final MinionHealth health = new MinionHealth();
+  private final MinionSpeed speed = new MinionSpeed();
   private Resources capacity;
   private Resources allocated = Resources.NONE;
   private Resources reserved = Resources.NONE;
@@ -122,6 +124,10 @@
     return health;
   }
 
+  MinionSpeed speed() {
+    return speed;
+  }
+
   UnansweredStarts unansweredStarts() {
     return unansweredStarts;
   }
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/MinionPools.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/MinionPools.java
@@ -49,6 +49,11 @@
         }
       }
     }
+    boolean allSound = pool.healthy.stream().noneMatch(minion -> minion.speed().isSlow());
+    pool.sound =
+        allSound
+            ? pool.healthy
+            : pool.healthy.stream().filter(minion -> !minion.speed().isSlow()).toList();
     return pool;
   }
 
@@ -59,12 +64,23 @@
     private final List<Minion> recentlyFailed = new ArrayList<>();
     private final List<Minion> awaitingProbe = new ArrayList<>();
     private final List<Minion> isolated = new ArrayList<>();
+    private List<Minion> sound = List.of();
 
     /** Returns the minions without a recent failure. */
     List<Minion> healthy() {
       return healthy;
     }
 
+    /** Returns those minions without a recent failure that are not slow, in the same order. */
+    List<Minion> sound() {
+      return sound;
+    }
+
+    /** Returns whether some of the minions without a recent failure are slow. */
+    boolean hasSlowMinions() {
+      return sound.size() < healthy.size();
+    }
+
     /** Returns the minions with a recent failure that the task may have caused. */
     List<Minion> recentlyFailed() {
       return recentlyFailed;
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/MinionSelector.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/MinionSelector.java
@@ -28,7 +28,8 @@
 
   /**
    * Returns the minion of each task of a group according to the preferences, or null if there are
-   * none. Minions on which other groups have failed recently are taken only if no others fit.
+   * none. Slow minions are taken only if no others fit, and minions on which other groups have
+   * failed recently only after them; a group does not wait for others to become free.
    *
    * @param endMillis monotonic time at which the group is expected to end
    */
@@ -48,6 +49,9 @@
       List<Minion> proven = withoutFailureOf(group, withRecentSuccess(pool));
       selected = find(waitingStep, group, proven, available, taskLimit);
     }
+    if (selected == null && pool.hasSlowMinions()) {
+      selected = selectSound(waitingStep, group, pool, available, taskLimit);
+    }
     if (selected == null) {
       List<Minion> healthy = withoutFailureOf(group, pool.healthy());
       selected = find(waitingStep, group, healthy, available, taskLimit);
@@ -59,6 +63,23 @@
     return selected;
   }
 
+  private @Nullable List<Minion> selectSound(
+      WaitingStep waitingStep,
+      TaskGroup group,
+      MinionPools.Pool pool,
+      Function<Minion, Resources> available,
+      MinionTaskLimit taskLimit) {
+    List<Minion> sound = withoutFailureOf(group, pool.sound());
+    // Without its slow minions a rack may be too small for a gang, which is no reason to cross
+    // racks.
+    boolean wouldCrossRacks =
+        group.size() > 1
+            && PlacementFinder.mayCrossRacks(waitingStep, group.size(), sound, taskLimit)
+            && !PlacementFinder.mayCrossRacks(
+                waitingStep, group.size(), withoutFailureOf(group, pool.healthy()), taskLimit);
+    return wouldCrossRacks ? null : find(waitingStep, group, sound, available, taskLimit);
+  }
+
   /** Returns the preferred minions among those on which no task of the group has failed. */
   List<Minion> preferredMinions(TaskGroup group, MinionPools.Pool pool) {
     return withoutFailureOf(group, pool.healthy());
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/RunEndRecorder.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/RunEndRecorder.java
@@ -8,6 +8,7 @@
   private final RunTable runs;
   private final Outbox outbox;
   private final MinionFailureTracker failureTracker;
+  private final MinionSpeedTracker speedTracker;
   private final RunTimeEstimates runTimeEstimates;
   private final DispatchListener listener;
 
@@ -15,11 +16,13 @@
       RunTable runs,
       Outbox outbox,
       MinionFailureTracker failureTracker,
+      MinionSpeedTracker speedTracker,
       RunTimeEstimates runTimeEstimates,
       DispatchListener listener) {
     this.runs = runs;
     this.outbox = outbox;
     this.failureTracker = failureTracker;
+    this.speedTracker = speedTracker;
     this.runTimeEstimates = runTimeEstimates;
     this.listener = listener;
   }
@@ -45,6 +48,7 @@
       failureTracker.recordFailure(member, nowMillis);
     } else if (cause == RunEnd.Cause.DONE) {
       failureTracker.recordSuccess(member, nowMillis);
+      speedTracker.recordCompletion(member, nowMillis);
       runTimeEstimates.recordCompletion(member.run(), member.run().runningMillis(nowMillis));
     }
     recordEnd(member, cause, checkpoint);
--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/FakeMinion.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/FakeMinion.java
@@ -1,7 +1,9 @@
 package org.hickoryspar.kernel.dispatch;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.hickoryspar.kernel.dispatch.order.Order;
 import org.hickoryspar.kernel.dispatch.order.OrderOutcome;
@@ -30,6 +32,7 @@
   private boolean respondsToStops = true;
   private boolean unhealthy;
   private final List<TaskRun> running = new ArrayList<>();
+  private final Map<TaskRun, Integer> percentByRun = new HashMap<>();
   private final List<RenewalResponse.EndedTask> ended = new ArrayList<>();
   private final List<TaskRun> stops = new ArrayList<>();
   private final List<Order.Start> starts = new ArrayList<>();
@@ -98,7 +101,11 @@
 
   RenewalResponse response(Order.Renew renewal, long nowMillis) {
     List<RenewalResponse.RunningTask> runningTasks =
-        running.stream().map(run -> new RenewalResponse.RunningTask(run, "", 0, -1)).toList();
+        running.stream()
+            .map(
+                run ->
+                    new RenewalResponse.RunningTask(run, "", percentByRun.getOrDefault(run, 0), -1))
+            .toList();
     return new RenewalResponse(
         clockMillis(nowMillis), bornMillis, runningTasks, unrecordedEnds(renewal));
   }
@@ -211,6 +218,11 @@
     respondsToStarts = true;
   }
 
+  /** Sets the progress of a running task, which the next responses to renewals list. */
+  void setProgress(TaskRun run, int percent) {
+    percentByRun.put(run, percent);
+  }
+
   void endTask(TaskRun run, RunEnd.Cause cause) {
     running.remove(run);
     addEnd(run, cause);
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/DecisionTelemetry.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/DecisionTelemetry.java
@@ -118,6 +118,7 @@
     minions.labelValues("isolated").set(status.isolatedMinions());
     minions.labelValues("draining").set(status.drainingMinions());
     minions.labelValues("provisional").set(status.provisionalMinions());
+    minions.labelValues("slow").set(status.slowMinions());
     groups.labelValues("waiting").set(status.waitingGroups());
     groups.labelValues("running").set(status.runningGroups());
     accelerators.labelValues("free").set((double) status.freeAccelerators());
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/explain/EventDescriptions.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/explain/EventDescriptions.java
@@ -50,6 +50,11 @@
         "RUN_PREEMPTED",
         "is being preempted for {for} after {workedMillis} ms of work (checkpointing:"
             + " {checkpointing})");
+    TEMPLATES.put(
+        "RUN_MOVED",
+        "is being moved off the slow minion(s) {slowMinions}: {remainingMillis} ms of work remain"
+            + " there, the whole run takes {elsewhereMillis} ms elsewhere; {workedMillis} ms of"
+            + " work of {members} member(s) are given up");
     TEMPLATES.put("TASK_ENDED", "ended on {minion} with {cause} at {percent} percent");
     TEMPLATES.put(
         "RUN_OVER", "all {members} members have ended (done: {done}, failed runs: {failures})");
@@ -63,6 +68,9 @@
     TEMPLATES.put(
         "MINION_ISOLATED",
         "the minion is isolated for {forMillis} ms after a failure: {lastFailure}");
+    TEMPLATES.put(
+        "MINION_PACE_CHANGED",
+        "the pace of the minion is {pace} now: {slowdownPercent} percent of the usual time");
     TEMPLATES.put("MINION_DRAINING", "the minion is draining, {remainingMillis} ms remain");
     TEMPLATES.put(
         "MINION_LEAVING",
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/explain/Timeline.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/explain/Timeline.java
@@ -24,6 +24,7 @@
           "MINION_SUSPECTED",
           "MINION_RETURNED",
           "MINION_ISOLATED",
+          "MINION_PACE_CHANGED",
           "MINION_DRAINING",
           "MINION_GONE");
 
