Leave work away from its data out of the pace of a minion, and mend the factor of a first verdict

A task away from the rack of its data takes longer on any minion. The slowdown of a minion that was found slow by its running tasks alone, before any run had completed there, was not a number; the test now checks it.

--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/MinionSpeedTracker.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/MinionSpeedTracker.java
@@ -36,10 +36,12 @@
   // A gang goes at the pace of its slowest member, so that a slow minion would be put down to the
   // others as well; and its members on one minion are one piece of evidence. Of a run that an
   // earlier leader started or that has resumed, the time is not known. What fills depends on what
-  // runs beside it.
+  // runs beside it, and a task away from its data on the way to it.
   private static boolean isEvidence(Member member) {
     ActiveRun run = member.run();
+    String dataRack = run.step().getDataRack();
     return member.index() == 0
+        && (dataRack.isEmpty() || dataRack.equals(member.minion().rack()))
         && member.start().wasSent()
         && run.checkpoint().isEmpty()
         && !run.step().getLongRunning()
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/minion/MinionSpeed.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/minion/MinionSpeed.java
@@ -103,7 +103,7 @@
 
   // Runs from before a minion turned slow would clear it as soon as nothing runs there any more.
   private void replaceRunsBefore(double runningSum, int runningCount, long nowMillis) {
-    if (runningSum * weight > weightedSum * runningCount) {
+    if (runningCount > 0 && runningSum * weight >= weightedSum * runningCount) {
       weight = Math.max(MIN_WEIGHT, RUNNING_WEIGHT * runningCount);
       weightedSum = weight * runningSum / runningCount;
       lastRunMillis = nowMillis;
--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/minion/MinionSpeedTest.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/minion/MinionSpeedTest.java
@@ -113,6 +113,7 @@
 
     assertTrue(speed.assess(baseline(0, 0.2, 5), running, nowMillis));
     assertTrue(speed.isSlow());
+    assertEquals(speed.slowdown(), 5, 0.5);
   }
 
   /** Guards against a minion that is avoided although it works soundly again. */
