Move the classes about the view of a single minion to kernel.minion

LeaseState, MinionClock, MinionHealth and TaskProgress know nothing of the dispatcher. They are public types with doc comments now; the maximum drift of a clock moves from DispatchSettings to MinionClock. No behaviour changes.

--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/DispatchSettings.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/DispatchSettings.java
@@ -1,5 +1,7 @@
 package org.hickoryspar.kernel.dispatch;
 
+import org.hickoryspar.kernel.minion.MinionClock;
+
 /**
  * Times and limits of the dispatcher.
  *
@@ -29,9 +31,6 @@
     long retentionMillis,
     long earlyStartMillis) {
 
-  /** Maximum deviation of the rate of a minion's monotonic clock, in either direction. */
-  static final int CLOCK_DRIFT_PERCENT = 2;
-
   /**
    * Checks the times that depend on each other.
    *
@@ -52,6 +51,6 @@
    * on the slowest clock.
    */
   long leaseExpiryMillis() {
-    return maxLeaseMillis * (100 + CLOCK_DRIFT_PERCENT) / 100 + responseTimeoutMillis;
+    return maxLeaseMillis * (100 + MinionClock.MAX_DRIFT_PERCENT) / 100 + responseTimeoutMillis;
   }
 }
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/LeaseManager.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/LeaseManager.java
@@ -7,6 +7,7 @@
 import org.hickoryspar.kernel.dispatch.order.OrderOutcome;
 import org.hickoryspar.kernel.dispatch.order.RenewalResponse;
 import org.hickoryspar.kernel.dispatch.order.TaskRun;
+import org.hickoryspar.kernel.minion.LeaseState;
 
 /**
  * Renews the leases of minions and reconciles the runs with the responses, which list the running
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Member.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Member.java
@@ -1,6 +1,7 @@
 package org.hickoryspar.kernel.dispatch;
 
 import org.hickoryspar.kernel.dispatch.order.TaskRun;
+import org.hickoryspar.kernel.minion.TaskProgress;
 import org.hickoryspar.kernel.value.Resources;
 
 /** A task of an active run on its minion, with the state of its orders. */
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/MinionFailureTracker.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/MinionFailureTracker.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
+import org.hickoryspar.kernel.minion.MinionHealth;
 import org.hickoryspar.kernel.workflow.TaskGroup;
 import org.hickoryspar.kernel.workflow.Workflow;
 
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/MinionHealth.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/minion/MinionHealth.java
@@ -1,4 +1,6 @@
-package org.hickoryspar.kernel.dispatch;
+package org.hickoryspar.kernel.minion;
+
+import static java.util.Objects.requireNonNull;
 
 import java.util.LinkedHashSet;
 import java.util.Set;
@@ -10,7 +12,7 @@
  * rejects a start as unhealthy is isolated for a short time, without a probe. A minion that does
  * not respond to starts is isolated like one that fails tasks, until it responds to one.
  */
-final class MinionHealth {
+public final class MinionHealth {
 
   /** Number of workflows that fail without a success in between before a minion is isolated. */
   private static final int ISOLATION_THRESHOLD = 2;
@@ -27,10 +29,12 @@
   /** Time for which a success counts as recent. */
   private static final long RECENT_SUCCESS_MILLIS = 10_000;
 
+  private static final long NEVER_MILLIS = Long.MIN_VALUE / 2;
+
   private final Set<String> failedWorkflows = new LinkedHashSet<>();
-  private long lastFailureMillis = Member.NEVER_MILLIS;
-  private long lastSuccessMillis = Member.NEVER_MILLIS;
-  private long isolatedUntilMillis = Member.NEVER_MILLIS;
+  private long lastFailureMillis = NEVER_MILLIS;
+  private long lastSuccessMillis = NEVER_MILLIS;
+  private long isolatedUntilMillis = NEVER_MILLIS;
   private long isolationMillis;
   private boolean awaitingProbe;
   private boolean unresponsiveToStarts;
@@ -38,11 +42,13 @@
   /**
    * Records the failure of a task.
    *
+   * @param workflowId the workflow of the task
    * @param immediate whether the task failed right after its start
+   * @param nowMillis monotonic time in milliseconds
    * @return whether the failure isolates the minion
    */
-  boolean recordFailure(String workflowId, boolean immediate, long nowMillis) {
-    failedWorkflows.add(workflowId);
+  public boolean recordFailure(String workflowId, boolean immediate, long nowMillis) {
+    failedWorkflows.add(requireNonNull(workflowId, "workflowId is null"));
     lastFailureMillis = nowMillis;
     if (!awaitingProbe && !immediate && failedWorkflows.size() < ISOLATION_THRESHOLD) {
       return false;
@@ -61,23 +67,29 @@
   /**
    * Isolates the minion because it has not responded to the starts of a task. Starts of other tasks
    * that are given up during the isolation do not extend it.
+   *
+   * @param nowMillis monotonic time in milliseconds
    */
-  void recordUnansweredStarts(long nowMillis) {
+  public void recordUnansweredStarts(long nowMillis) {
     if (!unresponsiveToStarts || !isIsolated(nowMillis)) {
       unresponsiveToStarts = true;
       isolate(nowMillis);
     }
   }
 
-  /** Extends an isolation for unanswered starts, because only their deadline has ended a run. */
-  void recordExpiredStart(long nowMillis) {
+  /**
+   * Extends an isolation for unanswered starts, because only their deadline has ended a run.
+   *
+   * @param nowMillis monotonic time in milliseconds
+   */
+  public void recordExpiredStart(long nowMillis) {
     if (unresponsiveToStarts) {
       isolatedUntilMillis = Math.max(isolatedUntilMillis, nowMillis + INITIAL_ISOLATION_MILLIS);
     }
   }
 
   /** Ends an isolation for unanswered starts after a response to a start. */
-  void recordStartResponse() {
+  public void recordStartResponse() {
     if (unresponsiveToStarts) {
       unresponsiveToStarts = false;
       if (failedWorkflows.isEmpty()) {
@@ -86,50 +98,92 @@
     }
   }
 
-  /** Isolates the minion for a short time because it has rejected a start as unhealthy. */
-  void recordRejection(long nowMillis) {
+  /**
+   * Isolates the minion for a short time because it has rejected a start as unhealthy.
+   *
+   * @param nowMillis monotonic time in milliseconds
+   */
+  public void recordRejection(long nowMillis) {
     isolatedUntilMillis = Math.max(isolatedUntilMillis, nowMillis + INITIAL_ISOLATION_MILLIS);
   }
 
   /** Clears the failures after a success, or after they are attributed to a workflow. */
-  void clearFailures() {
+  public void clearFailures() {
     failedWorkflows.clear();
     unresponsiveToStarts = false;
     awaitingProbe = false;
     isolationMillis = 0;
-    isolatedUntilMillis = Member.NEVER_MILLIS;
+    isolatedUntilMillis = NEVER_MILLIS;
   }
 
-  long remainingIsolationMillis(long nowMillis) {
+  /**
+   * Returns for how long the minion remains isolated.
+   *
+   * @param nowMillis monotonic time in milliseconds
+   * @return the rest of the isolation in milliseconds, 0 without one
+   */
+  public long remainingIsolationMillis(long nowMillis) {
     return Math.max(0, isolatedUntilMillis - nowMillis);
   }
 
-  /** Returns whether all failures since the last success are of the given workflow. */
-  boolean hasOnlyFailuresOf(String workflowId) {
+  /**
+   * Returns whether all failures since the last success are of one workflow.
+   *
+   * @param workflowId the workflow
+   * @return true if there are failures and all are of that workflow
+   */
+  public boolean hasOnlyFailuresOf(String workflowId) {
+    requireNonNull(workflowId, "workflowId is null");
     return failedWorkflows.size() == 1 && failedWorkflows.contains(workflowId);
   }
 
-  void recordSuccess(long nowMillis) {
+  /**
+   * Records the success of a task.
+   *
+   * @param nowMillis monotonic time in milliseconds
+   */
+  public void recordSuccess(long nowMillis) {
     lastSuccessMillis = nowMillis;
     clearFailures();
   }
 
-  /** Returns whether a task has succeeded recently and none has failed since. */
-  boolean hasRecentSuccess(long nowMillis) {
+  /**
+   * Returns whether a task has succeeded recently and none has failed since.
+   *
+   * @param nowMillis monotonic time in milliseconds
+   * @return true after a recent success
+   */
+  public boolean hasRecentSuccess(long nowMillis) {
     return failedWorkflows.isEmpty() && nowMillis - lastSuccessMillis < RECENT_SUCCESS_MILLIS;
   }
 
-  boolean isIsolated(long nowMillis) {
+  /**
+   * Returns whether the minion is avoided because of failures.
+   *
+   * @param nowMillis monotonic time in milliseconds
+   * @return true during an isolation
+   */
+  public boolean isIsolated(long nowMillis) {
     return nowMillis < isolatedUntilMillis;
   }
 
-  /** Returns whether the minion is given a single task as a probe before other work. */
-  boolean isAwaitingProbe(long nowMillis) {
+  /**
+   * Returns whether the minion is given a single task as a probe before other work.
+   *
+   * @param nowMillis monotonic time in milliseconds
+   * @return true after an isolation, until a probe succeeds or the time for it is over
+   */
+  public boolean isAwaitingProbe(long nowMillis) {
     return awaitingProbe && nowMillis - isolatedUntilMillis < PROBE_TIMEOUT_MILLIS;
   }
 
-  /** Returns whether other minions are preferred because of a failure. */
-  boolean hasRecentFailure(long nowMillis) {
+  /**
+   * Returns whether other minions are preferred because of a failure.
+   *
+   * @param nowMillis monotonic time in milliseconds
+   * @return true for some time after a failure
+   */
+  public boolean hasRecentFailure(long nowMillis) {
     return awaitingProbe
         || (!failedWorkflows.isEmpty() && nowMillis - lastFailureMillis < RECENT_FAILURE_MILLIS);
   }
