--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Dispatcher.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Dispatcher.java
@@ -71,6 +71,7 @@
   private final Backlogs backlogs;
   private final Planner planner;
   private final QuotaQueries quotaQueries;
+  private final SlowRunMover slowRunMover;
   private final Retention retention;
   private final RunTimeEstimates runTimeEstimates;
   private boolean planDue = true;
@@ -129,8 +130,12 @@
     this.outbox = new Outbox(firstBatchNumber(nowMillis));
     MinionFailureTracker failureTracker = new MinionFailureTracker(listener);
     this.runTimeEstimates = new RunTimeEstimates(runTimeSource.newPredictor(table.runTimes()));
-    this.endRecorder = new RunEndRecorder(runs, outbox, failureTracker, runTimeEstimates, listener);
+    MinionSpeedTracker speedTracker = new MinionSpeedTracker(runTimeEstimates, listener);
+    this.endRecorder =
+        new RunEndRecorder(runs, outbox, failureTracker, speedTracker, runTimeEstimates, listener);
     this.minions = new MinionTable(listener, this::handleNewLife);
+    this.slowRunMover =
+        new SlowRunMover(catalog, minions, runs, runTimeEstimates, speedTracker, listener);
     this.stopRetransmitter = new StopRetransmitter(settings.responseTimeoutMillis(), outbox);
     this.leaseManager =
         new LeaseManager(
@@ -339,6 +344,7 @@
       nextPlanMillis = nowMillis + PLAN_INTERVAL_MILLIS;
       planner.plan(waitingSteps.steps(), nowMillis, wallMillis);
     }
+    slowRunMover.advance(waitingSteps, nowMillis);
     taskOrderSender.advance(nowMillis);
     stopRetransmitter.advance(nowMillis);
     if (nowMillis >= nextSweepMillis) {
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/RunEndRecorder.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/RunEndRecorder.java
@@ -9,6 +9,7 @@
   private final RunTable runs;
   private final Outbox outbox;
   private final MinionFailureTracker failureTracker;
+  private final MinionSpeedTracker speedTracker;
   private final RunTimeEstimates runTimeEstimates;
   private final DispatchListener listener;
 
@@ -16,11 +17,13 @@
       RunTable runs,
       Outbox outbox,
       MinionFailureTracker failureTracker,
+      MinionSpeedTracker speedTracker,
       RunTimeEstimates runTimeEstimates,
       DispatchListener listener) {
     this.runs = runs;
     this.outbox = outbox;
     this.failureTracker = failureTracker;
+    this.speedTracker = speedTracker;
     this.runTimeEstimates = runTimeEstimates;
     this.listener = listener;
   }
@@ -53,6 +56,7 @@
       failureTracker.recordFailure(member, nowMillis);
     } else if (cause == RunEnd.Cause.DONE) {
       failureTracker.recordSuccess(member, nowMillis);
+      speedTracker.recordCompletion(member, nowMillis);
     }
     boolean isWholeRun = isFirstEnd && cause == RunEnd.Cause.DONE && run.isWhole() && ranMillis > 0;
     if (isWholeRun) {
--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/FakeMinion.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/FakeMinion.java
@@ -1,7 +1,9 @@
 package org.hickoryspar.kernel.dispatch;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.hickoryspar.kernel.dispatch.order.Order;
 import org.hickoryspar.kernel.dispatch.order.OrderOutcome;
@@ -27,8 +29,10 @@
   private final List<String> labels = new ArrayList<>();
   private boolean reachable = true;
   private boolean respondsToStarts = true;
+  private boolean respondsToStops = true;
   private boolean unhealthy;
   private final List<TaskRun> running = new ArrayList<>();
+  private final Map<TaskRun, Integer> percentByRun = new HashMap<>();
   private final List<RenewalResponse.EndedTask> ended = new ArrayList<>();
   private final List<TaskRun> stops = new ArrayList<>();
   private final List<Order.Start> starts = new ArrayList<>();
@@ -97,7 +101,11 @@
 
   RenewalResponse response(Order.Renew renewal, long nowMillis) {
     List<RenewalResponse.RunningTask> runningTasks =
-        running.stream().map(run -> new RenewalResponse.RunningTask(run, "", 0, -1)).toList();
+        running.stream()
+            .map(
+                run ->
+                    new RenewalResponse.RunningTask(run, "", percentByRun.getOrDefault(run, 0), -1))
+            .toList();
     return new RenewalResponse(
         clockMillis(nowMillis), bornMillis, runningTasks, unrecordedEnds(renewal));
   }
@@ -116,11 +124,16 @@
     return OrderOutcome.DONE;
   }
 
-  void stop(TaskRun taskRun) {
+  /** Stops a task unless stops are ignored. */
+  OrderOutcome stop(TaskRun taskRun) {
     stops.add(taskRun);
+    if (!respondsToStops) {
+      return OrderOutcome.UNKNOWN;
+    }
     if (running.remove(taskRun)) {
       addEnd(taskRun, RunEnd.Cause.STOPPED);
     }
+    return OrderOutcome.DONE;
   }
 
   // -- state
@@ -202,6 +215,19 @@
     running.add(new TaskRun(workflowId, 0, 0, task, 9));
   }
 
+  void ignoreStops() {
+    respondsToStops = false;
+  }
+
+  void respondToStarts() {
+    respondsToStarts = true;
+  }
+
+  /** Sets the progress of a running task, which the next responses to renewals list. */
+  void setProgress(TaskRun run, int percent) {
+    percentByRun.put(run, percent);
+  }
+
   void endTask(TaskRun run, RunEnd.Cause cause) {
     running.remove(run);
     addEnd(run, cause);
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/explain/EventDescriptions.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/explain/EventDescriptions.java
@@ -52,11 +52,21 @@
         "RUN_PLACED", "{tasks} task(s) placed on {minions} after waiting for {waitedMillis} ms");
     TEMPLATES.put("RUN_REFUSED", "the start was neither recorded nor sent: {reason}");
     TEMPLATES.put("START_REJECTED", "minion {minion} rejected the start: {outcome}");
+    TEMPLATES.put(
+        "START_GIVEN_UP",
+        "minion {minion} did not respond to {starts} starts within {sinceMillis} ms; the run of"
+            + " {members} member(s) is being stopped, and the minion avoided for {avoidedMillis}"
+            + " ms");
     TEMPLATES.put("RUN_STOPPING", "is being stopped: {because}");
     TEMPLATES.put(
         "RUN_PREEMPTED",
         "is being preempted for {for} after {workedMillis} ms of work (checkpointing:"
             + " {checkpointing})");
+    TEMPLATES.put(
+        "RUN_MOVED",
+        "is being moved off the slow minion(s) {slowMinions}: {remainingMillis} ms of work remain"
+            + " there, the whole run takes {elsewhereMillis} ms elsewhere; {workedMillis} ms of"
+            + " work of {members} member(s) are given up");
     TEMPLATES.put(
         "TASK_ENDED",
         "ended on {minion} with {cause} at {percent} percent after {ranMillis} ms, expected"
@@ -73,6 +83,9 @@
     TEMPLATES.put(
         "MINION_ISOLATED",
         "the minion is isolated for {forMillis} ms after a failure: {lastFailure}");
+    TEMPLATES.put(
+        "MINION_PACE_CHANGED",
+        "the pace of the minion is {pace} now: {slowdownPercent} percent of the usual time");
     TEMPLATES.put("MINION_DRAINING", "the minion is draining, {remainingMillis} ms remain");
     TEMPLATES.put(
         "MINION_LEAVING",
