--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/PlannerTest.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/PlannerTest.java
@@ -87,6 +87,25 @@
     assertEquals(harness.minionsOf("third").size(), 2);
   }
 
+  /** Guards against small tasks that leave an accelerator in use on each minion. */
+  @Test
+  void shouldKeepMinionsWholeForAGangWhileSmallTasksComeAndGo() {
+    DispatcherHarness harness = DispatcherHarness.withMinions(4, "r1");
+    for (int i = 0; i < 8; i++) {
+      harness.submit("small-" + i, 2, withEstimate(DispatcherHarness.step(2, 1), 20_000));
+      harness.advanceTime(50);
+      if (i % 2 == 1) {
+        harness.endAllTasks("small-" + (i - 1), RunEnd.Cause.DONE);
+        harness.advanceTime(50);
+      }
+    }
+
+    harness.submit("gang", 1, withEstimate(DispatcherHarness.gang(2, 8), 4_000));
+    harness.advanceTime(200);
+
+    assertEquals(harness.minionsOf("gang").size(), 2);
+  }
+
   // ------------------------------------------------------------- guaranteed work
 
   /** Guards against guaranteed work that waits for less urgent work to end. */
