--- a/hickoryspar-bench/src/main/java/org/hickoryspar/bench/workflow/WorkflowDeployment.java
+++ b/hickoryspar-bench/src/main/java/org/hickoryspar/bench/workflow/WorkflowDeployment.java
@@ -9,6 +9,7 @@
 import java.util.Random;
 import org.hickoryspar.kernel.catalog.CatalogState;
 import org.hickoryspar.kernel.dispatch.DispatchSettings;
+import org.hickoryspar.kernel.runtime.RunTimeSource;
 import org.hickoryspar.protocol.Catalog;
 import org.hickoryspar.protocol.CatalogChange;
 import org.hickoryspar.protocol.ServicePolicy;
@@ -87,7 +88,19 @@
   /** Returns the settings of the dispatcher. */
   static DispatchSettings dispatchSettings() {
     return new DispatchSettings(
-        4_500, 6_000, 700, 300, 1_500, 400, 4_000, 3, 2_900, 120_000, 100, 0);
+        4_500,
+        6_000,
+        700,
+        300,
+        1_500,
+        400,
+        4_000,
+        3,
+        2_900,
+        120_000,
+        100,
+        0,
+        RunTimeSource.LEARNED);
   }
 
   CatalogState catalog() {
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/DispatchSettings.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/DispatchSettings.java
@@ -1,6 +1,9 @@
 package org.hickoryspar.kernel.dispatch;
 
+import static java.util.Objects.requireNonNull;
+
 import org.hickoryspar.kernel.minion.MinionClock;
+import org.hickoryspar.kernel.runtime.RunTimeSource;
 
 /**
  * Times and limits of the dispatcher.
@@ -18,6 +21,7 @@
  * @param retentionMillis how long the state of an ended workflow is kept
  * @param earlyStartMillis how long before its due time an occurrence may start
  * @param quotaTolerance share of its quota by which a team may exceed it, from 0
+ * @param runTimeSource where predictions of run times come from
  */
 public record DispatchSettings(
     long leaseMillis,
@@ -31,7 +35,8 @@
     long maxReclaimMillis,
     long retentionMillis,
     long earlyStartMillis,
-    double quotaTolerance) {
+    double quotaTolerance,
+    RunTimeSource runTimeSource) {
 
   /**
    * Checks the times that depend on each other.
@@ -41,6 +46,7 @@
    *     {@code quotaTolerance} is negative
    */
   public DispatchSettings {
+    requireNonNull(runTimeSource, "runTimeSource is null");
     if (leaseMillis <= 0 || leaseMillis > maxLeaseMillis) {
       throw new IllegalArgumentException("leaseMillis must be positive and at most maxLeaseMillis");
     }
@@ -67,4 +73,27 @@
   long strayExpiryMillis() {
     return renewalWaitMillis + responseTimeoutMillis + leaseExpiryMillis();
   }
+
+  /**
+   * Returns these settings with another source of predictions.
+   *
+   * @param source where predictions of run times come from
+   * @return a copy that differs only in the source
+   */
+  public DispatchSettings withRunTimeSource(RunTimeSource source) {
+    return new DispatchSettings(
+        leaseMillis,
+        maxLeaseMillis,
+        renewalWaitMillis,
+        responseTimeoutMillis,
+        startValidityMillis,
+        stopTimeoutMillis,
+        gangTimeoutMillis,
+        crossRackFactor,
+        maxReclaimMillis,
+        retentionMillis,
+        earlyStartMillis,
+        quotaTolerance,
+        source);
+  }
 }
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Dispatcher.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Dispatcher.java
@@ -12,7 +12,6 @@
 import org.hickoryspar.kernel.dispatch.order.TaskRun;
 import org.hickoryspar.kernel.quota.QuotaPolicy;
 import org.hickoryspar.kernel.quota.TeamQuotas;
-import org.hickoryspar.kernel.runtime.RunTimeSource;
 import org.hickoryspar.kernel.value.Problem;
 import org.hickoryspar.kernel.workflow.Workflow;
 import org.hickoryspar.kernel.workflow.WorkflowTable;
@@ -79,26 +78,6 @@
   private long lastPlanMillis;
   private long nextSweepMillis;
 
-  /**
-   * Creates a dispatcher that learns run times from finished runs.
-   *
-   * @param settings times and limits
-   * @param catalog the catalog, which may change during the term
-   * @param table the workflows at the start of the term; owned by the dispatcher from then on
-   * @param listener receives the decisions
-   * @param nowMillis monotonic time in milliseconds
-   * @param wallMillis wall-clock time in milliseconds since the epoch
-   */
-  public Dispatcher(
-      DispatchSettings settings,
-      CatalogState catalog,
-      WorkflowTable table,
-      DispatchListener listener,
-      long nowMillis,
-      long wallMillis) {
-    this(settings, catalog, table, RunTimeSource.LEARNED, listener, nowMillis, wallMillis);
-  }
-
   /**
    * Creates the dispatcher of a newly elected leader and recovers the runs that are recorded in the
    * workflow table.
@@ -106,7 +85,6 @@
    * @param settings times and limits
    * @param catalog the catalog, which may change during the term
    * @param table the workflows at the start of the term; owned by the dispatcher from then on
-   * @param runTimeSource where predictions of run times come from
    * @param listener receives the decisions
    * @param nowMillis monotonic time in milliseconds
    * @param wallMillis wall-clock time in milliseconds since the epoch
@@ -115,7 +93,6 @@
       DispatchSettings settings,
       CatalogState catalog,
       WorkflowTable table,
-      RunTimeSource runTimeSource,
       DispatchListener listener,
       long nowMillis,
       long wallMillis) {
@@ -129,7 +106,8 @@
     this.runs = new RunTable(quotas);
     this.outbox = new Outbox(firstBatchNumber(nowMillis));
     MinionFailureTracker failureTracker = new MinionFailureTracker(listener);
-    this.runTimeEstimates = new RunTimeEstimates(runTimeSource.newPredictor(table.runTimes()));
+    this.runTimeEstimates =
+        new RunTimeEstimates(settings.runTimeSource().newPredictor(table.runTimes()));
     MinionSpeedTracker speedTracker = new MinionSpeedTracker(runTimeEstimates, listener);
     this.endRecorder =
         new RunEndRecorder(runs, outbox, failureTracker, speedTracker, runTimeEstimates, listener);
--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/DispatcherHarness.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/DispatcherHarness.java
@@ -12,6 +12,7 @@
 import org.hickoryspar.kernel.dispatch.order.Order;
 import org.hickoryspar.kernel.dispatch.order.OrderOutcome;
 import org.hickoryspar.kernel.dispatch.order.TaskRun;
+import org.hickoryspar.kernel.runtime.RunTimeSource;
 import org.hickoryspar.kernel.runtime.RunTimeTable;
 import org.hickoryspar.kernel.value.Problem;
 import org.hickoryspar.kernel.workflow.Workflow;
@@ -49,7 +50,20 @@
   static final int TICK_MILLIS = 10;
 
   static final DispatchSettings SETTINGS =
-      new DispatchSettings(4_500, 6_000, 1_000, 300, 1_500, 400, 4_000, 3, 2_900, 120_000, 100, 0);
+      new DispatchSettings(
+          4_500,
+          6_000,
+          1_000,
+          300,
+          1_500,
+          400,
+          4_000,
+          3,
+          2_900,
+          120_000,
+          100,
+          0,
+          RunTimeSource.LEARNED);
 
   private final CatalogState catalog = new CatalogState();
   private final WorkflowTable table = new WorkflowTable();
--- a/hickoryspar-node/src/test/java/org/hickoryspar/node/daemon/StartOrderTest.java
+++ b/hickoryspar-node/src/test/java/org/hickoryspar/node/daemon/StartOrderTest.java
@@ -14,6 +14,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.hickoryspar.kernel.dispatch.DispatchSettings;
+import org.hickoryspar.kernel.runtime.RunTimeSource;
 import org.hickoryspar.node.cluster.ClusterSettings;
 import org.hickoryspar.node.dispatch.SilentMinionClient;
 import org.hickoryspar.node.observability.StartSteps;
@@ -26,7 +27,20 @@
   private static final Duration TIMEOUT = Duration.ofSeconds(60);
 
   private static final DispatchSettings DISPATCH =
-      new DispatchSettings(4_500, 6_000, 1_000, 300, 1_500, 400, 4_000, 3, 2_900, 120_000, 100);
+      new DispatchSettings(
+          4_500,
+          6_000,
+          1_000,
+          300,
+          1_500,
+          400,
+          4_000,
+          3,
+          2_900,
+          120_000,
+          100,
+          0,
+          RunTimeSource.LEARNED);
 
   private final StartSteps steps = new StartSteps(System::nanoTime);
 
--- a/hickoryspar-node/src/test/java/org/hickoryspar/node/dispatch/DispatchLoopTest.java
+++ b/hickoryspar-node/src/test/java/org/hickoryspar/node/dispatch/DispatchLoopTest.java
@@ -16,6 +16,7 @@
 import org.hickoryspar.kernel.dispatch.order.Order;
 import org.hickoryspar.kernel.dispatch.order.OrderOutcome;
 import org.hickoryspar.kernel.dispatch.order.RenewalResponse;
+import org.hickoryspar.kernel.runtime.RunTimeSource;
 import org.hickoryspar.kernel.value.Result;
 import org.hickoryspar.node.control.LeaderLog;
 import org.hickoryspar.node.control.Proposer;
@@ -32,7 +33,20 @@
   private static final int MANY_MINIONS = 350;
 
   private static final DispatchSettings SETTINGS =
-      new DispatchSettings(4_500, 6_000, 1_000, 300, 1_500, 400, 4_000, 3, 2_900, 120_000, 100, 0);
+      new DispatchSettings(
+          4_500,
+          6_000,
+          1_000,
+          300,
+          1_500,
+          400,
+          4_000,
+          3,
+          2_900,
+          120_000,
+          100,
+          0,
+          RunTimeSource.LEARNED);
 
   private final LinkedBlockingQueue<Long> renewalTokens = new LinkedBlockingQueue<>();
   private final AtomicInteger sessions = new AtomicInteger();
--- a/hickoryspar-node/src/test/java/org/hickoryspar/node/dispatch/LeaderServicesTest.java
+++ b/hickoryspar-node/src/test/java/org/hickoryspar/node/dispatch/LeaderServicesTest.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.TimeUnit;
 import org.hickoryspar.kernel.control.ControlState;
 import org.hickoryspar.kernel.dispatch.DispatchSettings;
+import org.hickoryspar.kernel.runtime.RunTimeSource;
 import org.hickoryspar.kernel.value.Result;
 import org.hickoryspar.node.control.LeaderLog;
 import org.hickoryspar.node.control.Proposer;
@@ -23,7 +24,20 @@
   private static final long TIMEOUT_SECONDS = 30;
 
   private static final DispatchSettings SETTINGS =
-      new DispatchSettings(4_500, 6_000, 1_000, 300, 1_500, 400, 4_000, 3, 2_900, 120_000, 100);
+      new DispatchSettings(
+          4_500,
+          6_000,
+          1_000,
+          300,
+          1_500,
+          400,
+          4_000,
+          3,
+          2_900,
+          120_000,
+          100,
+          0,
+          RunTimeSource.LEARNED);
 
   private static final Envelope CALL =
       Envelope.newBuilder().setMinionReports(MinionReports.getDefaultInstance()).build();
--- a/hickoryspar-node/src/test/java/org/hickoryspar/node/dispatch/MinionRegistryTest.java
+++ b/hickoryspar-node/src/test/java/org/hickoryspar/node/dispatch/MinionRegistryTest.java
@@ -19,6 +19,7 @@
 import org.hickoryspar.kernel.catalog.CatalogState;
 import org.hickoryspar.kernel.dispatch.DispatchSettings;
 import org.hickoryspar.kernel.dispatch.Dispatcher;
+import org.hickoryspar.kernel.runtime.RunTimeSource;
 import org.hickoryspar.kernel.value.Result;
 import org.hickoryspar.kernel.workflow.WorkflowTable;
 import org.hickoryspar.node.cluster.ControlPeers;
@@ -76,7 +77,19 @@
   private Dispatcher newDispatcher() {
     return new Dispatcher(
         new DispatchSettings(
-            4_500, 6_000, 1_000, 300, 1_500, 400, 4_000, 3, 2_900, 120_000, 100, 0),
+            4_500,
+            6_000,
+            1_000,
+            300,
+            1_500,
+            400,
+            4_000,
+            3,
+            2_900,
+            120_000,
+            100,
+            0,
+            RunTimeSource.LEARNED),
         new CatalogState(),
         new WorkflowTable(),
         (kind, subject, details) -> {},
--- a/hickoryspar-node/src/test/java/org/hickoryspar/node/dispatch/WorkflowServiceTest.java
+++ b/hickoryspar-node/src/test/java/org/hickoryspar/node/dispatch/WorkflowServiceTest.java
@@ -13,6 +13,7 @@
 import org.hickoryspar.kernel.dispatch.order.Order;
 import org.hickoryspar.kernel.dispatch.order.OrderOutcome;
 import org.hickoryspar.kernel.dispatch.order.RenewalResponse;
+import org.hickoryspar.kernel.runtime.RunTimeSource;
 import org.hickoryspar.kernel.value.Result;
 import org.hickoryspar.node.control.ControlStateMachine;
 import org.hickoryspar.node.control.Proposer;
@@ -37,7 +38,20 @@
   private static final Duration TIMEOUT = Duration.ofSeconds(30);
 
   private static final DispatchSettings SETTINGS =
-      new DispatchSettings(4_500, 6_000, 1_000, 300, 1_500, 400, 4_000, 3, 2_900, 120_000, 100, 0);
+      new DispatchSettings(
+          4_500,
+          6_000,
+          1_000,
+          300,
+          1_500,
+          400,
+          4_000,
+          3,
+          2_900,
+          120_000,
+          100,
+          0,
+          RunTimeSource.LEARNED);
 
   private static final ByteString FIRST_CALL = ByteString.copyFromUtf8("call 1");
   private static final ByteString SECOND_CALL = ByteString.copyFromUtf8("call 2");
