Mend what the reviews of the parts found

A start that may still reach a new life of its minion could count as settled by a stop of the previous life, and was forgotten at a second restart; a call could have two attempts at once, the second not marked as retried; a single task or a gang above half of its quota could wait although most of the quota was unused; a gang above its quota, and one that was refused and then found no place, could starve within its team; the mover of slow runs minded neither quotas nor groups that wait for them; a completion ended the isolation of a minion that ignores starts; declared times beyond the scale of the learned ones stayed wrong for good; shares were computed anew for each pair of teams, and the pressure ten times a second. Change: as named, each in the class concerned. No new test shows the first two faults: they were found by reading.

--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Backlogs.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Backlogs.java
@@ -19,7 +19,7 @@
 final class Backlogs {
 
   /** Minimum interval between two measurements. */
-  private static final long MEASURE_INTERVAL_MILLIS = 100;
+  private static final long MEASURE_INTERVAL_MILLIS = 500;
 
   private static final String BY_URGENCY = "by urgency";
 
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/LeaseManager.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/LeaseManager.java
@@ -269,6 +269,7 @@
     stopRetransmitter.removeAll(previous);
     unrecordedTasks.removeAll(previous);
     if (previous.id().equals(newLife.id())) {
+      newLife.unansweredStarts().inherit(previous.unansweredStarts(), nowMillis);
       for (TaskRun taskRun : previous.unansweredStarts().pendingRuns(nowMillis)) {
         stopRetransmitter.add(newLife, taskRun);
         if (runs.find(taskRun) == null) {
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Member.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Member.java
@@ -24,7 +24,7 @@
   private boolean inherited;
 
   private final OrderState start = new OrderState();
-  private final OrderState stop = new OrderState();
+  private OrderState stop = new OrderState();
   private boolean stopRequested;
   private long confirmedMillis = NEVER_MILLIS;
   private long startDeadlineMillis;
@@ -57,11 +57,19 @@
     return minion;
   }
 
-  // The deadline of the start is on the clock of the previous life.
+  /**
+   * Moves the member to a new life of its minion. The deadline of its start is on the clock of the
+   * previous life; and if a start may still reach the new one, what the previous one has confirmed
+   * or stopped does not settle it.
+   */
   void moveTo(Minion newLife) {
     minion.remove(this);
     minion = newLife;
     startExpiredMillis = NEVER_MILLIS;
+    if (start.mayStillTakeEffect()) {
+      stop = new OrderState();
+      confirmedMillis = NEVER_MILLIS;
+    }
     newLife.add(this);
   }
 
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Planner.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Planner.java
@@ -375,12 +375,9 @@
       return true;
     }
 
-    private boolean mayStop(ActiveRun run, Urgency urgency) {
-      long slackMillis = urgency.latestStartMillis() - wallMillis;
+    private static boolean mayStop(ActiveRun run, Urgency urgency) {
       return PreemptionPlanner.isPreemptible(run)
-          && (urgency.isGuaranteed()
-              || !PreemptionPlanner.isSpared(
-                  run, remainingTimes.remainingMillis(run), slackMillis, nowMillis));
+          && (urgency.isGuaranteed() || !PreemptionPlanner.isSpared(run));
     }
 
     private boolean mayPreemptSmallerWork(WaitingStep waitingStep, TaskGroup group) {
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/PreemptionPlanner.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/PreemptionPlanner.java
@@ -26,9 +26,6 @@
   /** A run whose group was interrupted this often is preempted for guaranteed work only. */
   private static final int MAX_INTERRUPTIONS = 2;
 
-  /** A run has little left to do when it has worked for more than this multiple of the rest. */
-  private static final int MIN_DONE_PER_REMAINING = 3;
-
   private final PreemptionCost cost;
 
   PreemptionPlanner(PreemptionCost cost) {
@@ -50,20 +47,9 @@
         && !run.step().getLongRunning();
   }
 
-  /**
-   * Returns whether a run is stopped for guaranteed work only. That holds for a run whose group was
-   * interrupted often, and for one that is nearly done when the other work can wait for its end:
-   * stopped, it would need the resources again for longer than it still does.
-   *
-   * @param remainingMillis expected time until the run ends, in milliseconds
-   * @param slackMillis time until the latest start of the other work, in milliseconds
-   */
-  static boolean isSpared(ActiveRun run, long remainingMillis, long slackMillis, long nowMillis) {
-    boolean isNearlyDone =
-        !run.step().getCheckpointing()
-            && run.runningMillis(nowMillis) > remainingMillis * MIN_DONE_PER_REMAINING;
-    return run.interruptions() >= MAX_INTERRUPTIONS
-        || (isNearlyDone && remainingMillis <= slackMillis);
+  /** Returns whether a run is stopped for guaranteed work only: its group was interrupted often. */
+  static boolean isSpared(ActiveRun run) {
+    return run.interruptions() >= MAX_INTERRUPTIONS;
   }
 
   /** Returns whether a run is smaller than a group, of no higher priority, and preemptible. */
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/QuotaGate.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/QuotaGate.java
@@ -38,6 +38,10 @@
       }
       return refusal;
     }
+    // A group that was refused and finds no place now has not had its turn.
+    if (refusedGroups.durationMillis(group) > 0) {
+      refusedGroups.record(group, nowMillis);
+    }
     String holder = urgency.isGuaranteed() ? null : holderByTeam.get(team);
     return holder == null
         ? Optional.empty()
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/SlowRunMover.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/SlowRunMover.java
@@ -8,6 +8,7 @@
 import java.util.OptionalLong;
 import org.hickoryspar.kernel.catalog.CatalogState;
 import org.hickoryspar.kernel.minion.MoveRule;
+import org.hickoryspar.kernel.value.Resources;
 import org.hickoryspar.kernel.workflow.TaskGroup;
 import org.hickoryspar.protocol.Queue;
 
@@ -86,9 +87,15 @@
         && !run.step().getLongRunning()
         && !run.step().getSpeculative()
         && !run.step().getFills()
+        && isWithinQuota(run)
         && !moves.containsKey(run.group());
   }
 
+  // A team above its quota could not start the run anew.
+  private boolean isWithinQuota(ActiveRun run) {
+    return runs.teamQuotas().shortfall(run.team(), Resources.NONE).equals(Resources.NONE);
+  }
+
   private boolean isWorthwhile(ActiveRun run, long nowMillis) {
     OptionalLong remainingMillis = remainingMillis(run, nowMillis);
     return remainingMillis.isPresent()
@@ -144,14 +151,25 @@
     return moving.stream().mapToInt(move -> move.run.group().size()).sum();
   }
 
-  // What waits may be waiting for the very room that a move would take.
+  // What waits may be waiting for the very room that a move would take, unless it waits for its
+  // quota.
   private boolean areOthersWaiting(
       List<WaitingStep> waitingSteps, String service, List<Move> moving) {
     List<TaskGroup> movingGroups = moving.stream().map(move -> move.run.group()).toList();
     return waitingSteps.stream()
         .filter(step -> step.queue().getService().equals(service))
-        .flatMap(step -> step.groups().stream())
-        .anyMatch(group -> !runs.hasRun(group) && !movingGroups.contains(group));
+        .anyMatch(
+            step ->
+                step.groups().stream()
+                    .anyMatch(
+                        group ->
+                            !runs.hasRun(group)
+                                && !movingGroups.contains(group)
+                                && isWithinQuota(step, group)));
+  }
+
+  private boolean isWithinQuota(WaitingStep step, TaskGroup group) {
+    return runs.teamQuotas().check(step.team(), step.declaredDemand(), group.size()).isEmpty();
   }
 
   private boolean hasRoom(WaitingStep target, int tasks, MinionPools.Pool pool) {
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/UnansweredStarts.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/UnansweredStarts.java
@@ -32,6 +32,12 @@
                 : new PendingStart(previous.orderCount - 1, previous.lastSentMillis));
   }
 
+  /** Takes over the orders of an earlier life of the minion that may still take effect. */
+  void inherit(UnansweredStarts earlier, long nowMillis) {
+    earlier.removeExpired(nowMillis);
+    earlier.pendingByRun.forEach(pendingByRun::putIfAbsent);
+  }
+
   /** Returns the runs whose start may still take effect. */
   List<TaskRun> pendingRuns(long nowMillis) {
     removeExpired(nowMillis);
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/minion/MinionHealth.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/minion/MinionHealth.java
@@ -144,7 +144,12 @@
    */
   public void recordSuccess(long nowMillis) {
     lastSuccessMillis = nowMillis;
-    clearFailures();
+    // Tasks that run already say nothing of starts.
+    if (unresponsiveToStarts) {
+      failedWorkflows.clear();
+    } else {
+      clearFailures();
+    }
   }
 
   /**
@@ -154,7 +159,9 @@
    * @return true after a recent success
    */
   public boolean hasRecentSuccess(long nowMillis) {
-    return failedWorkflows.isEmpty() && nowMillis - lastSuccessMillis < RECENT_SUCCESS_MILLIS;
+    return failedWorkflows.isEmpty()
+        && !unresponsiveToStarts
+        && nowMillis - lastSuccessMillis < RECENT_SUCCESS_MILLIS;
   }
 
   /**
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/quota/QuotaPolicy.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/quota/QuotaPolicy.java
@@ -9,7 +9,8 @@
 /**
  * Decides whether tasks may start under the quota of their team. The limit of a team is its quota,
  * with a tolerance, and one task more. Tasks are started up to the quota itself; the rest of the
- * limit is for a group that is larger than the quota and has the team for itself.
+ * limit is for a group of a team that uses less than half of its quota, so that a large group does
+ * not wait while most of the quota is unused.
  *
  * @param tolerance share of its quota by which a team may exceed it, from 0
  */
@@ -39,11 +40,11 @@
   public Optional<QuotaRefusal> check(
       String team, Resources quota, Resources inUse, Resources task, int tasks) {
     requireNonNull(team, "team is null");
-    boolean alone = requireNonNull(inUse, "inUse is null").equals(Resources.NONE);
+    boolean usesLittle = !usesHalf(quota, requireNonNull(inUse, "inUse is null"));
     Resources demand = requireNonNull(task, "task is null").times(tasks);
     for (LimitedResource resource : LimitedResource.values()) {
       long quotaAmount = resource.amountIn(requireNonNull(quota, "quota is null"));
-      long limit = alone ? limit(quotaAmount, resource.amountIn(task)) : quotaAmount;
+      long limit = usesLittle ? limit(quotaAmount, resource.amountIn(task)) : quotaAmount;
       long inUseAmount = resource.amountIn(inUse);
       long demanded = resource.amountIn(demand);
       if (quotaAmount > 0 && LongMath.saturatedAdd(inUseAmount, demanded) > limit) {
@@ -54,6 +55,24 @@
     return Optional.empty();
   }
 
+  /**
+   * Returns whether a team has at least half of its quota of any resource in use.
+   *
+   * @param quota quota of the team; an amount of 0 is no limit
+   * @param inUse what the team has in use
+   * @return true if half of a limited resource is in use
+   */
+  public boolean usesHalf(Resources quota, Resources inUse) {
+    requireNonNull(inUse, "inUse is null");
+    for (LimitedResource resource : LimitedResource.values()) {
+      long quotaAmount = resource.amountIn(requireNonNull(quota, "quota is null"));
+      if (quotaAmount > 0 && resource.amountIn(inUse) >= quotaAmount - quotaAmount / 2) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /**
    * Returns whether a team has more in use than its limit, as after its quota was lowered.
    *
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/quota/TeamQuotas.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/quota/TeamQuotas.java
@@ -113,15 +113,17 @@
    */
   public Resources shortfall(String team, Resources demand) {
     Resources quota = quotaOf(team);
-    Resources needed = taken(team).plus(requireNonNull(demand, "demand is null"));
+    Resources taken = taken(team);
+    requireNonNull(demand, "demand is null");
     return new Resources(
-        shortfall(quota.cpuMillicores(), needed.cpuMillicores()),
-        shortfall(quota.memoryMegabytes(), needed.memoryMegabytes()),
-        shortfall(quota.accelerators(), needed.accelerators()));
+        shortfall(quota.cpuMillicores(), taken.cpuMillicores(), demand.cpuMillicores()),
+        shortfall(quota.memoryMegabytes(), taken.memoryMegabytes(), demand.memoryMegabytes()),
+        shortfall(quota.accelerators(), taken.accelerators(), demand.accelerators()));
   }
 
-  private static long shortfall(long quotaAmount, long needed) {
-    return quotaAmount == 0 ? 0 : Math.max(0, needed - quotaAmount);
+  // What is larger than the quota itself needs all that the team has taken.
+  private static long shortfall(long quotaAmount, long taken, long demand) {
+    return quotaAmount == 0 ? 0 : Math.min(taken, Math.max(0, taken + demand - quotaAmount));
   }
 
   /**
@@ -131,15 +133,7 @@
    * @return true if half of a limited resource is in use
    */
   public boolean usesHalf(String team) {
-    Resources quota = quotaOf(team);
-    Resources inUse = usage.inUse(team);
-    for (LimitedResource resource : LimitedResource.values()) {
-      long quotaAmount = resource.amountIn(quota);
-      if (quotaAmount > 0 && resource.amountIn(inUse) >= quotaAmount - quotaAmount / 2) {
-        return true;
-      }
-    }
-    return false;
+    return policy.usesHalf(quotaOf(team), usage.inUse(team));
   }
 
   /**
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/ranking/FairShareOrder.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/ranking/FairShareOrder.java
@@ -68,25 +68,28 @@
       List<T> members, Function<T, BacklogItem> itemOf, TeamShares shares) {
     TeamShares expected = shares.copy();
     Comparator<T> withinTeam = Comparator.comparing(itemOf, withinTeam(shares));
-    Map<String, Deque<T>> queues = new LinkedHashMap<>();
+    Map<String, TeamQueue<T>> queues = new LinkedHashMap<>();
     members.stream()
         .sorted(withinTeam)
         .forEach(
             element ->
                 queues
-                    .computeIfAbsent(itemOf.apply(element).team(), team -> new ArrayDeque<>())
+                    .computeIfAbsent(itemOf.apply(element).team(), team -> new TeamQueue<T>())
+                    .elements
                     .add(element));
+    queues.forEach((team, queue) -> queue.weightedShare = expected.weightedShare(team));
     List<T> ordered = new ArrayList<>(members.size());
     while (!queues.isEmpty()) {
-      Map.Entry<String, Deque<T>> turn =
+      TeamQueue<T> turn =
           Collections.min(
-              queues.entrySet(),
-              Comparator.comparingDouble(queue -> expected.weightedShare(queue.getKey())));
-      T next = turn.getValue().remove();
-      if (turn.getValue().isEmpty()) {
-        queues.remove(turn.getKey());
+              queues.values(), Comparator.comparingDouble(queue -> queue.weightedShare));
+      T next = turn.elements.remove();
+      String team = itemOf.apply(next).team();
+      if (turn.elements.isEmpty()) {
+        queues.remove(team);
       }
       place(itemOf.apply(next), expected);
+      turn.weightedShare = expected.weightedShare(team);
       ordered.add(next);
     }
     return ordered;
@@ -102,6 +105,13 @@
     return (Long.SIZE - Long.numberOfLeadingZeros(workMicros)) / SIZE_CLASS_BITS;
   }
 
+  /** What waits of a team, with the share that it uses and that is placed before it. */
+  private static final class TeamQueue<T> {
+
+    private final Deque<T> elements = new ArrayDeque<>();
+    private double weightedShare;
+  }
+
   /** Parts of the backlog that are served one after the other. */
   private record Tier(int priority, boolean isExempt, boolean isOverdue) {
 
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/runtime/RunProfile.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/runtime/RunProfile.java
@@ -28,6 +28,12 @@
     int accelerators,
     int gangSize) {
 
+  /** Lower declared times count as this; the ratios to them would leave the scale. */
+  private static final long MIN_DECLARED_MILLIS = 100;
+
+  /** Higher declared times count as this: a day. */
+  private static final long MAX_DECLARED_MILLIS = 24L * 60 * 60 * 1_000;
+
   /** Assumed for a step without a declared time. */
   private static final long DEFAULT_RUN_MILLIS = 5_000;
 
@@ -66,7 +72,9 @@
    */
   public static long declaredMillis(WorkflowStep step) {
     long declaredMillis = requireNonNull(step, "step is null").getEstimatedMillis();
-    return declaredMillis > 0 ? declaredMillis : DEFAULT_RUN_MILLIS;
+    return declaredMillis > 0
+        ? Math.min(Math.max(declaredMillis, MIN_DECLARED_MILLIS), MAX_DECLARED_MILLIS)
+        : DEFAULT_RUN_MILLIS;
   }
 
   /** Returns the same number on each replica for all profiles that agree up to a level. */
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/LeaderClient.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/LeaderClient.java
@@ -8,7 +8,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
@@ -49,6 +48,8 @@
   /** Codes of problems that are not caused by the call itself. */
   private static final Set<String> RETRYABLE_CODES = Set.of("not-leader", "unavailable", UNKNOWN);
 
+  private static final int NO_ATTEMPT = -1;
+
   private final ControlPeers peers;
   private final String ownInstance;
   private final @Nullable Function<Envelope, CompletableFuture<Result<Envelope.Builder>>>
@@ -137,7 +138,9 @@
     private volatile String lastProblem = "";
     private volatile ControlPeers.Leader leader = peers.leader();
     private volatile CompletableFuture<Result<Envelope>> currentAttempt = new CompletableFuture<>();
-    private @Nullable ScheduledFuture<?> nextAttempt;
+
+    /** How many attempts came before the one that waits, or {@link #NO_ATTEMPT}. */
+    private final AtomicInteger waitingAttempt = new AtomicInteger(NO_ATTEMPT);
 
     PendingCall(Envelope.Builder call, long timeoutMillis, BooleanSupplier callerWaits) {
       this.call = call;
@@ -183,22 +186,27 @@
     }
 
     private void startWaitingAttempt() {
-      if (cancelNextAttempt()) {
-        timer.execute(this::startAttempt);
+      int number = waitingAttempt.get();
+      if (number != NO_ATTEMPT) {
+        timer.execute(() -> startScheduled(number));
       }
     }
 
-    private synchronized boolean cancelNextAttempt() {
-      ScheduledFuture<?> pending = nextAttempt;
-      nextAttempt = null;
-      return pending != null && pending.cancel(false);
+    private void scheduleAttempt(long delayMillis) {
+      long remainingMillis = Math.max(0, deadlineMillis - monotonicMillis.getAsLong());
+      int number = attemptCount.get();
+      waitingAttempt.set(number);
+      timer.schedule(
+          () -> startScheduled(number),
+          Math.min(delayMillis, remainingMillis),
+          TimeUnit.MILLISECONDS);
     }
 
-    private synchronized void scheduleAttempt(long delayMillis) {
-      long remainingMillis = Math.max(0, deadlineMillis - monotonicMillis.getAsLong());
-      nextAttempt =
-          timer.schedule(
-              this::startAttempt, Math.min(delayMillis, remainingMillis), TimeUnit.MILLISECONDS);
+    // Both the timer and a listener may start an attempt that waits; the first one does.
+    private void startScheduled(int number) {
+      if (waitingAttempt.compareAndSet(number, NO_ATTEMPT)) {
+        startAttempt();
+      }
     }
 
     private void handleResult(Result<Envelope> result) {
