--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/daemon/ClusterControlDaemon.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/daemon/ClusterControlDaemon.java
@@ -65,7 +65,10 @@
 public final class ClusterControlDaemon implements AutoCloseable {
 
   private static final int EXIT_REPLICA_FAILED = 70;
+
+  /** Longest wait of a call after the election of this replica until it may decide. */
   private static final long MAX_SESSION_WAIT_MILLIS = 500;
+
   private static final long TRANSFER_TIMEOUT_MILLIS = 2_000;
 
   /** Time for which a voter must be unreachable before another replica replaces it. */
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/DispatchSession.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/dispatch/DispatchSession.java
@@ -24,6 +24,8 @@
 final class DispatchSession {
 
   private static final long STATUS_INTERVAL_MILLIS = 1_000;
+
+  /** Orders that are sent before responses are handled; the others follow in the next round. */
   private static final int MAX_ORDERS_PER_ROUND = 32;
 
   private final Proposer proposer;
@@ -115,8 +117,7 @@
   }
 
   // A new session renews the leases of all minions. The first responses must not wait until the
-  // last
-  // renewal is sent: they list the ends that callers wait for.
+  // last renewal is sent: they list the ends that callers wait for.
   private void sendOrders() {
     for (int i = 0; i < MAX_ORDERS_PER_ROUND && !unsentOrders.isEmpty(); i++) {
       // Checked before each order, because the process may have been paused since the last one.
