Name classes and tests by terms of the field instead of images, and state rules once

AgeLane becomes AgingOrder, QuotaGate QuotaCheck, Claim of UnrecordedTasks TaskUse (a claim is something else in the glossary), FORGIVE_MILLIS MAX_EVIDENCE_AGE_MILLIS, gangSize gangSizeLog2. The team of a run or step is asked of it in all places.

--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/catalog/CatalogValidator.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/catalog/CatalogValidator.java
@@ -31,7 +31,7 @@
   /**
    * Checks that the version is at least 1, that services have distinct names, that queues refer to
    * existing services, have a timeout and a completion target within limits and differ in host or
-   * path prefix, that no two teams have a key in common, that weights are positive and that no
+   * path prefix, that no two teams have a key in common, that weights are not negative and that no
    * quota is below the guarantee of its team.
    *
    * @param catalog the catalog
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Backlogs.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Backlogs.java
@@ -138,16 +138,12 @@
     TeamShares shares = new TeamShares(capacityOf(service), catalog.view()::teamWeight);
     for (Minion minion : minions.all()) {
       if (minion.service().equals(service)) {
-        minion.members().forEach(member -> shares.add(teamOf(member), member.demand()));
+        minion.members().forEach(member -> shares.add(member.run().team(), member.demand()));
       }
     }
     return shares;
   }
 
-  private static String teamOf(Member member) {
-    return member.run().workflow().submission().getTeam();
-  }
-
   private ServiceBacklog backlog(String service) {
     return backlogByService.computeIfAbsent(
         service, name -> new ServiceBacklog(name, runs, listener));
@@ -165,7 +161,7 @@
     if (shares == null) {
       return BY_URGENCY;
     }
-    String team = waitingStep.workflow().submission().getTeam();
+    String team = waitingStep.team();
     return "overload: by share of the team, which uses "
         + shares.percent(team)
         + "% at a weight of "
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Planner.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Planner.java
@@ -60,7 +60,7 @@
   private final WaitReporter waitReporter;
   private final PlanExecutor executor;
   private final PendingPlacements pendingPlacements;
-  private final QuotaGate quotaGate;
+  private final QuotaCheck quotaCheck;
   private final DurationTracker<WaitingStep.WaitId> idleWaits = new DurationTracker<>();
   private final DurationTracker<TaskGroup> reservedGroups = new DurationTracker<>();
   private long nextIdleCheckMillis;
@@ -94,7 +94,7 @@
     this.runTimeEstimates = runTimeEstimates;
     this.ranking = ranking;
     this.preemptionPlanner = new PreemptionPlanner(new PreemptionCost.WorkLost());
-    this.quotaGate = new QuotaGate(runs.teamQuotas());
+    this.quotaCheck = new QuotaCheck(runs.teamQuotas());
     this.waitReporter = waitReporter;
     this.executor = executor;
     this.pendingPlacements = new PendingPlacements(catalog, runs, executor);
@@ -110,7 +110,7 @@
       round.placeGroups(step);
     }
     reservedGroups.endRound();
-    quotaGate.endRound();
+    quotaCheck.endRound();
     if (checksIdleCapacity) {
       nextIdleCheckMillis = nowMillis + IDLE_CHECK_INTERVAL_MILLIS;
       idleWaits.endRound();
@@ -159,7 +159,7 @@
       this.minionSelector = new MinionSelector(failureTracker, backfillReservations, nowMillis);
       this.idleCapacityFinder = new IdleCapacityFinder(serviceLoad, runs, minionSelector);
       this.teamPreemption =
-          quotaGate.newPreemption(
+          quotaCheck.newPreemption(
               runs, preemptionPlanner, minionSelector, remainingTimes, nowMillis);
     }
 
@@ -173,7 +173,7 @@
           continue;
         }
         QuotaRefusal refusal =
-            quotaGate.check(waitingStep, group, ranked.urgency(), nowMillis).orElse(null);
+            quotaCheck.check(waitingStep, group, ranked.urgency(), nowMillis).orElse(null);
         if (refusal != null) {
           if (!preemptWithinTeam(ranked, group, pool, taskLimit)) {
             // The other groups of the step demand the same.
@@ -200,7 +200,7 @@
           && MinionSelector.fitsWithoutPreferences(waitingStep, group, pool, taskLimit);
     }
 
-    // Guaranteed work that exceeds the quota of its team may preempt other work of the team.
+    // What may preempt work of its own team is up to TeamPreemption.
     private boolean preemptWithinTeam(
         RankedStep ranked, TaskGroup group, MinionPools.Pool pool, MinionTaskLimit taskLimit) {
       long endMillis = expectedEndMillis(ranked);
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/QuotaGate.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/QuotaCheck.java
@@ -13,7 +13,7 @@
  * releases kept for it, from less urgent work of the same team, so that small work cannot starve a
  * large group; a team that uses less than half of its quota is not held back.
  */
-final class QuotaGate {
+final class QuotaCheck {
 
   /** A group that was refused for this long gets the next room of its team. */
   private static final long MAX_PASSED_OVER_MILLIS = 8_000;
@@ -22,7 +22,7 @@
   private final DurationTracker<TaskGroup> refusedGroups = new DurationTracker<>();
   private final Map<String, String> holderByTeam = new HashMap<>();
 
-  QuotaGate(TeamQuotas quotas) {
+  QuotaCheck(TeamQuotas quotas) {
     this.quotas = quotas;
   }
 
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/RankedStep.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/RankedStep.java
@@ -21,7 +21,7 @@
     boolean isLongRunning = waitingStep.step().getLongRunning();
     return new BacklogItem(
         workflowId + '.' + waitingStep.occurrence() + '.' + waitingStep.stepIndex(),
-        waitingStep.workflow().submission().getTeam(),
+        waitingStep.team(),
         urgency.priority(),
         chance(),
         urgency.isGuaranteed() || isLongRunning,
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/ServiceBacklog.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/ServiceBacklog.java
@@ -3,7 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import org.hickoryspar.kernel.ranking.AgeLane;
+import org.hickoryspar.kernel.ranking.AgingOrder;
 import org.hickoryspar.kernel.ranking.BacklogItem;
 import org.hickoryspar.kernel.ranking.FairShareOrder;
 import org.hickoryspar.kernel.ranking.Overload;
@@ -18,13 +18,13 @@
   private final String service;
   private final DispatchListener listener;
   private final Overload overload = new Overload();
-  private final AgeLane<Waiting> ageLane;
+  private final AgingOrder<Waiting> agingOrder;
 
   ServiceBacklog(String service, RunTable runs, DispatchListener listener) {
     this.service = service;
     this.listener = listener;
-    this.ageLane =
-        new AgeLane<>(
+    this.agingOrder =
+        new AgingOrder<>(
             MAX_WAIT_MILLIS,
             Waiting::item,
             waiting -> waiting.step.waitingStep().groups().stream().anyMatch(runs::hasRun),
@@ -48,7 +48,7 @@
 
   private void reportChange(Overload.Change change, int waitingSteps) {
     if (!change.isBeginning()) {
-      ageLane.clear();
+      agingOrder.clear();
     }
     listener.onEvent(
         change.isBeginning() ? DispatchEventKind.OVERLOAD_ENTERED : DispatchEventKind.OVERLOAD_LEFT,
@@ -73,7 +73,7 @@
     List<Waiting> waiting = new ArrayList<>(steps.size());
     steps.forEach(step -> waiting.add(new Waiting(step, step.toBacklogItem())));
     List<Waiting> fair = FairShareOrder.sort(waiting, Waiting::item, shares);
-    return ageLane.apply(fair, wallMillis).stream().map(Waiting::step).toList();
+    return agingOrder.apply(fair, wallMillis).stream().map(Waiting::step).toList();
   }
 
   private void reportAheadOfTurn(Waiting waiting) {
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/SlowRunMover.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/SlowRunMover.java
@@ -13,8 +13,8 @@
 
 /**
  * Stops runs on slow minions that would end clearly earlier if they were started anew on others. A
- * group is moved once at most, only while nothing else waits for room in its service, and never if
- * its step goes on for good or may run more than once at a time.
+ * group is moved once at most by a leader, only while nothing else waits for room in its service,
+ * and never if its step goes on for good or may run more than once at a time.
  */
 final class SlowRunMover {
 
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/TeamPreemption.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/TeamPreemption.java
@@ -21,7 +21,7 @@
 final class TeamPreemption {
 
   private final TeamQuotas quotas;
-  private final QuotaGate quotaGate;
+  private final QuotaCheck quotaCheck;
   private final RunTable runs;
   private final PreemptionPlanner preemptionPlanner;
   private final MinionSelector minionSelector;
@@ -30,14 +30,14 @@
 
   TeamPreemption(
       TeamQuotas quotas,
-      QuotaGate quotaGate,
+      QuotaCheck quotaCheck,
       RunTable runs,
       PreemptionPlanner preemptionPlanner,
       MinionSelector minionSelector,
       RemainingTimes remainingTimes,
       long nowMillis) {
     this.quotas = quotas;
-    this.quotaGate = quotaGate;
+    this.quotaCheck = quotaCheck;
     this.runs = runs;
     this.preemptionPlanner = preemptionPlanner;
     this.minionSelector = minionSelector;
@@ -66,7 +66,7 @@
         return null;
       }
       mayStop = PreemptionPlanner::isPreemptible;
-    } else if (quotaGate.isPassedOverBySmallWork(waitingStep, group)) {
+    } else if (quotaCheck.isPassedOverBySmallWork(waitingStep, group)) {
       mayStop =
           run ->
               isOf(run, waitingStep.team())
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/UnrecordedTasks.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/UnrecordedTasks.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.BiPredicate;
 import org.hickoryspar.kernel.dispatch.order.TaskRun;
 import org.hickoryspar.kernel.quota.TeamUsage;
 import org.hickoryspar.kernel.value.Resources;
@@ -24,7 +25,7 @@
   private final WorkflowTable table;
   private final TeamUsage usage;
   private final long strayExpiryMillis;
-  private final Map<Minion, Map<TaskRun, Claim>> claimsByMinion = new HashMap<>();
+  private final Map<Minion, Map<TaskRun, TaskUse>> usesByMinion = new HashMap<>();
 
   /**
    * Creates a state without such tasks.
@@ -40,13 +41,13 @@
 
   /** Replaces the stray tasks of a minion by those that its latest response lists. */
   void updateStrays(Minion minion, Collection<TaskRun> strays, long nowMillis) {
-    if (strays.isEmpty() && !claimsByMinion.containsKey(minion)) {
+    if (strays.isEmpty() && !usesByMinion.containsKey(minion)) {
       return;
     }
     Set<TaskRun> listed = new HashSet<>(strays);
-    removeIf(minion, (run, claim) -> !listed.contains(run) && nowMillis > claim.delayedUntilMillis);
+    removeIf(minion, (run, use) -> !listed.contains(run) && nowMillis > use.delayedUntilMillis);
     for (TaskRun run : listed) {
-      hold(minion, run, NEVER_MILLIS, nowMillis + strayExpiryMillis);
+      count(minion, run, NEVER_MILLIS, nowMillis + strayExpiryMillis);
     }
   }
 
@@ -54,84 +55,79 @@
    * Adds a start that may take effect on a minion until a time, even if it is not listed before.
    */
   void addDelayedStart(Minion minion, TaskRun run, long untilMillis) {
-    hold(minion, run, untilMillis, NEVER_MILLIS);
+    count(minion, run, untilMillis, NEVER_MILLIS);
   }
 
-  private void hold(Minion minion, TaskRun run, long delayedUntilMillis, long listedUntilMillis) {
-    Map<TaskRun, Claim> claims =
-        claimsByMinion.computeIfAbsent(minion, newMinion -> new HashMap<>());
-    Claim existing = claims.get(run);
+  private void count(Minion minion, TaskRun run, long delayedUntilMillis, long listedUntilMillis) {
+    Map<TaskRun, TaskUse> uses = usesByMinion.computeIfAbsent(minion, newMinion -> new HashMap<>());
+    TaskUse existing = uses.get(run);
     if (existing != null) {
-      claims.put(run, existing.extendedTo(delayedUntilMillis, listedUntilMillis));
+      uses.put(run, existing.extendedTo(delayedUntilMillis, listedUntilMillis));
       return;
     }
-    Claim.of(table, run, delayedUntilMillis, listedUntilMillis)
+    TaskUse.of(table, run, delayedUntilMillis, listedUntilMillis)
         .ifPresent(
-            claim -> {
-              claims.put(run, claim);
-              usage.add(claim.team, claim.demand);
+            use -> {
+              uses.put(run, use);
+              usage.add(use.team, use.demand);
             });
   }
 
   /** Removes the tasks of a life of a minion that has ended. */
   void removeAll(Minion minion) {
-    removeIf(minion, (run, claim) -> true);
+    removeIf(minion, (run, use) -> true);
   }
 
   /** Removes tasks that have certainly ended without a response of their minion. */
   void sweep(long nowMillis) {
-    for (Minion minion : Set.copyOf(claimsByMinion.keySet())) {
-      removeIf(minion, (run, claim) -> claim.hasEnded(nowMillis));
+    for (Minion minion : Set.copyOf(usesByMinion.keySet())) {
+      removeIf(minion, (run, use) -> use.hasEnded(nowMillis));
     }
   }
 
-  private void removeIf(Minion minion, Condition condition) {
-    Map<TaskRun, Claim> claims = claimsByMinion.getOrDefault(minion, Map.of());
-    Iterator<Map.Entry<TaskRun, Claim>> entries = claims.entrySet().iterator();
+  private void removeIf(Minion minion, BiPredicate<TaskRun, TaskUse> condition) {
+    Map<TaskRun, TaskUse> uses = usesByMinion.getOrDefault(minion, Map.of());
+    Iterator<Map.Entry<TaskRun, TaskUse>> entries = uses.entrySet().iterator();
     while (entries.hasNext()) {
-      Map.Entry<TaskRun, Claim> entry = entries.next();
+      Map.Entry<TaskRun, TaskUse> entry = entries.next();
       if (condition.test(entry.getKey(), entry.getValue())) {
         usage.remove(entry.getValue().team, entry.getValue().demand);
         entries.remove();
       }
     }
-    if (claims.isEmpty()) {
-      claimsByMinion.remove(minion);
+    if (uses.isEmpty()) {
+      usesByMinion.remove(minion);
     }
   }
 
-  private interface Condition {
-    boolean test(TaskRun run, Claim claim);
-  }
-
   /**
-   * What a team holds for a task.
+   * What a team has in use for a task.
    *
    * @param delayedUntilMillis monotonic time until which the task may start, even after a response
    *     that does not list it
    * @param listedUntilMillis monotonic time after which the task, as last listed, has ended without
    *     a further response
    */
-  private record Claim(
+  private record TaskUse(
       String team, Resources demand, long delayedUntilMillis, long listedUntilMillis) {
 
     // The workflow of a task is unknown once it was removed after its retention.
-    static Optional<Claim> of(
+    static Optional<TaskUse> of(
         WorkflowTable table, TaskRun run, long delayedUntilMillis, long listedUntilMillis) {
       return table
           .find(run.workflowId())
           .filter(workflow -> run.step() < workflow.spec().getStepsCount())
           .map(
               workflow ->
-                  new Claim(
+                  new TaskUse(
                       workflow.submission().getTeam(),
                       Resources.of(workflow.spec().getSteps(run.step()).getDemand()),
                       delayedUntilMillis,
                       listedUntilMillis));
     }
 
-    Claim extendedTo(long newDelayedUntilMillis, long newListedUntilMillis) {
-      return new Claim(
+    TaskUse extendedTo(long newDelayedUntilMillis, long newListedUntilMillis) {
+      return new TaskUse(
           team,
           demand,
           Math.max(delayedUntilMillis, newDelayedUntilMillis),
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/minion/MinionSpeed.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/minion/MinionSpeed.java
@@ -8,12 +8,12 @@
  * How fast one life of a minion works: a decayed mean of the ratios of its completed runs, and
  * those that the progress of its running tasks shows. The minion is slow if the mean is beyond that
  * of the others by more than chance explains, and normal again by sound runs, or once nothing has
- * shown that it is slow for {@link #FORGIVE_MILLIS}.
+ * shown that it is slow for {@link #MAX_EVIDENCE_AGE_MILLIS}.
  */
 public final class MinionSpeed {
 
-  /** A slow minion is given the benefit of the doubt this long after the last evidence of it. */
-  public static final long FORGIVE_MILLIS = 20_000;
+  /** Evidence that is older no longer counts; without newer evidence a slow minion is normal. */
+  public static final long MAX_EVIDENCE_AGE_MILLIS = 20_000;
 
   /** Weight that the earlier runs keep with each further one. */
   private static final double DECAY = 0.7;
@@ -57,7 +57,7 @@
   }
 
   private void dropOldRuns(long nowMillis) {
-    if (nowMillis - lastRunMillis > FORGIVE_MILLIS) {
+    if (nowMillis - lastRunMillis > MAX_EVIDENCE_AGE_MILLIS) {
       weight = 0;
       weightedSum = 0;
     }
@@ -87,7 +87,7 @@
         replaceRunsBefore(runningSum, runningLogRatios.size(), nowMillis);
         relativeLog = Math.max(relativeLog, weightedSum / weight - baseline.median());
       }
-    } else if (nowMillis - lastSlowMillis > FORGIVE_MILLIS) {
+    } else if (nowMillis - lastSlowMillis > MAX_EVIDENCE_AGE_MILLIS) {
       pace = MinionPace.NORMAL;
     }
     return isSlow() != wasSlow;
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/minion/SpeedBaseline.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/minion/SpeedBaseline.java
@@ -12,7 +12,7 @@
   /** Number of the latest runs that count. */
   private static final int MAX_RUNS = 128;
 
-  /** With fewer runs nothing is known of the others. */
+  /** With fewer runs no minion is judged. */
   private static final int MIN_RUNS = 8;
 
   /** Standard deviation of normally distributed values over their median absolute deviation. */
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/ranking/AgeLane.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/ranking/AgingOrder.java
@@ -22,7 +22,7 @@
  *
  * @param <T> type of the elements
  */
-public final class AgeLane<T> {
+public final class AgingOrder<T> {
 
   private final long maxWaitMillis;
   private final Function<T, BacklogItem> itemOf;
@@ -31,14 +31,14 @@
   private final Map<String, T> lastByTeam = new HashMap<>();
 
   /**
-   * Creates a lane.
+   * Creates the order.
    *
    * @param maxWaitMillis time after which an element may go ahead of its turn, in milliseconds
    * @param itemOf returns the backlog item of an element
    * @param isRunning whether any part of an element runs
    * @param onMoved receives each element when it goes ahead of its turn for the first time
    */
-  public AgeLane(
+  public AgingOrder(
       long maxWaitMillis,
       Function<T, BacklogItem> itemOf,
       Predicate<T> isRunning,
@@ -78,7 +78,7 @@
     return oldestByTeam;
   }
 
-  // An element of which a part runs already keeps the lane until all of it runs.
+  // An element of which a part runs already stays ahead of its turn until all of it runs.
   private boolean isTaken(String team, T oldest) {
     T last = lastByTeam.get(team);
     return last != null && !isSame(last, oldest) && isRunning.test(last);
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/ranking/FairShareOrder.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/ranking/FairShareOrder.java
@@ -20,8 +20,8 @@
  *   <li>Work of a higher priority comes first, and within a priority the exempt work, as it was.
  *   <li>Work whose result is of little use comes after all other work of its priority.
  *   <li>The next place goes to the team with the smallest share by its weight, where each placed
- *       item counts as used. A team that floods the service therefore competes with itself, and one
- *       that is beyond its weight is served last.
+ *       item counts as used. A team that sends too much work therefore competes with itself, and
+ *       one that is beyond its weight is served last.
  *   <li>Within a team, work that can still be in time comes first, then small work, then work that
  *       must start early: of work that does not fit altogether, most of it is then in time.
  * </ol>
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/runtime/LogScale.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/runtime/LogScale.java
@@ -6,13 +6,21 @@
  */
 final class LogScale {
 
+  /** Number of bins between a value and twice that value. */
   static final int BINS_PER_OCTAVE = 4;
+
+  /** Number of bins of the scale. */
   static final int BINS = 32 * BINS_PER_OCTAVE;
 
   private static final int MANTISSA_BITS = 30;
 
-  /** Lower edges of the bins of an octave, with {@link #MANTISSA_BITS} fractional bits. */
-  private static final long[] BIN_EDGES = {1L << 30, 1_276_901_417, 1_518_500_250, 1_805_811_301};
+  /**
+   * Lower edges of the bins of an octave, 2^(bin / 4), with {@link #MANTISSA_BITS} fractional bits.
+   * They are constants, because a platform may round a computed power differently.
+   */
+  private static final long[] BIN_EDGES = {
+    1L << MANTISSA_BITS, 1_276_901_417, 1_518_500_250, 1_805_811_301
+  };
 
   private LogScale() {}
 
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/runtime/RunProfile.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/runtime/RunProfile.java
@@ -17,7 +17,7 @@
  * @param cpuMillicores processor demand of a task, in thousandths of a core
  * @param memoryMegabytes memory demand of a task
  * @param accelerators accelerators of a task
- * @param gangSize logarithm to the base 2 of the size of a gang, -1 for single tasks
+ * @param gangSizeLog2 logarithm to the base 2 of the size of a gang, -1 for single tasks
  */
 public record RunProfile(
     String queue,
@@ -26,7 +26,7 @@
     long cpuMillicores,
     long memoryMegabytes,
     int accelerators,
-    int gangSize) {
+    int gangSizeLog2) {
 
   /** Assumed for a step without a declared time. */
   private static final long DEFAULT_RUN_MILLIS = 5_000;
@@ -75,7 +75,7 @@
     putString(hasher, level.name());
     putString(hasher, queue);
     if (level.compareTo(KeyLevel.SIZE) >= 0) {
-      hasher.putInt(gangSize);
+      hasher.putInt(gangSizeLog2);
     }
     if (level.compareTo(KeyLevel.WORK) >= 0) {
       putString(hasher, image);
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/runtime/RunTimeTable.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/runtime/RunTimeTable.java
@@ -70,7 +70,8 @@
   // The tasks of a step resemble each other more than those of other workflows, so that one wide
   // step must not displace what is known of all others.
   static long weightOf(RunProfile profile, int tasks) {
-    int tasksPerRun = profile.gangSize() >= 0 ? 1 : Math.min(MAX_TASKS_PER_RUN, Math.max(1, tasks));
+    int tasksPerRun =
+        profile.gangSizeLog2() >= 0 ? 1 : Math.min(MAX_TASKS_PER_RUN, Math.max(1, tasks));
     return DecayedHistogram.RUN_WEIGHT / tasksPerRun;
   }
 
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/runtime/ShapeEstimator.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/runtime/ShapeEstimator.java
@@ -58,8 +58,7 @@
   }
 
   // A run that goes on ends in one of the bins from the one that it has reached on, in proportion
-  // to
-  // the estimate without it. All such runs together weigh at most as much as all that is
+  // to the estimate without it. All such runs together weigh at most as much as all that is
   // remembered.
   private void addRunning(double[] running, double otherRuns) {
     double total = 0;
--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/SlowMinionTest.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/SlowMinionTest.java
@@ -29,14 +29,14 @@
   private static final int MINIONS_PER_RACK = 4;
   private static final String SLOW = "x-0";
 
-  private Workshop workshop;
+  private UnevenFleet fleet;
 
   @BeforeMethod
   void setUp() {
-    workshop = new Workshop();
-    workshop.addMinions("x");
-    workshop.addMinions("y");
-    workshop.advanceTime(100);
+    fleet = new UnevenFleet();
+    fleet.addMinions("x");
+    fleet.addMinions("y");
+    fleet.advanceTime(100);
   }
 
   private static WorkflowStep.Builder withEstimate(WorkflowStep.Builder step) {
@@ -52,15 +52,15 @@
   }
 
   private DispatcherHarness harness() {
-    return workshop.harness;
+    return fleet.harness;
   }
 
   // Lets all minions work until the slow one is known.
   private void revealSlowMinion() {
-    workshop.setSlowdown(SLOW, SLOWDOWN);
+    fleet.setSlowdown(SLOW, SLOWDOWN);
     harness().submit("known", 1, step(64, 1));
     for (int i = 0; i < 40 && !harness().find("known").isEnded(); i++) {
-      workshop.advanceTime(500);
+      fleet.advanceTime(500);
     }
     assertEquals(harness().countEvents("MINION_PACE_CHANGED", SLOW, "SLOW"), 1);
     assertEquals(harness().countEvents("MINION_PACE_CHANGED"), 1);
@@ -73,7 +73,7 @@
     revealSlowMinion();
 
     harness().submit("gang", 1, gang(3, 8).setDataRack("x"));
-    workshop.advanceTime(500);
+    fleet.advanceTime(500);
 
     assertEquals(harness().minionsOf("gang"), List.of("x-1", "x-2", "x-3"));
   }
@@ -85,7 +85,7 @@
 
     harness().submit("urgent", 0, step(2, 8));
     harness().submit("singles", 2, step(6, 8));
-    workshop.advanceTime(500);
+    fleet.advanceTime(500);
 
     assertFalse(harness().minionsOf("urgent").contains(SLOW));
     assertEquals(harness().minionsOf("singles").size(), 6);
@@ -99,7 +99,7 @@
 
     harness().submit("gang", 1, gang(4, 8).setDataRack("x"));
     harness().submit("other", 1, gang(4, 8).setDataRack("y"));
-    workshop.advanceTime(200);
+    fleet.advanceTime(200);
 
     assertEquals(harness().minionsOf("gang").size(), 4);
     assertEquals(harness().minionsOf("other").size(), 4);
@@ -110,38 +110,38 @@
   void shouldNotCrossRacksToAvoidSlowMinion() {
     revealSlowMinion();
     harness().submit("other", 1, gang(4, 8).setDataRack("y"));
-    workshop.advanceTime(200);
+    fleet.advanceTime(200);
 
     harness().submit("gang", 1, gang(4, 8));
-    workshop.advanceTime(200);
+    fleet.advanceTime(200);
 
     assertEquals(harness().minionsOf("gang"), List.of("x-0", "x-1", "x-2", "x-3"));
   }
 
   /** Guards against a minion that is avoided for good, although it works soundly again. */
   @Test
-  void shouldForgiveAMinionThatRecovered() {
+  void shouldUseAMinionAgainThatRecovered() {
     revealSlowMinion();
-    workshop.setSlowdown(SLOW, 1);
+    fleet.setSlowdown(SLOW, 1);
 
-    workshop.advanceTime(MinionSpeed.FORGIVE_MILLIS + 1_000);
+    fleet.advanceTime(MinionSpeed.MAX_EVIDENCE_AGE_MILLIS + 1_000);
 
     assertEquals(harness().countEvents("MINION_PACE_CHANGED", SLOW, "NORMAL"), 1);
     harness().submit("gang", 1, gang(4, 8).setDataRack("x"));
-    workshop.advanceTime(300);
+    fleet.advanceTime(300);
     assertTrue(harness().minionsOf("gang").contains(SLOW));
   }
 
   // A gang on two minions, of which one turns slow, beside single tasks that show it.
   private void startGangOnMinionThatTurnsSlow(UnaryOperator<WorkflowStep.Builder> change) {
     harness().submit("known", 1, step(64, 1));
-    workshop.advanceTime(RUN_MILLIS + 1_000);
+    fleet.advanceTime(RUN_MILLIS + 1_000);
     harness().submit("gang", 1, change.apply(gang(2, 5).setDataRack("x")));
-    workshop.advanceTime(100);
+    fleet.advanceTime(100);
     harness().submit("singles", 1, step(6, 1).setDataRack("x"));
-    workshop.advanceTime(100);
+    fleet.advanceTime(100);
     assertEquals(new HashSet<>(harness().minionsOf("gang")), Set.of("x-0", "x-1"));
-    workshop.setSlowdown(SLOW, SLOWDOWN);
+    fleet.setSlowdown(SLOW, SLOWDOWN);
   }
 
   /** Guards against a gang that goes on at the pace of a slow minion beside idle sound ones. */
@@ -149,7 +149,7 @@
   void shouldMoveAGangOffAMinionThatTurnedSlow() {
     startGangOnMinionThatTurnsSlow(step -> step);
 
-    workshop.advanceTime((long) (SLOWDOWN * RUN_MILLIS) / 2);
+    fleet.advanceTime((long) (SLOWDOWN * RUN_MILLIS) / 2);
 
     assertEquals(harness().countEvents("RUN_MOVED gang"), 1, harness().events().toString());
     assertTrue(harness().find("gang").isEnded());
@@ -167,7 +167,7 @@
   void shouldNotMoveWorkOfSomeKinds(String name, UnaryOperator<WorkflowStep.Builder> kind) {
     startGangOnMinionThatTurnsSlow(kind);
 
-    workshop.advanceTime((long) (SLOWDOWN * RUN_MILLIS) / 2);
+    fleet.advanceTime((long) (SLOWDOWN * RUN_MILLIS) / 2);
 
     assertEquals(harness().countEvents("RUN_MOVED gang"), 0);
     assertEquals(harness().minionsOf("gang").size(), 2);
@@ -179,7 +179,7 @@
     startGangOnMinionThatTurnsSlow(step -> step);
     harness().submit("waiting", 2, step(40, 8));
 
-    workshop.advanceTime((long) (SLOWDOWN * RUN_MILLIS) / 2);
+    fleet.advanceTime((long) (SLOWDOWN * RUN_MILLIS) / 2);
 
     assertEquals(harness().countEvents("RUN_MOVED"), 0);
   }
@@ -189,8 +189,8 @@
   void shouldMoveAGroupOnceAtMost() {
     startGangOnMinionThatTurnsSlow(step -> step);
     for (int i = 0; i < 200; i++) {
-      workshop.advanceTime(200);
-      workshop.minions.forEach(minion -> workshop.setSlowdown(minion.id(), SLOWDOWN));
+      fleet.advanceTime(200);
+      fleet.minions.forEach(minion -> fleet.setSlowdown(minion.id(), SLOWDOWN));
     }
 
     assertTrue(harness().countEvents("RUN_MOVED gang") <= 1);
@@ -209,10 +209,10 @@
   @Test(dataProvider = "spreads")
   void shouldDecideAsBeforeWhenMinionsAreEven(double spread, int seed) {
     Random random = new Random(seed);
-    workshop.runTimeFactor = () -> Math.exp(spread * random.nextGaussian());
+    fleet.runTimeFactor = () -> Math.exp(spread * random.nextGaussian());
     for (int i = 0; i < 30; i++) {
       harness().submit("even-" + i, 1 + i % 2, i % 4 == 0 ? gang(2, 6) : step(12, 2));
-      workshop.advanceTime(2_000);
+      fleet.advanceTime(2_000);
     }
 
     assertEquals(harness().countEvents("MINION_PACE_CHANGED"), 0);
@@ -220,7 +220,7 @@
   }
 
   /** Fake minions that work on their tasks, each at its own speed. */
-  private static final class Workshop {
+  private static final class UnevenFleet {
 
     private static final int STEP_MILLIS = 50;
 
--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/TeamLoadModelTest.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/TeamLoadModelTest.java
@@ -13,7 +13,7 @@
 import org.testng.annotations.Test;
 
 /**
- * Plays random teams, weights and floods on a fleet that does not hold them. The invariant: of each
+ * Plays random teams, weights and bursts on a fleet that does not hold them. The invariant: of each
  * team with work that has waited for longer than the limit, some starts again and again, the oldest
  * first; so the wait of each workflow is bounded by the number of older ones of its team.
  */
--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/TeamShareTest.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/TeamShareTest.java
@@ -29,7 +29,7 @@
     return DispatcherHarness.step(tasks, 1);
   }
 
-  // ------------------------------------------------------------- floods
+  // ------------------------------------------------------------- bursts
 
   @DataProvider
   Object[][] smallTeams() {
@@ -39,7 +39,7 @@
 
   /** Guards against a small team that waits behind all work that another one has sent before. */
   @Test(dataProvider = "smallTeams")
-  void shouldServeTheSmallestTeamDuringAFloodOfAnother(double weight, int tasksPerSecond) {
+  void shouldServeTheSmallestTeamDuringABurstOfAnother(double weight, int tasksPerSecond) {
     TeamLoadModel model = model();
     model.addTeam("small", weight);
     model.addTeam("large", 1);
@@ -58,7 +58,7 @@
     assertTrue(
         model.longestWaitMillis("small") <= RUN_MILLIS + DELIVERY_MILLIS,
         "longest wait of the small team: " + model.longestWaitMillis("small") + " ms");
-    assertTrue(model.oldest("large").isPresent(), "the flood fits, which tests nothing");
+    assertTrue(model.oldest("large").isPresent(), "the burst fits, which tests nothing");
   }
 
   @DataProvider
--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/minion/MinionSpeedTest.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/minion/MinionSpeedTest.java
@@ -118,7 +118,7 @@
 
   /** Guards against a minion that is avoided although it works soundly again. */
   @Test
-  void shouldForgiveAfterSoundRuns() {
+  void shouldJudgeNormalAfterSoundRuns() {
     MinionSpeed minion = slowMinion();
     int runs = 0;
     while (minion.isSlow() && runs < 10) {
@@ -130,13 +130,15 @@
 
   /** Guards against a minion that gets no work because it is slow, and is slow for want of work. */
   @Test
-  void shouldForgiveWithoutEvidenceAfterBoundedTime() {
+  void shouldJudgeNormalWithoutEvidenceAfterBoundedTime() {
     MinionSpeed minion = slowMinion();
     SpeedBaseline baseline = baseline(0, 0.1, 7);
 
-    assertFalse(minion.assess(baseline, NOTHING_RUNNING, nowMillis + MinionSpeed.FORGIVE_MILLIS));
+    assertFalse(
+        minion.assess(baseline, NOTHING_RUNNING, nowMillis + MinionSpeed.MAX_EVIDENCE_AGE_MILLIS));
     assertTrue(
-        minion.assess(baseline, NOTHING_RUNNING, nowMillis + MinionSpeed.FORGIVE_MILLIS + 1));
+        minion.assess(
+            baseline, NOTHING_RUNNING, nowMillis + MinionSpeed.MAX_EVIDENCE_AGE_MILLIS + 1));
 
     assertFalse(minion.isSlow());
     assertEquals(minion.slowdown(), 1.0);
--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/ranking/AgeLaneTest.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/ranking/AgingOrderTest.java
@@ -11,14 +11,15 @@
 import org.testng.annotations.Test;
 
 /** Tests which work goes ahead of its turn. */
-public class AgeLaneTest {
+public class AgingOrderTest {
 
   private static final long MAX_WAIT_MILLIS = 10_000;
 
   private final Set<BacklogItem> running = new HashSet<>();
   private final List<String> moved = new ArrayList<>();
-  private final AgeLane<BacklogItem> lane =
-      new AgeLane<>(MAX_WAIT_MILLIS, item -> item, running::contains, item -> moved.add(item.id()));
+  private final AgingOrder<BacklogItem> agingOrder =
+      new AgingOrder<>(
+          MAX_WAIT_MILLIS, item -> item, running::contains, item -> moved.add(item.id()));
 
   private static BacklogItem item(String id, String team, boolean isExempt, long readyMillis) {
     return new BacklogItem(
@@ -26,7 +27,7 @@
   }
 
   private List<String> apply(long nowMillis, BacklogItem... waiting) {
-    return lane.apply(List.of(waiting), nowMillis).stream().map(BacklogItem::id).toList();
+    return agingOrder.apply(List.of(waiting), nowMillis).stream().map(BacklogItem::id).toList();
   }
 
   /** Guards against work that waits for ever because other work always comes first. */
--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/ranking/FairShareOrderTest.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/ranking/FairShareOrderTest.java
@@ -34,19 +34,19 @@
         .toList();
   }
 
-  /** Guards against a team that waits behind the flood of another. */
+  /** Guards against a team that waits behind the burst of another. */
   @Test
   void shouldServeTeamsByTurns() {
     List<BacklogItem> items = new ArrayList<>();
     for (int i = 0; i < 20; i++) {
-      items.add(item("flood-" + i, "large", Chance.IN_TIME, 4));
+      items.add(item("burst-" + i, "large", Chance.IN_TIME, 4));
     }
     items.add(item("small-0", "small", Chance.IN_TIME, 4));
     items.add(item("small-1", "small", Chance.IN_TIME, 4));
 
     List<String> order = order(shares(Map.of()), items.toArray(BacklogItem[]::new));
 
-    assertEquals(order.subList(0, 4), List.of("flood-0", "small-0", "flood-1", "small-1"));
+    assertEquals(order.subList(0, 4), List.of("burst-0", "small-0", "burst-1", "small-1"));
   }
 
   /** Guards against weights that have no effect, or the opposite one. */
