--- a/review/standins-2/Judge.java
+++ b/review/standins-2/Judge.java
@@ -15,6 +15,7 @@
   private final Lab lab;
   private final Map<String, List<String>> runsByTask = new HashMap<>();
   private final Set<String> done = new HashSet<>();
+  private final Set<String> startedJobs = new HashSet<>();
   private int breaks;
   private int starts;
 
@@ -24,6 +25,7 @@
 
   synchronized void started(Minion minion, String task, int run) {
     starts++;
+    startedJobs.add(task.substring(0, task.indexOf('.')));
     List<String> runs = runsByTask.computeIfAbsent(task, name -> new ArrayList<>());
     lab.note("start  " + task + " run " + run + " at " + minion.id);
     if (!runs.isEmpty()) {
@@ -52,6 +54,11 @@
     return breaks;
   }
 
+  /** Whether a task of the job has ever been started. */
+  synchronized boolean hasStarted(String job) {
+    return startedJobs.contains(job);
+  }
+
   synchronized int starts() {
     return starts;
   }
