--- a/review/standins-2/OverdueSchedule.java
+++ b/review/standins-2/OverdueSchedule.java
@@ -32,13 +32,15 @@
     if (!Deployment.start(lab, 8, judge)) {
       return 2;
     }
-    if (Deployment.submit(lab, "00000000000000a0", "/small/", 1, 300) != 200) {
+    String first = "00000000000000a0";
+    if (Deployment.submit(lab, first, "/small/", 1, 300) != 200) {
       return 2;
     }
     if (occurrences > 0) {
       submitSchedule(lab, occurrences);
     }
     List<String> accepted = Collections.synchronizedList(new ArrayList<>());
+    accepted.add(first);
     List<Thread> clients = new ArrayList<>();
     for (int i = 1; i <= 6; i++) {
       Lab.sleep(1_000);
@@ -64,27 +66,42 @@
     long idleSince = lab.elapsedMillis();
     int breaks = 0;
     // Each task takes one core.
-    while (lab.elapsedMillis() < trafficEnd + FINISH_MILLIS + 25_000 && breaks < 3) {
+    while (lab.elapsedMillis() < trafficEnd + FINISH_MILLIS + 20_000 && breaks < 3) {
       Lab.sleep(100);
       long now = lab.elapsedMillis();
       int running = lab.minions().stream().mapToInt(Minion::runningCount).sum();
       List<String> waiting = accepted.stream().filter(job -> !judge.hasStarted(job)).toList();
-      if (running * 2 >= total || waiting.isEmpty()) {
+      // With nothing at work at all, the scheduled job has nothing running either.
+      boolean allIdle = occurrences > 0 && running == 0;
+      if (running * 2 >= total || (waiting.isEmpty() && !allIdle)) {
         idleSince = now;
       } else if (now - idleSince > WAIT_MILLIS) {
         breaks++;
-        lab.note("LOST: for 3 s " + waiting + " have nothing running; cores in use " + running
-            + " of " + total);
+        lab.note("LOST: for 3 s " + waiting + (allIdle ? " and the scheduled job" : "")
+            + " have nothing running; cores in use " + running + " of " + total);
         idleSince = now;
       }
     }
     for (String job : accepted) {
-      lab.note("state of " + job + ": " + Deployment.state(lab, job, "/small/", 1));
+      breaks += isAnswered(lab, job) ? 0 : 1;
     }
     lab.note("starts " + judge.starts() + ", lapsed " + Minion.LAPSED.get());
     return breaks > 0 ? 1 : 0;
   }
 
+  /** Asks for an accepted job, with the retries of a client. */
+  private static boolean isAnswered(Lab lab, String job) {
+    for (int attempt = 0; attempt < 4; attempt++) {
+      String state = Deployment.state(lab, job, "/small/", attempt % lab.entries.size());
+      lab.note("state of " + job + ": " + state);
+      if (state.startsWith("200")) {
+        return true;
+      }
+    }
+    lab.note("LOST: " + job + " was accepted and gets no answer in time, four times on end");
+    return false;
+  }
+
   /** The job was to run each minute, and begins so long ago that all its occurrences are due. */
   private static void submitSchedule(Lab lab, int occurrences) {
     long start = System.currentTimeMillis() - occurrences * INTERVAL_MILLIS;
