Review case 10: heartbeats with missing fields take minions out of use

Cause: a report without a capacity is taken for the newest state of the minion whose id it bears, and the complete ones of the minion are dropped.

--- a/review/standins-2/Minion.java
+++ b/review/standins-2/Minion.java
@@ -44,6 +44,7 @@
   private long fence;
   private long leaseUntil;
   private long sequence;
+  private volatile int acknowledgedCount;
   private volatile boolean stopped;
   private volatile boolean silent;
   /** Checks the runs of all minions; null where a case has too many of them. */
@@ -316,6 +317,10 @@
     }
   }
 
+  int acknowledged() {
+    return acknowledgedCount;
+  }
+
   synchronized int runningCount() {
     return running.size();
   }
@@ -329,6 +334,7 @@
         Lab.Answer answer =
             Lab.call(control, Lab.CONTROL, "PUT", "/instances/" + id, null, null, heartbeat(), 1_000);
         acknowledged = answer.status() == 200;
+        acknowledgedCount += acknowledged ? 1 : 0;
         if (acknowledged) {
           next = (next + i) % controls.size();
         }
