Let a report change only what is known of its own life

One heartbeat of another writer, with an identifier of its own, a service that no catalog names and the address of a minion at work: all 8 tasks of that minion were started again elsewhere while they ran.

Cause: the leader took a report for evidence about somebody else. A later life at the address of a known minion, or under its identifier, replaced it at once, and its runs were recorded as lost or moved, although it held a lease and answered each renewal. Nobody compared the service of a report with the catalog either.

Why it works: renewals name their minion, responses contain the birth of the life that sends them, and an address belongs to one process at a time.

Tests that changed: the harness sends orders to addresses, as the platform does, and a fake minion keeps all renewals under way; those of a life that restarts break, as a connection does. MinionRegistryTest and DispatchLoopTest get a catalog that names the service of their minions; their assertions are the same.

--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/catalog/CatalogView.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/catalog/CatalogView.java
@@ -152,6 +152,16 @@
         : entitlement.getWeight();
   }
 
+  /**
+   * Returns whether the catalog names a service.
+   *
+   * @param service name of the service
+   * @return true if the catalog declares it
+   */
+  public boolean hasService(String service) {
+    return servicesByName.containsKey(requireNonNull(service, "service is null"));
+  }
+
   /**
    * Returns whether the minions of a service check their own capacity.
    *
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/DispatchEventKind.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/DispatchEventKind.java
@@ -52,6 +52,12 @@
   MINION_PROVISIONAL,
   /** A provisional minion has reported its current state. */
   MINION_CONFIRMED,
+  /** A life is reported in the place of a known minion, which stays until the life responds. */
+  LIFE_UNPROVEN,
+  /** A life that was reported in the place of a known minion is not there. */
+  LIFE_REFUTED,
+  /** A report names a service of no catalog, and changes nothing. */
+  REPORT_IGNORED,
   /** The work of a service exceeds its room, and the shares of the teams order its starts. */
   OVERLOAD_ENTERED,
   /** The work of a service fits into its room again, and urgency orders its starts. */
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Dispatcher.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Dispatcher.java
@@ -111,7 +111,7 @@
     MinionSpeedTracker speedTracker = new MinionSpeedTracker(runTimeEstimates, listener);
     this.endRecorder =
         new RunEndRecorder(runs, outbox, failureTracker, speedTracker, runTimeEstimates, listener);
-    this.minions = new MinionTable(listener, this::handleNewLife);
+    this.minions = new MinionTable(catalog, listener, this::handleNewLife);
     this.slowRunMover =
         new SlowRunMover(catalog, minions, runs, runTimeEstimates, speedTracker, listener);
     this.stopRetransmitter = new StopRetransmitter(settings.responseTimeoutMillis(), outbox);
@@ -348,7 +348,7 @@
    */
   public long maxPauseMillis(long nowMillis) {
     long nextMillis = planDue ? nextPlanMillis : nowMillis + MAX_PAUSE_MILLIS;
-    for (Minion minion : minions.all()) {
+    for (Minion minion : minions.allToRenew()) {
       nextMillis = Math.min(nextMillis, minion.lease().nextDueMillis());
     }
     return Math.max(1, nextMillis - nowMillis);
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/LeaseManager.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/LeaseManager.java
@@ -54,7 +54,7 @@
 
   /** Sends due renewals and records the loss of members whose lease has certainly expired. */
   void advance(long nowMillis) {
-    for (Minion minion : new ArrayList<>(minions.all())) {
+    for (Minion minion : minions.allToRenew()) {
       if (minion.lease().isDue(nowMillis) && minion.isAddressKnown()) {
         renew(minion, nowMillis);
       }
@@ -135,8 +135,7 @@
           nowMillis - lease.lastResponseMillis());
     }
     lease.recordResponse(nowMillis);
-    if (response.bornMillis() != 0 && response.bornMillis() != minion.life().getBornMillis()) {
-      minions.handleNewLife(minion, response.bornMillis(), nowMillis);
+    if (!minions.handleResponder(minion, response.bornMillis(), nowMillis)) {
       return;
     }
     minion.clock().update(response.clockMillis(), nowMillis);
@@ -204,6 +203,9 @@
   }
 
   void handleFailure(Minion minion, OrderOutcome outcome, long nowMillis) {
+    if (outcome == OrderOutcome.OTHER_MINION && minions.handleOtherResponder(minion)) {
+      return;
+    }
     LeaseState lease = minion.lease();
     boolean first = !lease.isSuspect();
     lease.recordFailure(nowMillis);
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Minion.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/Minion.java
@@ -111,6 +111,10 @@
     return !report.getAddress().isEmpty();
   }
 
+  boolean hasAddressOf(MinionReport other) {
+    return report.getAddress().equals(other.getAddress());
+  }
+
   MinionReport report() {
     return report;
   }
@@ -139,6 +143,13 @@
     return report.getService();
   }
 
+  /** Returns whether a service is that of the last report, or of a task of this life. */
+  boolean belongsTo(String service) {
+    return report.getService().equals(service)
+        || members.stream()
+            .anyMatch(member -> member.run().workflow().queue().getService().equals(service));
+  }
+
   String rack() {
     return report.getRack();
   }
--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/MinionTable.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/dispatch/MinionTable.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.stream.Collectors;
+import org.hickoryspar.kernel.catalog.CatalogState;
 import org.hickoryspar.kernel.reports.ReceivedReports;
 import org.hickoryspar.kernel.reports.ReportFingerprint;
 import org.hickoryspar.protocol.MinionLife;
@@ -15,7 +16,13 @@
 import org.hickoryspar.protocol.MinionReports;
 import org.jspecify.annotations.Nullable;
 
-/** The known minions, each with its newest life. */
+/**
+ * The known minions, each with its newest life.
+ *
+ * <p>Anyone may send a report. One that names a service of no catalog changes nothing. Any other
+ * one changes what is known of its own life only; that a life has ended is shown by a response of
+ * the life that is now in its place, see {@link UnprovenLives}, or by its expired lease.
+ */
 final class MinionTable {
 
   /** Receives the new life of a minion, or the minion that replaces it at its address. */
@@ -27,16 +34,23 @@
   private static final long REMOVAL_MILLIS = 15_000;
 
   private final Map<String, Minion> byId = new LinkedHashMap<>();
+  private final CatalogState catalog;
+  private final UnprovenLives unprovenLives;
+  private final IgnoredReports ignoredReports;
   private final DispatchListener listener;
   private final NewLifeListener newLifeListener;
 
   /**
    * Creates an empty table.
    *
+   * @param catalog names the services; may change later
    * @param listener receives the events of minions that join, drain and leave
    * @param newLifeListener receives the previous and the new life of a replaced minion
    */
-  MinionTable(DispatchListener listener, NewLifeListener newLifeListener) {
+  MinionTable(CatalogState catalog, DispatchListener listener, NewLifeListener newLifeListener) {
+    this.catalog = catalog;
+    this.unprovenLives = new UnprovenLives(listener);
+    this.ignoredReports = new IgnoredReports(listener);
     this.listener = listener;
     this.newLifeListener = newLifeListener;
   }
@@ -45,9 +59,17 @@
     return Collections.unmodifiableCollection(byId.values());
   }
 
+  /** Returns the minions to which renewals are sent: the known ones and the unproven lives. */
+  List<Minion> allToRenew() {
+    List<Minion> minions = new ArrayList<>(byId.values());
+    minions.addAll(unprovenLives.all());
+    return minions;
+  }
+
+  /** Returns a known or unproven life, or null if there is none. */
   @Nullable Minion find(MinionLife life) {
     Minion minion = byId.get(life.getMinionId());
-    return minion != null && minion.life().equals(life) ? minion : null;
+    return minion != null && minion.life().equals(life) ? minion : unprovenLives.find(life);
   }
 
   /**
@@ -65,34 +87,62 @@
   }
 
   void handleReport(MinionReport report, long nowMillis) {
+    if (!namesKnownService(report)) {
+      ignoredReports.add(report, nowMillis);
+      return;
+    }
     if (report.getAgeMillis() > ReceivedReports.MAX_AGE_MILLIS) {
       handleStaleReport(report, nowMillis);
       return;
     }
     Minion known = byId.get(report.getLife().getMinionId());
-    long bornMillis = report.getLife().getBornMillis();
-    if (known == null) {
+    if (known != null && known.life().equals(report.getLife())) {
+      update(known, report, nowMillis);
+    } else if (findRivals(report).isEmpty()) {
       add(report, nowMillis);
-    } else if (bornMillis > known.life().getBornMillis()) {
-      Minion newLife = new Minion(report, nowMillis);
-      replace(known, newLife, nowMillis);
-      updateClock(newLife, nowMillis);
-    } else if (bornMillis == known.life().getBornMillis()
-        && report.getSequence() > known.report().getSequence()) {
-      boolean startsDraining = report.getDraining() && !known.report().getDraining();
-      boolean wasProvisional = known.isProvisional();
-      known.update(report, nowMillis);
-      updateClock(known, nowMillis);
-      if (wasProvisional) {
-        listener.onEvent(DispatchEventKind.MINION_CONFIRMED, known.id(), "bornMillis", bornMillis);
-      }
-      if (startsDraining) {
-        listener.onEvent(
-            DispatchEventKind.MINION_DRAINING,
-            known.id(),
-            "remainingMillis",
-            report.getDrainRemainingMillis());
-      }
+    } else {
+      unprovenLives.handleReport(report, nowMillis);
+    }
+  }
+
+  // A minion may outlive its service in the catalog. The runs of a life that is known only from
+  // them show the service to which it belongs.
+  private boolean namesKnownService(MinionReport report) {
+    Minion known = byId.get(report.getLife().getMinionId());
+    return catalog.view().hasService(report.getService())
+        || (known != null && known.belongsTo(report.getService()));
+  }
+
+  /** Returns the minions that a life cannot exist beside: of its identifier or its address. */
+  private List<Minion> findRivals(MinionReport report) {
+    return byId.values().stream()
+        .filter(
+            other ->
+                other.id().equals(report.getLife().getMinionId()) || other.hasAddressOf(report))
+        .toList();
+  }
+
+  private void update(Minion known, MinionReport report, long nowMillis) {
+    if (report.getSequence() <= known.report().getSequence()) {
+      return;
+    }
+    boolean startsDraining = report.getDraining() && !known.report().getDraining();
+    boolean wasProvisional = known.isProvisional();
+    known.update(report, nowMillis);
+    updateClock(known, nowMillis);
+    if (wasProvisional) {
+      listener.onEvent(
+          DispatchEventKind.MINION_CONFIRMED,
+          known.id(),
+          "bornMillis",
+          known.life().getBornMillis());
+    }
+    if (startsDraining) {
+      listener.onEvent(
+          DispatchEventKind.MINION_DRAINING,
+          known.id(),
+          "remainingMillis",
+          report.getDrainRemainingMillis());
     }
   }
 
@@ -136,6 +186,7 @@
    * @param life the life that announces its end; without a time of birth if that is unknown
    */
   void handleLeave(MinionLife life, long nowMillis) {
+    unprovenLives.remove(life);
     Minion known = byId.get(life.getMinionId());
     if (known == null) {
       return;
@@ -167,8 +218,13 @@
     }
   }
 
-  private void addProvisional(Minion minion, String source) {
+  private void put(Minion minion) {
     byId.put(minion.id(), minion);
+    unprovenLives.removeUntil(minion.life());
+  }
+
+  private void addProvisional(Minion minion, String source) {
+    put(minion);
     announceProvisional(minion, source);
   }
 
@@ -184,41 +240,94 @@
 
   private void add(MinionReport report, long nowMillis) {
     Minion minion = new Minion(report, nowMillis);
-    for (Minion other : List.copyOf(byId.values())) {
-      boolean sameAddress = other.report().getAddress().equals(report.getAddress());
-      if (sameAddress && other.life().getBornMillis() < report.getLife().getBornMillis()) {
-        replace(other, minion, nowMillis);
-      }
-    }
-    byId.put(minion.id(), minion);
+    put(minion);
     updateClock(minion, nowMillis);
+    announceJoined(minion);
+  }
+
+  private void announceJoined(Minion minion) {
     listener.onEvent(
         DispatchEventKind.MINION_JOINED,
         minion.id(),
         "bornMillis",
-        report.getLife().getBornMillis(),
+        minion.life().getBornMillis(),
         "address",
-        report.getAddress(),
+        minion.report().getAddress(),
         "dataCentre",
-        report.getDataCentre(),
+        minion.dataCentre(),
         "rack",
-        report.getRack());
+        minion.rack());
+  }
+
+  /**
+   * Handles what a response to a renewal shows: which life is at the address of a minion.
+   *
+   * @param asked the known or unproven life that the renewal was sent to
+   * @param bornMillis when the life that responded started, 0 if the response does not say so
+   * @return whether the life that was asked has responded; it is a known one from then on
+   */
+  boolean handleResponder(Minion asked, long bornMillis, long nowMillis) {
+    boolean isKnown = byId.get(asked.id()) == asked;
+    if (bornMillis == 0 || bornMillis == asked.life().getBornMillis()) {
+      if (!isKnown) {
+        putInPlace(asked, nowMillis);
+      }
+      return true;
+    }
+    MinionLife responder = asked.life().toBuilder().setBornMillis(bornMillis).build();
+    if (!isKnown) {
+      unprovenLives.refute(asked, "another life responds");
+    }
+    Minion known = byId.get(asked.id());
+    if (known != null && (isKnown || isSucceededBy(known, responder))) {
+      replaceByResponder(known, asked, responder, nowMillis);
+    }
+    return false;
+  }
+
+  /**
+   * Handles that another minion responds at the address of a life.
+   *
+   * @return whether the life was an unproven one, which is removed
+   */
+  boolean handleOtherResponder(Minion asked) {
+    return unprovenLives.refute(asked, "another minion responds");
+  }
+
+  // A life that has never responded may have been reported by anyone.
+  private static boolean isSucceededBy(Minion known, MinionLife responder) {
+    return responder.getBornMillis() > known.life().getBornMillis()
+        || (!known.lease().hasResponded() && !responder.equals(known.life()));
+  }
+
+  /** Replaces all minions in whose place a life has responded. */
+  private void putInPlace(Minion proven, long nowMillis) {
+    boolean isNew = !byId.containsKey(proven.id());
+    for (Minion rival : findRivals(proven.report())) {
+      replace(rival, proven, nowMillis);
+    }
+    put(proven);
+    if (isNew) {
+      announceJoined(proven);
+    }
   }
 
-  /** Handles a renewal response from a newer life of the minion than the one it was sent to. */
-  void handleNewLife(Minion known, long bornMillis, long nowMillis) {
-    if (bornMillis <= known.life().getBornMillis()) {
+  // The state of the responder is known if it was reported at the address that has responded.
+  private void replaceByResponder(
+      Minion known, Minion asked, MinionLife responder, long nowMillis) {
+    Minion reported = unprovenLives.remove(responder);
+    if (reported != null && reported.hasAddressOf(asked.report())) {
+      putInPlace(reported, nowMillis);
       return;
     }
-    MinionLife life = known.life().toBuilder().setBornMillis(bornMillis).build();
-    Minion newLife = Minion.provisional(known.report(), life, nowMillis);
+    Minion newLife = Minion.provisional(asked.report(), responder, nowMillis);
     replace(known, newLife, nowMillis);
     announceProvisional(newLife, "renewal response");
   }
 
   private void replace(Minion previous, Minion newLife, long nowMillis) {
     byId.remove(previous.id());
-    byId.put(newLife.id(), newLife);
+    put(newLife);
     listener.onEvent(
         DispatchEventKind.MINION_GONE,
         previous.id(),
@@ -231,8 +340,10 @@
     newLifeListener.onNewLife(previous, newLife, nowMillis);
   }
 
-  /** Removes idle minions that have been silent for too long. */
+  /** Removes idle minions and unproven lives that have been silent for too long. */
   void sweep(long nowMillis) {
+    ignoredReports.sweep(nowMillis);
+    unprovenLives.sweep(nowMillis, REMOVAL_MILLIS);
     for (Minion minion : new ArrayList<>(byId.values())) {
       long lastContactMillis =
           Math.max(minion.lastReportMillis(), minion.lease().lastResponseMillis());
--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/DispatcherHarness.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/DispatcherHarness.java
@@ -35,6 +35,7 @@
 import org.hickoryspar.protocol.WorkflowEvent;
 import org.hickoryspar.protocol.WorkflowSpec;
 import org.hickoryspar.protocol.WorkflowStep;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Runs a dispatcher with a replicated log that records immediately and with fake minions that carry
@@ -180,6 +181,11 @@
     }
   }
 
+  /** Passes a report to the dispatcher, which may be from anyone. */
+  void report(MinionReport report) {
+    dispatcher.handleReport(report, nowMillis);
+  }
+
   void report(FakeMinion minion) {
     dispatcher.handleReport(minion.report(nowMillis), nowMillis);
   }
@@ -228,6 +234,16 @@
             });
   }
 
+  /** Applies a catalog that names one more service. */
+  void addService(String service) {
+    Catalog.Builder changed = catalog.lastChange().getCatalog().toBuilder();
+    changed
+        .setVersion(changed.getVersion() + 1)
+        .addServices(ServicePolicy.newBuilder().setName(service));
+    assertEquals(
+        catalog.apply(CatalogChange.newBuilder().setCatalog(changed).build()), Optional.empty());
+  }
+
   QuotaQueries quotaQueries() {
     return dispatcher.quotaQueries();
   }
@@ -362,9 +378,11 @@
   }
 
   private void execute(Order order) {
-    FakeMinion minion = minions.get(order.target().life().getMinionId());
+    FakeMinion minion = findByAddress(order.target().address());
     if (minion == null || !minion.isReachable()) {
-      failOrder(order);
+      failOrder(order, OrderOutcome.UNKNOWN);
+    } else if (!minion.id().equals(order.target().life().getMinionId())) {
+      failOrder(order, OrderOutcome.OTHER_MINION);
     } else if (order instanceof Order.Renew renew) {
       minion.renew(renew, nowMillis);
     } else if (order instanceof Order.Start start) {
@@ -374,21 +392,28 @@
     }
   }
 
-  private void failOrder(Order order) {
+  private @Nullable FakeMinion findByAddress(String address) {
+    return minions.values().stream()
+        .filter(minion -> minion.address().equals(address))
+        .findFirst()
+        .orElse(null);
+  }
+
+  private void failOrder(Order order, OrderOutcome outcome) {
     if (order instanceof Order.Renew renew) {
-      dispatcher.handleRenewalFailure(renew.target().life(), OrderOutcome.UNKNOWN, nowMillis);
+      dispatcher.handleRenewalFailure(renew.target().life(), outcome, nowMillis);
     } else if (order instanceof Order.Start start) {
-      dispatcher.handleStartOutcome(start.taskRun(), OrderOutcome.UNKNOWN, nowMillis);
+      dispatcher.handleStartOutcome(start.taskRun(), outcome, nowMillis);
     } else if (order instanceof Order.Stop stop) {
-      dispatcher.handleStopOutcome(stop.taskRun(), OrderOutcome.UNKNOWN, nowMillis);
+      dispatcher.handleStopOutcome(stop.taskRun(), outcome, nowMillis);
     }
   }
 
   private void respondToRenewal(FakeMinion minion) {
-    minion.takeLostRenewal().ifPresent(this::failOrder);
+    minion.takeLostRenewals().forEach(order -> failOrder(order, OrderOutcome.UNKNOWN));
     minion
-        .takeDueRenewal(nowMillis)
-        .ifPresent(
+        .takeDueRenewals(nowMillis)
+        .forEach(
             renewal ->
                 dispatcher.handleRenewal(
                     renewal.target().life(), minion.response(renewal, nowMillis), nowMillis));
--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/FakeMinion.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/FakeMinion.java
@@ -4,7 +4,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import org.hickoryspar.kernel.dispatch.order.Order;
 import org.hickoryspar.kernel.dispatch.order.OrderOutcome;
 import org.hickoryspar.kernel.dispatch.order.RenewalResponse;
@@ -23,6 +22,7 @@
   private final String id;
   private final String rack;
   private String service = DispatcherHarness.SERVICE;
+  private String address;
   private long bornMillis;
   private long sequence;
   private boolean draining;
@@ -36,13 +36,14 @@
   private final List<RenewalResponse.EndedTask> ended = new ArrayList<>();
   private final List<TaskRun> stops = new ArrayList<>();
   private final List<Order.Start> starts = new ArrayList<>();
-  private Order.Renew pendingRenewal;
+  private final List<PendingRenewal> pendingRenewals = new ArrayList<>();
+  private final List<Order.Renew> lostRenewals = new ArrayList<>();
   private Order.Renew lastRenewal;
-  private long responseDueMillis;
   private long leaseDeadlineMillis;
 
   FakeMinion(String id, String rack, long bornMillis) {
     this.id = id;
+    this.address = id;
     this.rack = rack;
     this.bornMillis = bornMillis;
   }
@@ -56,7 +57,7 @@
         .setLife(MinionLife.newBuilder().setMinionId(id).setBornMillis(bornMillis))
         .setSequence(++sequence)
         .setService(service)
-        .setAddress(id)
+        .setAddress(address)
         .setDataCentre("dc-" + rack)
         .setRack(rack)
         .setDraining(draining)
@@ -75,28 +76,36 @@
   /** Accepts a renewal, whose response may wait for the end of a task. */
   void renew(Order.Renew order, long nowMillis) {
     lastRenewal = order;
-    pendingRenewal = order;
     leaseDeadlineMillis = Math.max(leaseDeadlineMillis, order.deadlineMillis());
-    responseDueMillis = nowMillis + order.waitMillis();
+    pendingRenewals.add(new PendingRenewal(order, nowMillis + order.waitMillis()));
   }
 
-  /** Removes and returns the renewal that is lost because the minion has become unreachable. */
-  Optional<Order.Renew> takeLostRenewal() {
-    return reachable ? Optional.empty() : takeRenewal();
+  /** Removes and returns the renewals whose connections are broken. */
+  List<Order.Renew> takeLostRenewals() {
+    if (!reachable) {
+      losePendingRenewals();
+    }
+    List<Order.Renew> lost = List.copyOf(lostRenewals);
+    lostRenewals.clear();
+    return lost;
   }
 
-  /** Removes and returns the renewal to which the minion now responds. */
-  Optional<Order.Renew> takeDueRenewal(long nowMillis) {
-    boolean due =
-        pendingRenewal != null
-            && (nowMillis >= responseDueMillis || !unrecordedEnds(pendingRenewal).isEmpty());
-    return due ? takeRenewal() : Optional.empty();
+  private void losePendingRenewals() {
+    pendingRenewals.forEach(pending -> lostRenewals.add(pending.order));
+    pendingRenewals.clear();
   }
 
-  private Optional<Order.Renew> takeRenewal() {
-    Optional<Order.Renew> renewal = Optional.ofNullable(pendingRenewal);
-    pendingRenewal = null;
-    return renewal;
+  /** Removes and returns the renewals to which the minion now responds. */
+  List<Order.Renew> takeDueRenewals(long nowMillis) {
+    List<PendingRenewal> due =
+        pendingRenewals.stream()
+            .filter(
+                pending ->
+                    nowMillis >= pending.responseDueMillis
+                        || !unrecordedEnds(pending.order).isEmpty())
+            .toList();
+    pendingRenewals.removeAll(due);
+    return due.stream().map(PendingRenewal::order).toList();
   }
 
   RenewalResponse response(Order.Renew renewal, long nowMillis) {
@@ -169,13 +178,22 @@
     running.clear();
     ended.clear();
     starts.clear();
-    pendingRenewal = null;
+    losePendingRenewals();
   }
 
   void setService(String service) {
     this.service = service;
   }
 
+  /** Moves the minion to another address; its identifier is its first one. */
+  void setAddress(String address) {
+    this.address = address;
+  }
+
+  String address() {
+    return address;
+  }
+
   /** Sets whether orders reach the minion; what runs on it goes on. */
   void setReachable(boolean reachable) {
     this.reachable = reachable;
@@ -260,4 +278,6 @@
   boolean isReachable() {
     return reachable;
   }
+
+  private record PendingRenewal(Order.Renew order, long responseDueMillis) {}
 }
--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/LossyCluster.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/LossyCluster.java
@@ -197,6 +197,12 @@
     startFaults.clear();
   }
 
+  /** Passes a report to the leader that may be from anyone. */
+  void report(MinionReport report) {
+    record("report " + report.toString().replace('\n', ' '));
+    dispatcher.handleReport(report, nowMillis);
+  }
+
   // -- time
 
   RecoveryMinion addMinion(String id, String rack) {
@@ -275,7 +281,13 @@
   }
 
   private void sendTaskOrder(Order order, TaskRun run, Dispatcher sender, long token) {
-    RecoveryMinion minion = minions.get(order.target().life().getMinionId());
+    RecoveryMinion minion = minions.get(order.target().address());
+    if (minion == null) {
+      deliver(
+          SETTINGS.responseTimeoutMillis(),
+          () -> handleOutcome(sender, order, run, OrderOutcome.UNKNOWN));
+      return;
+    }
     StartFault fault = startFaults.get(minion.id());
     if (fault != null && order instanceof Order.Start start) {
       sendFaultyStart(minion, fault, start, sender, token);
@@ -360,7 +372,11 @@
   }
 
   private void sendRenewal(Order.Renew order, Dispatcher sender, long token) {
-    RecoveryMinion minion = minions.get(order.target().life().getMinionId());
+    RecoveryMinion minion = minions.get(order.target().address());
+    if (minion == null || !minion.id().equals(order.target().life().getMinionId())) {
+      failRenewal(order, sender);
+      return;
+    }
     boolean lost = lossy && random.nextInt(100) < LOSS_PERCENT;
     deliver(
         1L + random.nextInt(MAX_DELIVERY_MILLIS),
--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/RunRecoveryModelTest.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/RunRecoveryModelTest.java
@@ -19,6 +19,7 @@
 import org.hickoryspar.protocol.WorkflowEvent;
 import org.hickoryspar.protocol.WorkflowSpec;
 import org.hickoryspar.protocol.WorkflowStep;
+import org.jspecify.annotations.Nullable;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -37,6 +38,10 @@
   private static final int MAX_OPEN_WORKFLOWS = 5;
   private static final int STEPS = 400;
   private static final int STEP_MILLIS = 50;
+
+  /** Number of steps in which another writer sends one report on average. */
+  private static final int FOREIGN_REPORT_STEPS = 8;
+
   private static final int MAX_DISTURBANCE_MILLIS = 9_000;
 
   /** Long enough for the lease of a lost minion and for the isolation and probe of another. */
@@ -56,7 +61,21 @@
   /** Guards against a task that waits for ever although nothing keeps it from running. */
   @Test(dataProvider = "seeds")
   void shouldRunAllTasksWhenFailuresHaveEnded(int seed) {
+    play(new Schedule(seed));
+  }
+
+  /**
+   * Guards against tasks that run twice, and minions that are not used, because of a report of a
+   * writer that is no minion.
+   */
+  @Test(dataProvider = "seeds")
+  void shouldRunAllTasksOnceWhenAnotherWriterSendsReports(int seed) {
     Schedule schedule = new Schedule(seed);
+    schedule.foreignReports = new ForeignReports(new Random(seed));
+    play(schedule);
+  }
+
+  private static void play(Schedule schedule) {
     for (int i = 0; i < STEPS; i++) {
       schedule.act();
       schedule.cluster.advanceTime(STEP_MILLIS);
@@ -76,6 +95,7 @@
     private final LossyCluster cluster;
     private final List<RecoveryMinion> lostMinions = new ArrayList<>();
     private int submitted;
+    private @Nullable ForeignReports foreignReports;
 
     Schedule(int seed) {
       random = new Random(seed);
@@ -100,6 +120,15 @@
         cancel(openWorkflows().get(random.nextInt(openWorkflows().size())));
       }
       fail();
+      if (foreignReports != null && foreignReports.isNext(FOREIGN_REPORT_STEPS)) {
+        sendForeignReport(foreignReports);
+      }
+    }
+
+    private void sendForeignReport(ForeignReports writer) {
+      List<String> addresses = cluster.minions().stream().map(RecoveryMinion::id).toList();
+      RecoveryMinion minion = cluster.minions().get(random.nextInt(addresses.size()));
+      cluster.report(writer.next(minion.report(cluster.nowMillis()), addresses));
     }
 
     private List<Workflow> openWorkflows() {
--- a/hickoryspar-node/src/main/java/org/hickoryspar/node/explain/EventDescriptions.java
+++ b/hickoryspar-node/src/main/java/org/hickoryspar/node/explain/EventDescriptions.java
@@ -96,6 +96,16 @@
         "MINION_PROVISIONAL",
         "the current state of the minion is unknown, it is known from a {source} only");
     TEMPLATES.put("MINION_CONFIRMED", "the minion has reported its current state");
+    TEMPLATES.put(
+        "LIFE_UNPROVEN",
+        "a report names a later life of the minion, started at {bornMillis}, at {address}; it"
+            + " replaces nothing until it responds there");
+    TEMPLATES.put(
+        "LIFE_REFUTED",
+        "the life that was reported as started at {bornMillis} is not at {address}: {because}");
+    TEMPLATES.put(
+        "REPORT_IGNORED",
+        "a report with the address {address} is ignored: no catalog names its service {service}");
     TEMPLATES.put("MINION_GONE", "the minion, started at {bornMillis}, has ended");
   }
 
--- a/hickoryspar-node/src/test/java/org/hickoryspar/node/dispatch/DispatchLoopTest.java
+++ b/hickoryspar-node/src/test/java/org/hickoryspar/node/dispatch/DispatchLoopTest.java
@@ -20,8 +20,11 @@
 import org.hickoryspar.kernel.value.Result;
 import org.hickoryspar.node.control.LeaderLog;
 import org.hickoryspar.node.control.Proposer;
+import org.hickoryspar.protocol.Catalog;
+import org.hickoryspar.protocol.CatalogChange;
 import org.hickoryspar.protocol.MinionLife;
 import org.hickoryspar.protocol.MinionReport;
+import org.hickoryspar.protocol.ServicePolicy;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -30,6 +33,8 @@
 
   private static final Duration TIMEOUT = Duration.ofSeconds(30);
 
+  private static final String SERVICE = "service";
+
   private static final int MANY_MINIONS = 350;
 
   private static final DispatchSettings SETTINGS =
@@ -64,7 +69,7 @@
     onFirstRenewal = () -> {};
     loop =
         new DispatchLoop(
-            new ControlState(),
+            stateWithService(),
             new Proposer(log, System::currentTimeMillis),
             new UnresponsiveMinionClient(),
             SETTINGS,
@@ -74,6 +79,20 @@
     loop.start();
   }
 
+  private static ControlState stateWithService() {
+    ControlState state = new ControlState();
+    state
+        .catalog()
+        .apply(
+            CatalogChange.newBuilder()
+                .setCatalog(
+                    Catalog.newBuilder()
+                        .setVersion(1)
+                        .addServices(ServicePolicy.newBuilder().setName(SERVICE)))
+                .build());
+    return state;
+  }
+
   @AfterMethod(alwaysRun = true)
   void stop() {
     loop.close();
@@ -208,7 +227,7 @@
     return MinionReport.newBuilder()
         .setLife(MinionLife.newBuilder().setMinionId(address).setBornMillis(1))
         .setSequence(1)
-        .setService("service")
+        .setService(SERVICE)
         .setAddress(address)
         .build();
   }
--- a/hickoryspar-node/src/test/java/org/hickoryspar/node/dispatch/MinionRegistryTest.java
+++ b/hickoryspar-node/src/test/java/org/hickoryspar/node/dispatch/MinionRegistryTest.java
@@ -25,16 +25,21 @@
 import org.hickoryspar.node.cluster.ControlPeers;
 import org.hickoryspar.node.cluster.InstanceIds;
 import org.hickoryspar.node.transport.PeerIdentity;
+import org.hickoryspar.protocol.Catalog;
+import org.hickoryspar.protocol.CatalogChange;
 import org.hickoryspar.protocol.Envelope;
 import org.hickoryspar.protocol.MinionLife;
 import org.hickoryspar.protocol.MinionReport;
 import org.hickoryspar.protocol.MinionReports;
+import org.hickoryspar.protocol.ServicePolicy;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
 public class MinionRegistryTest {
 
+  private static final String SERVICE = "service";
+
   private final List<MinionReport> forwarded = new CopyOnWriteArrayList<>();
   private final AtomicLong nowMillis = new AtomicLong();
   private Closer closer = Closer.create();
@@ -90,13 +95,25 @@
             100,
             0,
             RunTimeSource.LEARNED),
-        new CatalogState(),
+        catalogWithService(),
         new WorkflowTable(),
         (kind, subject, details) -> {},
         nowMillis.get(),
         nowMillis.get());
   }
 
+  private static CatalogState catalogWithService() {
+    CatalogState catalog = new CatalogState();
+    catalog.apply(
+        CatalogChange.newBuilder()
+            .setCatalog(
+                Catalog.newBuilder()
+                    .setVersion(1)
+                    .addServices(ServicePolicy.newBuilder().setName(SERVICE)))
+            .build());
+    return catalog;
+  }
+
   private CompletableFuture<Result<Envelope.Builder>> receive(Envelope call) {
     forwarded.addAll(call.getMinionReports().getReportsList());
     return CompletableFuture.completedFuture(
@@ -110,6 +127,7 @@
     return MinionReport.newBuilder()
         .setLife(life(bornMillis))
         .setSequence(sequence)
+        .setService(SERVICE)
         .setAddress("127.0.0.1:1")
         .build();
   }
