Keep the reports of each life and service apart in a control daemon

What callers would see: after a report of another writer under the identifier of a minion, with a higher sequence or a later birth, the reports of the minion itself were acknowledged and dropped: a drain was not seen, and after a change of leader the minion got no work.

Cause: a daemon kept one report for an identifier and dropped what was below the highest birth and sequence that it had seen, whether or not the leader had accepted that report.

Change: reports are kept by life and service, and supersede only reports of the same. The leader says which of them it holds. A report of a life before a confirmed one is dropped once, as it may be late; a further one shows that this life goes on. A DELETE speaks of the confirmed life. At most 8 reports are kept under an identifier, and silent ones are forgotten at any time and not only when the leader changes.

--- a/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/reports/ReceivedReports.java
+++ b/hickoryspar-kernel/src/main/java/org/hickoryspar/kernel/reports/ReceivedReports.java
@@ -4,20 +4,27 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.hickoryspar.protocol.MinionLife;
 import org.hickoryspar.protocol.MinionReport;
 import org.hickoryspar.protocol.MinionReports;
 import org.hickoryspar.protocol.MinionReportsReply;
+import org.jspecify.annotations.Nullable;
 
 /**
- * The latest report of each minion that a control daemon has received, and whether the leader has
- * confirmed it. Reads no clock and performs no I/O. Not thread-safe.
+ * The latest reports of minions that a control daemon has received, and whether the leader has
+ * confirmed them. Reads no clock and performs no I/O. Not thread-safe.
+ *
+ * <p>Anyone may send a report under any identifier. Reports are therefore kept by life and service,
+ * and only those of one life and service supersede each other. Which of them is from the minion
+ * itself is decided by the leader, which confirms no other.
  *
  * <p>A report that does not differ from a confirmed one is not sent to the leader. The leader may
  * no longer hold what it has confirmed, because another leader or another session has started or
@@ -41,7 +48,11 @@
   /** Age assigned to restored reports, which were received before this process started. */
   private static final long RESTORED_AGE_MILLIS = 60_000;
 
-  private final Map<String, Entry> byId = new LinkedHashMap<>();
+  /** Maximum number of lives and services that are kept under one identifier. */
+  private static final int MAX_ENTRIES_PER_MINION = 8;
+
+  private final Map<String, List<Entry>> byId = new LinkedHashMap<>();
+  private long nextSweepMillis = Long.MIN_VALUE;
   private boolean changedSinceSnapshot;
 
   /** Creates an empty collection. */
@@ -57,40 +68,99 @@
    */
   public Optional<MinionReports> add(MinionReport report, long nowMillis) {
     requireNonNull(report, "report is null");
+    sweepIfDue(nowMillis);
     Entry entry = new Entry(report, nowMillis);
-    Entry previous = byId.get(entry.minionId());
-    if (previous != null && previous.isNewerThan(report)) {
+    List<Entry> entries = entriesOf(entry.minionId());
+    Entry previous = find(entries, report);
+    if (previous != null && previous.sequence() >= entry.sequence()) {
       return Optional.empty();
     }
-    byId.put(entry.minionId(), entry);
-    if (previous == null || previous.fingerprint != entry.fingerprint) {
-      changedSinceSnapshot = true;
-    } else if (previous.confirmed) {
-      entry.confirmed = true;
-      return Optional.empty();
+    replace(previous, entry);
+    boolean isSameState = previous != null && previous.fingerprint == entry.fingerprint;
+    changedSinceSnapshot |= !isSameState;
+    entry.confirmed = previous != null && isSameState && previous.confirmed;
+    // The last report of a life may come late. A further one shows that this life goes on.
+    boolean mayBeLate =
+        previous == null && entries.stream().anyMatch(entry::isOfEarlierLifeThanConfirmed);
+    return entry.confirmed || mayBeLate
+        ? Optional.empty()
+        : Optional.of(message(List.of(entry), nowMillis));
+  }
+
+  private List<Entry> entriesOf(String minionId) {
+    return byId.getOrDefault(minionId, List.of());
+  }
+
+  private List<Entry> allEntries() {
+    return byId.values().stream().flatMap(List::stream).toList();
+  }
+
+  private static @Nullable Entry find(List<Entry> entries, MinionReport report) {
+    return entries.stream()
+        .filter(entry -> entry.hasLifeAndServiceOf(report))
+        .findFirst()
+        .orElse(null);
+  }
+
+  private void replace(@Nullable Entry previous, Entry entry) {
+    List<Entry> entries = byId.computeIfAbsent(entry.minionId(), id -> new ArrayList<>());
+    if (previous == null) {
+      entries.add(entry);
+    } else {
+      entries.set(entries.indexOf(previous), entry);
+    }
+    if (entries.size() > MAX_ENTRIES_PER_MINION) {
+      entries.stream()
+          .filter(other -> other != entry && !other.confirmed)
+          .min(Comparator.comparingLong(other -> other.receivedMillis))
+          .ifPresent(entries::remove);
     }
-    return Optional.of(message(List.of(entry), nowMillis));
+  }
+
+  private void sweepIfDue(long nowMillis) {
+    if (nowMillis >= nextSweepMillis) {
+      nextSweepMillis = nowMillis + RETENTION_MILLIS;
+      removeSilent(nowMillis);
+    }
+  }
+
+  private void removeSilent(long nowMillis) {
+    long maxAgeMillis = RETENTION_MILLIS + RESTORED_AGE_MILLIS;
+    byId.values()
+        .forEach(entries -> entries.removeIf(entry -> entry.ageMillis(nowMillis) > maxAgeMillis));
+    byId.values().removeIf(List::isEmpty);
   }
 
   /**
    * Removes a minion that announces that its process is about to end. The life that it speaks of is
-   * the one that has reported here last; it is unknown if none has.
+   * the one that has reported here and that the leader has confirmed, if it has confirmed any; it
+   * is unknown if no life or more than one comes into question.
    *
    * @param minionId identifier of the minion
    * @return the message to send to the leader
    */
   public MinionReports remove(String minionId) {
-    Entry previous = byId.remove(requireNonNull(minionId, "minionId is null"));
+    MinionLife life = findLife(requireNonNull(minionId, "minionId is null"));
+    byId.remove(minionId);
     changedSinceSnapshot = true;
-    MinionLife life =
-        previous == null
-            ? MinionLife.newBuilder().setMinionId(minionId).build()
-            : previous.report.getLife();
     return MinionReports.newBuilder()
         .addReports(MinionReport.newBuilder().setLife(life).setLeaving(true))
         .build();
   }
 
+  private MinionLife findLife(String minionId) {
+    List<Entry> entries = entriesOf(minionId);
+    boolean anyConfirmed = entries.stream().anyMatch(entry -> entry.confirmed);
+    Set<MinionLife> lives =
+        entries.stream()
+            .filter(entry -> entry.confirmed || !anyConfirmed)
+            .map(entry -> entry.report.getLife())
+            .collect(Collectors.toSet());
+    return lives.size() == 1
+        ? lives.iterator().next()
+        : MinionLife.newBuilder().setMinionId(minionId).build();
+  }
+
   /**
    * Handles the start of another leader, which has confirmed nothing yet. Removes the minions that
    * have long been silent.
@@ -99,10 +169,10 @@
    * @return the message to send to the leader; empty if there are no reports
    */
   public Optional<MinionReports> handleLeaderChange(long nowMillis) {
-    byId.values()
-        .removeIf(entry -> entry.ageMillis(nowMillis) > RETENTION_MILLIS + RESTORED_AGE_MILLIS);
-    byId.values().forEach(entry -> entry.confirmed = false);
-    return messageUnlessEmpty(byId.values(), nowMillis);
+    removeSilent(nowMillis);
+    List<Entry> entries = allEntries();
+    entries.forEach(entry -> entry.confirmed = false);
+    return messageUnlessEmpty(entries, nowMillis);
   }
 
   /**
@@ -114,7 +184,7 @@
    */
   public Optional<MinionReports> confirmationRequest(long nowMillis) {
     List<Long> fingerprints =
-        byId.values().stream()
+        allEntries().stream()
             .filter(entry -> entry.confirmed && entry.isRecent(nowMillis))
             .map(entry -> entry.fingerprint)
             .toList();
@@ -144,9 +214,10 @@
 
   // The state may have changed since the report was sent.
   private void recordReply(MinionReport report, Set<Long> missing) {
-    Entry entry = byId.get(report.getLife().getMinionId());
+    Entry entry = find(entriesOf(report.getLife().getMinionId()), report);
     if (entry != null && entry.fingerprint == ReportFingerprint.of(report)) {
       entry.confirmed = !missing.contains(entry.fingerprint);
+      entriesOf(entry.minionId()).removeIf(other -> other.isOfEarlierLifeThanConfirmed(entry));
     }
   }
 
@@ -154,7 +225,7 @@
     Set<Long> withdrawn = new HashSet<>(request.getConfirmedList());
     withdrawn.retainAll(missing);
     List<Entry> entries = new ArrayList<>();
-    for (Entry entry : byId.values()) {
+    for (Entry entry : allEntries()) {
       if (withdrawn.contains(entry.fingerprint)) {
         entry.confirmed = false;
         entries.add(entry);
@@ -164,13 +235,13 @@
   }
 
   /**
-   * Returns the latest report of each minion, for a leader in this process.
+   * Returns the latest reports of the minions, for a leader in this process.
    *
    * @param nowMillis monotonic time in milliseconds
    * @return the reports with their ages
    */
   public List<MinionReport> all(long nowMillis) {
-    return byId.values().stream().map(entry -> entry.withAge(nowMillis)).toList();
+    return allEntries().stream().map(entry -> entry.withAge(nowMillis)).toList();
   }
 
   /**
@@ -183,8 +254,9 @@
   public void restore(MinionReports reports, long nowMillis) {
     requireNonNull(reports, "reports is null");
     for (MinionReport report : reports.getReportsList()) {
-      byId.putIfAbsent(
-          report.getLife().getMinionId(), new Entry(report, nowMillis - RESTORED_AGE_MILLIS));
+      if (find(entriesOf(report.getLife().getMinionId()), report) == null) {
+        replace(null, new Entry(report, nowMillis - RESTORED_AGE_MILLIS));
+      }
     }
   }
 
@@ -199,7 +271,7 @@
     }
     changedSinceSnapshot = false;
     MinionReports.Builder reports = MinionReports.newBuilder();
-    byId.values().forEach(entry -> reports.addReports(withoutTimes(entry.report)));
+    allEntries().forEach(entry -> reports.addReports(withoutTimes(entry.report)));
     return Optional.of(reports.build());
   }
 
@@ -218,7 +290,7 @@
     return message.build();
   }
 
-  /** The latest report of one minion. */
+  /** The latest report of one life in one service. */
   private static final class Entry {
 
     private final MinionReport report;
@@ -236,11 +308,19 @@
       return report.getLife().getMinionId();
     }
 
-    boolean isNewerThan(MinionReport other) {
-      long bornMillis = report.getLife().getBornMillis();
-      long otherBornMillis = other.getLife().getBornMillis();
-      return bornMillis > otherBornMillis
-          || (bornMillis == otherBornMillis && report.getSequence() >= other.getSequence());
+    long sequence() {
+      return report.getSequence();
+    }
+
+    boolean hasLifeAndServiceOf(MinionReport other) {
+      return report.getLife().equals(other.getLife())
+          && report.getService().equals(other.getService());
+    }
+
+    boolean isOfEarlierLifeThanConfirmed(Entry other) {
+      return other.confirmed
+          && other.minionId().equals(minionId())
+          && report.getLife().getBornMillis() < other.report.getLife().getBornMillis();
     }
 
     long ageMillis(long nowMillis) {
--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/MinionRediscoveryTest.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/dispatch/MinionRediscoveryTest.java
@@ -8,8 +8,10 @@
 import java.util.Random;
 import java.util.stream.IntStream;
 import org.hickoryspar.kernel.reports.ReceivedReports;
+import org.hickoryspar.protocol.MinionReport;
 import org.hickoryspar.protocol.MinionReports;
 import org.hickoryspar.protocol.MinionReportsReply;
+import org.jspecify.annotations.Nullable;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -25,6 +27,10 @@
   private static final int SEEDS = 200;
   private static final int STEPS = 400;
   private static final int STEP_MILLIS = 100;
+
+  /** Number of steps in which another writer sends one report on average. */
+  private static final int FOREIGN_REPORT_STEPS = 4;
+
   private static final int HEARTBEAT_INTERVAL_MILLIS = 1_500;
   private static final int CONFIRM_INTERVAL_MILLIS = 2_000;
 
@@ -51,6 +57,27 @@
     assertEquals(schedule.harness.usableMinions(), MINIONS, schedule.history.toString());
   }
 
+  /**
+   * Guards against a minion that is not used because of a report of a writer that is no minion,
+   * while that writer goes on.
+   */
+  @Test(dataProvider = "seeds")
+  void shouldUseMinionSoonWhenAnotherWriterSendsReports(int seed) {
+    Schedule schedule = new Schedule(seed);
+    schedule.foreignReports = new ForeignReports(new Random(seed));
+    for (int i = 0; i < STEPS; i++) {
+      schedule.failAtRandom();
+      schedule.advance(STEP_MILLIS);
+      schedule.sendForeignReport();
+    }
+    schedule.endFailures();
+    for (int i = 0; i < MAX_REDISCOVERY_MILLIS / STEP_MILLIS; i++) {
+      schedule.advance(STEP_MILLIS);
+      schedule.sendForeignReport();
+    }
+    assertEquals(schedule.harness.usableMinions(), MINIONS, schedule.history.toString());
+  }
+
   /** The minions, the daemons that they report to, and the leader. */
   private static final class Schedule {
 
@@ -59,6 +86,7 @@
     private final List<Daemon> daemons = new ArrayList<>();
     private final List<Beat> beats = new ArrayList<>();
     private final List<String> history = new ArrayList<>();
+    private @Nullable ForeignReports foreignReports;
 
     Schedule(int seed) {
       random = new Random(seed);
@@ -124,6 +152,17 @@
       }
     }
 
+    void sendForeignReport() {
+      if (foreignReports == null || !foreignReports.isNext(FOREIGN_REPORT_STEPS)) {
+        return;
+      }
+      FakeMinion minion = beats.get(random.nextInt(MINIONS)).minion;
+      List<String> addresses = beats.stream().map(beat -> beat.minion.address()).toList();
+      MinionReport report = foreignReports.next(minion.report(harness.nowMillis()), addresses);
+      record("report " + report.toString().replace('\n', ' '));
+      daemons.get(random.nextInt(DAEMONS)).receive(report);
+    }
+
     private void record(String event) {
       history.add(harness.nowMillis() + ": " + event);
     }
@@ -183,7 +222,9 @@
         if (nowMillis < silentUntilMillis) {
           return;
         }
-        for (int i = 0; i < DAEMONS && !daemons.get(daemonIndex).receive(minion); i++) {
+        for (int i = 0;
+            i < DAEMONS && !daemons.get(daemonIndex).receive(minion.report(nowMillis));
+            i++) {
           daemonIndex = (daemonIndex + 1) % DAEMONS;
         }
       }
@@ -209,12 +250,12 @@
       }
 
       /** Handles a heartbeat; returns whether it is acknowledged. */
-      boolean receive(FakeMinion minion) {
+      boolean receive(MinionReport report) {
         long nowMillis = harness.nowMillis();
         if (nowMillis < pausedUntilMillis) {
           return false;
         }
-        Optional<MinionReports> message = reports.add(minion.report(nowMillis), nowMillis);
+        Optional<MinionReports> message = reports.add(report, nowMillis);
         reports.snapshotIfChanged().ifPresent(snapshot -> saved = snapshot);
         return message.isEmpty() || send(message.get());
       }
--- a/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/reports/ReceivedReportsTest.java
+++ b/hickoryspar-kernel/src/test/java/org/hickoryspar/kernel/reports/ReceivedReportsTest.java
@@ -92,6 +92,58 @@
     assertEquals(reports.all(NOW_MILLIS).get(0).getSequence(), 7);
   }
 
+  /**
+   * Guards against a minion whose own reports are dropped because a report of another writer, which
+   * the leader does not accept, bears a higher number or a later life.
+   */
+  @Test(dataProvider = "foreignReports")
+  void shouldSendReportWhenOneOfAnotherWriterCameBefore(MinionReport foreign) {
+    addConfirmed(report(5, 1));
+    MinionReports message = reports.add(foreign, NOW_MILLIS).orElseThrow();
+    reports.handleReply(message, missing(foreign), NOW_MILLIS);
+    assertTrue(mustSend(report(5, 2).toBuilder().setDraining(true).build()));
+  }
+
+  @DataProvider
+  Object[][] foreignReports() {
+    MinionReport sameLife = report(5, 1_000).toBuilder().setService("unnamed").build();
+    MinionReport laterLife = report(9, 1_000);
+    return new Object[][] {
+      {sameLife}, {laterLife}, {laterLife.toBuilder().setService("unnamed").build()}
+    };
+  }
+
+  /** Guards against a minion that is never used because a later life was confirmed in error. */
+  @Test
+  void shouldSendFurtherReportsWhenLifeGoesOnBesideALaterOne() {
+    addConfirmed(report(9, 1));
+    assertFalse(mustSend(report(5, 7)));
+    assertTrue(mustSend(report(5, 8)));
+  }
+
+  /** Guards against memory that grows with each report of another writer. */
+  @Test
+  void shouldKeepFewReportsWhenManyLivesAreReported() {
+    addConfirmed(report(5, 1));
+    for (int i = 0; i < 1_000; i++) {
+      reports.add(report(10 + i, 1), NOW_MILLIS + i);
+    }
+    assertTrue(reports.all(NOW_MILLIS).size() < 10);
+    assertEquals(reports.all(NOW_MILLIS).get(0).getLife(), report(5, 1).getLife());
+  }
+
+  /** Guards against memory that grows with each identifier that another writer makes up. */
+  @Test
+  void shouldForgetReportsWhenTheyAreLongSilent() {
+    addConfirmed(report(5, 1));
+    MinionReport other =
+        report(6, 1).toBuilder()
+            .setLife(MinionLife.newBuilder().setMinionId("m2").setBornMillis(6))
+            .build();
+    reports.add(other, NOW_MILLIS + 200_000);
+    assertEquals(reports.all(NOW_MILLIS).size(), 1);
+  }
+
   // -- handleReply
 
   /** Guards against a minion that gets no work because a restored report counted as its state. */
@@ -168,6 +220,14 @@
     assertEquals(reports.remove("m1").getReports(0).getLife().getBornMillis(), 0);
   }
 
+  /** Guards against a leave that is not taken for that of the minion after a foreign report. */
+  @Test(dataProvider = "foreignReports")
+  void shouldNameConfirmedLifeThatLeaves(MinionReport foreign) {
+    addConfirmed(report(5, 1));
+    reports.add(foreign, NOW_MILLIS);
+    assertEquals(reports.remove("m1").getReports(0).getLife(), report(5, 1).getLife());
+  }
+
   // -- snapshotIfChanged
 
   @Test
